Ports, internal protocol and range table that the parts are built against

Cause: several parts are built at the same time and need fixed names: the protobuf messages, the framed calls over TCP, the ports to the platform and to the back ends, the range table and the clock. Ruled out: a port per outside call (too many small contracts); leases counted from receipt at the back end (a delayed renewal would lengthen them), so a renewal carries the end of the lease as a reading of the server's own clock. Before: nothing.

--- /dev/null
+++ b/indigoworks/backend/errors.py
@@ -0,0 +1,34 @@
+"""Errors of the back ends."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from indigoworks.common.errors import IndigoworksError
+
+
+@dataclass(frozen=True)
+class BackendError(IndigoworksError):
+    """Base of the errors of a back end."""
+
+    kind: ClassVar[str] = "backend"
+
+
+@dataclass(frozen=True)
+class BackendUnreachable(BackendError):
+    """No connection: the request never reached the server."""
+
+    kind: ClassVar[str] = "backend_unreachable"
+
+
+@dataclass(frozen=True)
+class BackendAnswerLost(BackendError):
+    """The answer is missing or cut short: the server may have run the request."""
+
+    kind: ClassVar[str] = "backend_answer_lost"
+
+
+@dataclass(frozen=True)
+class BackendRefused(BackendError):
+    """The server refused a renewal: other incarnation, or older grants than it holds."""
+
+    kind: ClassVar[str] = "backend_refused"
--- /dev/null
+++ b/indigoworks/common/__init__.py
@@ -0,0 +1,1 @@
+"""Parts shared by the router and the controller."""
--- /dev/null
+++ b/indigoworks/common/address.py
@@ -0,0 +1,14 @@
+"""A TCP address."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, order=True)
+class Address:
+    """IP number and TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/indigoworks/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: leases, ownership, settings and views."""
--- /dev/null
+++ b/indigoworks/platform/object_store.py
@@ -0,0 +1,19 @@
+"""Port to the object store."""
+
+from typing import Protocol
+
+from result import Result
+
+from indigoworks.platform.errors import PlatformError
+
+
+class ObjectStore(Protocol):
+    """The platform's object store."""
+
+    async def put(self, name: str, content: bytes) -> Result[None, PlatformError]:
+        """Store `content` under `name`, replacing what stood there."""
+        ...
+
+    async def get(self, name: str) -> Result[bytes | None, PlatformError]:
+        """Return the content under `name`, or None where there is none."""
+        ...
--- /dev/null
+++ b/indigoworks/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The internal protocol: protobuf messages in length-bounded frames over TCP."""
