--- /dev/null
+++ b/features/steps/controller_steps.py
@@ -0,0 +1,381 @@
+"""Steps for the rules of the controller."""
+
+import asyncio
+from random import Random
+
+import detangle
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+from result import Err, Ok
+
+from indigoworks.admin.settings_change import SettingsChange
+from indigoworks.common.clock import LoopClock
+from indigoworks.common.lease_bounds import MAX_CLOCK_DRIFT
+from indigoworks.common.ring.key_hash import KEY_SPACE_MAX
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.lease_timing import BACKEND_LEASE_S
+from indigoworks.controller.placement.key_space_cut import cut_key_space, cut_out_place
+from indigoworks.controller.placement.move_budget import MoveBudget
+from indigoworks.controller.placement.rebalance import next_move
+from indigoworks.controller.placement.server_board import ServerBoard
+from indigoworks.controller.server_lease import ServerLease
+from indigoworks.controller.settings_record import SettingsRecord, settings_row_key
+from indigoworks.controller.settings_service import SettingsService
+from indigoworks.controller.settings_table import SettingsTable
+from indigoworks.controller.view_history import MAX_KEPT_CHANGES
+from indigoworks.platform.errors import (
+    PlatformOutcomeUnknown,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from indigoworks.platform.row_write import RowWrite
+from indigoworks.platform.table_row import TableRow
+from indigoworks.settings import parse_tree
+from indigoworks.wire.control_pb2 import (
+    ChangeRanges,
+    Command,
+    RangeRecord,
+    ReplaceSettings,
+    Server,
+)
+
+PROPERTY = hypothesis_settings(deadline=None, max_examples=200, derandomize=True, database=None)
+
+
+class FixedClock:
+    """A clock that stands still."""
+
+    def now(self):
+        return 0.0
+
+    async def sleep(self, duration_s):
+        await asyncio.sleep(0)
+
+
+class FakeTable:
+    """A table service in memory whose next write can lose its answer."""
+
+    def __init__(self):
+        self.rows = {}
+        self.is_down = False
+        self.loses_next_answer = False
+        self.goes_down_after_write = False
+
+    async def read(self, key):
+        if self.is_down:
+            return Err(PlatformUnavailable("down", "later"))
+        return Ok(self.rows.get(key))
+
+    async def transact(self, writes):
+        if self.is_down:
+            return Err(PlatformUnavailable("down", "later"))
+        for write in writes:
+            row = self.rows.get(write.key)
+            if (row.version if row else 0) != write.expected_version:
+                return Err(VersionConflict("changed", "read again"))
+        for write in writes:
+            self.rows[write.key] = TableRow(write.key, write.value, write.expected_version + 1)
+        self.is_down = self.goes_down_after_write
+        if self.loses_next_answer:
+            self.loses_next_answer = False
+            return Err(PlatformOutcomeUnknown("lost", "read back"))
+        return Ok(None)
+
+
+class FakeNode:
+    """Commits every command at once."""
+
+    def __init__(self, state):
+        self.state = state
+
+    async def propose(self, command):
+        index = self.state.applied_index + 1
+        self.state.apply(index, command)
+        return Ok(index)
+
+
+class FakeLeadership:
+    """A leadership that holds."""
+
+    term = 1
+    generation = 1
+
+    def may_grant(self):
+        return True
+
+
+def whole_space(owner, generation=1):
+    return RangeRecord(
+        service="catalogue",
+        start=0,
+        end=KEY_SPACE_MAX,
+        owner=owner,
+        owner_incarnation=f"{owner}-1",
+        generation=generation,
+    )
+
+
+def change(expected, replacement):
+    return Command(change_ranges=ChangeRanges(expected=expected, replacement=replacement))
+
+
+@then("controller: for all delays and drifts in bounds the server's lease ends first")
+def lease_ends_first(context):
+    rates = strategies.floats(1 - MAX_CLOCK_DRIFT, 1 + MAX_CLOCK_DRIFT)
+    delays = strategies.floats(0, 5)
+
+    @PROPERTY
+    @for_all(rates, rates, delays, delays)
+    def check(server_rate, leader_rate, answer_delay_s, renewal_delay_s):
+        # True time 0 is when the server read its clock; both clocks read 0 then.
+        lease = ServerLease(0.0)
+        lease.record_reading(0.0, answer_delay_s * leader_rate)
+        server_end_s = lease.extend() / server_rate
+        leader_end_s = lease.lapse_at_s / leader_rate
+        # The delay of the renewal itself must not matter at all.
+        assert server_end_s <= leader_end_s, (server_end_s, leader_end_s, renewal_delay_s)
+
+    check()
+
+
+@given("controller: a lease with a reading of {reading:f} s received at {received:f} s")
+def lease_with_reading(context, reading, received):
+    context.lease = ServerLease(0.0)
+    context.lease.record_reading(reading, received)
+
+
+@when("controller: the lease is extended")
+def extend_lease(context):
+    context.end_s = context.lease.extend()
+
+
+@then("controller: the end sent is {end:f} s on the server's clock")
+def end_is(context, end):
+    assert context.end_s == end == 100.0 + BACKEND_LEASE_S
+
+
+@then("controller: the lease has not lapsed at {before:f} s and has lapsed at {after:f} s")
+def lapse_is(context, before, after):
+    assert not context.lease.has_lapsed(before)
+    assert context.lease.has_lapsed(after)
+
+
+@given('controller: a state in which server "a" owns the key space')
+def state_with_owner(context):
+    context.state = ReplicatedControlState(FixedClock())
+    context.state.apply(5, change([], [whole_space("a")]))
+
+
+@when('controller: two changes are applied that both expect owner "a"')
+def apply_two(context):
+    before = context.state.ranges()
+    context.state.apply(6, change(before, [whole_space("b")]))
+    context.state.apply(7, change(before, [whole_space("c")]))
+
+
+@then("controller: the first change stands and the second is void")
+def first_stands(context):
+    assert [record.owner for record in context.state.ranges()] == ["b"]
+    assert [record.token for record in context.state.ranges()] == [1 << 40 | 6]
+    assert context.state.version == 6
+
+
+@when("controller: the key space is granted anew in generations 1, 1 and 2")
+def grant_anew(context):
+    context.tokens = [context.state.ranges()[0].token]
+    for index, generation in ((9, 1), (10, 1), (6, 2)):
+        renewed = [whole_space("a", generation)]
+        context.state.apply(index, change(context.state.ranges(), renewed))
+        context.tokens.append(context.state.ranges()[0].token)
+
+
+@then("controller: each token is larger than the one before")
+def tokens_grow(context):
+    assert context.tokens == sorted(set(context.tokens)), context.tokens
+
+
+@when("controller: settings versions 1, 3 and 2 are applied")
+def apply_versions(context):
+    for index, version in ((6, 1), (7, 3), (8, 2)):
+        settings = ReplaceSettings(version=version, change_id=f"change-{version}", generation=1)
+        context.state.apply(index, Command(replace_settings=settings))
+
+
+@then("controller: version {version:d} is in force")
+def version_in_force(context, version):
+    assert context.state.settings.version == version, context.state.settings.version
+
+
+@then("controller: a state restored from its snapshot has the same content")
+def restored_equals(context):
+    context.state.apply(9, Command(register_server={"server": Server(name="a", slots=2)}))
+    restored = ReplicatedControlState(FixedClock())
+    restored.restore(context.state.snapshot())
+    assert restored.snapshot() == context.state.snapshot()
+    assert restored.applied_index == 9
+
+
+@then("controller: the delta from the first version carries settings version 3 and no more")
+def delta_content(context):
+    delta = context.state.history.delta(5, context.state.version, ())
+    assert delta.settings.version == 3
+    assert not delta.changes and not delta.servers
+
+
+@then("controller: a follower behind the kept history gets no delta")
+def no_delta(context):
+    for index in range(10, 12 + MAX_KEPT_CHANGES):
+        context.state.apply(index, Command(register_server={"server": Server(name="a")}))
+    assert context.state.history.delta(5, context.state.version, ()) is None
+
+
+@then("controller: for all places a cut covers the range, with one part for the place alone")
+def cut_covers(context):
+    @PROPERTY
+    @for_all(strategies.integers(0, KEY_SPACE_MAX), strategies.integers(1, 64))
+    def check(place, count):
+        ranges = cut_key_space("catalogue", count)
+        record = next(each for each in ranges if each.start <= place <= each.end)
+        record.owner, record.token = "a", 7
+        parts = cut_out_place(record, place)
+        covered = [number for part in parts for number in (part.start, part.end)]
+        assert covered[0] == record.start and covered[-1] == record.end
+        assert all(b == a + 1 for a, b in zip(covered[1:-1:2], covered[2::2], strict=True))
+        assert [(p.owner, p.token) for p in parts] == [("a", 7)] * len(parts)
+        assert any(part.start == part.end == place for part in parts)
+
+    check()
+
+
+@then("controller: for all loads the moves end with a ratio that no single move betters")
+def moves_end(context):
+    @PROPERTY
+    @for_all(strategies.integers(1, 6), strategies.integers(1, 40), strategies.integers(0, 999))
+    def check(server_count, range_count, seed):
+        random = Random(seed)
+        servers = [Server(name=f"s{n}", slots=random.randint(1, 4)) for n in range(server_count)]
+        records = list(cut_key_space("catalogue", range_count))
+        for record in records:
+            record.owner = random.choice(servers).name
+        heaviest = ServerBoard(servers, records)
+        ceiling = heaviest.density(heaviest.heaviest().name)
+        for _ in range(range_count * server_count + 1):
+            board = ServerBoard(servers, records)
+            assert board.density(board.heaviest().name) <= ceiling
+            ceiling = board.density(board.heaviest().name)
+            move = next_move(board, records, threshold=1.1)
+            if move is None:
+                return
+            move[0].owner = move[1]
+        raise AssertionError("the moves do not end")
+
+    check()
+
+
+@then("controller: for all intervals at most the budget's moves are taken")
+def budget_kept(context):
+    @PROPERTY
+    @for_all(strategies.integers(1, 600), strategies.lists(strategies.floats(0, 5), max_size=60))
+    def check(per_minute, pauses):
+        budget, now_s, taken = MoveBudget(per_minute, 0.0), 0.0, 0
+        for pause_s in pauses:
+            now_s += pause_s
+            taken += budget.take(now_s)
+        assert taken <= max(1.0, per_minute / 10) + now_s * per_minute / 60 + 1e-6
+
+    check()
+
+
+@given("controller: a leader's settings service")
+def settings_service(context):
+    context.table_service = FakeTable()
+    context.state = ReplicatedControlState(FixedClock())
+    context.admin_answers = []
+
+
+def with_service(context, use):
+    async def main():
+        clock = LoopClock()
+        table = SettingsTable(context.table_service, 0, clock)
+        node = FakeNode(context.state)
+        return await use(SettingsService(node, context.state, FakeLeadership(), table, clock))
+
+    return detangle.run(main)
+
+
+def tree_with_weight(weight):
+    return b'{"defaults":{"weight":%d},"services":{"catalogue":{}}}' % weight
+
+
+@when('controller: change "{change_id}" with weight {weight:d} is sent on version {version:d}')
+def send_change(context, change_id, weight, version):
+    wanted = SettingsChange(change_id, version, tree_with_weight(weight))
+    context.admin_answers.append(with_service(context, lambda service: service.change(wanted)))
+
+
+@when("controller: the answer of the next write is lost after it took effect")
+def lose_answer(context):
+    context.table_service.loses_next_answer = True
+
+
+@when("controller: the table is down after the next write")
+def down_after_write(context):
+    context.table_service.goes_down_after_write = True
+
+
+@when("controller: the table is down")
+def table_down(context):
+    context.table_service.is_down = True
+
+
+@when(
+    'controller: an earlier leader wrote change "{change_id}" with weight {weight:d} '
+    "to the table only"
+)
+def written_before(context, change_id, weight):
+    tree = parse_tree(tree_with_weight(weight)).unwrap()
+    content = tree.model_dump_json(exclude_none=True).encode()
+    value = SettingsRecord(1, change_id, content).to_row_value()
+    write = RowWrite(settings_row_key(0), value, 0)
+    with_service(context, lambda _: context.table_service.transact([write]))
+
+
+@when("controller: the leader looks at the table")
+def leader_looks(context):
+    async def look(service):
+        task = asyncio.ensure_future(service.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+
+    with_service(context, look)
+
+
+@then("controller: the answers are {wanted}")
+def answers_are(context, wanted):
+    told = [
+        f"accepted at {each.unwrap().version}" if each.is_ok() else each.unwrap_err().kind
+        for each in context.admin_answers
+    ]
+    assert ", ".join(told) == wanted, told
+
+
+@then('controller: the conflict shows "{path}" from {old:f} to {new:f}')
+def conflict_shows(context, path, old, new):
+    (difference,) = context.admin_answers[-1].unwrap_err().difference
+    assert (difference.path, difference.old, difference.new) == (path, old, new), difference
+
+
+@then("controller: the answer names when to come back")
+def names_retry(context):
+    assert context.admin_answers[-1].unwrap_err().retry_after_s > 0
+
+
+@then("controller: the table and the log agree on version {version:d}")
+def table_and_log(context, version):
+    row = context.table_service.rows[settings_row_key(0)]
+    record = SettingsRecord.from_row(row.value, row.version)
+    settings = context.state.settings
+    assert record.version == settings.version == version
+    assert (record.change_id, record.tree) == (settings.change_id, settings.tree)
--- /dev/null
+++ b/indigoworks/controller/control_state.py
@@ -0,0 +1,224 @@
+"""The replicated state of a control group: servers, ranges and settings."""
+
+from collections.abc import Iterable, Sequence
+
+from indigoworks.common.clock import Clock
+from indigoworks.controller.view_history import ViewHistory
+from indigoworks.wire.control_pb2 import (
+    ChangeRanges,
+    Command,
+    ControlState,
+    RangeRecord,
+    ReplaceSettings,
+    Server,
+    SetServerState,
+)
+
+GENERATION_SHIFT_BITS = 40
+"""A fencing token is the generation shifted by this many bits plus the log index of its grant.
+
+Log indexes never repeat inside a generation and generations only grow, so tokens only grow.
+"""
+
+RangeKey = tuple[str, int]
+"""Service and start of a range."""
+
+
+class ReplicatedControlState:
+    """Applies committed commands. Every controller of a group holds the same state.
+
+    :ivar version: log index of the newest command that changed what views show.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._settings_applied_at_s = clock.now()
+        self._applied_index = 0
+        self._servers: dict[str, Server] = {}
+        self._ranges: dict[RangeKey, RangeRecord] = {}
+        self._owned: dict[str, dict[RangeKey, RangeRecord]] = {}
+        self._settings = ReplaceSettings()
+        self._settings_index = 0
+        self.version = 0
+        self.history = ViewHistory()
+
+    # ---- reading ----
+
+    @property
+    def applied_index(self) -> int:
+        """Log index of the newest applied command."""
+        return self._applied_index
+
+    @property
+    def settings(self) -> ReplaceSettings:
+        """The settings in force; version 0 means that none were ever accepted."""
+        return self._settings
+
+    def settings_age_s(self) -> float:
+        """Return the seconds since the settings in force were applied here."""
+        return self._clock.now() - self._settings_applied_at_s
+
+    def version_of_change(self, change_id: str) -> int | None:
+        """Return the version that an accepted change made, or None for an unknown change."""
+        for change in self._settings.recent_changes:
+            if change.change_id == change_id:
+                return change.version
+        return None
+
+    def servers(self) -> Sequence[Server]:
+        """Return all servers, by name."""
+        return [self._servers[name] for name in sorted(self._servers)]
+
+    def server(self, name: str) -> Server | None:
+        """Return the server called `name`, if it is known."""
+        return self._servers.get(name)
+
+    def ranges(self, service: str | None = None) -> Sequence[RangeRecord]:
+        """Return the ranges of `service`, or of all services, by service and start."""
+        keys = sorted(key for key in self._ranges if service is None or key[0] == service)
+        return [self._ranges[key] for key in keys]
+
+    def ranges_of(self, server: Server) -> Sequence[RangeRecord]:
+        """Return the ranges owned by this run of the server."""
+        owned = self._owned.get(server.name, {})
+        return [
+            owned[key]
+            for key in sorted(owned)
+            if owned[key].owner_incarnation == server.incarnation
+        ]
+
+    def ranges_named(self, server_name: str) -> Sequence[RangeRecord]:
+        """Return the ranges owned by any run of the server called `server_name`."""
+        owned = self._owned.get(server_name, {})
+        return [owned[key] for key in sorted(owned)]
+
+    def to_message(self, services: Iterable[str] = ()) -> ControlState:
+        """Return the state as one message.
+
+        :param services: services wanted; empty for all.
+        """
+        wanted = frozenset(services)
+        return ControlState(
+            last_index=self.version,
+            servers=[s for s in self.servers() if not wanted or s.service in wanted],
+            ranges=[r for r in self.ranges() if not wanted or r.service in wanted],
+            settings_version=self._settings.version,
+            settings_change_id=self._settings.change_id,
+            settings_tree=self._settings.tree,
+            settings_index=self._settings_index,
+            settings_generation=self._settings.generation,
+        )
+
+    # ---- ReplicatedState of the consensus package ----
+
+    def apply(self, index: int, command: Command) -> None:
+        """Apply the committed command at log index `index`."""
+        self._applied_index = index
+        kind = command.WhichOneof("command")
+        if kind == "register_server":
+            self._put_server(index, command.register_server.server)
+        elif kind == "set_server_state":
+            self._set_server_state(index, command.set_server_state)
+        elif kind == "change_ranges":
+            self._change_ranges(index, command.change_ranges)
+        elif kind == "replace_settings":
+            self._replace_settings(index, command.replace_settings)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state, for a lagging member or a checkpoint."""
+        message = self.to_message()
+        message.last_index = self._applied_index
+        message.recent_changes.extend(self._settings.recent_changes)
+        return message.SerializeToString()
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+        message = ControlState.FromString(snapshot)
+        self._applied_index = message.last_index
+        self._servers = {server.name: server for server in message.servers}
+        self._ranges = {}
+        self._owned = {}
+        for record in message.ranges:
+            self._put_range(record)
+        self._settings = ReplaceSettings(
+            version=message.settings_version,
+            change_id=message.settings_change_id,
+            tree=message.settings_tree,
+            generation=message.settings_generation,
+            recent_changes=message.recent_changes,
+        )
+        self._settings_index = message.settings_index
+        self._settings_applied_at_s = self._clock.now()
+        self.version = message.last_index
+        self.history.clear(message.last_index)
+
+    # ---- commands ----
+
+    def _put_server(self, index: int, server: Server) -> None:
+        self._servers[server.name] = server
+        self._record_change(index)
+        self.history.add_server(index, server)
+
+    def _set_server_state(self, index: int, change: SetServerState) -> None:
+        current = self._servers.get(change.server_name)
+        if current is None or current.incarnation != change.incarnation:
+            return
+        changed = Server()
+        changed.CopyFrom(current)
+        changed.state = change.state
+        self._put_server(index, changed)
+
+    def _change_ranges(self, index: int, change: ChangeRanges) -> None:
+        # The leader computed the change from an earlier state. If any record has moved since,
+        # the whole change is void: the leader looks again and proposes anew.
+        for record in change.expected:
+            if self._ranges.get((record.service, record.start)) != record:
+                return
+        applied = ChangeRanges(expected=change.expected)
+        for record in change.expected:
+            self._remove_range(record)
+        for replacement in change.replacement:
+            applied.replacement.append(self._with_token(index, replacement))
+        for record in applied.replacement:
+            self._put_range(record)
+        self._record_change(index)
+        self.history.add_ranges(index, applied)
+
+    def _put_range(self, record: RangeRecord) -> None:
+        key = (record.service, record.start)
+        self._ranges[key] = record
+        if record.owner:
+            self._owned.setdefault(record.owner, {})[key] = record
+
+    def _remove_range(self, record: RangeRecord) -> None:
+        key = (record.service, record.start)
+        del self._ranges[key]
+        if record.owner:
+            del self._owned[record.owner][key]
+
+    def _with_token(self, index: int, replacement: RangeRecord) -> RangeRecord:
+        """Return the record with a new token where the proposal asks for one by token 0."""
+        record = RangeRecord()
+        record.CopyFrom(replacement)
+        if record.token == 0 and record.owner:
+            record.token = (record.generation << GENERATION_SHIFT_BITS) | index
+        return record
+
+    def _replace_settings(self, index: int, settings: ReplaceSettings) -> None:
+        # Versions never go back: a late proposal of an older version is void.
+        if settings.version < self._settings.version:
+            return
+        is_new_generation = settings.generation > self._settings.generation
+        if settings.version == self._settings.version and not is_new_generation:
+            return
+        self._settings = settings
+        self._settings_index = index
+        self._settings_applied_at_s = self._clock.now()
+        self._record_change(index)
+        for_views = ReplaceSettings()
+        for_views.CopyFrom(settings)
+        del for_views.recent_changes[:]
+        self.history.add_settings(index, for_views)
+
+    def _record_change(self, index: int) -> None:
+        self.version = index
--- /dev/null
+++ b/indigoworks/controller/controller.py
@@ -0,0 +1,145 @@
+"""One controller process, apart from its HTTP server."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+
+from eliot import log_message
+
+from indigoworks.admin.admin_operations import AdminOperations
+from indigoworks.common.address import Address
+from indigoworks.common.incarnation import new_incarnation
+from indigoworks.consensus.consensus_node import ConsensusNode
+from indigoworks.consensus.consensus_timing import ConsensusTiming
+from indigoworks.consensus.role import Role
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.controller_administration import ControllerAdministration
+from indigoworks.controller.controller_control_plane import ControllerControlPlane
+from indigoworks.controller.controller_metrics import ControllerMetrics
+from indigoworks.controller.controller_ports import ControllerPorts
+from indigoworks.controller.leader_duties import LeaderDuties
+from indigoworks.controller.router_registry import RouterRegistry
+from indigoworks.controller.router_reporter import RouterReporter
+from indigoworks.controller.view_publisher import ViewPublisher
+from indigoworks.settings import ControllerSettings
+from indigoworks.settings.process_settings import parse_address
+from indigoworks.wire.control_pb2 import Frame, Member, RouterReportReply
+from indigoworks.wire.rpc_server import RpcServer
+
+
+class Controller:
+    """A member of a control group: agrees on the log, serves views, and leads when elected.
+
+    :ivar administration: answers the administration API.
+    :ivar metrics: gauges of this controller.
+    """
+
+    def __init__(
+        self, settings: ControllerSettings, ports: ControllerPorts, random: Random
+    ) -> None:
+        self.member = Member(
+            name=settings.name,
+            incarnation=new_incarnation(settings.name, random),
+            zone=settings.zone,
+            host=settings.host,
+            control_port=settings.control_port,
+            http_port=settings.http_port,
+        )
+        self._settings = settings
+        self._ports = ports
+        self._state = ReplicatedControlState(ports.clock)
+        self._duties: LeaderDuties | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self.node = self._make_node(random)
+        self._routers = RouterRegistry(ports.clock)
+        self._views = ViewPublisher(self.node, self._state, self._routers, ports.clock)
+        self._reporter = RouterReporter(self.member, self.node, self._routers, ports.clock)
+        plane = ControllerControlPlane(self.node, self._state, self._routers, lambda: self._duties)
+        self.administration = ControllerAdministration(
+            self.node, AdminOperations(plane), self.member
+        )
+        self._server = RpcServer(Address(settings.host, settings.control_port), self._handle_frame)
+        self.metrics = self._make_metrics()
+
+    async def start(self) -> None:
+        """Open the control port and begin.
+
+        :raises OSError: the control port cannot be bound.
+        """
+        await self._server.start()
+        self._spawn(self.node.run())
+        self._spawn(self._lead_when_elected())
+        self._spawn(self._reporter.run())
+        log_message(
+            message_type="controller:started",
+            name=self.member.name,
+            incarnation=self.member.incarnation,
+        )
+
+    async def stop(self) -> None:
+        """Hand leadership over, leave the group if possible, and end."""
+        await self.node.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop()
+        log_message(message_type="controller:stopped", name=self.member.name)
+
+    def _make_node(self, random: Random) -> ConsensusNode:
+        seeds = [parse_address(text) for text in self._settings.controllers]
+        return ConsensusNode(
+            self.member,
+            self._settings.group_id,
+            self._state,
+            self._ports.table,
+            self._ports.machines,
+            seeds,
+            self._ports.clock,
+            ConsensusTiming(),
+            random,
+        )
+
+    def _make_metrics(self) -> ControllerMetrics:
+        metrics = ControllerMetrics()
+        status = self.node
+        metrics.add_gauge("term", "Newest term known", lambda: status.status.term)
+        metrics.add_gauge("generation", "Generation", lambda: status.status.generation)
+        metrics.add_gauge("commit_index", "Committed index", lambda: status.status.commit_index)
+        metrics.add_gauge(
+            "is_leader", "1 while it leads", lambda: status.status.role is Role.LEADER
+        )
+        metrics.add_gauge("ranges", "Ranges known", lambda: len(self._state.ranges()))
+        metrics.add_gauge("servers", "Servers known", lambda: len(self._state.servers()))
+        metrics.add_gauge(
+            "live_routers", "Routers that polled lately", lambda: len(self._routers.live_routers())
+        )
+        metrics.add_gauge(
+            "settings_version", "Version in force", lambda: self._state.settings.version
+        )
+        return metrics
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
+
+    async def _lead_when_elected(self) -> None:
+        while True:
+            term = await self.node.wait_leadership()
+            self._duties = LeaderDuties(
+                self.node, self._state, self._ports, self._settings.group_id, term
+            )
+            try:
+                await self._duties.run()
+            finally:
+                self._duties = None
+
+    async def _handle_frame(self, frame: Frame) -> Frame:
+        payload = frame.WhichOneof("payload")
+        if payload == "view_request":
+            return await self._views.handle(frame.view_request)
+        if payload == "router_report":
+            self._routers.record_report(frame.router_report)
+            return Frame(router_report_reply=RouterReportReply())
+        if payload == "admin_request":
+            return await self.administration.handle_frame(frame.admin_request)
+        return await self.node.handle(frame)
--- /dev/null
+++ b/indigoworks/controller/controller_control_plane.py
@@ -0,0 +1,118 @@
+"""The controller's side of the administration API."""
+
+from collections.abc import Callable, Sequence
+
+from result import Err, Ok, Result
+
+from indigoworks.admin.change_progress import ChangeProgress
+from indigoworks.admin.control_plane_status import ControlPlaneStatus
+from indigoworks.admin.errors import AdminError, NotLeader, UnknownChange, UnknownServer
+from indigoworks.admin.router_presence import RouterPresence
+from indigoworks.admin.settings_accepted import SettingsAccepted
+from indigoworks.admin.settings_change import SettingsChange
+from indigoworks.common.lease_bounds import VIEW_LEASE_LAPSE_S
+from indigoworks.consensus.consensus_node import ConsensusNode
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.leader_duties import LeaderDuties
+from indigoworks.controller.router_registry import RouterRegistry
+from indigoworks.wire.control_pb2 import (
+    SERVER_STATE_LEAVING,
+    Command,
+    Configuration,
+    ControlState,
+    SetServerState,
+)
+
+LEADER_RETRY_AFTER_S = 2.0
+"""When a request may be repeated that found no leader."""
+
+
+class ControllerControlPlane:
+    """Implements ControlPlane on one controller; changes need it to lead."""
+
+    def __init__(
+        self,
+        node: ConsensusNode,
+        state: ReplicatedControlState,
+        routers: RouterRegistry,
+        duties: Callable[[], LeaderDuties | None],
+    ) -> None:
+        """Prepare.
+
+        :param duties: returns the leader's duties, or None while this controller doesn't lead.
+        """
+        self._node = node
+        self._state = state
+        self._routers = routers
+        self._duties = duties
+
+    def status(self) -> ControlPlaneStatus:
+        """Return role and progress of this controller."""
+        status = self._node.status
+        return ControlPlaneStatus(
+            member=status.member,
+            role=status.role.name.lower(),
+            generation=status.generation,
+            term=status.term,
+            leader=status.leader,
+            commit_index=status.commit_index,
+        )
+
+    def state(self) -> ControlState:
+        """Return the applied state."""
+        return self._state.to_message()
+
+    def configuration(self) -> Configuration:
+        """Return voters and learners."""
+        return self._node.status.configuration
+
+    async def change_settings(self, change: SettingsChange) -> Result[SettingsAccepted, AdminError]:
+        """Put a checked tree in force."""
+        duties = self._duties()
+        if duties is None:
+            return Err(_not_leader())
+        return await duties.settings.change(change)
+
+    async def change_progress(self, change_id: str) -> Result[ChangeProgress, AdminError]:
+        """Return how far an accepted change has come."""
+        version = self._state.version_of_change(change_id)
+        if version is None:
+            return Err(
+                UnknownChange(
+                    f"No accepted change has the id {change_id}.",
+                    "Send the change again under the same id.",
+                )
+            )
+        # A router that has not polled for longer than its view lease has stopped forwarding.
+        serving = [each for each in await self.routers() if each.since_poll_s < VIEW_LEASE_LAPSE_S]
+        in_force = sum(1 for each in serving if each.settings_version >= version)
+        # A router may follow a controller that this one cannot reach. Only time tells for all.
+        is_everywhere = self._state.settings_age_s() >= VIEW_LEASE_LAPSE_S
+        return Ok(ChangeProgress(change_id, version, len(serving), in_force, is_everywhere))
+
+    async def routers(self) -> Sequence[RouterPresence]:
+        """Return the routers that asked for a view lately."""
+        return self._routers.presences()
+
+    async def drain_server(self, name: str) -> Result[None, AdminError]:
+        """Mark a server as leaving, so that its ranges are handed over."""
+        server = self._state.server(name)
+        if server is None:
+            return Err(
+                UnknownServer(
+                    f"No server is called {name}.", "List the servers with `indigoworks status`."
+                )
+            )
+        change = SetServerState(
+            server_name=name, incarnation=server.incarnation, state=SERVER_STATE_LEAVING
+        )
+        proposed = await self._node.propose(Command(set_server_state=change))
+        return Ok(None) if proposed.is_ok() else Err(_not_leader())
+
+
+def _not_leader() -> NotLeader:
+    return NotLeader(
+        "This controller does not lead.",
+        "Send the request again after the time given; any node passes it to the leader.",
+        LEADER_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/indigoworks/controller/controller_ports.py
@@ -0,0 +1,20 @@
+"""What a controller reaches outside its own process group."""
+
+from dataclasses import dataclass
+
+from indigoworks.backend.backend_control import BackendControl
+from indigoworks.common.clock import Clock
+from indigoworks.platform.machine_list import MachineList
+from indigoworks.platform.object_store import ObjectStore
+from indigoworks.platform.table_store import TableStore
+
+
+@dataclass(frozen=True)
+class ControllerPorts:
+    """Ports of a controller. The lab replaces each by a simulated one."""
+
+    clock: Clock
+    table: TableStore
+    objects: ObjectStore
+    machines: MachineList
+    backends: BackendControl
--- /dev/null
+++ b/indigoworks/controller/leader_duties.py
@@ -0,0 +1,71 @@
+"""What a controller does while it leads."""
+
+import asyncio
+
+from eliot import log_message
+
+from indigoworks.consensus.consensus_node import ConsensusNode
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.controller_ports import ControllerPorts
+from indigoworks.controller.leadership import Leadership
+from indigoworks.controller.lease_keeper import LeaseKeeper
+from indigoworks.controller.ownership_manager import OwnershipManager
+from indigoworks.controller.server_discovery import ServerDiscovery
+from indigoworks.controller.settings_service import SettingsService
+from indigoworks.controller.settings_table import SettingsTable
+
+LEADERSHIP_CHECK_INTERVAL_S = 0.05
+"""Time between two looks at whether this controller still leads."""
+
+
+class LeaderDuties:
+    """Leases, ownership, discovery and settings during one term of leadership."""
+
+    def __init__(
+        self,
+        node: ConsensusNode,
+        state: ReplicatedControlState,
+        ports: ControllerPorts,
+        group_id: int,
+        term: int,
+    ) -> None:
+        self.leadership = Leadership(node, ports.clock, term)
+        self._clock = ports.clock
+        changed = asyncio.Event()
+        self._leases = LeaseKeeper(state, self.leadership, ports, changed)
+        table = SettingsTable(ports.table, group_id, ports.clock)
+        self.settings = SettingsService(node, state, self.leadership, table, ports.clock)
+        self._ownership = OwnershipManager(
+            node, state, self.leadership, self._leases, ports, changed
+        )
+        self._discovery = ServerDiscovery(node, state, self.leadership, ports, changed)
+
+    async def run(self) -> None:
+        """Work until the leadership ends or the task is cancelled."""
+        log_message(message_type="controller:leading", term=self.leadership.term)
+        tasks = [
+            asyncio.ensure_future(self.settings.run()),
+            asyncio.ensure_future(self._ownership.run()),
+            asyncio.ensure_future(self._discovery.run()),
+        ]
+        try:
+            while self.leadership.is_current() and not any(task.done() for task in tasks):
+                await self._clock.sleep(LEADERSHIP_CHECK_INTERVAL_S)
+        finally:
+            for task in tasks:
+                task.cancel()
+            self._leases.close()
+            outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+            self._log_end(outcomes)
+
+    def _log_end(self, outcomes: list[BaseException | None]) -> None:
+        failures = [
+            repr(each)
+            for each in outcomes
+            if each is not None and not isinstance(each, asyncio.CancelledError)
+        ]
+        log_message(
+            message_type="controller:no_longer_leading",
+            term=self.leadership.term,
+            failures=failures,
+        )
--- /dev/null
+++ b/indigoworks/controller/leadership.py
@@ -0,0 +1,35 @@
+"""One term of leadership of this controller."""
+
+from indigoworks.common.clock import Clock
+from indigoworks.consensus.consensus_node import ConsensusNode
+from indigoworks.consensus.role import Role
+from indigoworks.controller.lease_timing import LEASE_LAPSE_S
+
+
+class Leadership:
+    """What this controller may do as the leader of one term.
+
+    :ivar earlier_leases_lapse_at_s: own clock reading at which every lease that an earlier leader
+        renewed has lapsed. An earlier leader renews only under its quorum lease, which ended
+        before this term began, from readings that it had received by then.
+    """
+
+    def __init__(self, node: ConsensusNode, clock: Clock, term: int) -> None:
+        self.term = term
+        self.generation = node.status.generation
+        self.earlier_leases_lapse_at_s = clock.now() + LEASE_LAPSE_S
+        self._node = node
+        self._clock = clock
+
+    def is_current(self) -> bool:
+        """Tell whether the node still leads this very term."""
+        status = self._node.status
+        return status.role is Role.LEADER and status.term == self.term
+
+    def may_grant(self) -> bool:
+        """Tell whether renewals may be sent: nobody else can lead at this moment."""
+        return self.is_current() and self._node.holds_quorum_lease()
+
+    def have_earlier_leases_lapsed(self) -> bool:
+        """Tell whether no lease renewed by an earlier leader can still hold."""
+        return self._clock.now() >= self.earlier_leases_lapse_at_s
--- /dev/null
+++ b/indigoworks/controller/lease_keeper.py
@@ -0,0 +1,84 @@
+"""The lease tasks of all servers, kept by the leader."""
+
+import asyncio
+from collections.abc import Sequence
+
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.controller_ports import ControllerPorts
+from indigoworks.controller.leadership import Leadership
+from indigoworks.controller.server_lease_task import ServerLeaseTask
+from indigoworks.wire.control_pb2 import (
+    SERVER_STATE_LEAVING,
+    SERVER_STATE_LIVE,
+    RangeRecord,
+    Server,
+)
+
+LEASED_STATES = (SERVER_STATE_LIVE, SERVER_STATE_LEAVING)
+"""States in which a server holds a lease."""
+
+
+class LeaseKeeper:
+    """Runs one lease task for each registered server, while this controller leads."""
+
+    def __init__(
+        self,
+        state: ReplicatedControlState,
+        leadership: Leadership,
+        ports: ControllerPorts,
+        changed: asyncio.Event,
+    ) -> None:
+        self._state = state
+        self._leadership = leadership
+        self._ports = ports
+        self._changed = changed
+        self._leases: dict[str, ServerLeaseTask] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def follow_state(self) -> None:
+        """Start, stop and wake tasks so that they fit the replicated state."""
+        leased = {s.name: s for s in self._state.servers() if s.state in LEASED_STATES}
+        for name in list(self._leases):
+            wanted = leased.get(name)
+            if wanted is None or wanted.incarnation != self._leases[name].server.incarnation:
+                self._stop_task(name)
+        for name, server in leased.items():
+            if name not in self._leases:
+                self._start_task(server)
+            self._leases[name].wake()
+
+    def close(self) -> None:
+        """Stop all tasks."""
+        for name in list(self._leases):
+            self._stop_task(name)
+
+    def lost_servers(self) -> Sequence[Server]:
+        """Return the servers that do not answer and whose leases have surely lapsed."""
+        return [lease.server for lease in self._leases.values() if lease.is_lost]
+
+    def draining_servers(self) -> Sequence[Server]:
+        """Return the servers that asked to be emptied."""
+        return [lease.server for lease in self._leases.values() if lease.is_draining]
+
+    def is_answering(self, server: Server) -> bool:
+        """Tell whether this run of the server answered the newest renewal."""
+        lease = self._leases.get(server.name)
+        if lease is None or lease.server.incarnation != server.incarnation:
+            return False
+        return lease.is_answering
+
+    def has_released(self, record: RangeRecord) -> bool:
+        """Tell whether the owner reported that nothing runs on the range any more."""
+        lease = self._leases.get(record.owner)
+        if lease is None or lease.server.incarnation != record.owner_incarnation:
+            return False
+        return (record.start, record.token) in lease.released
+
+    def _start_task(self, server: Server) -> None:
+        lease = ServerLeaseTask(server, self._state, self._leadership, self._ports, self._changed)
+        self._leases[server.name] = lease
+        self._tasks[server.name] = asyncio.ensure_future(lease.run())
+
+    def _stop_task(self, name: str) -> None:
+        del self._leases[name]
+        self._tasks.pop(name).cancel()
--- /dev/null
+++ b/indigoworks/controller/ownership_context.py
@@ -0,0 +1,83 @@
+"""What the ownership rules look at."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from indigoworks.common.clock import Clock
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.leadership import Leadership
+from indigoworks.controller.lease_keeper import LeaseKeeper
+from indigoworks.controller.placement.server_board import ServerBoard
+from indigoworks.settings import SettingsTree
+from indigoworks.wire.control_pb2 import (
+    SERVER_STATE_LIVE,
+    ChangeRanges,
+    Command,
+    RangeRecord,
+    Server,
+)
+
+NO_NEXT_OWNER = "*"
+"""Next owner of a range whose owner must release it though no server can take it."""
+
+
+@dataclass(frozen=True)
+class OwnershipContext:
+    """The leader's knowledge at one moment, and helpers that the rules share.
+
+    :ivar tree: the settings tree in force.
+    """
+
+    state: ReplicatedControlState
+    leases: LeaseKeeper
+    leadership: Leadership
+    tree: SettingsTree
+    clock: Clock
+
+    def candidates(self, service: str) -> Sequence[Server]:
+        """Return the servers of `service` that may get ranges: live and answering."""
+        return [
+            server
+            for server in self.state.servers()
+            if server.service == service
+            and server.state == SERVER_STATE_LIVE
+            and self.leases.is_answering(server)
+        ]
+
+    def board(self, service: str) -> ServerBoard:
+        """Return the load of the servers that may get ranges of `service`."""
+        return ServerBoard(self.candidates(service), self.state.ranges(service))
+
+    def is_current(self, record: RangeRecord) -> bool:
+        """Tell whether the record was granted in this generation."""
+        return record.generation == self.leadership.generation
+
+    def given_to(self, record: RangeRecord, server: Server | None) -> RangeRecord:
+        """Return the record under a new grant to `server`, or owned by nobody."""
+        return RangeRecord(
+            service=record.service,
+            start=record.start,
+            end=record.end,
+            owner=server.name if server else "",
+            owner_incarnation=server.incarnation if server else "",
+            generation=self.leadership.generation,
+        )
+
+    def releasing(self, record: RangeRecord, next_owner: str) -> RangeRecord:
+        """Return the record with its owner asked to release it to `next_owner`."""
+        changed = RangeRecord()
+        changed.CopyFrom(record)
+        changed.next_owner = next_owner
+        return changed
+
+    def live_server(self, name: str) -> Server | None:
+        """Return the server called `name` if it may get ranges."""
+        server = self.state.server(name)
+        if server is None or server.state != SERVER_STATE_LIVE:
+            return None
+        return server if self.leases.is_answering(server) else None
+
+
+def change_command(expected: Sequence[RangeRecord], replacement: Sequence[RangeRecord]) -> Command:
+    """Return the command that replaces ranges of one service, if they still stand as given."""
+    return Command(change_ranges=ChangeRanges(expected=expected, replacement=replacement))
--- /dev/null
+++ b/indigoworks/controller/ownership_manager.py
@@ -0,0 +1,104 @@
+"""The leader's task that applies the rules of ownership."""
+
+import asyncio
+
+from eliot import log_message
+
+from indigoworks.consensus.consensus_node import ConsensusNode
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.controller_ports import ControllerPorts
+from indigoworks.controller.leadership import Leadership
+from indigoworks.controller.lease_keeper import LeaseKeeper
+from indigoworks.controller.ownership_context import OwnershipContext
+from indigoworks.controller.ownership_rules import (
+    OwnershipRule,
+    assign_unowned_ranges,
+    cut_new_services,
+    cut_out_hot_keys,
+    empty_leaving_servers,
+    finish_handovers,
+    mark_draining_servers,
+    renew_grants_of_earlier_generations,
+    take_from_lost_servers,
+)
+from indigoworks.controller.rebalancer import Rebalancer
+from indigoworks.controller.tree_cache import TreeCache
+from indigoworks.wire.control_pb2 import Command
+
+ROUND_INTERVAL_S = 0.1
+"""Longest time between two looks at the rules."""
+
+
+class OwnershipManager:
+    """Looks at the rules whenever something changed, and proposes what they call for.
+
+    One rule's commands are committed before the next rule looks, so no rule plans on a state
+    that another is about to change.
+    """
+
+    def __init__(
+        self,
+        node: ConsensusNode,
+        state: ReplicatedControlState,
+        leadership: Leadership,
+        leases: LeaseKeeper,
+        ports: ControllerPorts,
+        changed: asyncio.Event,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._leadership = leadership
+        self._leases = leases
+        self._ports = ports
+        self._changed = changed
+        self._trees = TreeCache()
+        self._rules: tuple[OwnershipRule, ...] = (
+            take_from_lost_servers,
+            renew_grants_of_earlier_generations,
+            finish_handovers,
+            mark_draining_servers,
+            empty_leaving_servers,
+            cut_new_services,
+            assign_unowned_ranges,
+            cut_out_hot_keys,
+            Rebalancer(),
+        )
+
+    async def run(self) -> None:
+        """Apply the rules until cancelled."""
+        while True:
+            self._changed.clear()
+            if self._leadership.may_grant():
+                self._leases.follow_state()
+                await self._apply_rules()
+                self._leases.follow_state()
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        try:
+            async with asyncio.timeout(ROUND_INTERVAL_S):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    async def _apply_rules(self) -> None:
+        tree = self._trees.tree(self._state.settings)
+        if tree is None:
+            return
+        context = OwnershipContext(
+            self._state, self._leases, self._leadership, tree, self._ports.clock
+        )
+        for rule in self._rules:
+            for command in rule(context):
+                await self._propose(command)
+
+    async def _propose(self, command: Command) -> None:
+        proposed = await self._node.propose(command)
+        log_message(
+            message_type="ownership:command",
+            command=command.WhichOneof("command") or "",
+            term=self._leadership.term,
+            index=proposed.unwrap_or(0),
+            is_committed=proposed.is_ok(),
+        )
+        self._leases.follow_state()
--- /dev/null
+++ b/indigoworks/controller/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which server owns which range."""
--- /dev/null
+++ b/indigoworks/controller/placement/key_space_cut.py
@@ -0,0 +1,34 @@
+"""Cuts of a key space into ranges."""
+
+from collections.abc import Sequence
+
+from indigoworks.common.ring.key_hash import KEY_SPACE_MAX
+from indigoworks.wire.control_pb2 import RangeRecord
+
+
+def cut_key_space(service: str, count: int) -> Sequence[RangeRecord]:
+    """Return `count` adjacent ranges of equal width that nobody owns and that cover the space."""
+    size = KEY_SPACE_MAX + 1
+    starts = [size * position // count for position in range(count)]
+    ends = [start - 1 for start in starts[1:]] + [KEY_SPACE_MAX]
+    return [
+        RangeRecord(service=service, start=start, end=end)
+        for start, end in zip(starts, ends, strict=True)
+    ]
+
+
+def cut_out_place(record: RangeRecord, place: int) -> Sequence[RangeRecord]:
+    """Return the parts of `record` with a range of its own for `place`.
+
+    Owner and token stay, so requests sent under the uncut range stay valid.
+    """
+    bounds = [(record.start, place - 1), (place, place), (place + 1, record.end)]
+    return [_part(record, start, end) for start, end in bounds if start <= end]
+
+
+def _part(record: RangeRecord, start: int, end: int) -> RangeRecord:
+    part = RangeRecord()
+    part.CopyFrom(record)
+    part.start = start
+    part.end = end
+    return part
--- /dev/null
+++ b/indigoworks/controller/server_discovery.py
@@ -0,0 +1,120 @@
+"""Finds back ends through the platform's machine list."""
+
+import asyncio
+from collections.abc import Sequence
+
+from eliot import log_message
+
+from indigoworks.backend.backend_status import BackendStatus
+from indigoworks.common.address import Address
+from indigoworks.consensus.consensus_node import ConsensusNode
+from indigoworks.controller.control_state import ReplicatedControlState
+from indigoworks.controller.controller_ports import ControllerPorts
+from indigoworks.controller.leadership import Leadership
+from indigoworks.controller.lease_keeper import LEASED_STATES
+from indigoworks.controller.lease_timing import DISCOVERY_INTERVAL_S, RENEWAL_TIMEOUT_S
+from indigoworks.platform.machine_record import MachineRecord
+from indigoworks.wire.control_pb2 import (
+    SERVER_STATE_LEAVING,
+    SERVER_STATE_LIVE,
+    Command,
+    RegisterServer,
+    Server,
+    SetServerState,
+)
+
+SERVER_ROLE = "server"
+"""Role of back ends in the machine list."""
+
+
+class ServerDiscovery:
+    """Registers servers that the machine list names and that answer for themselves.
+
+    The list is a hint: a server is registered by its own answer, and is given up only by its
+    lease. A platform outage therefore delays new servers and touches none that is known.
+    """
+
+    def __init__(
+        self,
+        node: ConsensusNode,
+        state: ReplicatedControlState,
+        leadership: Leadership,
+        ports: ControllerPorts,
+        changed: asyncio.Event,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._leadership = leadership
+        self._ports = ports
+        self._changed = changed
+
+    async def run(self) -> None:
+        """Read the list and act on it until cancelled."""
+        while True:
+            if self._leadership.may_grant():
+                await self._look_once()
+            await self._ports.clock.sleep(DISCOVERY_INTERVAL_S)
+
+    async def _look_once(self) -> None:
+        listed = await self._ports.machines.machines()
+        if listed.is_err():
+            return
+        machines = [each for each in listed.unwrap() if each.role == SERVER_ROLE]
+        await self._mark_leaving(machines)
+        unknown = [each for each in machines if self._may_register(each)]
+        await asyncio.gather(*(self._register(machine) for machine in unknown))
+
+    async def _mark_leaving(self, machines: Sequence[MachineRecord]) -> None:
+        for machine in machines:
+            server = self._state.server(machine.name)
+            if machine.is_leaving and server is not None and server.state == SERVER_STATE_LIVE:
+                change = SetServerState(
+                    server_name=server.name,
+                    incarnation=server.incarnation,
+                    state=SERVER_STATE_LEAVING,
+                )
+                await self._node.propose(Command(set_server_state=change))
+                self._changed.set()
+
+    def _may_register(self, machine: MachineRecord) -> bool:
+        """Tell whether the machine is unknown, or its earlier run is lost and owns nothing."""
+        if machine.is_leaving:
+            return False
+        server = self._state.server(machine.name)
+        if server is None:
+            return True
+        return server.state not in LEASED_STATES and not self._state.ranges_named(server.name)
+
+    async def _register(self, machine: MachineRecord) -> None:
+        address = Address(machine.host, machine.port)
+        answer = await self._ports.backends.read_status(address, RENEWAL_TIMEOUT_S)
+        if answer.is_err() or answer.unwrap().is_draining:
+            return
+        # The state may have changed while the server answered.
+        if not self._may_register(machine):
+            return
+        server = _server_record(machine, answer.unwrap())
+        await self._node.propose(Command(register_server=RegisterServer(server=server)))
+        log_message(
+            message_type="membership:server_registered",
+            server=server.name,
+            incarnation=server.incarnation,
+            service=server.service,
+            term=self._leadership.term,
+        )
+        self._changed.set()
+
+
+def _server_record(machine: MachineRecord, status: BackendStatus) -> Server:
+    """Return the server as it described itself, at the address that was asked."""
+    return Server(
+        name=machine.name,
+        incarnation=status.incarnation,
+        service=status.service,
+        zone=status.zone,
+        host=machine.host,
+        port=machine.port,
+        slots=status.slots,
+        connections=status.connections,
+        state=SERVER_STATE_LIVE,
+    )
--- /dev/null
+++ b/indigoworks/controller/settings_table.py
@@ -0,0 +1,80 @@
+"""Settings in the platform's table service."""
+
+from eliot import log_message
+from result import Err, Ok, Result
+
+from indigoworks.common.clock import Clock
+from indigoworks.controller.settings_record import SettingsRecord, settings_row_key
+from indigoworks.platform.errors import PlatformError, PlatformOutcomeUnknown, VersionConflict
+from indigoworks.platform.row_write import RowWrite
+from indigoworks.platform.table_store import TableStore
+
+MAX_WRITE_ATTEMPTS = 4
+"""Attempts to learn the outcome of a write whose answer was lost."""
+
+ATTEMPT_PAUSE_S = 0.2
+"""Pause before such an attempt."""
+
+
+class SettingsTable:
+    """Reads and conditionally writes the settings row of one group."""
+
+    def __init__(self, table: TableStore, group_id: int, clock: Clock) -> None:
+        self._table = table
+        self._key = settings_row_key(group_id)
+        self._clock = clock
+
+    async def read(self) -> Result[SettingsRecord | None, PlatformError]:
+        """Return the newest accepted settings, or None when there never were any."""
+        answer = await self._table.read(self._key)
+        if isinstance(answer, Err):
+            return answer
+        row = answer.unwrap()
+        return Ok(None if row is None else SettingsRecord.from_row(row.value, row.version))
+
+    async def write(self, record: SettingsRecord) -> Result[None, PlatformError]:
+        """Make `record` the newest version, if the version before it is the newest now.
+
+        An answer that is lost is resolved by the next conditional write and by reading back, not
+        by reading alone: a read that still shows the old version does not prove that a slow
+        write will not take effect later.
+
+        :returns: VersionConflict or another error after which nothing took effect;
+            PlatformOutcomeUnknown when the outcome could not be learnt.
+        """
+        outcome = await self._write_once(record)
+        if not _is_unknown(outcome):
+            return outcome
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            await self._clock.sleep(ATTEMPT_PAUSE_S)
+            resolved = await self._resolve(record)
+            if resolved is not None:
+                return resolved
+        return outcome
+
+    async def _write_once(self, record: SettingsRecord) -> Result[None, PlatformError]:
+        write = RowWrite(self._key, record.to_row_value(), record.version - 1)
+        return await self._table.transact([write])
+
+    async def _resolve(self, record: SettingsRecord) -> Result[None, PlatformError] | None:
+        """Try to learn the outcome of an earlier write; None when it is still unknown."""
+        repeated = await self._write_once(record)
+        if repeated.is_ok():
+            return Ok(None)
+        if not isinstance(repeated.unwrap_err(), VersionConflict):
+            # A refusal of the repeat says nothing about the first write.
+            return None
+        read = await self.read()
+        if read.is_err():
+            return None
+        newest = read.unwrap()
+        is_ours = newest is not None and newest.has_change(record.change_id)
+        log_message(message_type="settings:lost_answer_resolved", is_ours=is_ours)
+        if is_ours:
+            return Ok(None)
+        # Another change stands where ours would: ours can no longer take effect.
+        return repeated
+
+
+def _is_unknown(outcome: Result[None, PlatformError]) -> bool:
+    return outcome.is_err() and isinstance(outcome.unwrap_err(), PlatformOutcomeUnknown)
--- /dev/null
+++ b/indigoworks/controller/tree_cache.py
@@ -0,0 +1,20 @@
+"""The parsed settings tree in force."""
+
+from indigoworks.settings import SettingsTree, parse_tree
+from indigoworks.wire.control_pb2 import ReplaceSettings
+
+
+class TreeCache:
+    """Parses the settings in force once for each version."""
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._tree: SettingsTree | None = None
+
+    def tree(self, settings: ReplaceSettings) -> SettingsTree | None:
+        """Return the tree of `settings`, or None when no tree was ever accepted."""
+        if settings.version != self._version:
+            # Only checked trees enter the log, so parsing again cannot fail.
+            self._tree = parse_tree(settings.tree).unwrap()
+            self._version = settings.version
+        return self._tree
--- a/indigoworks/wire/rpc_server.py
+++ b/indigoworks/wire/rpc_server.py
@@ -1,7 +1,8 @@
 """Serving side of the internal protocol."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from eliot import log_message
 
@@ -13,8 +14,6 @@
 FrameHandler = Callable[[Frame], Awaitable[Frame]]
 """Handles one request frame and returns the reply; correlation id and is_reply are filled in."""
 
-CloseListener = Callable[[], None]
-
 
 class RpcServer:
     """Accepts connections and answers request frames, each in a task of its own.
@@ -26,8 +25,7 @@
         self._address = address
         self._handler = handler
         self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.StreamWriter] = set()
-        self._requests: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Listen on the address.
@@ -35,27 +33,32 @@
         :raises OSError: the address cannot be bound.
         """
         self._server = await asyncio.start_server(
-            self._serve_connection, self._address.host, self._address.port
+            self._accept, self._address.host, self._address.port
         )
 
     async def stop(self) -> None:
         """Stop listening, close the connections and end the requests in progress."""
         if self._server is not None:
             self._server.close()
-        for writer in list(self._connections):
-            writer.close()
-        for task in list(self._requests):
+        ending = list(self._tasks)
+        for task in ending:
             task.cancel()
-        await asyncio.gather(*self._requests, return_exceptions=True)
+        await asyncio.gather(*ending, return_exceptions=True)
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._start(self._serve_connection(reader, writer))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._connections.add(writer)
         try:
             await self._read_requests(reader, writer)
         finally:
-            self._connections.discard(writer)
             writer.close()
 
     async def _read_requests(
@@ -66,9 +69,7 @@
             if received.is_err():
                 self._log_end(received.unwrap_err())
                 return
-            task = asyncio.ensure_future(self._answer(received.unwrap(), writer))
-            self._requests.add(task)
-            task.add_done_callback(self._requests.discard)
+            self._start(self._answer(received.unwrap(), writer))
 
     def _log_end(self, error: WireError) -> None:
         if isinstance(error, BadFrame):
