--- /dev/null
+++ b/features/frame_verdict.feature
@@ -0,0 +1,103 @@
+Feature: The verdict of a test run
+  A run is accepted only when nothing failed but what KNOWN-RED.txt lists.
+
+  Scenario: Everything passes
+    Given the frame results
+      | status | name            |
+      | passed | mypy            |
+      | passed | a.feature: one  |
+    And no frame list of known failures
+    When the frame verdict is printed
+    Then the frame verdict is accepted
+    And the last frame line is "2 passed, 0 failed"
+
+  Scenario Outline: A status other than passed is a failure
+    Given the frame results
+      | status   | name            |
+      | passed   | mypy            |
+      | <status> | a.feature: one  |
+    And no frame list of known failures
+    When the frame verdict is printed
+    Then the frame verdict is not accepted
+    And the last frame line is "1 passed, 1 failed"
+
+    Examples:
+      | status    |
+      | failed    |
+      | error     |
+      | skipped   |
+      | undefined |
+      | untested  |
+
+  Scenario: A listed failure is printed, counted and passed over
+    Given the frame results
+      | status | name            |
+      | passed | mypy            |
+      | failed | a.feature: one  |
+    And the frame list of known failures
+      """
+      a.feature: one | the cause | issue 4
+      """
+    When the frame verdict is printed
+    Then the frame verdict is accepted
+    And the frame lines contain "known red: a.feature: one | the cause | issue 4"
+    And the last frame line is "1 passed, 1 failed"
+
+  Scenario: A failure beside a listed one is not passed over
+    Given the frame results
+      | status | name            |
+      | passed | mypy            |
+      | failed | a.feature: one  |
+      | failed | a.feature: two  |
+    And the frame list of known failures
+      """
+      a.feature: one | the cause | issue 4
+      """
+    When the frame verdict is printed
+    Then the frame verdict is not accepted
+    And the frame lines contain "FAILED a.feature: two"
+
+  Scenario: A listed test that passes is named
+    Given the frame results
+      | status | name            |
+      | passed | a.feature: one  |
+    And the frame list of known failures
+      """
+      a.feature: one | the cause | issue 4
+      """
+    When the frame verdict is printed
+    Then the frame verdict is accepted
+    And the frame lines contain "passes, to be taken off KNOWN-RED.txt: a.feature: one"
+
+  Scenario: A listed test that the run does not have fails the run
+    Given the frame results
+      | status | name            |
+      | passed | a.feature: one  |
+    And the frame list of known failures
+      """
+      a.feature: gone | the cause | issue 4
+      """
+    When the frame verdict is printed
+    Then the frame verdict is not accepted
+
+  Scenario: A list of four lines fails the run and excuses nothing
+    Given the frame results
+      | status | name            |
+      | passed | mypy            |
+      | failed | a.feature: one  |
+    And the frame list of known failures
+      """
+      a.feature: one | the cause | issue 4
+      a.feature: two | the cause | issue 4
+      a.feature: three | the cause | issue 4
+      a.feature: four | the cause | issue 4
+      """
+    When the frame verdict is printed
+    Then the frame verdict is not accepted
+    And the last frame line is "1 passed, 2 failed"
+
+  Scenario: A run in which nothing passed is not accepted
+    Given no frame results
+    And no frame list of known failures
+    When the frame verdict is printed
+    Then the frame verdict is not accepted
--- /dev/null
+++ b/indigoworks/admin/bodies/__init__.py
@@ -0,0 +1,1 @@
+"""JSON bodies of the administration API, one model each."""
--- /dev/null
+++ b/indigoworks/admin/bodies/drain_body.py
@@ -0,0 +1,10 @@
+"""Body of an accepted drain."""
+
+from indigoworks.admin.bodies.body import Body
+
+
+class DrainBody(Body):
+    """The back end that is being emptied."""
+
+    server: str
+    is_draining: bool = True
--- /dev/null
+++ b/indigoworks/admin/change_progress.py
@@ -0,0 +1,18 @@
+"""How far an accepted change has come."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ChangeProgress:
+    """Routers that serve under the change's version, or a later one.
+
+    :ivar routers_total: routers whose view lease may still run.
+    :ivar is_everywhere: no router can serve under an older version any more.
+    """
+
+    change_id: str
+    version: int
+    routers_total: int
+    routers_in_force: int
+    is_everywhere: bool
--- /dev/null
+++ b/indigoworks/admin/http_handlers.py
@@ -0,0 +1,100 @@
+"""HTTP side of the administration API, metrics and health, for tornado."""
+
+import json
+import math
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from tornado.web import RequestHandler
+
+from indigoworks.admin.admin_answer import AdminAnswer
+from indigoworks.admin.admin_call import AdminCall
+from indigoworks.admin.administration import Administration
+from indigoworks.admin.error_answer import error_answer
+from indigoworks.admin.errors import AdminError
+from indigoworks.admin.health_report import HealthReport
+
+JSON_CONTENT_TYPE = "application/json; charset=utf-8"
+HEALTH_RETRY_AFTER_S = 1
+
+HealthSource = Callable[[], HealthReport]
+HandlerRule = tuple[str, type[RequestHandler], dict[str, Any]]
+
+
+class AdminHandler(RequestHandler):
+    """Passes /admin/v1/... to an Administration."""
+
+    def initialize(self, administration: Administration) -> None:
+        """Take the Administration that answers."""
+        self._administration = administration
+
+    async def prepare(self) -> None:
+        """Answer whatever the method: the Administration refuses the wrong ones."""
+        request = self.request
+        call = AdminCall(request.method or "", self._path(), request.body)
+        self._write_answer(await self._administration.handle(call))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer a fault of the program as JSON."""
+        error = AdminError("The process failed on this request.", "See the log of that process.")
+        answer = error_answer(error)
+        self._write_answer(AdminAnswer(status_code, answer.body))
+
+    def _path(self) -> str:
+        """Return path and query; If-Match becomes the parameter expected_version."""
+        path = self.request.uri or ""
+        condition = self.request.headers.get("If-Match")
+        if condition is None:
+            return path
+        version = condition.strip().removeprefix("W/").strip('"')
+        return f"{path}{'&' if '?' in path else '?'}expected_version={quote(version, safe='')}"
+
+    def _write_answer(self, answer: AdminAnswer) -> None:
+        self.set_status(answer.status)
+        self.set_header("Content-Type", JSON_CONTENT_TYPE)
+        if answer.retry_after_s > 0:
+            self.set_header("Retry-After", str(math.ceil(answer.retry_after_s)))
+        self.finish(answer.body)
+
+
+class MetricsHandler(RequestHandler):
+    """Metrics in the text format of Prometheus."""
+
+    def initialize(self, registry: CollectorRegistry) -> None:
+        """Take the registry to read."""
+        self._registry = registry
+
+    def get(self) -> None:
+        """Write the metrics."""
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.finish(generate_latest(self._registry))
+
+
+class HealthHandler(RequestHandler):
+    """200 while the process serves, 503 with the reason while it does not."""
+
+    def initialize(self, health: HealthSource) -> None:
+        """Take the source of the report."""
+        self._health = health
+
+    def get(self) -> None:
+        """Write the report."""
+        report = self._health()
+        self.set_header("Content-Type", JSON_CONTENT_TYPE)
+        if not report.is_serving:
+            self.set_status(503)
+            self.set_header("Retry-After", str(HEALTH_RETRY_AFTER_S))
+        self.finish(json.dumps({"is_serving": report.is_serving, "reason": report.reason}))
+
+
+def admin_http_handlers(
+    administration: Administration, registry: CollectorRegistry, health: HealthSource
+) -> list[HandlerRule]:
+    """Return the rules for /admin/v1/..., /metrics and /health."""
+    return [
+        (r"/admin/v1(?:/.*)?", AdminHandler, {"administration": administration}),
+        (r"/metrics", MetricsHandler, {"registry": registry}),
+        (r"/health", HealthHandler, {"health": health}),
+    ]
--- /dev/null
+++ b/indigoworks/admin/router_presence.py
@@ -0,0 +1,20 @@
+"""A router as the leader sees it."""
+
+from dataclasses import dataclass
+
+from indigoworks.wire.control_pb2 import Member
+
+
+@dataclass(frozen=True)
+class RouterPresence:
+    """A router and what it has in force.
+
+    :ivar settings_version: version of the tree that it serves under.
+    :ivar view_version: version of its view of owners.
+    :ivar since_poll_s: seconds since it last asked for its view.
+    """
+
+    member: Member
+    settings_version: int
+    view_version: int
+    since_poll_s: float
--- /dev/null
+++ b/indigoworks/admin/settings_accepted.py
@@ -0,0 +1,14 @@
+"""An accepted change of the settings tree."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class SettingsAccepted:
+    """The change is durable and in the log.
+
+    :ivar version: version of the tree that the change made.
+    """
+
+    change_id: str
+    version: int
--- /dev/null
+++ b/indigoworks/backend/http_connection.py
@@ -0,0 +1,96 @@
+"""One persistent HTTP connection to a back end."""
+
+import socket
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.iostream import IOStream, StreamClosedError
+
+from indigoworks.backend.http_answer import HttpAnswer
+from indigoworks.backend.http_answer_reader import HttpAnswerReader
+from indigoworks.backend.http_message import HttpMessage
+from indigoworks.common.address import Address
+
+MAX_HEADERS_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class HttpConnection:
+    """Sends requests to one server, one at a time, and never sends one twice.
+
+    The HTTP library's own clients hide whether a request was sent, or send it again on their own;
+    here the caller sees each step.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        self._stream = IOStream(
+            socket.socket(family, socket.SOCK_STREAM), max_buffer_size=MAX_ANSWER_BYTES
+        )
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=MAX_HEADERS_BYTES, max_body_size=MAX_ANSWER_BYTES
+        )
+
+    async def connect(self) -> bool:
+        """Connect; False where no connection came about."""
+        try:
+            await self._stream.connect((self._address.host, self._address.port))
+        except (OSError, StreamClosedError):
+            return False
+        return True
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether neither side is known to have closed the connection."""
+        return not self._stream.closed()
+
+    def watch_while_idle(self) -> None:
+        """Notice a close by the server while no request is under way."""
+        # A stream without a close callback and without a read does not listen to its socket.
+        self._stream.set_close_callback(_ignore_close)
+
+    async def exchange(self, message: HttpMessage) -> HttpAnswer | None:
+        """Send `message` and read its answer.
+
+        The connection is closed afterwards unless it can take another request; cancelling the
+        call closes it too.
+
+        :returns: None where the answer is not whole: the server may have run the request.
+        """
+        reader = HttpAnswerReader(message.method)
+        can_continue = False
+        try:
+            await self._write_and_read(message, reader)
+            answer = reader.whole_answer()
+            can_continue = answer is not None and reader.keeps_connection
+            return answer
+        except (OSError, StreamClosedError):
+            return None
+        finally:
+            if not can_continue:
+                self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    async def _write_and_read(self, message: HttpMessage, reader: HttpAnswerReader) -> None:
+        connection = HTTP1Connection(self._stream, True, self._parameters)
+        start_line = RequestStartLine(message.method, message.path, "HTTP/1.1")
+        headers = self._headers_of(message)
+        connection.write_headers(start_line, headers, message.body or None)
+        connection.finish()
+        await connection.read_response(reader)
+
+    def _headers_of(self, message: HttpMessage) -> HTTPHeaders:
+        headers = HTTPHeaders()
+        headers.add("Host", str(self._address))
+        headers.add("Content-Length", str(len(message.body)))
+        for name, value in message.headers:
+            headers.add(name, value)
+        return headers
+
+
+def _ignore_close() -> None:
+    """Serve as close callback: `is_open` tells the rest."""
--- /dev/null
+++ b/indigoworks/backend/http_connection_pool.py
@@ -0,0 +1,74 @@
+"""A bounded number of persistent connections to one back end."""
+
+import asyncio
+from collections import deque
+
+from indigoworks.backend.http_connection import HttpConnection
+from indigoworks.common.address import Address
+from indigoworks.common.clock import Clock
+
+MAX_IDLE_S = 30.0
+"""Idle connections older than this are not used again: the server may be closing them."""
+
+
+class HttpConnectionPool:
+    """Lends connections to one server; at most `limit` are in use at a time, others wait."""
+
+    def __init__(self, address: Address, limit: int, clock: Clock) -> None:
+        self._address = address
+        self._clock = clock
+        self._permits = asyncio.Semaphore(limit)
+        self._idle: deque[tuple[HttpConnection, float]] = deque()
+        self.opened_total = 0
+
+    async def acquire(self) -> HttpConnection | None:
+        """Wait for a free place and return a connection, or None where connecting failed.
+
+        Every connection that is returned must be given back by `release`.
+        """
+        await self._permits.acquire()
+        connection = self._take_idle()
+        if connection is not None:
+            return connection
+        try:
+            return await self._open()
+        except BaseException:
+            self._permits.release()
+            raise
+
+    def release(self, connection: HttpConnection) -> None:
+        """Take back a connection; one that is still open is kept for the next request."""
+        if connection.is_open:
+            connection.watch_while_idle()
+            self._idle.append((connection, self._clock.now()))
+        self._permits.release()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            connection, _ = self._idle.pop()
+            connection.close()
+
+    def _take_idle(self) -> HttpConnection | None:
+        oldest_use_s = self._clock.now() - MAX_IDLE_S
+        while self._idle:
+            # The one used last is the least likely to be closed by the server.
+            connection, used_s = self._idle.pop()
+            if connection.is_open and used_s >= oldest_use_s:
+                return connection
+            connection.close()
+        return None
+
+    async def _open(self) -> HttpConnection | None:
+        connection = HttpConnection(self._address)
+        is_connected = False
+        try:
+            is_connected = await connection.connect()
+        finally:
+            if not is_connected:
+                connection.close()
+        if not is_connected:
+            self._permits.release()
+            return None
+        self.opened_total += 1
+        return connection
--- /dev/null
+++ b/indigoworks/backend/http_sender.py
@@ -0,0 +1,88 @@
+"""Sends HTTP messages to back ends and classifies what became of them."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from indigoworks.backend.errors import BackendAnswerLost, BackendError, BackendUnreachable
+from indigoworks.backend.http_answer import HttpAnswer
+from indigoworks.backend.http_connection_pool import HttpConnectionPool
+from indigoworks.backend.http_message import HttpMessage
+from indigoworks.common.address import Address
+from indigoworks.common.clock import Clock
+
+MessageBuilder = Callable[[], HttpMessage]
+"""Makes the message when a connection is at hand, so that remaining times are true."""
+
+
+class HttpSender:
+    """Sends each message at most once, over a bounded number of connections per server."""
+
+    def __init__(self, clock: Clock, connections_per_server: int) -> None:
+        self._clock = clock
+        self._connections_per_server = connections_per_server
+        self._pools: dict[Address, HttpConnectionPool] = {}
+
+    async def send(
+        self, address: Address, build: MessageBuilder, timeout_s: float
+    ) -> Result[HttpAnswer, BackendError]:
+        """Send one message and wait for its whole answer.
+
+        :param timeout_s: seconds for waiting, connecting, sending and the answer together.
+        :returns: BackendUnreachable only when no byte was sent, otherwise BackendAnswerLost.
+        """
+        if timeout_s <= 0:
+            return Err(_unreachable(address))
+        pool = self._pool_of(address)
+        is_sent = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await pool.acquire()
+                if connection is None:
+                    return Err(_unreachable(address))
+                try:
+                    message = build()
+                    is_sent = True
+                    answer = await connection.exchange(message)
+                finally:
+                    pool.release(connection)
+        except TimeoutError:
+            return Err(_answer_lost(address) if is_sent else _unreachable(address))
+        return Ok(answer) if answer is not None else Err(_answer_lost(address))
+
+    def opened_connections(self, address: Address) -> int:
+        """Return how many connections to `address` were opened so far."""
+        return self._pool_of(address).opened_total
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to `address`, which left the installation."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._pools):
+            self.forget(address)
+
+    def _pool_of(self, address: Address) -> HttpConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = HttpConnectionPool(address, self._connections_per_server, self._clock)
+            self._pools[address] = pool
+        return pool
+
+
+def _unreachable(address: Address) -> BackendUnreachable:
+    return BackendUnreachable(
+        f"The request could not be sent to the back end at {address}.",
+        "Check that the server runs and that the network path is up.",
+    )
+
+
+def _answer_lost(address: Address) -> BackendAnswerLost:
+    return BackendAnswerLost(
+        f"The back end at {address} gave no whole answer in time; it may have run the request.",
+        "Read back what the request was to change before you send it again.",
+    )
--- /dev/null
+++ b/indigoworks/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/indigoworks/cli/arguments.py
@@ -0,0 +1,46 @@
+"""The command line before and after fire reads it."""
+
+import json
+from collections.abc import Sequence
+
+from fire.parser import DefaultParseValue
+
+HELP_FLAGS = frozenset({"--help", "-h"})
+
+
+def as_texts(arguments: Sequence[str]) -> list[str]:
+    """Quote the values that fire would turn into numbers or lists: every value is text here.
+
+    A key `0012` or `1_000` must reach the system as it was typed.
+    """
+    return [_as_text(each) for each in arguments]
+
+
+def wants_help(arguments: Sequence[str]) -> bool:
+    """Tell whether a help flag stands anywhere."""
+    return any(each in HELP_FLAGS for each in arguments)
+
+
+def command_path(root: object, arguments: Sequence[str]) -> list[str]:
+    """Return the leading arguments that name a command below `root`."""
+    path: list[str] = []
+    place: object = root
+    for argument in arguments:
+        if argument.startswith("_") or not hasattr(type(place), argument):
+            break
+        path.append(argument)
+        place = getattr(place, argument)
+        if callable(place):
+            break
+    return path
+
+
+def _as_text(argument: str) -> str:
+    flag, separator, value = argument.partition("=")
+    if argument.startswith("--") and separator:
+        return f"{flag}={_quoted(value)}"
+    return argument if argument.startswith("-") else _quoted(argument)
+
+
+def _quoted(value: str) -> str:
+    return value if DefaultParseValue(value) == value else json.dumps(value)
--- /dev/null
+++ b/indigoworks/cli/commands.py
@@ -0,0 +1,168 @@
+"""The commands of `indigoworks`."""
+
+from indigoworks.cli.admin_commands import explain_key, read_owners, read_status
+from indigoworks.cli.flag_values import first_fault, optional_text, required_text
+from indigoworks.cli.node_command import ask_node
+from indigoworks.cli.pending_command import PendingCommand, refuse
+from indigoworks.cli.process_flags import ProcessFlags
+from indigoworks.cli.settings_commands import SettingsCommands
+
+
+class Commands:
+    """Routes requests to servers that own keys exclusively.
+
+    Exit codes: 0 done, 1 refused, 2 misuse. Operator commands print JSON and ask any router or
+    controller: give --node http://IP:PORT or set INDIGOWORKS_NODE.
+    """
+
+    settings = SettingsCommands()
+
+    def controller(
+        self,
+        *,
+        settings: str | None = None,
+        name: str | None = None,
+        zone: str | None = None,
+        host: str | None = None,
+        control_port: str | None = None,
+        http_port: str | None = None,
+        platform_url: str | None = None,
+        controllers: str | None = None,
+        group_id: str | None = None,
+        log_level: str | None = None,
+        seed: str | None = None,
+    ) -> PendingCommand:
+        """Run a controller until SIGTERM or SIGINT. A flag wins over the settings file.
+
+        Args:
+            settings: YAML or JSON file with the settings below, by their names.
+            name: name of this process, unique in the system.
+            zone: zone that it runs in.
+            host: IP number to listen on and to be reached by.
+            control_port: TCP port of the internal protocol.
+            http_port: TCP port of administration, metrics and health.
+            platform_url: base URL of the platform's services.
+            controllers: some controllers to join, as IP:PORT,IP:PORT of the internal protocol.
+            group_id: control group; default 0.
+            log_level: DEBUG, INFO, WARNING or ERROR; default INFO.
+            seed: seed of the random numbers; default: from the operating system.
+        """
+        from indigoworks.cli.controller_command import run_controller
+
+        flags = ProcessFlags(
+            settings,
+            seed,
+            {
+                "name": name,
+                "zone": zone,
+                "host": host,
+                "control_port": control_port,
+                "http_port": http_port,
+                "platform_url": platform_url,
+                "controllers": controllers,
+                "group_id": group_id,
+                "log_level": log_level,
+            },
+        )
+        return PendingCommand(lambda: run_controller(flags))
+
+    def router(
+        self,
+        *,
+        settings: str | None = None,
+        name: str | None = None,
+        zone: str | None = None,
+        host: str | None = None,
+        control_port: str | None = None,
+        http_port: str | None = None,
+        platform_url: str | None = None,
+        controllers: str | None = None,
+        group_id: str | None = None,
+        log_level: str | None = None,
+        seed: str | None = None,
+    ) -> PendingCommand:
+        """Run a router until SIGTERM or SIGINT. A flag wins over the settings file.
+
+        Args:
+            settings: YAML or JSON file with the settings below, by their names.
+            name: name of this process, unique in the system.
+            zone: zone that it runs in.
+            host: IP number to listen on and to be reached by.
+            control_port: TCP port of the internal protocol.
+            http_port: TCP port of callers, administration, metrics and health.
+            platform_url: base URL of the platform's services.
+            controllers: some controllers to follow, as IP:PORT,IP:PORT of the internal protocol.
+            group_id: control group; default 0.
+            log_level: DEBUG, INFO, WARNING or ERROR; default INFO.
+            seed: seed of the random numbers; default: from the operating system.
+        """
+        from indigoworks.cli.router_command import run_router
+
+        flags = ProcessFlags(
+            settings,
+            seed,
+            {
+                "name": name,
+                "zone": zone,
+                "host": host,
+                "control_port": control_port,
+                "http_port": http_port,
+                "platform_url": platform_url,
+                "controllers": controllers,
+                "group_id": group_id,
+                "log_level": log_level,
+            },
+        )
+        return PendingCommand(lambda: run_router(flags))
+
+    def owners(
+        self,
+        service: str | None = None,
+        *,
+        key: str | None = None,
+        node: str | None = None,
+    ) -> PendingCommand:
+        """Print the ranges of keys and the servers that own them.
+
+        Args:
+            service: only this service; default: all services.
+            key: only the range of this key, as text; needs the service.
+            node: http://IP:PORT of any router or controller; default: INDIGOWORKS_NODE.
+        """
+        fault = first_fault(optional_text("SERVICE", service), optional_text("--key", key))
+        if fault is not None:
+            return refuse(fault)
+        return ask_node(node, lambda client: read_owners(client, service, key))
+
+    def status(self, *, node: str | None = None) -> PendingCommand:
+        """Print leader, members, back ends and routers.
+
+        Args:
+            node: http://IP:PORT of any router or controller; default: INDIGOWORKS_NODE.
+        """
+        return ask_node(node, read_status)
+
+    def explain(
+        self,
+        service: str,
+        key: str,
+        *,
+        group: str | None = None,
+        node: str | None = None,
+    ) -> PendingCommand:
+        """Print where a key lies, who owns it, and which level sets each of its settings.
+
+        Args:
+            service: name of the service.
+            key: key, as text.
+            group: group of the caller; default: the group `default`.
+            node: http://IP:PORT of any router or controller; default: INDIGOWORKS_NODE.
+        """
+        fault = first_fault(
+            required_text("SERVICE", service),
+            required_text("KEY", key),
+            optional_text("--group", group),
+        )
+        if fault is not None:
+            return refuse(fault)
+        return ask_node(node, lambda client: explain_key(client, service, key, group))
--- /dev/null
+++ b/indigoworks/cli/errors.py
@@ -0,0 +1,71 @@
+"""Errors of the command line."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from indigoworks.cli.exit_code import ExitCode
+from indigoworks.common.errors import IndigoworksError
+
+
+@dataclass(frozen=True)
+class CommandError(IndigoworksError):
+    """Base of the errors of a command.
+
+    :cvar exit_code: code that the process ends with.
+    """
+
+    kind: ClassVar[str] = "command"
+    exit_code: ClassVar[ExitCode] = ExitCode.REFUSED
+
+
+@dataclass(frozen=True)
+class Misuse(CommandError):
+    """The command line is wrong: unknown command or flag, missing or malformed value or file."""
+
+    kind: ClassVar[str] = "misuse"
+    exit_code: ClassVar[ExitCode] = ExitCode.MISUSE
+
+
+@dataclass(frozen=True)
+class Refused(CommandError):
+    """The system, or a check, refused what was asked.
+
+    :ivar reason: kind of the error behind it.
+    """
+
+    reason: str = ""
+
+    kind: ClassVar[str] = "refused"
+
+
+@dataclass(frozen=True)
+class NodeUnreachable(CommandError):
+    """The node could not be asked: nothing took effect."""
+
+    kind: ClassVar[str] = "node_unreachable"
+
+
+@dataclass(frozen=True)
+class NodeAnswerLost(CommandError):
+    """The node did not answer: a change may have taken effect."""
+
+    kind: ClassVar[str] = "node_answer_lost"
+
+
+@dataclass(frozen=True)
+class AddressUnavailable(CommandError):
+    """A process could not listen on its address."""
+
+    kind: ClassVar[str] = "address_unavailable"
+
+
+def as_command_error(error: IndigoworksError) -> CommandError:
+    """Return `error` as it leaves the command line; errors of other parts count as refusals."""
+    if isinstance(error, CommandError):
+        return error
+    return Refused(error.message, error.remedy, error.retry_after_s, reason=error.kind)
+
+
+def as_misuse(error: IndigoworksError) -> Misuse:
+    """Return `error` as a fault of the command line itself."""
+    return Misuse(error.message, error.remedy)
--- /dev/null
+++ b/indigoworks/cli/node_command.py
@@ -0,0 +1,27 @@
+"""Commands that ask a node."""
+
+from collections.abc import Callable
+
+from result import Err, Result
+
+from indigoworks.cli.admin_client import AdminClient
+from indigoworks.cli.node_address import node_url
+from indigoworks.cli.pending_command import PendingCommand, Report
+from indigoworks.common.errors import IndigoworksError
+
+NodeAction = Callable[[AdminClient], Result[Report, IndigoworksError]]
+
+
+def ask_node(node: object, action: NodeAction) -> PendingCommand:
+    """Return a command that runs `action` against the named node.
+
+    :param node: value of --node; None: taken from the environment.
+    """
+
+    def run() -> Result[Report, IndigoworksError]:
+        url = node_url(node)
+        if isinstance(url, Err):
+            return url
+        return action(AdminClient(url.unwrap()))
+
+    return PendingCommand(run)
--- /dev/null
+++ b/indigoworks/cli/process_part.py
@@ -0,0 +1,18 @@
+"""What a process runs."""
+
+from typing import Protocol
+
+
+class ProcessPart(Protocol):
+    """A controller or a router."""
+
+    async def start(self) -> None:
+        """Open the control port and begin.
+
+        :raises OSError: the control port cannot be bound.
+        """
+        ...
+
+    async def stop(self) -> None:
+        """Refuse new work, finish what runs, and end."""
+        ...
--- /dev/null
+++ b/indigoworks/cli/run_process.py
@@ -0,0 +1,46 @@
+"""Running a part and its HTTP side until a stop signal."""
+
+from eliot import log_message
+from result import Err, Ok, Result
+
+from indigoworks.cli.errors import AddressUnavailable
+from indigoworks.cli.http_side import HttpSide
+from indigoworks.cli.pending_command import Report
+from indigoworks.cli.process_part import ProcessPart
+from indigoworks.cli.stop_state import StopState
+from indigoworks.common.address import Address
+from indigoworks.common.errors import IndigoworksError
+from indigoworks.settings.process_settings import ProcessSettings
+
+
+async def run_process(
+    part: ProcessPart, http: HttpSide, settings: ProcessSettings, stop: StopState
+) -> Result[Report, IndigoworksError]:
+    """Start `part` and `http`, wait for a stop signal, and stop both.
+
+    The HTTP side outlives the part's stop: requests in progress get their answers, new ones the
+    part's refusal.
+    """
+    stop.listen()
+    try:
+        await part.start()
+    except OSError as error:
+        return Err(_unavailable(settings.control_address, error))
+    try:
+        http.start()
+    except OSError as error:
+        await part.stop()
+        return Err(_unavailable(settings.http_address, error))
+    log_message(message_type="process:serving", address=str(settings.http_address))
+    await stop.wait()
+    log_message(message_type="process:stopping")
+    await http.stop()
+    log_message(message_type="process:stopped")
+    return Ok("")
+
+
+def _unavailable(address: Address, error: OSError) -> AddressUnavailable:
+    return AddressUnavailable(
+        f"Cannot listen on {address}: {error.strerror or error}.",
+        "Give an address of this machine and a port that is free.",
+    )
--- /dev/null
+++ b/indigoworks/consensus/generation_recovery.py
@@ -0,0 +1,148 @@
+"""Forming a generation of the group: the first one, or the next after a loss of the majority."""
+
+from collections.abc import Mapping
+
+from eliot import log_message
+
+from indigoworks.common.address import Address
+from indigoworks.common.clock import Clock
+from indigoworks.consensus.checkpoint_row import CheckpointRow
+from indigoworks.consensus.configurations import address_of
+from indigoworks.consensus.consensus_timing import ConsensusTiming
+from indigoworks.consensus.generation_start import (
+    first_generation,
+    is_survivor,
+    next_generation,
+)
+from indigoworks.consensus.log_position import LogPosition, position_of
+from indigoworks.consensus.replica import Replica
+from indigoworks.consensus.stored_checkpoint import StoredCheckpoint
+from indigoworks.consensus.voter_evidence import VoterEvidence
+from indigoworks.platform.machine_list import MachineList
+from indigoworks.wire.control_pb2 import Checkpoint, IdentityReply
+
+Answers = Mapping[Address, IdentityReply]
+"""Who answered at which address."""
+
+
+class GenerationRecovery:
+    """Forms a generation by compare-and-set on the checkpoint row, when no leader is found.
+
+    The first generation and every later one take the same path; only what the row holds differs.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        row: CheckpointRow,
+        machines: MachineList,
+        clock: Clock,
+        timing: ConsensusTiming,
+    ) -> None:
+        self._replica = replica
+        self._row = row
+        self._machines = machines
+        self._clock = clock
+        self._timing = timing
+        self._evidence = VoterEvidence(clock)
+        self._next_read_s = float("-inf")
+        self._row_addresses: set[Address] = set()
+
+    @property
+    def row_addresses(self) -> set[Address]:
+        """Addresses of the voters in the row as last read, to be asked in the next round."""
+        return self._row_addresses
+
+    def forget_evidence(self) -> None:
+        """A leader was found: whatever spoke for an ended generation no longer counts."""
+        self._evidence.clear()
+
+    async def consider(self, answers: Answers) -> None:
+        """Form a generation where that is allowed now.
+
+        :param answers: the answers of this round; none reported a leader.
+        """
+        if self._clock.now() < self._next_read_s:
+            return
+        read = await self._row.read()
+        pause_s = self._timing.recovery_read_interval_s
+        if read.is_err():
+            pause_s = max(pause_s, read.unwrap_err().retry_after_s)
+        self._next_read_s = self._clock.now() + pause_s
+        if read.is_err():
+            return
+        stored = read.unwrap()
+        if stored is not None:
+            await self._consider_next(stored, answers)
+        elif self._replica.generation == 0:
+            await self._form(first_generation(self._replica.member), 0)
+
+    async def _consider_next(self, stored: StoredCheckpoint, answers: Answers) -> None:
+        found = stored.checkpoint
+        self._row_addresses = self._evidence.addresses_of(found)
+        if self._is_own_start(found):
+            self._replica.start_from(found)
+            return
+        if found.generation > self._replica.generation:
+            self._replica.adopt_generation(found.generation)
+        if found.generation != self._replica.generation:
+            return
+        known = {**answers, **self._own_answer()}
+        self._evidence.observe(found, known, await self._listed_addresses())
+        if self._may_form_next(found, answers):
+            await self._form(next_generation(found, self._replica), stored.version)
+
+    def _may_form_next(self, found: Checkpoint, answers: Answers) -> bool:
+        """Tell whether the generation has ended, and no survivor with a longer log is nearer."""
+        required_s = self._timing.every_lease_s
+        if self._knows_better_survivor(found, answers):
+            required_s += self._timing.survivor_precedence_s
+        return self._evidence.ended_for_s() > required_s
+
+    def _knows_better_survivor(self, found: Checkpoint, answers: Answers) -> bool:
+        replica = self._replica
+        own = replica.log.position if is_survivor(found, replica) else position_of(found)
+        return any(
+            LogPosition(answer.last_log_term, answer.last_log_index) > own
+            for answer in answers.values()
+            if answer.generation == found.generation
+        )
+
+    def _is_own_start(self, found: Checkpoint) -> bool:
+        """Tell whether the row is the start of a generation that this node wrote itself.
+
+        That is so after a lost answer to the write. A node that has no state of the generation
+        has never been part of it, so it cannot start it twice.
+        """
+        replica = self._replica
+        voters = [voter.incarnation for voter in found.configuration.voters]
+        is_unknown = found.generation > replica.generation or not replica.is_initialised
+        return is_unknown and voters == [replica.member.incarnation]
+
+    async def _form(self, checkpoint: Checkpoint, expected_version: int) -> None:
+        generation = self._replica.generation
+        replaced = await self._row.replace(checkpoint, expected_version)
+        # A lost answer is resolved in a later round, which reads the row again. So is a newer
+        # generation that this node heard of while it wrote.
+        if replaced.is_err() or self._replica.generation != generation:
+            return
+        log_message(
+            message_type="consensus:generation_formed",
+            member=self._replica.member.name,
+            generation=checkpoint.generation,
+            last_index=checkpoint.last_index,
+        )
+        self._evidence.clear()
+        self._replica.start_from(checkpoint)
+        self._replica.confirm_generation(self._clock.now())
+
+    def _own_answer(self) -> dict[Address, IdentityReply]:
+        # This process may itself be the proof that an earlier run at its address has ended.
+        member = self._replica.member
+        return {address_of(member): IdentityReply(member=member)}
+
+    async def _listed_addresses(self) -> frozenset[Address] | None:
+        listed = await self._machines.machines()
+        if listed.is_err():
+            return None
+        return frozenset(Address(record.host, record.port) for record in listed.unwrap())
--- /dev/null
+++ b/indigoworks/consensus/role.py
@@ -0,0 +1,12 @@
+"""Role of a node in its control group."""
+
+from enum import Enum
+
+
+class Role(Enum):
+    """What a node does in its group at the moment."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
--- a/indigoworks/controller/ownership_manager.py
+++ b/indigoworks/controller/ownership_manager.py
@@ -9,11 +9,11 @@
 from indigoworks.controller.controller_ports import ControllerPorts
 from indigoworks.controller.leadership import Leadership
 from indigoworks.controller.lease_keeper import LeaseKeeper
+from indigoworks.controller.new_service_cut import NewServiceCut
 from indigoworks.controller.ownership_context import OwnershipContext
 from indigoworks.controller.ownership_rules import (
     OwnershipRule,
     assign_unowned_ranges,
-    cut_new_services,
     cut_out_hot_keys,
     empty_leaving_servers,
     finish_handovers,
@@ -58,7 +58,7 @@
             finish_handovers,
             mark_draining_servers,
             empty_leaving_servers,
-            cut_new_services,
+            NewServiceCut(),
             assign_unowned_ranges,
             cut_out_hot_keys,
             Rebalancer(),
--- a/indigoworks/controller/ownership_rules.py
+++ b/indigoworks/controller/ownership_rules.py
@@ -12,9 +12,8 @@
     OwnershipContext,
     change_command,
 )
-from indigoworks.controller.placement.key_space_cut import cut_key_space, cut_out_place
+from indigoworks.controller.placement.key_space_cut import cut_out_place
 from indigoworks.controller.placement.server_board import ServerBoard
-from indigoworks.settings import SettingsResolver
 from indigoworks.wire.control_pb2 import (
     SERVER_STATE_LEAVING,
     SERVER_STATE_LIVE,
@@ -62,21 +61,6 @@
     return commands
 
 
-def cut_new_services(context: OwnershipContext) -> Sequence[Command]:
-    """Cut the key space of services that have no ranges yet."""
-    resolver = SettingsResolver(context.tree)
-    commands: list[Command] = []
-    for service in sorted(context.tree.services):
-        resolved = resolver.resolve(service)
-        if resolved is None or context.state.ranges(service):
-            continue
-        if not context.candidates(service):
-            continue
-        ranges = cut_key_space(service, resolved.placement.initial_ranges)
-        commands.append(change_command([], _spread(context, service, ranges)))
-    return commands
-
-
 def assign_unowned_ranges(context: OwnershipContext) -> Sequence[Command]:
     """Give ranges that nobody owns to the lightest servers."""
     unowned = [
@@ -88,7 +72,7 @@
     for records in _by_service(unowned):
         service = records[0].service
         if context.candidates(service):
-            commands.append(change_command(records, _spread(context, service, records)))
+            commands.append(change_command(records, spread(context, service, records)))
     return commands
 
 
@@ -173,7 +157,7 @@
     return context.given_to(record, owner)
 
 
-def _spread(
+def spread(
     context: OwnershipContext, service: str, records: Iterable[RangeRecord]
 ) -> Sequence[RangeRecord]:
     """Return `records` granted to the lightest servers of the service."""
--- a/indigoworks/controller/rebalancer.py
+++ b/indigoworks/controller/rebalancer.py
@@ -5,6 +5,7 @@
 from indigoworks.controller.ownership_context import OwnershipContext, change_command
 from indigoworks.controller.placement.move_budget import MoveBudget
 from indigoworks.controller.placement.rebalance import next_move
+from indigoworks.controller.placement.server_board import ServerBoard
 from indigoworks.settings import SettingsResolver
 from indigoworks.settings.placement_settings import PlacementSettings
 from indigoworks.wire.control_pb2 import Command, RangeRecord
@@ -13,8 +14,12 @@
 """Time for which the load must stay uneven before ranges move, by the service's preference."""
 
 
+MAX_MOVES_AT_ONCE = 8
+"""Ranges of one service that may be on their way at the same time."""
+
+
 class Rebalancer:
-    """Starts at most one move of a service at a time, within the service's budget of moves."""
+    """Starts moves within the service's budget, a few at a time."""
 
     def __init__(self) -> None:
         self._budgets: dict[str, MoveBudget] = {}
@@ -37,19 +42,34 @@
         records = context.state.ranges(service)
         if any(record.next_owner or not record.owner for record in records):
             return []
-        move = next_move(context.board(service), records, placement.imbalance_threshold)
-        if move is None:
+        board = context.board(service)
+        if next_move(board, records, placement.imbalance_threshold) is None:
             self._uneven_since_s.pop(service, None)
             return []
         if not self._has_settled(context, service, placement):
             return []
-        if not self._budget(context, service, placement).take(context.clock.now()):
-            return []
-        record, target = move
-        return [self._start(context, record, target)]
+        return self._start_moves(context, service, placement, list(records))
 
-    def _start(self, context: OwnershipContext, record: RangeRecord, target: str) -> Command:
-        return change_command([record], [context.releasing(record, target)])
+    def _start_moves(
+        self,
+        context: OwnershipContext,
+        service: str,
+        placement: PlacementSettings,
+        records: list[RangeRecord],
+    ) -> Sequence[Command]:
+        budget = self._budget(context, service, placement)
+        commands: list[Command] = []
+        for _ in range(MAX_MOVES_AT_ONCE):
+            board = ServerBoard(context.candidates(service), records)
+            move = next_move(board, records, placement.imbalance_threshold)
+            if move is None or not budget.take(context.clock.now()):
+                break
+            record, target = move
+            moving = context.releasing(record, target)
+            commands.append(change_command([record], [moving]))
+            # The next move is chosen as if this one had ended.
+            records[records.index(record)] = moving
+        return commands
 
     def _has_settled(
         self, context: OwnershipContext, service: str, placement: PlacementSettings
--- /dev/null
+++ b/indigoworks/platform/platform_answer.py
@@ -0,0 +1,11 @@
+"""A whole HTTP answer of the platform."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class PlatformAnswer:
+    """Status and whole body of an answer that an adapter has to interpret."""
+
+    status: int
+    body: bytes
--- /dev/null
+++ b/indigoworks/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: serves callers and dispatches to owners."""
--- /dev/null
+++ b/indigoworks/router/caller_response.py
@@ -0,0 +1,48 @@
+"""The answer to a caller's request."""
+
+import json
+from dataclasses import dataclass
+
+from indigoworks.backend.backend_answer import BackendAnswer
+from indigoworks.common.errors import IndigoworksError
+from indigoworks.router.errors import RouterError
+from indigoworks.router.outcome import Outcome
+
+
+@dataclass(frozen=True)
+class CallerResponse:
+    """Status, end-to-end headers and whole body, and what became of the request.
+
+    :ivar retry_after_s: seconds after which a repeat may succeed; 0: none is given.
+    :ivar error: why the request was not completed; None when it was.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    outcome: Outcome
+    retry_after_s: float = 0.0
+    error: IndigoworksError | None = None
+
+
+def response_of_answer(answer: BackendAnswer) -> CallerResponse:
+    """Return the response that passes a back end's whole answer on."""
+    return CallerResponse(answer.status, answer.headers, answer.body, Outcome.COMPLETED)
+
+
+def response_of_error(error: RouterError) -> CallerResponse:
+    """Return the response that explains `error` as a JSON object."""
+    fields = {
+        "kind": error.kind,
+        "message": error.message,
+        "remedy": error.remedy,
+        "retry_after_s": round(error.retry_after_s, 3),
+    }
+    return CallerResponse(
+        status=error.status,
+        headers=(("Content-Type", "application/json"),),
+        body=json.dumps(fields).encode(),
+        outcome=error.outcome,
+        retry_after_s=error.retry_after_s,
+        error=error,
+    )
--- /dev/null
+++ b/indigoworks/router/dispatcher.py
@@ -0,0 +1,262 @@
+"""Dispatcher of one back end: its slots and the queue of those who wait for one."""
+
+import asyncio
+from dataclasses import replace
+
+from result import Err, Ok, Result
+
+from indigoworks.backend.backend_answer import BackendAnswer
+from indigoworks.backend.errors import BackendError, BackendUnreachable
+from indigoworks.router import refusals
+from indigoworks.router.cold_ramp import ColdRamp
+from indigoworks.router.dispatch_request import DispatchRequest
+from indigoworks.router.dispatcher_ports import DispatcherPorts
+from indigoworks.router.drain_rate import DrainRate
+from indigoworks.router.errors import (
+    AnswerLost,
+    OwnerUnreachable,
+    RouterError,
+    ServerShedding,
+    WrongOwner,
+)
+from indigoworks.router.fair_queue import FairQueue
+from indigoworks.router.queue_entry import QueueEntry
+from indigoworks.router.server_record import ServerRecord
+from indigoworks.settings.resolved_settings import ResolvedSettings
+
+DispatchResult = Result[BackendAnswer, RouterError]
+
+MAX_SHED_PAUSE_S = 1.0
+"""Longest pause that a back end's Retry-After imposes on its dispatcher."""
+
+MIN_SHED_PAUSE_S = 0.02
+"""Shortest pause after a back end has shed a request."""
+
+SHED_LIMIT = 3
+"""Times that one request is queued again after the back end shed it."""
+
+WAKE_INTERVAL_S = 0.1
+"""Interval at which a ramping server's queue is looked at without an event."""
+
+
+class ServerDispatcher:
+    """Sends requests to one run of one server, never more at once than it has slots.
+
+    Requests that find no free slot wait in a weighted fair queue over groups. A request that
+    cannot be served in time is refused as soon as that is known.
+    """
+
+    def __init__(self, server: ServerRecord, ports: DispatcherPorts, ramp: ColdRamp) -> None:
+        self.server = server
+        self._ports = ports
+        self._ramp = ramp
+        self._queue = FairQueue()
+        self._rate = DrainRate(ports.clock)
+        self._in_flight = 0
+        self._divisor = 1
+        self._paused_until_s = float("-inf")
+        self._waking: asyncio.Task[None] | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests hold a slot."""
+        return self._in_flight
+
+    @property
+    def queue_length(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits and nothing is in flight."""
+        return self._in_flight == 0 and not self._queue
+
+    def divide_slots(self, divisor: int) -> None:
+        """Use 1 / `divisor` of the slots, at least one: other routers send to the server too."""
+        self._divisor = max(1, divisor)
+
+    async def submit(
+        self, request: DispatchRequest, group: str, limits: ResolvedSettings
+    ) -> DispatchResult:
+        """Queue the request, send it when its turn comes, and return the whole answer.
+
+        Cancelling takes it out of the queue, or closes its connection to the server.
+        """
+        entry = QueueEntry(group, limits.weight, limits.max_concurrency_per_group)
+        queue_until_s = self._ports.clock.now() + limits.max_queue_delay_s
+        refusal = self._refusal(entry, request, limits)
+        sheds = 0
+        while refusal is None:
+            refusal = await self._wait_for_slot(entry, request, queue_until_s, sheds > 0)
+            if refusal is not None:
+                break
+            outcome = await self._use_slot(entry, request)
+            sheds += 1
+            if not self._may_queue_again(outcome, sheds):
+                return outcome
+        return Err(refusal)
+
+    def _may_queue_again(self, outcome: DispatchResult, sheds: int) -> bool:
+        is_shed = isinstance(outcome, Err) and isinstance(outcome.unwrap_err(), ServerShedding)
+        return is_shed and sheds < SHED_LIMIT
+
+    # ---- waiting ----
+
+    def _refusal(
+        self, entry: QueueEntry, request: DispatchRequest, limits: ResolvedSettings
+    ) -> RouterError | None:
+        """Return why the request is not even queued, or None when it is."""
+        if not self._queue and self._in_flight < self._limit():
+            return None
+        wait_s = self._estimated_wait_s(entry)
+        if self._queue.length_of(entry.group) >= limits.max_queue_length:
+            return refusals.queue_full(entry.group, self.server.name, self._spread(wait_s))
+        spare_s = request.deadline_s - self._ports.clock.now() - self._rate.service_s()
+        if wait_s > min(spare_s, limits.max_queue_delay_s):
+            return refusals.wait_too_long(self.server.name, self._spread(wait_s))
+        return None
+
+    def _estimated_wait_s(self, entry: QueueEntry) -> float:
+        """Return how long a new request of the group would wait, from the measured speed."""
+        slots = self._limit()
+        service_s = self._rate.service_s()
+        share = self._queue.share_of(entry.group, entry.weight) * slots
+        if entry.concurrency_limit is not None:
+            share = min(share, entry.concurrency_limit)
+        by_share_s = (self._queue.length_of(entry.group) + 1) * service_s / share
+        # Shares that others leave unused are lent: a request never waits for more than all others.
+        by_total_s = (len(self._queue) + 1) * service_s / slots
+        return self._pause_left_s() + min(by_share_s, by_total_s)
+
+    async def _wait_for_slot(
+        self, entry: QueueEntry, request: DispatchRequest, queue_until_s: float, is_first: bool
+    ) -> RouterError | None:
+        latest_s = min(queue_until_s, request.deadline_s - self._rate.service_s())
+        entry.granted.clear()
+        self._queue.push(entry, is_first)
+        self._pump()
+        try:
+            async with asyncio.timeout(max(0.0, latest_s - self._ports.clock.now())):
+                await entry.granted.wait()
+        except TimeoutError:
+            # The slot may have been given in the same turn of the loop: then it is used.
+            if entry.has_slot:
+                return None
+            self._queue.remove(entry)
+            wait_s = self._estimated_wait_s(entry)
+            return refusals.wait_too_long(self.server.name, self._spread(wait_s))
+        except asyncio.CancelledError:
+            if entry.has_slot:
+                self._give_back(entry, 0.0)
+            else:
+                self._queue.remove(entry)
+            raise
+        return None
+
+    def _pump(self) -> None:
+        """Give free slots to those whose turn it is."""
+        while self._queue and self._in_flight < self._limit() and self._pause_left_s() <= 0:
+            entry = self._queue.take(self._rate.service_s())
+            if entry is None:
+                break
+            self._in_flight += 1
+            entry.has_slot = True
+            entry.granted.set()
+        self._wake_when_needed()
+
+    def _limit(self) -> int:
+        slots = max(1, self.server.slots // self._divisor)
+        return self._ramp.limit(self._ports.clock.now(), slots)
+
+    def _pause_left_s(self) -> float:
+        return max(0.0, self._paused_until_s - self._ports.clock.now())
+
+    def _wake_when_needed(self) -> None:
+        """The end of a pause and a step of the ramp are no events: look again after a while."""
+        is_ramping = self._ramp.is_ramping(self._ports.clock.now())
+        if not self._queue or not (is_ramping or self._pause_left_s() > 0):
+            return
+        if self._waking is None or self._waking.done():
+            self._waking = asyncio.ensure_future(self._wake())
+
+    async def _wake(self) -> None:
+        while self._queue and (self._pause_left_s() > 0 or self._is_ramping()):
+            await self._ports.clock.sleep(min(self._pause_left_s() or WAKE_INTERVAL_S, 1.0))
+            self._pump()
+
+    def _is_ramping(self) -> bool:
+        return self._ramp.is_ramping(self._ports.clock.now())
+
+    # ---- sending ----
+
+    async def _use_slot(self, entry: QueueEntry, request: DispatchRequest) -> DispatchResult:
+        measurement = self._rate.start()
+        is_served = False
+        try:
+            outcome = await self._send(request)
+            is_served = isinstance(outcome, Ok) or isinstance(outcome.unwrap_err(), AnswerLost)
+            return outcome
+        finally:
+            self._give_back(entry, self._rate.finish(measurement, is_served))
+
+    def _give_back(self, entry: QueueEntry, cost_s: float) -> None:
+        entry.has_slot = False
+        self._in_flight -= 1
+        self._queue.give_back(entry, cost_s)
+        self._pump()
+
+    async def _send(self, request: DispatchRequest) -> DispatchResult:
+        """Send at most once; everything that forbids sending is checked in the same loop turn."""
+        refusal = self._send_refusal(request)
+        if refusal is not None:
+            return Err(refusal)
+        remaining_s = request.deadline_s - self._ports.clock.now()
+        owned = replace(request.owned, remaining_s=remaining_s)
+        answered = await self._ports.backends.send(self.server.address, owned)
+        outcome = self._outcome(answered)
+        if self._is_provably_not_run(outcome):
+            self._ports.sent.release(owned.request_id)
+        return outcome
+
+    def _send_refusal(self, request: DispatchRequest) -> RouterError | None:
+        if not self._ports.is_view_in_force():
+            return refusals.view_expired()
+        if request.deadline_s <= self._ports.clock.now():
+            return refusals.deadline_passed()
+        if not self._may_send(request):
+            return refusals.already_sent(request.owned.request_id)
+        return None
+
+    def _may_send(self, request: DispatchRequest) -> bool:
+        """A non-repeatable request is sent once, whatever comes in a second time."""
+        return request.is_repeatable or self._ports.sent.claim(request.owned.request_id)
+
+    def _is_provably_not_run(self, outcome: DispatchResult) -> bool:
+        if isinstance(outcome, Ok):
+            return False
+        return isinstance(outcome.unwrap_err(), OwnerUnreachable | WrongOwner | ServerShedding)
+
+    def _outcome(self, answered: Result[BackendAnswer, BackendError]) -> DispatchResult:
+        if isinstance(answered, Err):
+            return Err(self._failure(answered.unwrap_err()))
+        answer = answered.unwrap()
+        if answer.is_wrong_owner:
+            return Err(refusals.wrong_owner(self.server.name))
+        if answer.is_shed:
+            return Err(self._shed_by_server(answer))
+        return Ok(answer)
+
+    def _failure(self, error: BackendError) -> RouterError:
+        if isinstance(error, BackendUnreachable):
+            return refusals.owner_unreachable(self.server.name, self._spread(0.0))
+        return refusals.answer_lost(error.message)
+
+    def _shed_by_server(self, answer: BackendAnswer) -> ServerShedding:
+        pause_s = min(MAX_SHED_PAUSE_S, max(MIN_SHED_PAUSE_S, answer.retry_after_s))
+        self._paused_until_s = max(self._paused_until_s, self._ports.clock.now() + pause_s)
+        wait_s = max(answer.retry_after_s, self._rate.service_s())
+        return refusals.server_shedding(self.server.name, self._spread(wait_s))
+
+    def _spread(self, wait_s: float) -> float:
+        return refusals.spread_retry_after_s(wait_s, self._ports.random)
--- /dev/null
+++ b/indigoworks/router/dispatcher_pool.py
@@ -0,0 +1,71 @@
+"""The dispatchers of one router."""
+
+from collections.abc import Iterator
+
+from indigoworks.router.cold_ramp import ColdRamp
+from indigoworks.router.dispatch_request import DispatchRequest
+from indigoworks.router.dispatcher import DispatchResult, ServerDispatcher
+from indigoworks.router.dispatcher_ports import DispatcherPorts
+from indigoworks.router.routing_view import RoutingView
+from indigoworks.router.server_record import ServerRecord
+from indigoworks.settings.resolved_settings import ResolvedSettings
+from indigoworks.settings.settings_tree import DEFAULT_GROUP
+
+ServerRun = tuple[str, str]
+"""Name and incarnation of a server."""
+
+
+class DispatcherPool:
+    """One dispatcher for each run of a server that this router dispatches to."""
+
+    def __init__(self, ports: DispatcherPorts) -> None:
+        self._ports = ports
+        self._dispatchers: dict[ServerRun, ServerDispatcher] = {}
+        self._first_seen_s: dict[ServerRun, float] = {}
+
+    def __iter__(self) -> Iterator[ServerDispatcher]:
+        return iter(tuple(self._dispatchers.values()))
+
+    def observe(self, view: RoutingView) -> None:
+        """Note which servers are new, and drop dispatchers of servers that are gone."""
+        now_s = self._ports.clock.now()
+        runs = {_run(server) for server in view.servers.values()}
+        self._first_seen_s = {run: self._first_seen_s.get(run, now_s) for run in runs}
+        self._dispatchers = {
+            run: dispatcher
+            for run, dispatcher in self._dispatchers.items()
+            if run in runs or not dispatcher.is_idle
+        }
+
+    async def dispatch(
+        self, request: DispatchRequest, server: ServerRecord, view: RoutingView
+    ) -> DispatchResult:
+        """Send the request to the server when its turn comes, and return the whole answer."""
+        limits = self._limits(request, view)
+        if limits is None:
+            raise ValueError(f"service {request.owned.service} is not in the view")
+        dispatcher = self._dispatcher(server)
+        dispatcher.divide_slots(len(view.routers) if limits.hop == "direct" else 1)
+        return await dispatcher.submit(request, self._group(request, view), limits)
+
+    def _limits(self, request: DispatchRequest, view: RoutingView) -> ResolvedSettings | None:
+        owned = request.owned
+        return view.settings.resolve(owned.service, owned.group, owned.key)
+
+    def _group(self, request: DispatchRequest, view: RoutingView) -> str:
+        """Groups that the tree does not know share one queue: a made-up name gains nothing."""
+        group = request.owned.group
+        return group if group in view.groups else DEFAULT_GROUP
+
+    def _dispatcher(self, server: ServerRecord) -> ServerDispatcher:
+        run = _run(server)
+        found = self._dispatchers.get(run)
+        if found is None:
+            first_seen_s = self._first_seen_s.setdefault(run, self._ports.clock.now())
+            found = ServerDispatcher(server, self._ports, ColdRamp(first_seen_s))
+            self._dispatchers[run] = found
+        return found
+
+
+def _run(server: ServerRecord) -> ServerRun:
+    return (server.name, server.incarnation)
--- /dev/null
+++ b/indigoworks/router/dispatcher_ports.py
@@ -0,0 +1,23 @@
+"""What the dispatchers of one router share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from indigoworks.backend.backend_requests import BackendRequests
+from indigoworks.common.clock import Clock
+from indigoworks.router.sent_memory import SentMemory
+
+
+@dataclass(frozen=True)
+class DispatcherPorts:
+    """Ports of the dispatchers of one router.
+
+    :ivar is_view_in_force: tells whether the router may act upon its view at this moment.
+    """
+
+    clock: Clock
+    backends: BackendRequests
+    random: Random
+    sent: SentMemory
+    is_view_in_force: Callable[[], bool]
--- /dev/null
+++ b/indigoworks/router/forward_service.py
@@ -0,0 +1,129 @@
+"""Serves the requests of other routers to dispatch for them."""
+
+import asyncio
+from collections.abc import Callable
+
+from eliot import log_message
+from result import Err
+
+from indigoworks.common.clock import Clock
+from indigoworks.router import refusals
+from indigoworks.router.dispatch_request import DispatchRequest
+from indigoworks.router.dispatcher import DispatchResult
+from indigoworks.router.dispatcher_pool import DispatcherPool
+from indigoworks.router.errors import RouterError, RouterFault
+from indigoworks.router.forward_codec import dispatch_request, forward_reply
+from indigoworks.router.routing_view import RoutingView
+from indigoworks.router.view_follower import ViewFollower
+from indigoworks.wire import control_pb2
+
+SERVER_WAIT_S = 0.3
+"""How long a request waits for a view that knows its server: the sender's view may be newer."""
+
+
+class ForwardService:
+    """Dispatches forwarded requests and takes their cancellations."""
+
+    def __init__(
+        self,
+        member: control_pb2.Member,
+        follower: ViewFollower,
+        pool: DispatcherPool,
+        clock: Clock,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._member = member
+        self._follower = follower
+        self._pool = pool
+        self._clock = clock
+        self._is_stopping = is_stopping
+        self._active: dict[str, set[asyncio.Task[DispatchResult]]] = {}
+
+    @property
+    def active_count(self) -> int:
+        """Return how many forwarded requests are in progress."""
+        return sum(len(tasks) for tasks in self._active.values())
+
+    async def forward(self, message: control_pb2.ForwardRequest) -> control_pb2.Frame:
+        """Dispatch a forwarded request; the reply says what became of it."""
+        refusal = self._refusal(message)
+        if refusal is not None:
+            return _refused(refusal)
+        request = dispatch_request(message, self._clock.now())
+        task = asyncio.ensure_future(self._dispatch(request))
+        tasks = self._active.setdefault(message.request_id, set())
+        tasks.add(task)
+        try:
+            result = await self._result(task)
+        finally:
+            task.cancel()
+            tasks.discard(task)
+            if not tasks:
+                self._active.pop(message.request_id, None)
+        reply = forward_reply(message.request_id, result)
+        reply.clock_s = self._clock.now()
+        return control_pb2.Frame(forward_reply=reply)
+
+    async def cancel(self, message: control_pb2.CancelRequest) -> control_pb2.Frame:
+        """Cancel a forwarded request, wherever it stands."""
+        for task in self._active.get(message.request_id, ()):
+            task.cancel()
+        return control_pb2.Frame(cancel_reply=control_pb2.CancelReply())
+
+    def _refusal(self, message: control_pb2.ForwardRequest) -> RouterError | None:
+        """Return why the request is not taken. The sender then chooses another dispatcher."""
+        if message.dispatcher_incarnation != self._member.incarnation:
+            reason = "another run of the router was meant."
+            return refusals.dispatcher_unreachable(self._member.name, reason)
+        if self._is_stopping():
+            return refusals.router_stopping()
+        if self._follower.in_force() is None:
+            return refusals.view_expired()
+        return None
+
+    async def _result(self, task: "asyncio.Task[DispatchResult]") -> DispatchResult:
+        await asyncio.wait({task})
+        if task.cancelled():
+            return Err(refusals.answer_lost("the request was cancelled."))
+        error = task.exception()
+        if error is not None:
+            # The request may have been sent before the fault: never "not run".
+            log_message(message_type="router:dispatch_failed", error=repr(error))
+            return Err(_fault())
+        return task.result()
+
+    async def _dispatch(self, request: DispatchRequest) -> DispatchResult:
+        # A cancellation that arrived right behind the request must come before it is sent.
+        await asyncio.sleep(0)
+        view = await self._follower.wait_until(
+            lambda view: self._knows_server(view, request), SERVER_WAIT_S
+        )
+        if view is None:
+            return Err(refusals.no_owner(request.owned.service, refusals.MIN_RETRY_AFTER_S))
+        server = view.server(request.server_name, request.owned.server_incarnation)
+        if server is None:
+            raise AssertionError("the awaited server is missing from the view")
+        return await self._pool.dispatch(request, server, view)
+
+    def _knows_server(self, view: RoutingView, request: DispatchRequest) -> bool:
+        is_known = view.server(request.server_name, request.owned.server_incarnation) is not None
+        return is_known and view.settings.resolve(request.owned.service) is not None
+
+
+def _refused(error: RouterError) -> control_pb2.Frame:
+    """An error frame tells the sender that the request was not handled at all."""
+    return control_pb2.Frame(
+        error=control_pb2.ErrorReply(
+            kind=error.kind,
+            message=error.message,
+            remedy=error.remedy,
+            retry_after_s=error.retry_after_s,
+        )
+    )
+
+
+def _fault() -> RouterFault:
+    return RouterFault(
+        "The router failed on the request.",
+        "See the router's log under router:dispatch_failed.",
+    )
--- /dev/null
+++ b/indigoworks/router/forwarder.py
@@ -0,0 +1,144 @@
+"""Hands requests to the routers that dispatch to their owners."""
+
+import asyncio
+from collections import Counter
+
+from eliot import log_message
+from result import Err, Result
+
+from indigoworks.common.clock import Clock
+from indigoworks.router import refusals
+from indigoworks.router.dispatch_request import DispatchRequest
+from indigoworks.router.dispatcher import DispatchResult
+from indigoworks.router.errors import RouterError
+from indigoworks.router.forward_codec import dispatch_result, forward_request
+from indigoworks.router.peer_watch import PeerWatch
+from indigoworks.router.router_peer import RouterPeer
+from indigoworks.wire import control_pb2
+from indigoworks.wire.errors import CallTimedOut, ConnectFailed, RefusedByPeer, WireError
+from indigoworks.wire.rpc_client import RpcClient
+
+FORWARD_GRACE_S = 0.1
+"""Time after the deadline for which the dispatcher's own verdict is awaited."""
+
+PROBE_AFTER_S = 0.3
+"""A repeatable request that waits longer has its dispatcher probed, again and again."""
+
+CANCEL_TIMEOUT_S = 0.5
+"""Longest wait for the answer to a cancellation."""
+
+
+class Forwarder:
+    """Keeps one connection to each router that it forwards to."""
+
+    def __init__(self, clock: Clock, watch: PeerWatch, group_id: int = 0) -> None:
+        self._clock = clock
+        self._watch = watch
+        self._group_id = group_id
+        self._clients: dict[RouterPeer, RpcClient] = {}
+        self._calls: Counter[RouterPeer] = Counter()
+        self._cancellations: set[asyncio.Task[None]] = set()
+
+    async def forward(self, peer: RouterPeer, request: DispatchRequest) -> DispatchResult:
+        """Have `peer` dispatch the request, and return its result.
+
+        Cancelling passes the cancellation on. A lost reply is AnswerLost: the peer may have sent
+        the request to the owner.
+        """
+        client = self._client(peer)
+        if not await self._watch.is_reachable(peer, client):
+            return Err(refusals.dispatcher_unreachable(peer.name, "it does not answer probes."))
+        remaining_s = request.deadline_s - self._clock.now()
+        frame = self._frame(peer, request, remaining_s)
+        try:
+            called = await self._call(peer, client, frame, remaining_s + FORWARD_GRACE_S)
+        except asyncio.CancelledError:
+            self._cancel_at(client, request.owned.request_id)
+            raise
+        if isinstance(called, Err):
+            return Err(self._failure(peer, client, request, called.unwrap_err()))
+        reply = called.unwrap()
+        if reply.WhichOneof("payload") != "forward_reply":
+            return Err(refusals.answer_lost(f"router {peer.name} sent another message."))
+        self._watch.heard(peer, reply.forward_reply.clock_s)
+        return dispatch_result(reply.forward_reply)
+
+    def keep_only(self, peers: tuple[RouterPeer, ...]) -> None:
+        """Close the idle connections to routers that are gone.
+
+        A router that is being stopped leaves the list before it has answered all requests: its
+        connection must stay until then.
+        """
+        for peer in set(self._clients) - set(peers):
+            if not self._calls[peer]:
+                self._clients.pop(peer).close()
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await asyncio.gather(*self._cancellations, return_exceptions=True)
+        for client in self._clients.values():
+            client.close()
+
+    def _frame(
+        self, peer: RouterPeer, request: DispatchRequest, remaining_s: float
+    ) -> control_pb2.Frame:
+        message = forward_request(request, remaining_s)
+        message.dispatcher_incarnation = peer.incarnation
+        deadline_clock_s = self._watch.deadline_at(peer, request.deadline_s)
+        if deadline_clock_s is not None:
+            message.deadline_clock_s = deadline_clock_s
+        return control_pb2.Frame(forward_request=message)
+
+    def _client(self, peer: RouterPeer) -> RpcClient:
+        return self._clients.setdefault(peer, RpcClient(peer.address, self._group_id))
+
+    async def _call(
+        self, peer: RouterPeer, client: RpcClient, frame: control_pb2.Frame, timeout_s: float
+    ) -> Result[control_pb2.Frame, WireError]:
+        call = asyncio.ensure_future(client.call(frame, timeout_s))
+        self._calls[peer] += 1
+        try:
+            while True:
+                await asyncio.wait({call}, timeout=PROBE_AFTER_S)
+                if call.done():
+                    return call.result()
+                if self._may_give_up(frame) and not await self._watch.is_alive(peer, client):
+                    return Err(_silent(peer))
+        finally:
+            call.cancel()
+            self._calls[peer] -= 1
+
+    def _may_give_up(self, frame: control_pb2.Frame) -> bool:
+        """Giving up on a silent dispatcher gains time only where the request may be repeated."""
+        return frame.forward_request.is_repeatable
+
+    def _failure(
+        self, peer: RouterPeer, client: RpcClient, request: DispatchRequest, error: WireError
+    ) -> RouterError:
+        self._watch.suspect(peer)
+        log_message(
+            message_type="router:forward_failed",
+            request_id=request.owned.request_id,
+            router=peer.name,
+            kind=error.kind,
+        )
+        if isinstance(error, ConnectFailed | RefusedByPeer):
+            return refusals.dispatcher_unreachable(peer.name, error.message)
+        self._cancel_at(client, request.owned.request_id)
+        return refusals.answer_lost(error.message)
+
+    def _cancel_at(self, client: RpcClient, request_id: str) -> None:
+        task = asyncio.ensure_future(self._send_cancellation(client, request_id))
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
+
+    async def _send_cancellation(self, client: RpcClient, request_id: str) -> None:
+        cancel = control_pb2.CancelRequest(request_id=request_id)
+        await client.call(control_pb2.Frame(cancel_request=cancel), CANCEL_TIMEOUT_S)
+
+
+def _silent(peer: RouterPeer) -> CallTimedOut:
+    return CallTimedOut(
+        f"Router {peer.name} does not answer probes.",
+        "Check the load of that router and the network path.",
+    )
--- /dev/null
+++ b/indigoworks/router/group_queue.py
@@ -0,0 +1,28 @@
+"""Waiting requests of one group at one back end."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from indigoworks.router.queue_entry import QueueEntry
+
+
+@dataclass
+class GroupQueue:
+    """Waiting requests of one group, oldest first, and its place in the fair order.
+
+    :ivar virtual_time: slot seconds received so far, divided by the weight.
+    :ivar in_progress: requests of the group that hold a slot.
+    """
+
+    name: str
+    weight: float = 1.0
+    concurrency_limit: int | None = None
+    virtual_time: float = 0.0
+    in_progress: int = 0
+    entries: OrderedDict[QueueEntry, None] = field(default_factory=OrderedDict)
+
+    def is_eligible(self) -> bool:
+        """Tell whether the group has a waiting request that may be given a slot."""
+        if not self.entries:
+            return False
+        return self.concurrency_limit is None or self.in_progress < self.concurrency_limit
--- /dev/null
+++ b/indigoworks/router/http_server.py
@@ -0,0 +1,60 @@
+"""HTTP server of a router: callers, and beside them administration, metrics and health."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+from eliot import log_message
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from indigoworks.common.address import Address
+from indigoworks.router.in_progress import InProgress
+from indigoworks.router.limits import MAX_BODY_BYTES
+from indigoworks.router.router import Router
+from indigoworks.router.service_handler import CallerContext, ServiceHandler
+
+WRITE_TIMEOUT_S = 5.0
+"""Longest wait, after the router has stopped, for answers that are still being written."""
+
+HttpRule = tuple[str, type[Any], dict[str, Any]]
+
+
+class RouterHttpServer:
+    """Serves callers under /v1/, and the given rules beside it."""
+
+    def __init__(self, router: Router, address: Address, other_rules: Sequence[HttpRule]) -> None:
+        self._router = router
+        self._address = address
+        self._handling = InProgress()
+        context = CallerContext(router, self._handling)
+        rules: list[Any] = [(r"/v1(?:/.*)?", ServiceHandler, {"context": context})]
+        rules.extend(other_rules)
+        self._server = HTTPServer(Application(rules), max_body_size=MAX_BODY_BYTES)
+
+    def start(self) -> None:
+        """Listen.
+
+        :raises OSError: the address cannot be bound.
+        """
+        self._server.listen(self._address.port, self._address.host)
+
+    async def stop(self) -> None:
+        """Stop the router if it was not yet, finish writing its answers, and close.
+
+        While the router stops, new requests are refused by an answer and not by a closed port: a
+        caller then knows that they did not run.
+        """
+        await self._router.stop()
+        await self._finish_answers()
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    async def _finish_answers(self) -> None:
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await self._handling.wait_for_none()
+        except TimeoutError:
+            log_message(
+                message_type="http:stop_cut", level="ERROR", in_progress=self._handling.count
+            )
--- /dev/null
+++ b/indigoworks/router/idempotency_memory.py
@@ -0,0 +1,146 @@
+"""One run for all resends of a request under the same idempotency key."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from hashlib import sha256
+
+from indigoworks.common.clock import Clock
+from indigoworks.router import refusals
+from indigoworks.router.caller_request import CallerRequest
+from indigoworks.router.caller_response import CallerResponse, response_of_error
+from indigoworks.router.outcome import Outcome
+
+REMEMBERED_S = 300.0
+"""Seconds for which the answer of a finished run is kept."""
+
+REMEMBERED_ENTRIES = 10_000
+"""Answers kept at most; the oldest are dropped first."""
+
+REMEMBERED_BYTES = 64 * 1024 * 1024
+"""Bytes of bodies kept at most; the oldest answers are dropped first."""
+
+
+@dataclass(frozen=True)
+class IdempotencyId:
+    """What a caller's idempotency key is unique within."""
+
+    service: str
+    key: bytes
+    group: str
+    idempotency_key: str
+
+
+@dataclass(frozen=True)
+class Run:
+    """One run in progress.
+
+    :ivar fingerprint: hash of what a resend must repeat.
+    """
+
+    fingerprint: bytes
+    task: asyncio.Task[CallerResponse]
+
+
+@dataclass(frozen=True)
+class Remembered:
+    """The answer of a finished run; `finished_s` is a reading of the router's clock."""
+
+    fingerprint: bytes
+    response: CallerResponse
+    finished_s: float
+
+
+class IdempotencyMemory:
+    """Coalesces resends under one idempotency key, and answers later ones from memory.
+
+    Extent: resends that reach the same router process, within REMEMBERED_S of the end of the run,
+    while fewer than REMEMBERED_ENTRIES newer answers of fewer than REMEMBERED_BYTES are kept.
+    Outcomes `completed` and `unknown` are remembered; after `not-run` a resend runs anew. A run
+    with an idempotency key goes on when its caller disconnects: the resend finds its answer.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._runs: dict[IdempotencyId, Run] = {}
+        self._remembered: OrderedDict[IdempotencyId, Remembered] = OrderedDict()
+        self._remembered_bytes = 0
+
+    async def answer(
+        self, request: CallerRequest, run: Callable[[], Awaitable[CallerResponse]]
+    ) -> CallerResponse:
+        """Return the answer of the one run; `run` is called only if there is none."""
+        self._forget_old()
+        identity = _identity(request)
+        fingerprint = _fingerprint(request)
+        known = self._runs.get(identity) or self._remembered.get(identity)
+        if known is not None and known.fingerprint != fingerprint:
+            return response_of_error(refusals.idempotency_key_reused())
+        if isinstance(known, Remembered):
+            return known.response
+        if known is None:
+            known = self._start(identity, fingerprint, run)
+        # One caller that goes away must not end the run of the others.
+        return await asyncio.shield(known.task)
+
+    async def finish(self) -> None:
+        """Wait for the runs in progress."""
+        tasks = [run.task for run in self._runs.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _start(
+        self,
+        identity: IdempotencyId,
+        fingerprint: bytes,
+        run: Callable[[], Awaitable[CallerResponse]],
+    ) -> Run:
+        started = Run(fingerprint, asyncio.ensure_future(self._run(identity, fingerprint, run)))
+        self._runs[identity] = started
+        return started
+
+    async def _run(
+        self,
+        identity: IdempotencyId,
+        fingerprint: bytes,
+        run: Callable[[], Awaitable[CallerResponse]],
+    ) -> CallerResponse:
+        try:
+            response = await run()
+            if response.outcome is not Outcome.NOT_RUN:
+                self._remember(identity, Remembered(fingerprint, response, self._clock.now()))
+            return response
+        finally:
+            # In the same turn as the memory is filled: no resend may find neither of them.
+            del self._runs[identity]
+
+    def _remember(self, identity: IdempotencyId, remembered: Remembered) -> None:
+        self._remembered[identity] = remembered
+        self._remembered_bytes += len(remembered.response.body)
+        self._forget_old()
+
+    def _forget_old(self) -> None:
+        oldest_kept_s = self._clock.now() - REMEMBERED_S
+        while self._remembered:
+            identity, oldest = next(iter(self._remembered.items()))
+            if oldest.finished_s >= oldest_kept_s and not self._is_over_bounds():
+                return
+            del self._remembered[identity]
+            self._remembered_bytes -= len(oldest.response.body)
+
+    def _is_over_bounds(self) -> bool:
+        is_too_many = len(self._remembered) > REMEMBERED_ENTRIES
+        return is_too_many or self._remembered_bytes > REMEMBERED_BYTES
+
+
+def _identity(request: CallerRequest) -> IdempotencyId:
+    return IdempotencyId(request.service, request.key, request.group, request.idempotency_key or "")
+
+
+def _fingerprint(request: CallerRequest) -> bytes:
+    """Return a hash of method, path and body, each preceded by its length."""
+    digest = sha256()
+    for part in (request.method.encode(), request.path.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/indigoworks/router/peer_clock.py
@@ -0,0 +1,39 @@
+"""What is known of another process's clock."""
+
+from indigoworks.common.lease_bounds import MAX_CLOCK_DRIFT
+
+
+class PeerClock:
+    """Lower bound of the difference between a peer's clock and the own one.
+
+    A reading that the peer sent was taken before it arrived here, so the peer's clock is at least
+    that far by now. Deadlines put into the peer's clock by this bound may come out early, by the
+    time of the fastest answer lately, but never late: however long a message is held up on the way
+    or in a frozen process, it is not acted upon after its deadline.
+    """
+
+    def __init__(self) -> None:
+        self._difference_s: float | None = None
+        self._learnt_at_s = 0.0
+
+    def learn(self, reading_s: float, now_s: float) -> None:
+        """Take a reading of the peer's clock that arrived at `now_s`."""
+        difference_s = reading_s - now_s
+        known_s = self._bound_s(now_s)
+        if known_s is None or difference_s > known_s:
+            self._difference_s = difference_s
+            self._learnt_at_s = now_s
+
+    def deadline(self, deadline_s: float, now_s: float) -> float | None:
+        """Return a deadline of the own clock as a reading of the peer's; None: nothing is known."""
+        bound_s = self._bound_s(now_s)
+        if bound_s is None:
+            return None
+        remaining_s = (deadline_s - now_s) * (1 - 2 * MAX_CLOCK_DRIFT)
+        return now_s + bound_s + remaining_s
+
+    def _bound_s(self, now_s: float) -> float | None:
+        if self._difference_s is None:
+            return None
+        # The clocks may have drifted apart since.
+        return self._difference_s - 2 * MAX_CLOCK_DRIFT * (now_s - self._learnt_at_s)
--- /dev/null
+++ b/indigoworks/router/route_finder.py
@@ -0,0 +1,30 @@
+"""Finds the owner of a key and its dispatcher."""
+
+from indigoworks.router.dispatcher_choice import dispatcher_of
+from indigoworks.router.peer_watch import PeerWatch
+from indigoworks.router.route import Route
+from indigoworks.router.routed_request import RoutedRequest
+from indigoworks.router.routing_view import RoutingView
+
+
+class RouteFinder:
+    """Routes requests by a view."""
+
+    def __init__(self, incarnation: str, watch: PeerWatch) -> None:
+        self._incarnation = incarnation
+        self._watch = watch
+
+    def find(self, view: RoutingView, request: RoutedRequest) -> Route | None:
+        """Return the route, or None when nobody serves the key."""
+        assignment = view.assignment(request.caller.service, request.place)
+        if assignment is None or not assignment.owner:
+            return None
+        server = view.server(assignment.owner, assignment.owner_incarnation)
+        if server is None:
+            return None
+        peer = None
+        if request.settings.hop != "direct":
+            peer = dispatcher_of(server, view.routers, self._watch.suspects())
+        if peer is not None and peer.incarnation == self._incarnation:
+            peer = None
+        return Route(view, assignment, server, peer)
--- /dev/null
+++ b/indigoworks/router/router.py
@@ -0,0 +1,253 @@
+"""A router: takes callers' requests and dispatches to the back ends that fall to it."""
+
+import asyncio
+from random import Random
+
+from eliot import log_message
+from prometheus_client import CollectorRegistry
+from result import Ok
+
+from indigoworks.common.incarnation import new_incarnation
+from indigoworks.router import refusals
+from indigoworks.router.caller_request import CallerRequest
+from indigoworks.router.caller_response import (
+    CallerResponse,
+    response_of_answer,
+    response_of_error,
+)
+from indigoworks.router.controller_administration import ControllerAdministration
+from indigoworks.router.controller_directory import ControllerDirectory
+from indigoworks.router.dispatcher_pool import DispatcherPool
+from indigoworks.router.dispatcher_ports import DispatcherPorts
+from indigoworks.router.errors import RouterFault
+from indigoworks.router.forward_service import ForwardService
+from indigoworks.router.forwarder import Forwarder
+from indigoworks.router.idempotency_memory import IdempotencyMemory
+from indigoworks.router.in_progress import InProgress
+from indigoworks.router.metrics import RouterMetrics
+from indigoworks.router.peer_watch import PeerWatch
+from indigoworks.router.request_check import RequestCheck
+from indigoworks.router.request_path import RequestPath
+from indigoworks.router.route_finder import RouteFinder
+from indigoworks.router.routed_request import RoutedRequest
+from indigoworks.router.router_frames import RouterFrames
+from indigoworks.router.router_observer import RouterObserver
+from indigoworks.router.router_ports import RouterPorts
+from indigoworks.router.routing_view import RoutingView
+from indigoworks.router.sent_memory import SentMemory
+from indigoworks.router.view_follower import ViewFollower
+from indigoworks.settings.router_settings import RouterSettings
+from indigoworks.wire import control_pb2
+from indigoworks.wire.rpc_server import RpcServer
+
+STOP_LINGER_S = 3.0
+"""Time for which a stopping router declines to dispatch for others before it closes its port: the
+controllers list it for 1 s after its last poll, and routers use a list for VIEW_LEASE_S."""
+
+STOP_TIMEOUT_S = 30.0
+"""Longest wait for the requests in progress when the router stops."""
+
+
+class Router:
+    """The request path of one router process, without HTTP. Uses nothing but asyncio."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        ports: RouterPorts,
+        random: Random,
+        registry: CollectorRegistry | None = None,
+    ) -> None:
+        self.metrics = RouterMetrics(registry or CollectorRegistry())
+        self._clock = ports.clock
+        self._member = _member(settings, random)
+        self._is_stopping = False
+        self._handling = InProgress()
+        self._forwarded = InProgress()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stop_task: asyncio.Task[None] | None = None
+        directory = ControllerDirectory(
+            settings.name, settings.zone, settings.controller_addresses, ports.machines
+        )
+        self._directory = directory
+        self.administration = ControllerAdministration(directory, settings.group_id)
+        self._follower = ViewFollower(self._member, directory, ports.clock, settings.group_id)
+        self._pool = self._dispatcher_pool(ports, random)
+        self._watch = PeerWatch(ports.clock)
+        self._forwarder = Forwarder(ports.clock, self._watch, settings.group_id)
+        self._path = self._request_path(random)
+        self._check = RequestCheck(ports.clock)
+        self._idempotency = IdempotencyMemory(ports.clock)
+        service = ForwardService(
+            self._member, self._follower, self._pool, ports.clock, self._stopping
+        )
+        self._frames = RouterFrames(
+            self._member, service, self._follower, self._forwarded, ports.clock
+        )
+        self._server = RpcServer(settings.control_address, self._frames.handle)
+        self._observer = RouterObserver(self.metrics, self._follower, self._pool, ports.clock)
+
+    # The lab replaces a part by a broken copy through these.
+
+    def _dispatcher_pool(self, ports: RouterPorts, random: Random) -> DispatcherPool:
+        return DispatcherPool(
+            DispatcherPorts(
+                clock=ports.clock,
+                backends=ports.backends,
+                random=random,
+                sent=SentMemory(ports.clock),
+                is_view_in_force=self._is_view_in_force,
+            )
+        )
+
+    def _request_path(self, random: Random) -> RequestPath:
+        finder = RouteFinder(self._member.incarnation, self._watch)
+        return RequestPath(self._follower, finder, self._pool, self._forwarder, self._clock, random)
+
+    @property
+    def member(self) -> control_pb2.Member:
+        """Return the identity of this run of the router."""
+        return self._member
+
+    @property
+    def view(self) -> RoutingView | None:
+        """Return the newest view, whether it may be acted upon or not."""
+        return self._follower.latest
+
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether the router takes no new requests any more."""
+        return self._is_stopping
+
+    def in_force(self) -> RoutingView | None:
+        """Return the view if it may be acted upon now."""
+        return self._follower.in_force()
+
+    def max_body_bytes(self, service: str, group: str) -> int | None:
+        """Return the limit of a body, or None for an unknown service or without a view."""
+        view = self._follower.in_force()
+        return None if view is None else self._check.max_body_bytes(view, service, group)
+
+    async def start(self) -> None:
+        """Serve the internal protocol and follow the view.
+
+        :raises OSError: the address of the internal protocol cannot be bound.
+        """
+        await self._server.start()
+        self._tasks = [
+            asyncio.ensure_future(self._follower.run()),
+            asyncio.ensure_future(self._directory.run(self._clock)),
+            asyncio.ensure_future(self._observe_views()),
+        ]
+        log_message(message_type="router:started", incarnation=self._member.incarnation)
+
+    async def stop(self) -> None:
+        """Refuse new requests, finish those in progress, and end. A second call waits as well.
+
+        The view is followed until the end: requests in progress may still have to be routed anew.
+        """
+        if self._stop_task is None:
+            self._stop_task = asyncio.ensure_future(self._stop())
+        await asyncio.shield(self._stop_task)
+
+    async def _stop(self) -> None:
+        self._is_stopping = True
+        self._follower.leave_dispatch()
+        log_message(message_type="router:stopping", in_progress=self._handling.count)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self._finish_in_progress()
+        except TimeoutError:
+            log_message(message_type="router:stop_cut", in_progress=self._handling.count)
+        await self._end()
+
+    async def handle(self, request: CallerRequest) -> CallerResponse:
+        """Answer one request of a caller. Cancelling means that the caller went away."""
+        started_s = self._clock.now()
+        with self._handling.one():
+            try:
+                response = await self._answer(request)
+            except asyncio.CancelledError:
+                self._observer.cancelled(request, started_s)
+                raise
+        self._observer.answered(request, response, started_s)
+        return response
+
+    async def _answer(self, request: CallerRequest) -> CallerResponse:
+        if self._is_stopping:
+            return response_of_error(refusals.router_stopping())
+        view = self._follower.in_force()
+        if view is None:
+            return response_of_error(refusals.view_expired())
+        checked = self._check.check(request, view)
+        if not isinstance(checked, Ok):
+            return response_of_error(checked.unwrap_err())
+        routed = checked.unwrap()
+        if request.idempotency_key is None:
+            return await self._run(routed)
+        return await self._idempotency.answer(request, lambda: self._run(routed))
+
+    async def _run(self, routed: RoutedRequest) -> CallerResponse:
+        # A run with an idempotency key outlives its caller; stop() must wait for it as well.
+        with self._handling.one():
+            try:
+                result = await self._path.run(routed)
+            except Exception as error:
+                # The request may have been sent before the fault: never "not run".
+                log_message(
+                    message_type="router:request_failed",
+                    level="ERROR",
+                    request_id=routed.caller.request_id,
+                    error=repr(error),
+                )
+                return response_of_error(_fault())
+        if isinstance(result, Ok):
+            return response_of_answer(result.unwrap())
+        return response_of_error(result.unwrap_err())
+
+    async def _finish_in_progress(self) -> None:
+        await self._clock.sleep(STOP_LINGER_S)
+        await self._handling.wait_for_none()
+        await self._forwarded.wait_for_none()
+
+    async def _end(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop()
+        await self._forwarder.stop()
+        self.administration.close()
+        log_message(message_type="router:stopped")
+
+    async def _observe_views(self) -> None:
+        """Keep dispatchers and connections in step with the view."""
+        while True:
+            view = await self._follower.next_change()
+            self._pool.observe(view)
+            self._forwarder.keep_only(view.routers)
+            self._watch.keep_only(view.routers)
+
+    def _is_view_in_force(self) -> bool:
+        return self._follower.in_force() is not None
+
+    def _stopping(self) -> bool:
+        return self._is_stopping
+
+
+def _member(settings: RouterSettings, random: Random) -> control_pb2.Member:
+    return control_pb2.Member(
+        name=settings.name,
+        incarnation=new_incarnation(settings.name, random),
+        zone=settings.zone,
+        host=settings.host,
+        control_port=settings.control_port,
+        http_port=settings.http_port,
+    )
+
+
+def _fault() -> RouterFault:
+    return RouterFault(
+        "The router failed on the request; it may have run.",
+        "Look up whether the request took effect; see the router's log under "
+        "router:request_failed.",
+    )
--- /dev/null
+++ b/indigoworks/router/router_observer.py
@@ -0,0 +1,86 @@
+"""Metrics and log messages of a router's requests."""
+
+from eliot import log_message
+
+from indigoworks.common.clock import Clock
+from indigoworks.router.caller_request import CallerRequest
+from indigoworks.router.caller_response import CallerResponse
+from indigoworks.router.dispatcher_pool import DispatcherPool
+from indigoworks.router.metrics import OUTCOME_CANCELLED, RouterMetrics
+from indigoworks.router.view_follower import ViewFollower
+from indigoworks.settings.settings_tree import DEFAULT_GROUP
+
+_NO_NAME = "-"
+"""Metric label of a service or group that the settings tree does not know."""
+
+
+class RouterObserver:
+    """Counts the requests of one router, and shows the state of its view and dispatchers."""
+
+    def __init__(
+        self, metrics: RouterMetrics, follower: ViewFollower, pool: DispatcherPool, clock: Clock
+    ) -> None:
+        self._metrics = metrics
+        self._follower = follower
+        self._pool = pool
+        self._clock = clock
+        self._add_gauges()
+
+    def answered(self, request: CallerRequest, response: CallerResponse, started_s: float) -> None:
+        """Note an answer to a request that came in at `started_s`."""
+        error_kind = "" if response.error is None else response.error.kind
+        self._note(request, response.outcome.value, error_kind, started_s)
+
+    def cancelled(self, request: CallerRequest, started_s: float) -> None:
+        """Note that the caller went away."""
+        self._note(request, OUTCOME_CANCELLED, "", started_s)
+
+    def _note(
+        self, request: CallerRequest, outcome: str, error_kind: str, started_s: float
+    ) -> None:
+        duration_s = self._clock.now() - started_s
+        service, group = self._labels(request)
+        self._metrics.observe(service, group, outcome, error_kind, duration_s)
+        log_message(
+            message_type="router:request",
+            level="DEBUG",
+            request_id=request.request_id,
+            service=request.service,
+            group=request.group,
+            outcome=outcome,
+            error=error_kind,
+            duration_s=round(duration_s, 6),
+        )
+
+    def _labels(self, request: CallerRequest) -> tuple[str, str]:
+        """Return metric labels; names that callers make up must not make new time series."""
+        view = self._follower.latest
+        if view is None or view.settings.resolve(request.service) is None:
+            return _NO_NAME, _NO_NAME
+        return request.service, request.group if request.group in view.groups else DEFAULT_GROUP
+
+    def _add_gauges(self) -> None:
+        watch = self._metrics.watch
+        watch("queue_length", "Requests that wait for a slot.", self._queue_length)
+        watch("in_flight", "Requests sent to back ends and not answered.", self._in_flight)
+        watch("view_version", "Version of the view.", self._view_version)
+        watch("settings_version", "Version of the settings in force.", self._settings_version)
+        watch(
+            "view_lease_remaining_seconds",
+            "Time for which the view may be used.",
+            self._follower.lease_remaining_s,
+        )
+
+    def _queue_length(self) -> float:
+        return sum(dispatcher.queue_length for dispatcher in self._pool)
+
+    def _in_flight(self) -> float:
+        return sum(dispatcher.in_flight for dispatcher in self._pool)
+
+    def _view_version(self) -> float:
+        view = self._follower.latest
+        return 0 if view is None else view.version
+
+    def _settings_version(self) -> float:
+        view = self._follower.latest
+        return 0 if view is None else view.settings_version
--- /dev/null
+++ b/indigoworks/router/router_ports.py
@@ -0,0 +1,16 @@
+"""What a router needs from outside."""
+
+from dataclasses import dataclass
+
+from indigoworks.backend.backend_requests import BackendRequests
+from indigoworks.common.clock import Clock
+from indigoworks.platform.machine_list import MachineList
+
+
+@dataclass(frozen=True)
+class RouterPorts:
+    """Clock, the platform's machine list, and the way to the back ends."""
+
+    clock: Clock
+    machines: MachineList
+    backends: BackendRequests
--- /dev/null
+++ b/indigoworks/settings/field_names.py
@@ -0,0 +1,34 @@
+"""The names that a model allows at a place."""
+
+from typing import Any, get_args, get_origin
+
+from pydantic import BaseModel
+
+
+def field_names_at(model: type[BaseModel], location: tuple[int | str, ...]) -> list[str]:
+    """Return the field names of the model that stands at `location` below `model`."""
+    place: Any = model
+    for step in location:
+        place = _below(place, step)
+    return list(place.model_fields) if _is_model(place) else []
+
+
+def _below(place: Any, step: int | str) -> Any:
+    if _is_model(place):
+        field = place.model_fields.get(str(step))
+        return None if field is None else _model_of(field.annotation)
+    if get_origin(place) is dict:
+        return _model_of(get_args(place)[1])
+    return None
+
+
+def _model_of(annotation: Any) -> Any:
+    """Return the model or mapping in `annotation`, past `| None`."""
+    if _is_model(annotation) or get_origin(annotation) is dict:
+        return annotation
+    inner = [each for each in get_args(annotation) if _is_model(each)]
+    return inner[0] if inner else None
+
+
+def _is_model(place: Any) -> bool:
+    return isinstance(place, type) and issubclass(place, BaseModel)
--- /dev/null
+++ b/indigoworks/settings/process_settings.py
@@ -0,0 +1,81 @@
+"""Settings of one process: its addresses and where the others are."""
+
+from ipaddress import ip_address
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints
+
+from indigoworks.common.address import Address
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+def _checked_ip(host: str) -> str:
+    try:
+        ip_address(host)
+    except ValueError:
+        raise ValueError(f"{host!r} is no IP number") from None
+    return host
+
+
+def parse_address(text: str) -> Address:
+    """Return the address written as `ip:port` (an IPv6 number in brackets).
+
+    :raises ValueError: the text is no such address.
+    """
+    host, separator, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if not separator or not port.isdecimal() or not 1 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is no address of the form ip:port")
+    return Address(_checked_ip(host), int(port))
+
+
+def _checked_address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+class ProcessSettings(BaseModel):
+    """Addresses and zone of a process, from a file or flags.
+
+    :ivar name: name of the process, unique among the processes of the system.
+    :ivar zone: zone it runs in.
+    :ivar host: IP number it listens on and is reached by.
+    :ivar control_port: TCP port of the internal protocol.
+    :ivar http_port: TCP port of the HTTP interfaces.
+    :ivar platform_url: base URL of the platform's services.
+    :ivar controllers: some controllers, `ip:port` of the internal protocol; may be empty where
+        the platform's machine list names them.
+    :ivar group_id: control group that the process belongs to.
+    :ivar log_level: messages below this level are not written.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+    zone: Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+    host: Annotated[str, AfterValidator(_checked_ip)]
+    control_port: Port
+    http_port: Port
+    platform_url: Annotated[str, StringConstraints(pattern=r"^https?://[^\s/?#]+(/[^\s?#]*)?$")]
+    controllers: list[Annotated[str, AfterValidator(_checked_address)]] = Field(
+        default_factory=list
+    )
+    group_id: Annotated[int, Field(ge=0, le=2**32 - 1)] = 0
+    log_level: LogLevel = "INFO"
+
+    @property
+    def control_address(self) -> Address:
+        """Return where the process serves the internal protocol."""
+        return Address(self.host, self.control_port)
+
+    @property
+    def http_address(self) -> Address:
+        """Return where the process serves HTTP."""
+        return Address(self.host, self.http_port)
+
+    @property
+    def controller_addresses(self) -> tuple[Address, ...]:
+        """Return the addresses of `controllers`."""
+        return tuple(parse_address(each) for each in self.controllers)
--- /dev/null
+++ b/indigoworks_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments. Never imported by the product."""
--- /dev/null
+++ b/indigoworks_lab/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a back end."""
--- /dev/null
+++ b/indigoworks_lab/checkers/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers of recorded histories."""
--- /dev/null
+++ b/indigoworks_lab/checkers/history/assignment_sample.py
@@ -0,0 +1,25 @@
+"""The committed assignments as the authoritative leader held them at one moment."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class CommittedRange:
+    """One committed range with its owner and fencing token."""
+
+    service: str
+    start: int
+    end: int
+    owner: str
+    owner_incarnation: str
+    token: int
+
+
+@dataclass(frozen=True)
+class AssignmentSample:
+    """Ranges granted in the leader's own generation, read while it held its quorum lease."""
+
+    at_s: float
+    leader: str
+    generation: int
+    ranges: tuple[CommittedRange, ...]
--- /dev/null
+++ b/indigoworks_lab/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the lab."""
--- /dev/null
+++ b/indigoworks_lab/cli/lab_commands.py
@@ -0,0 +1,164 @@
+"""Commands of `indigoworks-lab`.
+
+Each command imports what it runs when it is called: a process loads only its own part.
+"""
+
+import asyncio
+import sys
+
+
+class LabCommands:
+    """Stand-ins, load and demo of indigoworks. Every process listens on loopback by default."""
+
+    def platform(self, port: int, host: str = "127.0.0.1", seed: int = 0) -> None:
+        """Run the stand-in of the platform until SIGTERM.
+
+        :param port: TCP port of its HTTP interface.
+        :param host: IP number to listen on.
+        :param seed: seed of the choice of the answers it loses.
+        """
+        from indigoworks_lab.platform.platform_process import run_platform
+
+        asyncio.run(run_platform(str(host), port, seed))
+
+    def server(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        port: int,
+        host: str = "127.0.0.1",
+        slots: int = 2,
+        connections: int = 100,
+        seed: int = 0,
+        queue_limit: int = 8,
+        service_median_ms: float = 4.0,
+        service_sigma: float = 0.5,
+        cold_requests: int = 50,
+    ) -> None:
+        """Run the stand-in of a back end until SIGTERM.
+
+        :param name: name of the server.
+        :param service: service whose keys it serves.
+        :param zone: zone it stands in.
+        :param port: TCP port of its HTTP interface.
+        :param host: IP number to listen on.
+        :param slots: requests it runs at a time.
+        :param connections: connections it accepts.
+        :param seed: seed of its random choices.
+        :param queue_limit: requests that may wait for a slot; one more is shed.
+        :param service_median_ms: median of the service time, in milliseconds.
+        :param service_sigma: spread of the service time; 0 makes all alike.
+        :param cold_requests: requests after the start that take longer.
+        """
+        from indigoworks_lab.backend.server_process import run_server
+
+        exit_code = run_server(
+            name=str(name),
+            service=str(service),
+            zone=str(zone),
+            host=str(host),
+            port=port,
+            slots=slots,
+            connections=connections,
+            seed=seed,
+            queue_limit=queue_limit,
+            service_median_ms=service_median_ms,
+            service_sigma=service_sigma,
+            cold_requests=cold_requests,
+        )
+        sys.exit(exit_code)
+
+    def load(
+        self,
+        service: str,
+        rate: float,
+        seconds: float = 10.0,
+        routers: str = "",
+        backend: str = "",
+        warm_up: float = 1.0,
+        timeout: float = 2.0,
+        keys: int = 10_000,
+        zipf: float = 0.9,
+        writes: float = 0.1,
+        groups: str = "default",
+        seed: int = 0,
+        json: bool = False,
+    ) -> None:
+        """Send an open-loop load to routers, or directly to one back end; print the result.
+
+        Exit code: 0 done, 1 nothing completed, 2 misuse.
+
+        :param service: service that the keys belong to.
+        :param rate: requests started per second.
+        :param seconds: length of the counted part.
+        :param routers: HTTP addresses of routers, ip:port, joined by commas.
+        :param backend: HTTP address of a back end that no controller knows.
+        :param warm_up: seconds before, not counted.
+        :param timeout: seconds until the deadline of each request.
+        :param keys: number of keys.
+        :param zipf: skew of the keys; 0 draws all alike.
+        :param writes: share of POST requests.
+        :param groups: groups of the requests, joined by commas.
+        :param seed: seed of moments, keys and methods.
+        :param json: print JSON instead of text.
+        """
+        import os
+
+        from indigoworks_lab.load.load_command import run_load_command
+        from indigoworks_lab.load.load_plan import LoadPlan
+
+        plan = LoadPlan(
+            service=str(service),
+            rate_per_s=rate,
+            duration_s=seconds,
+            warm_up_s=warm_up,
+            timeout_s=timeout,
+            keys=keys,
+            zipf_exponent=zipf,
+            write_ratio=writes,
+            groups=tuple(_words(groups)),
+            seed=seed,
+            run_id=os.urandom(4).hex(),
+        )
+        sys.exit(run_load_command(plan, ",".join(_words(routers)), str(backend), json))
+
+    def demo(self, log_directory: str = "run/demo") -> None:
+        """Start a deployment, exercise it, stop it; exit code 1 where anything failed.
+
+        :param log_directory: gets one log file for each process.
+        """
+        from pathlib import Path
+
+        from indigoworks_lab.demo.run_demo import run_demo
+
+        sys.exit(asyncio.run(run_demo(Path(log_directory))))
+
+    def scale(
+        self,
+        output: str = "run/scale",
+        sizes: str = "50,200,800,3200",
+        quick: bool = False,
+    ) -> None:
+        """Measure real controllers beside hollow routers and back ends; write JSON and plots.
+
+        Takes less than eight minutes, with --quick less than one.
+
+        :param output: directory for results, plots and logs.
+        :param sizes: numbers of members, joined by commas; one router for two back ends.
+        :param quick: measure two small sizes only.
+        """
+        from pathlib import Path
+
+        from indigoworks_lab.scale.run_scale import run_scale
+        from indigoworks_lab.scale.scale_plan import full_plan, quick_plan
+
+        numbers = [int(each) for each in _words(sizes)]
+        plan = quick_plan() if quick else full_plan(numbers)
+        sys.exit(run_scale(plan, Path(output)))
+
+
+def _words(value: object) -> list[str]:
+    """Return the words of a flag; fire hands over `a,b` as a tuple."""
+    parts = value if isinstance(value, tuple | list) else str(value).split(",")
+    return [str(part) for part in parts if str(part)]
--- /dev/null
+++ b/indigoworks_lab/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A deployment on loopback, exercised from outside and reported step by step."""
--- /dev/null
+++ b/indigoworks_lab/demo/demo_context.py
@@ -0,0 +1,24 @@
+"""What all steps of the demo share."""
+
+from dataclasses import dataclass
+
+from indigoworks_lab.demo.account import Account
+from indigoworks_lab.demo.demo_caller import DemoCaller
+from indigoworks_lab.demo.json_client import JsonClient
+from indigoworks_lab.launcher.deployment import Deployment
+from indigoworks_lab.launcher.deployment_plan import DeploymentPlan
+
+
+@dataclass(frozen=True)
+class DemoContext:
+    """The deployment under demonstration and the means to exercise it."""
+
+    account: Account
+    deployment: Deployment
+    caller: DemoCaller
+    client: JsonClient
+
+    @property
+    def plan(self) -> DeploymentPlan:
+        """Return the plan of the deployment."""
+        return self.deployment.plan
--- /dev/null
+++ b/indigoworks_lab/launcher/__init__.py
@@ -0,0 +1,1 @@
+"""Starts the processes of a deployment on loopback."""
--- /dev/null
+++ b/indigoworks_lab/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generators and measurements."""
--- /dev/null
+++ b/indigoworks_lab/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the platform: table service, object store, machine list."""
--- /dev/null
+++ b/indigoworks_lab/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale run: real controllers beside many hollow routers and back ends."""
--- /dev/null
+++ b/indigoworks_lab/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""The real code on a virtual clock and a simulated network."""
--- /dev/null
+++ b/indigoworks_lab/simulation/broken_rules/all_broken_rules.py
@@ -0,0 +1,11 @@
+"""Every broken rule, by name."""
+
+from indigoworks_lab.simulation.broken_rules.backend_rules import BACKEND_RULES
+from indigoworks_lab.simulation.broken_rules.broken_rule import BrokenRule
+from indigoworks_lab.simulation.broken_rules.consensus_rules import CONSENSUS_RULES
+from indigoworks_lab.simulation.broken_rules.controller_rules import CONTROLLER_RULES
+from indigoworks_lab.simulation.broken_rules.router_rules import ROUTER_RULES
+
+BROKEN_RULES: dict[str, BrokenRule] = {
+    rule.name: rule for rule in (*BACKEND_RULES, *CONSENSUS_RULES, *CONTROLLER_RULES, *ROUTER_RULES)
+}
--- /dev/null
+++ b/indigoworks_lab/simulation/broken_rules/consensus_rules.py
@@ -0,0 +1,49 @@
+"""Broken rules of the agreement."""
+
+import indigoworks.controller.controller as controller_module
+from indigoworks.consensus import vote_handler as vote_handler_module
+from indigoworks.consensus.leader_support import LeaderSupport
+from indigoworks.consensus.leadership import Leadership
+from indigoworks_lab.simulation.broken_rules.broken_rule import BrokenRule, Replacement
+
+
+def _own_last_index(leadership: Leadership) -> int:
+    return leadership._replica.log.last_index
+
+
+def _is_established(leadership: Leadership) -> bool:
+    return leadership.is_established
+
+
+CONSENSUS_RULES = (
+    BrokenRule(
+        "vote-after-restart",
+        "A controller that restarts keeps its old identity, and so its vote, with an empty log.",
+        lambda: [
+            Replacement(controller_module, "new_incarnation", lambda name, _random: name),
+        ],
+    ),
+    BrokenRule(
+        "acknowledge-before-quorum",
+        "A leader counts an entry as committed once it stands in its own log.",
+        lambda: [Replacement(Leadership, "_majority_match_index", _own_last_index)],
+    ),
+    BrokenRule(
+        "ignore-quorum-lease",
+        "A leader takes itself for the leader without a majority that confirms it.",
+        lambda: [
+            Replacement(Leadership, "holds_quorum_lease", _is_established),
+            Replacement(Leadership, "_is_lease_running", lambda _leadership: True),
+        ],
+    ),
+    BrokenRule(
+        "support-two-leaders",
+        "A voter votes for another leader while its promise to the present one runs.",
+        lambda: [Replacement(LeaderSupport, "may_support", lambda *_: True)],
+    ),
+    BrokenRule(
+        "vote-for-shorter-log",
+        "A voter votes for a candidate that lacks entries of its own log.",
+        lambda: [Replacement(vote_handler_module, "is_log_up_to_date", lambda *_: True)],
+    ),
+)
--- /dev/null
+++ b/indigoworks_lab/simulation/core/__init__.py
@@ -0,0 +1,1 @@
+"""The simulated machines: event loop, network, processes, clocks and calls."""
--- /dev/null
+++ b/indigoworks_lab/simulation/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults drawn from a seed."""
--- /dev/null
+++ b/indigoworks_lab/simulation/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Callers, operators and the recording of what they see."""
--- /dev/null
+++ b/indigoworks_lab/test_report/__init__.py
@@ -0,0 +1,1 @@
+"""Counting of checks and scenarios, and the verdict of scripts/test."""
