--- a/features/consensus_elections.feature
+++ b/features/consensus_elections.feature
@@ -37,12 +37,6 @@
     Then the first agreement leader still leads
     And this run of the agreement holds for seeds 1 to 4
 
-  Scenario: The watch notices a voter that forgets the promise it gave to the leader
-    Given an agreement group of 3 controllers in 3 zones
-    When the agreement group has 3 voters
-    And the link between the agreement leader and one follower is cut for 4 s
-    Then the watch of the agreement catches a voter that forgets its promise, seeds 1 to 4
-
   Scenario: With the platform down a new leader is elected and commits
     Given an agreement group of 3 controllers in 3 zones
     When the agreement group has 3 voters
--- a/features/frame_house_rules.feature
+++ b/features/frame_house_rules.feature
@@ -18,3 +18,5 @@
       | more than a third of tests          | they stay under a third               |
       | no README.md                        | missing: README.md                    |
       | a scripts/test without the run bit  | no run bit: scripts/test              |
+      | a link that leads nowhere           | README.md: link to nothing: gone.md   |
+      | a design page that is not listed    | does not name new.md                  |
--- a/features/steps/backend_process_steps.py
+++ b/features/steps/backend_process_steps.py
@@ -94,6 +94,7 @@
         status = (await control.read_status(context.address, TIMEOUT_S)).unwrap()
         assert status.is_draining
         assert (await send(context, "later")).unwrap().status == 200
+        assert "backend:emptied" not in context.process.log_text()
 
     context.run_async(check())
 
@@ -101,6 +102,7 @@
 @when("its lease is not renewed any more")
 def stop_lease(context: Any) -> None:
     context.run_async(context.lease.stop())
+    context.run_async(wait_for_log(context, "backend:emptied"))
 
 
 @then("it ends with exit code {code:d}")
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import urllib.request
 from contextlib import closing, redirect_stderr, redirect_stdout
 from pathlib import Path
@@ -165,7 +166,7 @@
                 assert response.status == 200
                 return
         except OSError:
-            signal.sigtimedwait([], POLL_INTERVAL_S)
+            time.sleep(POLL_INTERVAL_S)
     raise AssertionError("the process does not serve")
 
 
--- a/features/steps/consensus_cluster.py
+++ b/features/steps/consensus_cluster.py
@@ -5,7 +5,13 @@
 from random import Random
 
 import detangle
-from consensus_fakes import DriftingClock, HistoryState, MemoryMachines, MemoryTable
+from consensus_fakes import (
+    DriftingClock,
+    HistoryState,
+    MemoryMachines,
+    MemoryTable,
+    TableFromOneHost,
+)
 from detangle import SimConfig
 
 from indigoworks.common.address import Address
@@ -42,6 +48,8 @@
         self._zones = zones
         self._random = Random(seed)
         self._runs = 0
+        self._acknowledged: list[tuple[float, int, int]] = []
+        self.clocks: dict[str, DriftingClock] = {}
         self._committed: dict[tuple[int, int], str] = {}
 
     def start(self, name: str) -> None:
@@ -68,7 +76,7 @@
             member,
             0,
             state,
-            self.table,
+            TableFromOneHost(self.table, member.name),
             self.machines,
             [Address(self.host(name), PORT) for name in self.names[:3]],
             clock,
@@ -79,6 +87,7 @@
         await server.start()
         self.nodes[member.name] = node
         self.states[member.name] = state
+        self.clocks[member.name] = clock
         await node.run()
         await server.stop()
 
@@ -135,11 +144,18 @@
         command = Command(replace_settings=ReplaceSettings(change_id=text))
         for _ in range(100):
             leader = await self.until_leader()
-            if (await self.nodes[leader].propose(command)).is_ok():
+            committed = await self.nodes[leader].propose(command)
+            if committed.is_ok():
+                self.note_commit(leader, committed.unwrap())
                 return
             await asyncio.sleep(0.1)
         raise AssertionError(f"never committed: {text}")
 
+    def note_commit(self, name: str, index: int) -> None:
+        """Remember when a command was acknowledged, and in which generation."""
+        now_s = asyncio.get_running_loop().time()
+        self._acknowledged.append((now_s, self.nodes[name].status.generation, index))
+
     async def watch(self) -> None:
         """Check after every short while what must hold at every moment."""
         while True:
@@ -151,6 +167,7 @@
         self.lease_looks += len(holders)
         if len(holders) > 1:
             raise SafetyViolated(f"quorum lease held by {holders}")
+        self._check_confirmations()
         for name, node in self.nodes.items():
             status = node.status
             # A node that has entered a generation shows its old state until it has a new one.
@@ -160,6 +177,18 @@
                 if known != text:
                     raise SafetyViolated(f"{name} applied {text} at {index}, not {known}")
 
+    def _check_confirmations(self) -> None:
+        """Check that each node has applied what was acknowledged before its confirmation."""
+        for name, node in self.nodes.items():
+            confirmed_at_s = node.confirmed_at_s()
+            if confirmed_at_s is None:
+                continue
+            true_time_s = self.clocks[name].true_time_s(confirmed_at_s)
+            applied = (node.status.generation, node.status.applied_index)
+            for acknowledged_at_s, generation, index in self._acknowledged[-50:]:
+                if acknowledged_at_s < true_time_s and (generation, index) > applied:
+                    raise SafetyViolated(f"{name} lacks {index}, acknowledged before it confirmed")
+
 
 def run_script(size: int, zones: int, seed: int, script: list[Step]) -> None:
     """Run a group through the steps of a script, watched all the time."""
--- a/features/steps/consensus_fakes.py
+++ b/features/steps/consensus_fakes.py
@@ -29,6 +29,10 @@
     def now(self) -> float:
         return asyncio.get_running_loop().time() * self._rate + self._offset_s
 
+    def true_time_s(self, reading_s: float) -> float:
+        """Return the simulation's time of a reading."""
+        return (reading_s - self._offset_s) / self._rate
+
     async def sleep(self, duration_s: float) -> None:
         await asyncio.sleep(duration_s / self._rate)
 
@@ -41,6 +45,7 @@
         self.is_down = False
         self.loses_answers = False
         self.answers_lost = 0
+        self.reached_only_by = ""
 
     async def read(self, key: str) -> Result[TableRow | None, PlatformError]:
         await asyncio.sleep(ANSWER_DELAY_S)
@@ -64,10 +69,30 @@
         await asyncio.sleep(ANSWER_DELAY_S)
         return Ok(None)
 
+    def unreachable(self, name: str) -> Err[PlatformError] | None:
+        """Return the error of a machine that is cut off from the table service."""
+        if self.reached_only_by in ("", name):
+            return None
+        return Err(PlatformUnavailable("No path to the table service.", "Wait.", 1.0))
+
     def _version(self, key: str) -> int:
         return self.rows[key].version if key in self.rows else 0
 
 
+class TableFromOneHost:
+    """The table service as one machine reaches it."""
+
+    def __init__(self, table: MemoryTable, name: str) -> None:
+        self._table = table
+        self._name = name
+
+    async def read(self, key: str) -> Result[TableRow | None, PlatformError]:
+        return self._table.unreachable(self._name) or await self._table.read(key)
+
+    async def transact(self, writes: Sequence[RowWrite]) -> Result[None, PlatformError]:
+        return self._table.unreachable(self._name) or await self._table.transact(writes)
+
+
 class MemoryMachines:
     """Machine list."""
 
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -4,10 +4,9 @@
 from random import Random
 
 from behave import given, then, when
-from hypothesis import example
+from hypothesis import example, strategies
 from hypothesis import given as for_all
 from hypothesis import settings as hypothesis_settings
-from hypothesis import strategies
 
 from indigoworks.common.lease_bounds import MAX_CLOCK_DRIFT
 from indigoworks.common.ring.key_hash import KEY_SPACE_MAX
--- a/features/steps/frame_steps.py
+++ b/features/steps/frame_steps.py
@@ -110,6 +110,8 @@
     "more than a third of tests": lambda root: _write(root / "features" / "b.py", KEPT_LINES),
     "no README.md": lambda root: (root / "README.md").unlink(),
     "a scripts/test without the run bit": lambda root: (root / "scripts/test").chmod(0o644),
+    "a link that leads nowhere": lambda root: (root / "README.md").write_text("[a](gone.md)"),
+    "a design page that is not listed": lambda root: _write(root / "docs/design/new.md", 1),
 }
 
 
--- a/indigoworks/consensus/consensus_timing.py
+++ b/indigoworks/consensus/consensus_timing.py
@@ -32,7 +32,7 @@
     :ivar generation_check_s: longest time between two looks of a leader at the checkpoint row.
     :ivar transfer_s: longest time that a planned stop spends on handing leadership over.
     :ivar leave_s: longest time that a planned stop spends on leaving the configuration.
-    :ivar append_batch_entries: most entries in one request.
+    :ivar append_batch_bytes: bytes of entries after which a request is full.
     :ivar kept_entries: applied entries kept in memory for peers that lag.
     """
 
@@ -60,5 +60,5 @@
     generation_check_s: float = 1.0
     transfer_s: float = 2.0
     leave_s: float = 3.0
-    append_batch_entries: int = 256
+    append_batch_bytes: int = 1024 * 1024
     kept_entries: int = 512
--- a/indigoworks/consensus/membership.py
+++ b/indigoworks/consensus/membership.py
@@ -16,7 +16,8 @@
 from indigoworks.consensus.consensus_timing import ConsensusTiming
 from indigoworks.consensus.identity_probe import IdentityProbe
 from indigoworks.consensus.leadership import Leadership
-from indigoworks.consensus.membership_plan import MembershipFacts, MembershipPlan
+from indigoworks.consensus.membership_facts import MembershipFacts
+from indigoworks.consensus.membership_plan import MembershipPlan
 from indigoworks.consensus.peer_replication import PeerReplication
 from indigoworks.consensus.replica import Replica
 from indigoworks.platform.machine_list import MachineList
@@ -59,6 +60,10 @@
             self._joining[incarnation] = request.member
         self._changed.notify()
 
+    def is_leaving(self, incarnation: str) -> bool:
+        """Tell whether the member has asked to leave."""
+        return incarnation in self._leaving
+
     def prepare_successor(self) -> None:
         """Promote a learner even to an even number of voters, since the leader stops."""
         self._is_own_leaving = True
--- a/indigoworks/consensus/peer_replication.py
+++ b/indigoworks/consensus/peer_replication.py
@@ -1,7 +1,6 @@
 """The task that replicates the leader's log to one peer."""
 
 import asyncio
-from typing import Protocol
 
 from result import Result
 
@@ -10,6 +9,7 @@
 from indigoworks.consensus.consensus_timing import ConsensusTiming
 from indigoworks.consensus.peer_clients import PeerClients
 from indigoworks.consensus.replica import Replica
+from indigoworks.consensus.replication_listener import ReplicationListener
 from indigoworks.consensus.role import Role
 from indigoworks.wire.control_pb2 import (
     AppendReply,
@@ -22,18 +22,6 @@
 from indigoworks.wire.errors import WireError
 
 
-class ReplicationListener(Protocol):
-    """The leadership that a peer task works for."""
-
-    def holds_quorum_lease(self) -> bool:
-        """Tell whether the leader holds its quorum lease."""
-        ...
-
-    def on_progress(self) -> None:
-        """Note that a peer has confirmed a request."""
-        ...
-
-
 class PeerReplication:
     """Sends heartbeats, entries and snapshots to one peer, one request at a time.
 
@@ -130,7 +118,7 @@
             leader=self._replica.member,
             previous_index=previous_index,
             previous_term=log.held_term_at(previous_index),
-            entries=log.entries_after(previous_index, self._timing.append_batch_entries),
+            entries=log.batch_after(previous_index, self._timing.append_batch_bytes),
             commit_index=self._replica.commit_index,
             follower_incarnation=self.peer.incarnation,
             echoed_clock_s=self._echoed_clock_s,
--- a/indigoworks/consensus/planned_stop.py
+++ b/indigoworks/consensus/planned_stop.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
-from indigoworks.consensus.configurations import address_of, is_member
+from indigoworks.consensus.configurations import address_of, is_member, is_voter
 from indigoworks.consensus.consensus_timing import ConsensusTiming
 from indigoworks.consensus.leader_tenure import LeaderTenure
 from indigoworks.consensus.leadership import Leadership
@@ -48,25 +48,37 @@
         """Stop taking commands, wait for the best voter to have all, and ask it to take over."""
         tenure.membership.prepare_successor()
         leadership = tenure.leadership
-        while leadership.is_current:
-            # Commands are still taken while no voter could take over.
-            if self._successor(leadership, may_lag=True) is not None:
+        while leadership.is_current and self._live_peers(tenure):
+            candidates = self._live_voters(tenure)
+            if candidates:
+                # Commands are taken as long as no voter could take over.
                 leadership.renounce_lease()
-            successor = self._successor(leadership, may_lag=False)
+            successor = self._most_recent_complete(candidates)
             if successor is not None:
                 await self._ask_to_take_over(successor, leadership)
                 return
             await self._clock.sleep(STEP_S)
 
-    def _successor(self, leadership: Leadership, may_lag: bool) -> PeerReplication | None:
-        voters = {voter.incarnation for voter in self._replica.log.configuration.voters}
-        complete = [
+    def _live_peers(self, tenure: LeaderTenure) -> list[PeerReplication]:
+        """Return the peers that are in touch and are not about to stop themselves."""
+        return [
             peer
-            for peer in leadership.peers
-            if peer.peer.incarnation in voters
-            and (may_lag or peer.match_index == self._replica.log.last_index)
-            and peer.silence_s() < self._timing.live_peer_s
+            for peer in tenure.leadership.peers
+            if peer.silence_s() < self._timing.live_peer_s
+            and not tenure.membership.is_leaving(peer.peer.incarnation)
         ]
+
+    def _live_voters(self, tenure: LeaderTenure) -> list[PeerReplication]:
+        configuration = self._replica.log.configuration
+        return [
+            peer
+            for peer in self._live_peers(tenure)
+            if is_voter(configuration, peer.peer.incarnation)
+        ]
+
+    def _most_recent_complete(self, peers: list[PeerReplication]) -> PeerReplication | None:
+        last_index = self._replica.log.last_index
+        complete = [peer for peer in peers if peer.match_index == last_index]
         return max(complete, key=lambda peer: peer.confirmed_at_s, default=None)
 
     async def _ask_to_take_over(self, peer: PeerReplication, leadership: Leadership) -> None:
--- a/indigoworks/consensus/replicated_log.py
+++ b/indigoworks/consensus/replicated_log.py
@@ -1,6 +1,7 @@
 """The log of a node, in memory."""
 
 from collections.abc import Sequence
+from itertools import islice
 
 from indigoworks.consensus.log_position import LogPosition
 from indigoworks.wire.control_pb2 import Command, Configuration, LogEntry
@@ -18,6 +19,7 @@
         self.base_term = base_term
         self._base_configuration = base_configuration
         self._entries: list[LogEntry] = []
+        self._configuration_entries: list[LogEntry] = []
 
     @property
     def last_index(self) -> int:
@@ -42,15 +44,13 @@
     @property
     def configuration_index(self) -> int:
         """Index of the newest configuration entry; the base index where there is none."""
-        for entry in reversed(self._entries):
-            if _is_configuration(entry):
-                return entry.index
-        return self.base_index
+        entries = self._configuration_entries
+        return entries[-1].index if entries else self.base_index
 
     def configuration_at(self, index: int) -> Configuration:
         """Return the newest configuration at or before `index`."""
-        for entry in reversed(self._entries[: index - self.base_index]):
-            if _is_configuration(entry):
+        for entry in reversed(self._configuration_entries):
+            if entry.index <= index:
                 return entry.command.configuration
         return self._base_configuration
 
@@ -75,7 +75,7 @@
     def append(self, term: int, command: Command) -> int:
         """Append a command and return its index."""
         index = self.last_index + 1
-        self._entries.append(LogEntry(index=index, term=term, command=command))
+        self._add(LogEntry(index=index, term=term, command=command))
         return index
 
     def entries_after(self, index: int, limit: int) -> Sequence[LogEntry]:
@@ -83,6 +83,17 @@
         start = index - self.base_index
         return self._entries[start : start + limit]
 
+    def batch_after(self, index: int, limit_bytes: int) -> Sequence[LogEntry]:
+        """Return entries that follow `index`, up to the one that reaches `limit_bytes`."""
+        batch: list[LogEntry] = []
+        size_bytes = 0
+        for entry in islice(self._entries, index - self.base_index, None):
+            batch.append(entry)
+            size_bytes += entry.ByteSize()
+            if size_bytes >= limit_bytes:
+                break
+        return batch
+
     def merge(self, entries: Sequence[LogEntry]) -> None:
         """Take entries of the leader whose predecessor matches.
 
@@ -95,8 +106,8 @@
             if known_term == entry.term:
                 continue
             if known_term is not None:
-                del self._entries[entry.index - self.base_index - 1 :]
-            self._entries.append(entry)
+                self._cut_from(entry.index)
+            self._add(entry)
 
     def compact(self, index: int) -> None:
         """Drop the entries up to `index`, which must be applied to the replicated state."""
@@ -106,10 +117,19 @@
         self.base_term = self._entry(index).term
         del self._entries[: index - self.base_index]
         self.base_index = index
+        self._configuration_entries = [
+            entry for entry in self._configuration_entries if entry.index > index
+        ]
 
-    def _entry(self, index: int) -> LogEntry:
-        return self._entries[index - self.base_index - 1]
+    def _add(self, entry: LogEntry) -> None:
+        self._entries.append(entry)
+        if entry.command.WhichOneof("command") == "configuration":
+            self._configuration_entries.append(entry)
 
+    def _cut_from(self, index: int) -> None:
+        del self._entries[index - self.base_index - 1 :]
+        while self._configuration_entries and self._configuration_entries[-1].index >= index:
+            self._configuration_entries.pop()
 
-def _is_configuration(entry: LogEntry) -> bool:
-    return entry.command.WhichOneof("command") == "configuration"
+    def _entry(self, index: int) -> LogEntry:
+        return self._entries[index - self.base_index - 1]
--- a/indigoworks/router/http_server.py
+++ b/indigoworks/router/http_server.py
@@ -9,6 +9,8 @@
 from tornado.web import Application
 
 from indigoworks.common.address import Address
+from indigoworks.common.clock import LoopClock
+from indigoworks.common.http_listener import HttpListener
 from indigoworks.router.in_progress import InProgress
 from indigoworks.router.limits import MAX_BODY_BYTES
 from indigoworks.router.router import Router
@@ -17,6 +19,10 @@
 WRITE_TIMEOUT_S = 5.0
 """Longest wait, after the router has stopped, for answers that are still being written."""
 
+LAST_REQUESTS_S = 0.2
+"""Time for requests on connections that were open when the port closed: they are still refused by
+an answer, so that their callers know that they did not run."""
+
 HttpRule = tuple[str, type[Any], dict[str, Any]]
 
 
@@ -25,19 +31,19 @@
 
     def __init__(self, router: Router, address: Address, other_rules: Sequence[HttpRule]) -> None:
         self._router = router
-        self._address = address
         self._handling = InProgress()
         context = CallerContext(router, self._handling)
         rules: list[Any] = [(r"/v1(?:/.*)?", ServiceHandler, {"context": context})]
         rules.extend(other_rules)
         self._server = HTTPServer(Application(rules), max_body_size=MAX_BODY_BYTES)
+        self._listener = HttpListener(self._server, address)
 
     def start(self) -> None:
         """Listen.
 
         :raises OSError: the address cannot be bound.
         """
-        self._server.listen(self._address.port, self._address.host)
+        self._listener.start()
 
     async def stop(self) -> None:
         """Stop the router if it was not yet, finish writing its answers, and close.
@@ -46,8 +52,9 @@
         caller then knows that they did not run.
         """
         await self._router.stop()
+        self._listener.stop()
+        await LoopClock().sleep(LAST_REQUESTS_S)
         await self._finish_answers()
-        self._server.stop()
         await self._server.close_all_connections()
 
     async def _finish_answers(self) -> None:
--- a/indigoworks_lab/backend/server_process.py
+++ b/indigoworks_lab/backend/server_process.py
@@ -111,6 +111,7 @@
         async with asyncio.timeout(DRAIN_LIMIT_S):
             while not server.is_empty:
                 await clock.sleep(POLL_S)
+        log_message(message_type="backend:emptied", name=server.identity.name)
     except TimeoutError:
         log_message(message_type="backend:drain_timed_out", name=server.identity.name)
     if was_owner:
--- a/indigoworks_lab/cli/lab_commands.py
+++ b/indigoworks_lab/cli/lab_commands.py
@@ -123,6 +123,39 @@
         )
         sys.exit(run_load_command(plan, ",".join(_words(routers)), str(backend), json))
 
+    def hop_cost(
+        self,
+        rate: float = 100.0,
+        callers: int = 16,
+        rounds: int = 3,
+        seconds: float = 3.0,
+        seed: int = 0,
+        json_file: str = "",
+        log_directory: str = "run/hop-cost",
+    ) -> None:
+        """Measure the same load directly, through one router and through two; print a table.
+
+        Starts all processes itself, on loopback. Exit code: 0 done, 1 failed.
+
+        :param rate: requests per second of the load for latencies; keep it below saturation.
+        :param callers: callers of the load for throughput.
+        :param rounds: rounds over all paths; the table has their medians.
+        :param seconds: length of each measured part.
+        :param seed: seed of moments, keys and methods.
+        :param json_file: gets all figures as JSON.
+        :param log_directory: gets one log file for each process.
+        """
+        from pathlib import Path
+
+        from indigoworks_lab.load.hop_cost_command import run_hop_cost_command
+        from indigoworks_lab.load.hop_cost_plan import HopCostPlan
+
+        plan = HopCostPlan(
+            rate_per_s=rate, callers=callers, rounds=rounds, part_s=seconds, seed=seed
+        )
+        report_file = Path(str(json_file)) if json_file else None
+        sys.exit(run_hop_cost_command(plan, Path(str(log_directory)), report_file))
+
     def demo(self, log_directory: str = "run/demo") -> None:
         """Start a deployment, exercise it, stop it; exit code 1 where anything failed.
 
--- a/indigoworks_lab/demo/stop_step.py
+++ b/indigoworks_lab/demo/stop_step.py
@@ -43,7 +43,7 @@
     context.account.check(
         "it cut no request: " + stream.outcome_text(),
         completed_before > 0 and set(outcomes) <= UNCUT_OUTCOMES,
-        outcomes,
+        [each for each in stream.answers if each.outcome not in UNCUT_OUTCOMES],
     )
 
 
--- a/indigoworks_lab/test_report/scenario_formatter.py
+++ b/indigoworks_lab/test_report/scenario_formatter.py
@@ -41,7 +41,7 @@
 
     def _report(self, scenario: Any) -> None:
         status = scenario.status.name
-        result = RecordedResult(status, f"{self._feature.filename}: {scenario.name}")
+        result = RecordedResult(status, f"{self._feature.filename}: {scenario.name.strip()}")
         self._stream.write(f"{status:8} {result.name} ({scenario.duration:.2f} s)\n")
         if status != PASSED:
             self._write_details(scenario)
