--- a/features/backend_load.feature
+++ b/features/backend_load.feature
@@ -27,3 +27,8 @@
       | the answer of another id   | wrong_answer |
       | a not-run outcome          | not_run      |
       | an unknown outcome         | unknown      |
+
+  Scenario: The cost of a hop is what the longer path takes more
+    Given rounds of the three paths with p50 of 2 3 9, of 5 4 4 and of 7 8 7 ms
+    Then the hops cost 1 and 3 ms at p50
+    And a request that was not completed shows in the figures of its path
--- a/features/consensus_generations.feature
+++ b/features/consensus_generations.feature
@@ -37,6 +37,16 @@
     Then the agreement has reached generation 2
     And this run of the agreement holds for seeds 1 to 2
 
+  Scenario: The second voter is lost before it has taken the change that makes it one
+    Given an agreement group of 3 controllers in 3 zones
+    When the controller about to become the second voter of the agreement crashes
+    And 1 s pass in the agreement
+    Then the agreement stays without a leader for 1 s
+    When the crashed agreement controllers start again
+    Then the agreement has reached generation 2
+    And the agreement group has 3 voters
+    And this run of the agreement holds for seeds 1 to 3
+
   Scenario: The answer to the write that forms the group is lost
     Given an agreement group of 3 controllers in 3 zones
     When the table service loses the answer of the next agreement write
--- a/features/router_dispatch.feature
+++ b/features/router_dispatch.feature
@@ -25,6 +25,16 @@
     Then the dispatcher served at least 195 requests of "busy"
     And the request of "rare" took at most 0.1 s
 
+  Scenario: router dispatch: an idle group saves up no credit
+    Given a router dispatcher for a warm server with 2 slots and requests of 50 ms
+    When "busy" keeps 20 requests waiting for 10 s and "late" does so from 5 s on
+    Then the dispatcher served "busy" between 0.9 and 1.1 times as often as "late" after 5 s
+
+  Scenario: router dispatch: a cancellation at the moment a slot is given does not lose the slot
+    Given a router dispatcher for a warm server with 1 slots and requests of 50 ms
+    When the next in the queue is cancelled in the same turn of the loop in which it gets the slot
+    Then the cancelled request was never sent and one after it is answered
+
   Scenario Outline: router dispatch: slots are exact whatever befalls the requests
     Given a router dispatcher for a warm server with <slots> slots and requests of 50 ms
     When 400 requests arrive at random, of which some are lost, shed, refused or cancelled, with seed <seed>
--- a/features/router_http.feature
+++ b/features/router_http.feature
@@ -78,6 +78,10 @@
     Then the first was answered whole, and the other got 503, "Connection: close" and Retry-After
     And nothing listens on the port any more
 
+  Scenario: router http: a planned stop waits for a slow reader
+    When the HTTP server is stopped while a caller is yet to read an answer of 8000000 bytes
+    Then the caller reads the whole answer
+
   Scenario: router http: metrics and health are served beside the callers
     When a caller sends GET /v1/shop/sofa with 0 bytes
     Then the metrics count one completed request of the shop and the view's version
--- a/features/router_path.feature
+++ b/features/router_path.feature
@@ -77,6 +77,10 @@
     When the machine of router r1 is lost and a POST comes in at r2
     Then the outcome is "completed" and alpha got the request once
 
+  Scenario: router path: a dispatcher that is lost with a request takes its outcome along
+    When the machine of router r1 is lost while alpha works on a POST from r2
+    Then the POST ended as "unknown" and alpha got it once
+
   Scenario: router path: a silent dispatcher costs a repeatable request little
     When router r1 is cut off from r2 and a GET and a POST come in at r2
     Then the GET completed within 0.8 s
@@ -91,6 +95,13 @@
     When a POST of 0.5 s is held up between r2 and r1 until its time is over
     Then it ended as "unknown" and alpha never got it
 
+  Scenario: router path: a dispatcher goes by its own clock where the sender knows it
+    When a forwarded request has 1 s left, but its deadline on the clock of r1 is over
+    Then r1 replies "deadline_passed", not run, and alpha never got it
+
+  Scenario: router path: a deadline in a peer's clock is never late
+    Then deadlines in the clock of a peer are never late, whatever the delays and the drift
+
   Scenario: router path: the caller's cancellation reaches the back end through the dispatcher
     When a caller at r2 goes away while alpha works on its request
     Then alpha saw the cancellation within 0.01 s
--- a/features/steps/backend_load_steps.py
+++ b/features/steps/backend_load_steps.py
@@ -12,10 +12,15 @@
 from indigoworks.common.clock import LoopClock
 from indigoworks_lab.backend.answer_body import AnswerBody
 from indigoworks_lab.load import router_target
+from indigoworks_lab.load.hop_cost_report import HopCostReport
+from indigoworks_lab.load.hop_path import HopPath
+from indigoworks_lab.load.latency_summary import LatencySummary
 from indigoworks_lab.load.load_outcome import LoadOutcome
 from indigoworks_lab.load.load_plan import LoadPlan
+from indigoworks_lab.load.load_report import LoadReport
 from indigoworks_lab.load.load_request import LoadRequest
 from indigoworks_lab.load.open_loop import OpenLoop
+from indigoworks_lab.load.path_round import PathRound
 from indigoworks_lab.load.request_source import RequestSource
 from indigoworks_lab.load.zipf_keys import ZipfKeys
 
@@ -138,3 +143,37 @@
 @then('the load counts it as "{outcome}"')
 def load_counts(context: Any, outcome: str) -> None:
     assert context.outcome == LoadOutcome(outcome), context.outcome
+
+
+def path_round(p50_ms: float) -> PathRound:
+    latency = LatencySummary(count=9, p50_ms=p50_ms, p99_ms=50, p999_ms=60, max_ms=70)
+    report = LoadReport(
+        measured_s=1.0,
+        offered=10,
+        outcomes={LoadOutcome.COMPLETED: 9, LoadOutcome.UNKNOWN: 1},
+        goodput_per_s=9.0,
+        completed=latency,
+        start_lag=latency,
+    )
+    return PathRound(open_loop=report, closed_loop=report, cpu_us_per_request={"router": 5.0})
+
+
+@given("rounds of the three paths with p50 of {direct}, of {dispatcher} and of {forwarded} ms")
+def path_rounds(context: Any, direct: str, dispatcher: str, forwarded: str) -> None:
+    texts = (direct, dispatcher, forwarded)
+    rounds = {
+        path: [path_round(float(p50)) for p50 in text.split()]
+        for path, text in zip(HopPath, texts, strict=True)
+    }
+    context.costs = HopCostReport.of(rounds)
+
+
+@then("the hops cost {first:g} and {second:g} ms at p50")
+def hops_cost(context: Any, first: float, second: float) -> None:
+    assert [hop.p50_ms for hop in context.costs.hops] == [first, second], context.costs.hops
+
+
+@then("a request that was not completed shows in the figures of its path")
+def uncompleted_shows(context: Any) -> None:
+    # One in each of two loops of three rounds.
+    assert [figures.uncompleted for figures in context.costs.paths.values()] == [6, 6, 6]
--- a/features/steps/consensus_cluster.py
+++ b/features/steps/consensus_cluster.py
@@ -24,6 +24,9 @@
 PORT = 7000
 LOOK_INTERVAL_S = 0.02
 WAIT_LIMIT_S = 30.0
+MAX_STEPS = 3_000_000
+LONGEST_GRANT_S = 2.0
+"""Longest time for which a leader under its quorum lease grants anything: the view lease."""
 ROW = "groups/0/checkpoint"
 
 Step = Callable[["Cluster"], Awaitable[None]]
@@ -48,6 +51,7 @@
         self._zones = zones
         self._random = Random(seed)
         self._runs = 0
+        self._led_until_s: dict[int, float] = {}
         self._acknowledged: list[tuple[float, int, int]] = []
         self.clocks: dict[str, DriftingClock] = {}
         self._committed: dict[tuple[int, int], str] = {}
@@ -123,7 +127,9 @@
     def row(self) -> Checkpoint:
         return Checkpoint.FromString(self.table.rows[ROW].value)
 
-    async def until(self, condition: Callable[[], bool], what: str) -> None:
+    async def until(
+        self, condition: Callable[[], bool], what: str, interval_s: float = LOOK_INTERVAL_S
+    ) -> None:
         """Wait until the condition holds; fail after WAIT_LIMIT_S of simulated time."""
         loop = asyncio.get_running_loop()
         limit = loop.time() + WAIT_LIMIT_S
@@ -131,7 +137,7 @@
             if loop.time() > limit:
                 seen = [str(node.status) for node in self.nodes.values()]
                 raise AssertionError(f"never seen: {what}\n" + "\n".join(seen))
-            await asyncio.sleep(LOOK_INTERVAL_S)
+            await asyncio.sleep(interval_s)
 
     async def until_leader(self, other_than: str | None = None) -> str:
         await self.until(lambda: self.leader() not in (None, other_than), "a leader")
@@ -167,6 +173,7 @@
         self.lease_looks += len(holders)
         if len(holders) > 1:
             raise SafetyViolated(f"quorum lease held by {holders}")
+        self._check_generations(holders)
         self._check_confirmations()
         for name, node in self.nodes.items():
             status = node.status
@@ -177,6 +184,16 @@
                 if known != text:
                     raise SafetyViolated(f"{name} applied {text} at {index}, not {known}")
 
+    def _check_generations(self, holders: list[str]) -> None:
+        """Check that what an earlier generation granted has lapsed when a later one leads."""
+        now_s = asyncio.get_running_loop().time()
+        for name in holders:
+            generation = self.nodes[name].status.generation
+            self._led_until_s[generation] = now_s
+            for earlier, led_until_s in self._led_until_s.items():
+                if earlier < generation and now_s - led_until_s < LONGEST_GRANT_S:
+                    raise SafetyViolated(f"generation {generation} too soon after {earlier}")
+
     def _check_confirmations(self) -> None:
         """Check that each node has applied what was acknowledged before its confirmation."""
         for name, node in self.nodes.items():
@@ -206,6 +223,5 @@
         assert cluster.lease_looks, "no look ever found a leader"
         watching.cancel()
 
-    # A crash of a host cancels its connection tasks, which Python's streams report as an error.
-    config = SimConfig(max_steps=3_000_000, fail_on_callback_error=False)
+    config = SimConfig(max_steps=MAX_STEPS)
     detangle.run(main, seed=seed, config=config)
--- a/features/steps/router_dispatch_steps.py
+++ b/features/steps/router_dispatch_steps.py
@@ -139,6 +139,50 @@
     context.run_bench(script)
 
 
+@when('"{busy}" keeps 20 requests waiting for 10 s and "{late}" does so from 5 s on')
+def idle_then_busy(context, busy, late):
+    async def script(bench):
+        keeping = asyncio.ensure_future(bench.keep_waiting(busy, 20, 10.0))
+        await asyncio.sleep(5.0)
+        await bench.keep_waiting(late, 20, 5.0)
+        await keeping
+
+    context.run_bench(script)
+
+
+@then(
+    'the dispatcher served "{busy}" between {low:f} and {high:f} times as often as "{late}" '
+    "after 5 s"
+)
+def served_ratio_later(context, busy, low, high, late):
+    bench = context.bench
+    served = len(bench.answered_by(busy, 10.0)) - len(bench.answered_by(busy, 5.0))
+    ratio = served / len(bench.answered_by(late, 10.0))
+    assert low <= ratio <= high, ratio
+
+
+@when("the next in the queue is cancelled in the same turn of the loop in which it gets the slot")
+def cancel_at_grant(context):
+    async def script(bench):
+        waiting = []
+        loop = asyncio.get_running_loop()
+        loop.call_soon(lambda: waiting.append(bench.submit(request_id="next")))
+        await bench.run("first", "g", True, 5.0, {})
+        # The slot has passed to the next one, whose task has not run since.
+        waiting[0].cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        return await bench.submit(request_id="after")
+
+    context.run_bench(script)
+
+
+@then("the cancelled request was never sent and one after it is answered")
+def slot_kept(context):
+    sent = [request.request_id for _, _, request in context.bench.backends.sent]
+    assert sent == ["first", "after"], sent
+    assert isinstance(context.outcome.result, Ok), context.outcome
+
+
 @then('the dispatcher served at least {count:d} requests of "{group}"')
 def served_at_least(context, count, group):
     assert context.bench.served >= count, context.bench.served
--- a/features/steps/router_hop_steps.py
+++ b/features/steps/router_hop_steps.py
@@ -5,10 +5,17 @@
 
 import detangle
 from behave import then, when
+from hypothesis import given, settings, strategies
 from router_world import error_kind, keep, timed
 
 from indigoworks.admin.admin_call import AdminCall
+from indigoworks.common.address import Address
+from indigoworks.common.lease_bounds import MAX_CLOCK_DRIFT
+from indigoworks.router import router as router_module
 from indigoworks.router.outcome import Outcome
+from indigoworks.router.peer_clock import PeerClock
+from indigoworks.wire import control_pb2
+from indigoworks.wire.rpc_client import RpcClient
 
 
 @when("{count:d} requests come in at r1 and r2 at once")
@@ -115,6 +122,86 @@
     assert context.world.backends.times_sent("a") == 0
 
 
+@when("the machine of router r1 is lost while alpha works on a POST from r2")
+def lost_with_request(context):
+    async def script(world):
+        await world.start("r1", "r2")
+        world.backends.service_s = 0.5
+        task = world.send("r2", "write", "POST")
+        await asyncio.sleep(0.1)
+        detangle.network().crash("10.2.0.1")
+        # The machine is gone, and with it its connections.
+        for client in world.routers["r2"]._forwarder._clients.values():
+            client.close()
+        return await task
+
+    keep(context, script)
+
+
+@then('the POST ended as "{outcome}" and alpha got it once')
+def lost_once(context, outcome):
+    assert context.result.outcome.value == outcome, context.result
+    assert context.world.backends.times_sent("write") == 1
+
+
+@when("a forwarded request has 1 s left, but its deadline on the clock of r1 is over")
+def forwarded_late(context):
+    async def script(world):
+        await world.start("r1")
+        message = control_pb2.ForwardRequest(
+            request_id="a",
+            service="shop",
+            key=b"sofa",
+            method="POST",
+            server_name="alpha",
+            server_incarnation="alpha-run",
+            token=1,
+            remaining_s=1.0,
+            dispatcher_incarnation=world.routers["r1"].member.incarnation,
+            deadline_clock_s=asyncio.get_running_loop().time() - 0.1,
+        )
+        client = RpcClient(Address("10.2.0.1", 7000))
+        called = await client.call(control_pb2.Frame(forward_request=message), 5.0)
+        return called.unwrap().forward_reply
+
+    keep(context, script)
+
+
+@then('r1 replies "{kind}", not run, and alpha never got it')
+def replies(context, kind):
+    reply = context.result
+    assert (reply.error_kind, reply.outcome) == (kind, control_pb2.OUTCOME_NOT_RUN), reply
+    assert context.world.backends.sent == []
+
+
+@then("deadlines in the clock of a peer are never late, whatever the delays and the drift")
+def never_late(context):
+    seconds = strategies.floats(0, 100)
+
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    @given(
+        strategies.floats(-1e4, 1e4),
+        strategies.floats(-MAX_CLOCK_DRIFT, MAX_CLOCK_DRIFT),
+        strategies.lists(strategies.tuples(seconds, strategies.floats(0, 3)), min_size=1),
+        seconds,
+        seconds,
+    )
+    def check(offset_s, drift, answers, pause_s, remaining_s):
+        def on_peer(own_s):
+            return offset_s + own_s * (1 + drift)
+
+        clock, now_s = PeerClock(), 0.0
+        for wait_s, delay_s in answers:
+            reading_s = on_peer(now_s + wait_s)
+            now_s += wait_s + delay_s
+            clock.learn(reading_s, now_s)
+        now_s += pause_s
+        deadline_s = clock.deadline(now_s + remaining_s, now_s)
+        assert deadline_s <= on_peer(now_s + remaining_s) + 1e-6
+
+    check()
+
+
 @when("a caller at r2 goes away while alpha works on its request")
 def goes_away(context):
     async def script(world):
@@ -140,6 +227,8 @@
     async def script(world):
         await world.start("r1", "r2")
         world.backends.service_s = 0.4
+        # The requests in progress must outlast the time for which r1 lingers anyway.
+        router_module.STOP_LINGER_S = 0.1
         names = ("r1", "r2")
         tasks = [world.send(names[each % 2], f"a{each}", "POST") for each in range(6)]
         await asyncio.sleep(0.05)
@@ -150,7 +239,11 @@
         await stopping
         return await asyncio.gather(*tasks), late
 
-    keep(context, script)
+    linger_s = router_module.STOP_LINGER_S
+    try:
+        keep(context, script)
+    finally:
+        router_module.STOP_LINGER_S = linger_s
 
 
 @then("all of them completed")
--- a/features/steps/router_http_steps.py
+++ b/features/steps/router_http_steps.py
@@ -226,6 +226,39 @@
     raise AssertionError("the port still accepts connections")
 
 
+@when("the HTTP server is stopped while a caller is yet to read an answer of {count:d} bytes")
+def slow_reader(context, count):
+    async def answer(address, request):
+        return Ok(BackendAnswer(200, (), b"x" * count))
+
+    async def run():
+        router_module.STOP_LINGER_S = 0.0
+        context.backends.answer = answer
+        reader, writer = await asyncio.open_connection(HOST, context.port, limit=1024)
+        writer.write(b"GET /v1/shop/sofa HTTP/1.1\r\nHost: x\r\n\r\n")
+        await until(lambda: context.backends.sent)
+        stopping = asyncio.ensure_future(context.http.stop())
+        await context.router.stop()
+        await asyncio.sleep(0.05)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert f"Content-Length: {count}".encode() in head
+        body = await reader.read(-1)
+        await stopping
+        return len(body)
+
+    linger_s = router_module.STOP_LINGER_S
+    try:
+        context.got = context.run_async(run())
+    finally:
+        router_module.STOP_LINGER_S = linger_s
+    context.expected = count
+
+
+@then("the caller reads the whole answer")
+def whole(context):
+    assert context.got == context.expected, context.got
+
+
 @then("the metrics count one completed request of the shop and the view's version")
 def metrics(context):
     body = context.run_async(fetch(context, "GET", "/metrics")).body.decode()
--- a/indigoworks/consensus/consensus_timing.py
+++ b/indigoworks/consensus/consensus_timing.py
@@ -26,6 +26,7 @@
     :ivar replace_silent_voter_s: silence after which a voter is replaced by a learner.
     :ivar remove_silent_learner_s: silence after which a learner is dropped.
     :ivar machine_list_interval_s: shortest pause between two reads of the machine list.
+    :ivar machine_list_lag_s: longest time by which the machine list lags for any reader.
     :ivar max_voters: most voters of a group.
     :ivar caught_up_entries: a learner with at most so many entries missing may become a voter.
     :ivar checkpoint_interval_s: pause between two checkpoints.
@@ -54,6 +55,7 @@
     replace_silent_voter_s: float = 5.0
     remove_silent_learner_s: float = 10.0
     machine_list_interval_s: float = 1.0
+    machine_list_lag_s: float = 15.0
     max_voters: int = 5
     caught_up_entries: int = 16
     checkpoint_interval_s: float = 0.5
--- a/indigoworks/consensus/generation_recovery.py
+++ b/indigoworks/consensus/generation_recovery.py
@@ -7,7 +7,7 @@
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 from indigoworks.consensus.checkpoint_row import CheckpointRow
-from indigoworks.consensus.configurations import address_of
+from indigoworks.consensus.configurations import address_of, has_same_voters
 from indigoworks.consensus.consensus_timing import ConsensusTiming
 from indigoworks.consensus.generation_start import (
     first_generation,
@@ -15,11 +15,17 @@
     next_generation,
 )
 from indigoworks.consensus.log_position import LogPosition, position_of
+from indigoworks.consensus.machine_absence import MachineAbsence
 from indigoworks.consensus.replica import Replica
 from indigoworks.consensus.stored_checkpoint import StoredCheckpoint
-from indigoworks.consensus.voter_evidence import VoterEvidence
+from indigoworks.consensus.survivor_watch import SurvivorWatch
+from indigoworks.consensus.voter_evidence import (
+    VoterEvidence,
+    possible_configurations,
+    voters_of,
+)
 from indigoworks.platform.machine_list import MachineList
-from indigoworks.wire.control_pb2 import Checkpoint, IdentityReply
+from indigoworks.wire.control_pb2 import Checkpoint, Configuration, IdentityReply
 
 Answers = Mapping[Address, IdentityReply]
 """Who answered at which address."""
@@ -44,7 +50,12 @@
         self._machines = machines
         self._clock = clock
         self._timing = timing
-        self._evidence = VoterEvidence(clock)
+        self._evidence = VoterEvidence(
+            clock,
+            MachineAbsence(clock, timing.machine_list_lag_s),
+            replica.ended_incarnations,
+        )
+        self._survivors = SurvivorWatch(clock, timing)
         self._next_read_s = float("-inf")
         self._row_addresses: set[Address] = set()
 
@@ -56,6 +67,7 @@
     def forget_evidence(self) -> None:
         """A leader was found: whatever spoke for an ended generation no longer counts."""
         self._evidence.clear()
+        self._survivors.clear()
 
     async def consider(self, answers: Answers) -> None:
         """Form a generation where that is allowed now.
@@ -79,7 +91,7 @@
 
     async def _consider_next(self, stored: StoredCheckpoint, answers: Answers) -> None:
         found = stored.checkpoint
-        self._row_addresses = self._evidence.addresses_of(found)
+        self._row_addresses = {address_of(voter) for voter in voters_of(found)}
         if self._is_own_start(found):
             self._replica.start_from(found)
             return
@@ -88,25 +100,41 @@
         if found.generation != self._replica.generation:
             return
         known = {**answers, **self._own_answer()}
-        self._evidence.observe(found, known, await self._listed_addresses())
-        if self._may_form_next(found, answers):
+        self._evidence.observe(
+            found, self._possible_configurations(found), known, await self._listed_addresses()
+        )
+        self._survivors.observe(found.generation, self._start_position(found), answers.values())
+        if self._may_form_next():
             await self._form(next_generation(found, self._replica), stored.version)
 
-    def _may_form_next(self, found: Checkpoint, answers: Answers) -> bool:
-        """Tell whether the generation has ended, and no survivor with a longer log is nearer."""
-        required_s = self._timing.every_lease_s
-        if self._knows_better_survivor(found, answers):
-            required_s += self._timing.survivor_precedence_s
-        return self._evidence.ended_for_s() > required_s
+    def _may_form_next(self) -> bool:
+        """Tell whether the generation has ended and no other node should form the next one."""
+        ended_for_s = self._evidence.ended_for_s()
+        has_ended = ended_for_s > self._timing.every_lease_s
+        return has_ended and not self._survivors.has_precedence(ended_for_s)
 
-    def _knows_better_survivor(self, found: Checkpoint, answers: Answers) -> bool:
+    def _start_position(self, found: Checkpoint) -> LogPosition:
+        """Return how far the generation that this node would form reaches."""
         replica = self._replica
-        own = replica.log.position if is_survivor(found, replica) else position_of(found)
-        return any(
-            LogPosition(answer.last_log_term, answer.last_log_index) > own
-            for answer in answers.values()
-            if answer.generation == found.generation
-        )
+        return replica.log.position if is_survivor(found, replica) else position_of(found)
+
+    def _possible_configurations(self, found: Checkpoint) -> list[Configuration]:
+        """Return the configurations under which a leader of the row's generation may exist.
+
+        A single voter that has appended a change of voters no longer acts under the configuration
+        before it, and nobody else can: that one counts no more for this very voter.
+        """
+        possible = possible_configurations(found)
+        if not self._replica.is_initialised:
+            return possible
+        newest = self._replica.log.configuration
+        own = self._replica.member.incarnation
+        return [
+            configuration
+            for configuration in possible
+            if [voter.incarnation for voter in configuration.voters] != [own]
+            or has_same_voters(configuration, newest)
+        ]
 
     def _is_own_start(self, found: Checkpoint) -> bool:
         """Tell whether the row is the start of a generation that this node wrote itself.
@@ -133,6 +161,7 @@
             last_index=checkpoint.last_index,
         )
         self._evidence.clear()
+        self._survivors.clear()
         self._replica.start_from(checkpoint)
         self._replica.confirm_generation(self._clock.now())
 
--- a/indigoworks/consensus/replica.py
+++ b/indigoworks/consensus/replica.py
@@ -23,6 +23,7 @@
 
     :ivar changed: notified after each change of role, generation or applied index.
     :ivar last_leader_contact_s: own clock when the leader was last heard.
+    :ivar ended_incarnations: runs of processes that this node knows to have been replaced.
     :ivar generation_confirmed_s: own clock as of which no newer generation existed, as far as a
         leader that is the only voter must know.
     """
@@ -49,6 +50,7 @@
         self.generation_confirmed_s = float("-inf")
         self.election_deadline_s = float("inf")
         self.confirmed_at_s: float | None = None
+        self.ended_incarnations: set[str] = set()
         self.is_stopping = False
         self._leader: Member | None = None
         self._clock = clock
@@ -196,5 +198,6 @@
         self.confirmed_at_s = None
         self.last_leader_contact_s = float("-inf")
         self.generation_confirmed_s = float("-inf")
+        self.ended_incarnations.clear()
         self._leader = None
         self._update_role()
--- a/indigoworks/consensus/request_dispatch.py
+++ b/indigoworks/consensus/request_dispatch.py
@@ -69,6 +69,7 @@
             term=replica.term,
             last_log_index=replica.log.last_index,
             last_log_term=replica.log.last_term,
+            ended_incarnations=sorted(replica.ended_incarnations),
         )
         leader = replica.leader
         if leader is not None:
--- a/indigoworks/consensus/voter_evidence.py
+++ b/indigoworks/consensus/voter_evidence.py
@@ -1,57 +1,58 @@
 """What shows that the voters of a generation are gone."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 from indigoworks.consensus.configurations import address_of, quorum_size
+from indigoworks.consensus.machine_absence import MachineAbsence
 from indigoworks.wire.control_pb2 import Checkpoint, Configuration, IdentityReply, Member
 
 
 class VoterEvidence:
     """Collects, over several rounds, which voters of a checkpoint are shown gone.
 
-    A voter is gone when another incarnation answers at its address, or when a machine list that
-    once showed it no longer does and it does not answer. No majority may be left in any
-    configuration of the row; the caller waits until that has been so for longer than every lease.
+    A voter is gone when another incarnation answers at its address, or when the machine list has
+    dropped it and it does not answer. No majority may be left in any configuration under which a
+    leader may exist; the caller waits until that has been so for longer than every lease.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, absence: MachineAbsence, ended: set[str]) -> None:
         self._clock = clock
+        self._absence = absence
+        self._ended = ended
         self._generation = 0
-        self._replaced: set[str] = set()
+        self._named: set[str] = set()
         self._since_s: float | None = None
 
     def clear(self) -> None:
-        """Start over."""
-        self._replaced.clear()
+        """Start over. Runs that were replaced stay replaced."""
         self._since_s = None
 
     def observe(
         self,
         checkpoint: Checkpoint,
+        possible: Sequence[Configuration],
         answers: Mapping[Address, IdentityReply],
         listed: frozenset[Address] | None,
     ) -> None:
         """Take one round of observations.
 
-        :param answers: who answered at which address.
+        :param possible: configurations under which a leader may exist.
+        :param answers: who answered at which address, asked before the checkpoint was read.
         :param listed: addresses in the machine list, or None where it could not be read.
         """
         if checkpoint.generation != self._generation:
             self.clear()
             self._generation = checkpoint.generation
+        self._note_ended(checkpoint, answers)
         gone = {
             voter.incarnation
-            for configuration in possible_configurations(checkpoint)
+            for configuration in possible
             for voter in configuration.voters
             if self._is_gone(voter, checkpoint, answers, listed)
         }
-        is_impossible = all(
-            has_no_majority(configuration, gone)
-            for configuration in possible_configurations(checkpoint)
-        )
-        if not is_impossible:
+        if not all(has_no_majority(configuration, gone) for configuration in possible):
             self._since_s = None
         elif self._since_s is None:
             self._since_s = self._clock.now()
@@ -62,13 +63,18 @@
             return float("-inf")
         return self._clock.now() - self._since_s
 
-    def addresses_of(self, checkpoint: Checkpoint) -> set[Address]:
-        """Return the addresses to be asked before the next observation."""
-        return {
-            address_of(voter)
-            for configuration in possible_configurations(checkpoint)
-            for voter in configuration.voters
-        }
+    def _note_ended(self, checkpoint: Checkpoint, answers: Mapping[Address, IdentityReply]) -> None:
+        for answer in answers.values():
+            self._ended.update(answer.ended_incarnations)
+        for voter in voters_of(checkpoint):
+            # The row was read after the question: an answer of the run before this voter must not
+            # count against it. So only voters count that an earlier round had read already.
+            found = answers.get(address_of(voter))
+            if found is None or voter.incarnation not in self._named:
+                continue
+            if found.member.incarnation != voter.incarnation:
+                self._ended.add(voter.incarnation)
+        self._named = {voter.incarnation for voter in voters_of(checkpoint)}
 
     def _is_gone(
         self,
@@ -77,17 +83,12 @@
         answers: Mapping[Address, IdentityReply],
         listed: frozenset[Address] | None,
     ) -> bool:
-        if voter.incarnation in self._replaced:
+        if voter.incarnation in self._ended:
             return True
-        answer = answers.get(address_of(voter))
-        if answer is not None:
-            if answer.member.incarnation != voter.incarnation:
-                self._replaced.add(voter.incarnation)
-                return True
+        if listed is None or voter.incarnation not in checkpoint.listed_voters:
             return False
-        # The list lags: a voter that it has not shown yet is not one that it has dropped.
-        was_listed = voter.incarnation in checkpoint.listed_voters
-        return was_listed and listed is not None and address_of(voter) not in listed
+        is_dropped = self._absence.is_dropped(voter.incarnation, address_of(voter), listed)
+        return is_dropped and address_of(voter) not in answers
 
 
 def possible_configurations(checkpoint: Checkpoint) -> list[Configuration]:
@@ -97,6 +98,15 @@
     return [checkpoint.configuration]
 
 
+def voters_of(checkpoint: Checkpoint) -> list[Member]:
+    """Return the voters of all configurations that the checkpoint names."""
+    return [
+        voter
+        for configuration in possible_configurations(checkpoint)
+        for voter in configuration.voters
+    ]
+
+
 def has_no_majority(configuration: Configuration, gone: set[str]) -> bool:
     """Tell whether the voters that are not gone are too few for a majority."""
     left = [voter for voter in configuration.voters if voter.incarnation not in gone]
--- a/indigoworks/controller/control_state.py
+++ b/indigoworks/controller/control_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from indigoworks.common.clock import Clock
+from indigoworks.controller.range_index import RangeIndex
 from indigoworks.controller.view_history import ViewHistory
 from indigoworks.wire.control_pb2 import (
     ChangeRanges,
@@ -20,9 +21,6 @@
 Log indexes never repeat inside a generation and generations only grow, so tokens only grow.
 """
 
-RangeKey = tuple[str, int]
-"""Service and start of a range."""
-
 
 class ReplicatedControlState:
     """Applies committed commands. Every controller of a group holds the same state.
@@ -35,8 +33,9 @@
         self._settings_applied_at_s = clock.now()
         self._applied_index = 0
         self._servers: dict[str, Server] = {}
-        self._ranges: dict[RangeKey, RangeRecord] = {}
-        self._owned: dict[str, dict[RangeKey, RangeRecord]] = {}
+        self._ranges = RangeIndex()
+        self._servers_in_order: Sequence[Server] | None = None
+        self._servers_by_service: dict[str, Sequence[Server]] = {}
         self._settings = ReplaceSettings()
         self._settings_index = 0
         self.version = 0
@@ -67,7 +66,17 @@
 
     def servers(self) -> Sequence[Server]:
         """Return all servers, by name."""
-        return [self._servers[name] for name in sorted(self._servers)]
+        if self._servers_in_order is None:
+            self._servers_in_order = [self._servers[name] for name in sorted(self._servers)]
+        return self._servers_in_order
+
+    def servers_of(self, service: str) -> Sequence[Server]:
+        """Return the servers of `service`, by name."""
+        found = self._servers_by_service.get(service)
+        if found is None:
+            found = [server for server in self.servers() if server.service == service]
+            self._servers_by_service[service] = found
+        return found
 
     def server(self, name: str) -> Server | None:
         """Return the server called `name`, if it is known."""
@@ -75,22 +84,28 @@
 
     def ranges(self, service: str | None = None) -> Sequence[RangeRecord]:
         """Return the ranges of `service`, or of all services, by service and start."""
-        keys = sorted(key for key in self._ranges if service is None or key[0] == service)
-        return [self._ranges[key] for key in keys]
+        return self._ranges.all() if service is None else self._ranges.of_service(service)
 
     def ranges_of(self, server: Server) -> Sequence[RangeRecord]:
         """Return the ranges owned by this run of the server."""
-        owned = self._owned.get(server.name, {})
-        return [
-            owned[key]
-            for key in sorted(owned)
-            if owned[key].owner_incarnation == server.incarnation
-        ]
+        owned = self.ranges_named(server.name)
+        return [each for each in owned if each.owner_incarnation == server.incarnation]
 
     def ranges_named(self, server_name: str) -> Sequence[RangeRecord]:
-        """Return the ranges owned by any run of the server called `server_name`."""
-        owned = self._owned.get(server_name, {})
-        return [owned[key] for key in sorted(owned)]
+        """Return the ranges owned by any run of a server; the same list until they change."""
+        return self._ranges.of_owner(server_name)
+
+    def unowned_ranges(self) -> Sequence[RangeRecord]:
+        """Return the ranges that nobody owns."""
+        return self._ranges.of_owner("")
+
+    def releasing_ranges(self) -> Sequence[RangeRecord]:
+        """Return the ranges whose owners were asked to release them."""
+        return self._ranges.releasing()
+
+    def ranges_outside_generation(self, generation: int) -> Sequence[RangeRecord]:
+        """Return the ranges that were granted in another generation."""
+        return self._ranges.outside_generation(generation)
 
     def to_message(self, services: Iterable[str] = ()) -> ControlState:
         """Return the state as one message.
@@ -136,10 +151,10 @@
         message = ControlState.FromString(snapshot)
         self._applied_index = message.last_index
         self._servers = {server.name: server for server in message.servers}
-        self._ranges = {}
-        self._owned = {}
+        self._forget_server_lists()
+        self._ranges = RangeIndex()
         for record in message.ranges:
-            self._put_range(record)
+            self._ranges.put(record)
         self._settings = ReplaceSettings(
             version=message.settings_version,
             change_id=message.settings_change_id,
@@ -156,6 +171,7 @@
 
     def _put_server(self, index: int, server: Server) -> None:
         self._servers[server.name] = server
+        self._forget_server_lists()
         self._record_change(index)
         self.history.add_server(index, server)
 
@@ -172,30 +188,18 @@
         # The leader computed the change from an earlier state. If any record has moved since,
         # the whole change is void: the leader looks again and proposes anew.
         for record in change.expected:
-            if self._ranges.get((record.service, record.start)) != record:
+            if self._ranges.get(record.service, record.start) != record:
                 return
         applied = ChangeRanges(expected=change.expected)
         for record in change.expected:
-            self._remove_range(record)
+            self._ranges.remove(record)
         for replacement in change.replacement:
             applied.replacement.append(self._with_token(index, replacement))
         for record in applied.replacement:
-            self._put_range(record)
+            self._ranges.put(record)
         self._record_change(index)
         self.history.add_ranges(index, applied)
 
-    def _put_range(self, record: RangeRecord) -> None:
-        key = (record.service, record.start)
-        self._ranges[key] = record
-        if record.owner:
-            self._owned.setdefault(record.owner, {})[key] = record
-
-    def _remove_range(self, record: RangeRecord) -> None:
-        key = (record.service, record.start)
-        del self._ranges[key]
-        if record.owner:
-            del self._owned[record.owner][key]
-
     def _with_token(self, index: int, replacement: RangeRecord) -> RangeRecord:
         """Return the record with a new token where the proposal asks for one by token 0."""
         record = RangeRecord()
@@ -222,3 +226,7 @@
 
     def _record_change(self, index: int) -> None:
         self.version = index
+
+    def _forget_server_lists(self) -> None:
+        self._servers_in_order = None
+        self._servers_by_service.clear()
--- a/indigoworks/controller/lease_keeper.py
+++ b/indigoworks/controller/lease_keeper.py
@@ -34,9 +34,13 @@
         self._changed = changed
         self._leases: dict[str, ServerLeaseTask] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._followed_version: int | None = None
 
     def follow_state(self) -> None:
         """Start, stop and wake tasks so that they fit the replicated state."""
+        if self._followed_version == self._state.version:
+            return
+        self._followed_version = self._state.version
         leased = {s.name: s for s in self._state.servers() if s.state in LEASED_STATES}
         for name in list(self._leases):
             wanted = leased.get(name)
--- a/indigoworks/controller/ownership_context.py
+++ b/indigoworks/controller/ownership_context.py
@@ -38,10 +38,8 @@
         """Return the servers of `service` that may get ranges: live and answering."""
         return [
             server
-            for server in self.state.servers()
-            if server.service == service
-            and server.state == SERVER_STATE_LIVE
-            and self.leases.is_answering(server)
+            for server in self.state.servers_of(service)
+            if server.state == SERVER_STATE_LIVE and self.leases.is_answering(server)
         ]
 
     def board(self, service: str) -> ServerBoard:
--- a/indigoworks/controller/ownership_rules.py
+++ b/indigoworks/controller/ownership_rules.py
@@ -53,7 +53,7 @@
     """Grant ranges of earlier generations anew, once no lease of theirs can hold."""
     if not context.leadership.have_earlier_leases_lapsed():
         return []
-    old = [each for each in context.state.ranges() if not context.is_current(each)]
+    old = context.state.ranges_outside_generation(context.leadership.generation)
     commands: list[Command] = []
     for records in _by_service(old):
         replacement = [_granted_anew(context, record) for record in records]
@@ -63,11 +63,7 @@
 
 def assign_unowned_ranges(context: OwnershipContext) -> Sequence[Command]:
     """Give ranges that nobody owns to the lightest servers."""
-    unowned = [
-        record
-        for record in context.state.ranges()
-        if not record.owner and context.is_current(record)
-    ]
+    unowned = [each for each in context.state.unowned_ranges() if context.is_current(each)]
     commands: list[Command] = []
     for records in _by_service(unowned):
         service = records[0].service
@@ -78,11 +74,8 @@
 
 def finish_handovers(context: OwnershipContext) -> Sequence[Command]:
     """Give released ranges to their next owners."""
-    released = [
-        record
-        for record in context.state.ranges()
-        if record.next_owner and context.leases.has_released(record)
-    ]
+    releasing = context.state.releasing_ranges()
+    released = [each for each in releasing if context.leases.has_released(each)]
     commands: list[Command] = []
     for records in _by_service(released):
         board = context.board(records[0].service)
--- a/indigoworks/controller/rebalancer.py
+++ b/indigoworks/controller/rebalancer.py
@@ -5,6 +5,7 @@
 from indigoworks.controller.ownership_context import OwnershipContext, change_command
 from indigoworks.controller.placement.move_budget import MoveBudget
 from indigoworks.controller.placement.rebalance import next_move
+from indigoworks.controller.placement.rebalance_look import RebalanceLook
 from indigoworks.controller.placement.server_board import ServerBoard
 from indigoworks.settings import SettingsResolver
 from indigoworks.settings.placement_settings import PlacementSettings
@@ -25,6 +26,7 @@
         self._budgets: dict[str, MoveBudget] = {}
         self._rates: dict[str, float] = {}
         self._uneven_since_s: dict[str, float] = {}
+        self._even_looks: dict[str, RebalanceLook] = {}
 
     def __call__(self, context: OwnershipContext) -> Sequence[Command]:
         """Return the commands that start moves; a rule of ownership."""
@@ -40,10 +42,16 @@
         self, context: OwnershipContext, service: str, placement: PlacementSettings
     ) -> Sequence[Command]:
         records = context.state.ranges(service)
+        candidates = tuple(context.candidates(service))
+        look = RebalanceLook(records, candidates, placement.imbalance_threshold)
+        even = self._even_looks.get(service)
+        if even is not None and look.is_same_as(even):
+            return []
         if any(record.next_owner or not record.owner for record in records):
             return []
-        board = context.board(service)
+        board = ServerBoard(candidates, records)
         if next_move(board, records, placement.imbalance_threshold) is None:
+            self._even_looks[service] = look
             self._uneven_since_s.pop(service, None)
             return []
         if not self._has_settled(context, service, placement):
--- a/indigoworks/controller/router_registry.py
+++ b/indigoworks/controller/router_registry.py
@@ -7,12 +7,16 @@
 
 from indigoworks.admin.router_presence import RouterPresence
 from indigoworks.common.clock import Clock
+from indigoworks.controller.live_routers import LiveRouters
 from indigoworks.wire import control_pb2
 from indigoworks.wire.control_pb2 import Member, RouterReport, ViewRequest
 
 LIVE_ROUTER_S = 1.0
 """A router that polled within this time may be chosen as a dispatcher."""
 
+LIST_VALID_S = 0.1
+"""Time for which a list of live routers is used again: each of many polls a second needs it."""
+
 FORGET_ROUTER_S = 10.0
 """A router that has not polled for this time is forgotten; its view lease has lapsed long ago."""
 
@@ -34,6 +38,8 @@
         self._clock = clock
         self._local: dict[str, _Sighting] = {}
         self._reported: dict[str, _Sighting] = {}
+        self._live_list: LiveRouters | None = None
+        self._live_list_at_s = clock.now()
 
     def record_poll(self, request: ViewRequest) -> None:
         """Record that a router asked this controller for its view."""
@@ -88,6 +94,15 @@
         newest_s = self._clock.now() - LIVE_ROUTER_S
         return [each.member for each in self._newest_sightings() if each.polled_at_s >= newest_s]
 
+    def live_list(self) -> LiveRouters:
+        """Return the live routers with the version of their list; at most LIST_VALID_S old."""
+        now_s = self._clock.now()
+        if self._live_list is None or now_s - self._live_list_at_s >= LIST_VALID_S:
+            routers = self.live_routers()
+            self._live_list = LiveRouters(tuple(routers), routers_version(routers))
+            self._live_list_at_s = now_s
+        return self._live_list
+
     def _newest_sightings(self) -> Sequence[_Sighting]:
         self._forget_old()
         merged = dict(self._reported)
--- a/indigoworks/controller/server_lease_task.py
+++ b/indigoworks/controller/server_lease_task.py
@@ -56,6 +56,8 @@
         self._lease = ServerLease(leadership.earlier_leases_lapse_at_s)
         self._failures = 0
         self._wake = asyncio.Event()
+        self._owned: Sequence[RangeRecord] | None = None
+        self._wanted: tuple[GrantedRange, ...] = ()
         self._sent_ranges: tuple[GrantedRange, ...] | None = None
         self._sent_version = 0
         self._acknowledged_version = 0
@@ -128,7 +130,12 @@
         )
 
     def _wanted_ranges(self) -> tuple[GrantedRange, ...]:
-        return tuple(self._granted(record) for record in self._current_records())
+        owned = self._state.ranges_named(self.server.name)
+        # The state keeps the list until one of its ranges changes.
+        if owned is not self._owned:
+            self._owned = owned
+            self._wanted = tuple(self._granted(record) for record in self._current_records())
+        return self._wanted
 
     def _current_records(self) -> Sequence[RangeRecord]:
         generation = self._leadership.generation
--- a/indigoworks/controller/view_publisher.py
+++ b/indigoworks/controller/view_publisher.py
@@ -3,7 +3,8 @@
 from indigoworks.common.clock import Clock
 from indigoworks.consensus.consensus_node import ConsensusNode
 from indigoworks.controller.control_state import ReplicatedControlState
-from indigoworks.controller.router_registry import RouterRegistry, routers_version
+from indigoworks.controller.router_registry import RouterRegistry
+from indigoworks.controller.view_messages import ViewMessages
 from indigoworks.wire.control_pb2 import ErrorReply, Frame, ViewReply, ViewRequest
 
 HOLD_S = 0.25
@@ -31,6 +32,7 @@
         self._state = state
         self._routers = routers
         self._clock = clock
+        self._messages = ViewMessages(state)
 
     async def handle(self, request: ViewRequest) -> Frame:
         """Answer one poll: at once when something is new, else after HOLD_S."""
@@ -90,19 +92,20 @@
         return reply
 
     def _add_changes(self, reply: ViewReply, request: ViewRequest, known_version: int) -> None:
+        generation = reply.generation
         delta = None
         if known_version > 0:
-            delta = self._state.history.delta(known_version, self._state.version, request.services)
+            delta = self._messages.delta(generation, known_version, request.services)
         if delta is None:
-            reply.snapshot.CopyFrom(self._state.to_message(request.services))
+            reply.snapshot.CopyFrom(self._messages.snapshot(generation, request.services))
         else:
             reply.delta.CopyFrom(delta)
 
     def _add_routers(self, reply: ViewReply, request: ViewRequest) -> None:
-        routers = self._routers.live_routers()
-        reply.routers_version = routers_version(routers)
-        if reply.routers_version != request.known_routers_version:
-            reply.routers.extend(routers)
+        listed = self._routers.live_list()
+        reply.routers_version = listed.version
+        if listed.version != request.known_routers_version:
+            reply.routers.extend(listed.routers)
 
 
 def _cannot_serve() -> ErrorReply:
--- a/indigoworks_lab/checkers/accepted_settings_kept.py
+++ b/indigoworks_lab/checkers/accepted_settings_kept.py
@@ -10,11 +10,10 @@
 
 def check_accepted_settings_kept(history: History) -> Sequence[Violation]:
     """Check that a version in force is the change that was accepted under that version."""
-    accepted = {
-        change.version: change.change_id
-        for change in history.settings_changes
-        if change.is_accepted
-    }
+    accepted: dict[int, str] = {}
+    for change in history.settings_changes:
+        if change.is_accepted:
+            accepted.setdefault(change.version, change.change_id)
     found: list[Violation] = []
     for use in history.settings_uses:
         change_id = accepted.get(use.version)
--- a/indigoworks_lab/checkers/assignments_kept.py
+++ b/indigoworks_lab/checkers/assignments_kept.py
@@ -1,7 +1,7 @@
 """An acknowledged assignment survives until a newer one replaces it."""
 
 from collections.abc import Sequence
-from itertools import pairwise
+from dataclasses import dataclass
 
 from indigoworks_lab.checkers.history.assignment_sample import AssignmentSample, CommittedRange
 from indigoworks_lab.checkers.history.history import History
@@ -10,55 +10,70 @@
 NAME = "assignments kept"
 
 
+@dataclass(frozen=True)
+class Place:
+    """A place in the key space of a service at which some sample has a range begin.
+
+    Between two neighbouring places no sample has a boundary, so one place stands for all keys up
+    to the next.
+    """
+
+    service: str
+    position: int
+
+
 def check_assignments_kept(history: History) -> Sequence[Violation]:
-    """Check that each range is covered, in the next sample, by ranges with no older token.
+    """Check, at each place, that tokens never go back and that one token names one owner.
 
-    Under one token the owner must stay the same. A new generation may begin without ranges that
-    it has not granted anew yet, but it never goes back to an older token.
+    Within a generation a place must stay covered; it may be covered by a range that nobody owns,
+    after its owner was lost. A new generation may begin without ranges that it has not granted
+    anew yet, but it never goes back to an older token.
     """
-    found: list[Violation] = []
     samples = sorted(history.assignments, key=lambda each: each.at_s)
-    for earlier, later in pairwise(samples):
-        if earlier.ranges != later.ranges:
-            found += _compare(earlier, later)
+    places = {Place(each.service, each.start) for sample in samples for each in sample.ranges}
+    found: list[Violation] = []
+    for place in sorted(places, key=lambda each: (each.service, each.position)):
+        found += _check_place(place, samples)
     return found
 
 
-def _compare(earlier: AssignmentSample, later: AssignmentSample) -> list[Violation]:
+def _check_place(place: Place, samples: Sequence[AssignmentSample]) -> list[Violation]:
     found: list[Violation] = []
-    for committed in earlier.ranges:
-        problem = _problem(committed, later.ranges, earlier.generation == later.generation)
+    newest: CommittedRange | None = None
+    covered_in = 0
+    for sample in samples:
+        current = _find(sample, place)
+        problem = ""
+        if current is None:
+            if covered_in == sample.generation:
+                problem = "is covered by no range any more"
+        elif current.owner:
+            problem = _problem(newest, current)
         if problem:
-            found.append(
-                Violation(
-                    NAME,
-                    later.at_s,
-                    f"{committed.service} {committed.start:#x}-{committed.end:#x} of "
-                    f"{committed.owner} under token {committed.token:#x} at {earlier.leader} "
-                    f"is {problem} at {later.leader}",
-                )
-            )
+            text = f"{place.service} {place.position:#x} {problem} at {sample.leader}"
+            found.append(Violation(NAME, sample.at_s, text))
+        if current is not None:
+            covered_in = sample.generation
+            if current.owner:
+                newest = current
     return found
 
 
-def _problem(committed: CommittedRange, ranges: Sequence[CommittedRange], must_cover: bool) -> str:
-    next_place = committed.start
-    for other in sorted(ranges, key=lambda each: each.start):
-        if other.service != committed.service or other.end < next_place:
-            continue
-        if other.start > committed.end:
-            break
-        if other.start > next_place and must_cover:
-            return f"gone from {next_place:#x}"
-        if other.token < committed.token:
-            return f"under the older token {other.token:#x}"
-        if other.token == committed.token and _owner(other) != _owner(committed):
-            return f"of {other.owner} under the same token"
-        if other.end >= committed.end:
-            return ""
-        next_place = other.end + 1
-    return f"gone from {next_place:#x}" if must_cover else ""
-
-
-def _owner(committed: CommittedRange) -> tuple[str, str]:
-    return (committed.owner, committed.owner_incarnation)
+def _find(sample: AssignmentSample, place: Place) -> CommittedRange | None:
+    for each in sample.ranges:
+        if each.service == place.service and each.start <= place.position <= each.end:
+            return each
+    return None
+
+
+def _problem(newest: CommittedRange | None, current: CommittedRange) -> str:
+    if newest is None or current.token > newest.token:
+        return ""
+    if current.token < newest.token:
+        return (
+            f"went from token {newest.token:#x} of {newest.owner} back to {current.token:#x} "
+            f"of {current.owner}"
+        )
+    if (current.owner, current.owner_incarnation) != (newest.owner, newest.owner_incarnation):
+        return f"went from {newest.owner} to {current.owner} under one token {current.token:#x}"
+    return ""
--- a/indigoworks_lab/checkers/history/assignment_sample.py
+++ b/indigoworks_lab/checkers/history/assignment_sample.py
@@ -5,7 +5,7 @@
 
 @dataclass(frozen=True)
 class CommittedRange:
-    """One committed range with its owner and fencing token."""
+    """One committed range with its owner (empty: nobody) and fencing token."""
 
     service: str
     start: int
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True)
 class AssignmentSample:
-    """Ranges granted in the leader's own generation, read while it held its quorum lease."""
+    """All ranges of the leader's own generation, read while it held its quorum lease."""
 
     at_s: float
     leader: str
--- a/indigoworks_lab/cli/lab_commands.py
+++ b/indigoworks_lab/cli/lab_commands.py
@@ -170,7 +170,7 @@
     def scale(
         self,
         output: str = "run/scale",
-        sizes: str = "50,200,800,3200",
+        sizes: str = "50,200,800,1600,3200",
         quick: bool = False,
     ) -> None:
         """Measure real controllers beside hollow routers and back ends; write JSON and plots.
@@ -178,7 +178,7 @@
         Takes less than eight minutes, with --quick less than one.
 
         :param output: directory for results, plots and logs.
-        :param sizes: numbers of members, joined by commas; one router for two back ends.
+        :param sizes: numbers of members, joined by commas, the largest last; a third are routers.
         :param quick: measure two small sizes only.
         """
         from pathlib import Path
@@ -190,6 +190,40 @@
         plan = quick_plan() if quick else full_plan(numbers)
         sys.exit(run_scale(plan, Path(output)))
 
+    def experiment(
+        self,
+        name: str,
+        seed: str = "0",
+        against: str = "consistent-hashing",
+        output: str = "run/experiment",
+    ) -> None:
+        """Measure the product against baselines on virtual time; write JSON figures and a plot.
+
+        The same seed gives the same figures. Exit code: 0 done, 2 misuse.
+
+        :param name: INSTALLATION-SCENARIO, as in amman-calm or fiji-hot-key.
+        :param seed: seed of load, keys and events, or several joined by commas.
+        :param against: baselines joined by commas: consistent-hashing, direct; empty for none.
+        :param output: directory for the files.
+        """
+        from pathlib import Path
+
+        from indigoworks_lab.bench.experiment_command import run_experiment_command
+
+        seeds = [int(each) for each in _words(seed)]
+        sys.exit(run_experiment_command(str(name), seeds, _words(against), Path(str(output))))
+
+    def experiment_table(self, directory: str = "run/experiment") -> None:
+        """Print a Markdown table of all figures that experiments wrote into a directory.
+
+        :param directory: where the experiments wrote their files.
+        """
+        from pathlib import Path
+
+        from indigoworks_lab.bench.table_command import run_table_command
+
+        sys.exit(run_table_command(Path(str(directory))))
+
 
 def _words(value: object) -> list[str]:
     """Return the words of a flag; fire hands over `a,b` as a tuple."""
--- a/indigoworks_lab/demo/loss_step.py
+++ b/indigoworks_lab/demo/loss_step.py
@@ -8,6 +8,7 @@
 from indigoworks_lab.demo.demo_context import DemoContext
 from indigoworks_lab.demo.demo_services import SCHEDULER
 from indigoworks_lab.demo.execution_counts import execution_counts
+from indigoworks_lab.demo.in_turns import in_turns
 from indigoworks_lab.demo.owners_step import owner_of
 from indigoworks_lab.demo.polling import becomes_true
 
@@ -60,9 +61,7 @@
 
 async def _check_kept(context: DemoContext, kept: list[str]) -> None:
     router = context.plan.routers[0].http
-    answers = await asyncio.gather(
-        *(context.caller.call(router, "GET", SCHEDULER, key) for key in kept)
-    )
+    answers = await in_turns(context.caller.call(router, "GET", SCHEDULER, key) for key in kept)
     context.account.check(
         f"{len(kept)} keys of the other servers are served",
         all(answer.is_completed for answer in answers),
--- a/indigoworks_lab/demo/requests_step.py
+++ b/indigoworks_lab/demo/requests_step.py
@@ -1,12 +1,12 @@
 """Step: reads and writes through every router."""
 
-import asyncio
 from collections import Counter
 
 from indigoworks_lab.demo.call_answer import CallAnswer
 from indigoworks_lab.demo.demo_context import DemoContext
 from indigoworks_lab.demo.demo_services import CATALOGUE, CHECKOUT, SCHEDULER
 from indigoworks_lab.demo.execution_counts import execution_counts
+from indigoworks_lab.demo.in_turns import in_turns
 from indigoworks_lab.demo.owners_step import owner_of
 
 PAGES = 30
@@ -25,20 +25,16 @@
 async def _write_and_read(context: DemoContext) -> None:
     routers = [router.http for router in context.plan.routers]
     keys = [f"sofa-{number}" for number in range(PAGES)]
-    written = await asyncio.gather(
-        *(
-            context.caller.call(routers[index % 3], "PUT", CATALOGUE, key, key.encode())
-            for index, key in enumerate(keys)
-        )
+    written = await in_turns(
+        context.caller.call(routers[index % 3], "PUT", CATALOGUE, key, key.encode())
+        for index, key in enumerate(keys)
     )
     context.account.check(
         f"{PAGES} PUTs through 3 routers are completed", _all_completed(written), _seen(written)
     )
-    read = await asyncio.gather(
-        *(
-            context.caller.call(routers[(index + 1) % 3], "GET", CATALOGUE, key)
-            for index, key in enumerate(keys)
-        )
+    read = await in_turns(
+        context.caller.call(routers[(index + 1) % 3], "GET", CATALOGUE, key)
+        for index, key in enumerate(keys)
     )
     values = [answer.fields().get("value") for answer in read]
     context.account.check(
@@ -58,13 +54,12 @@
 
 
 async def _post_deposits(context: DemoContext) -> None:
-    posts = [
+    posted = await in_turns(
         context.caller.call(router.http, "POST", CHECKOUT, key, b"deposit")
         for key in DEPOSIT_KEYS
         for router in context.plan.routers
         for _ in range(DEPOSITS_PER_KEY_AND_ROUTER)
-    ]
-    posted = await asyncio.gather(*posts)
+    )
     context.account.check(
         f"{len(posted)} POSTs that must not repeat are completed",
         _all_completed(posted),
--- a/indigoworks_lab/simulation/workload/assignment_sampler.py
+++ b/indigoworks_lab/simulation/workload/assignment_sampler.py
@@ -37,7 +37,7 @@
                 record.token,
             )
             for record in host.control_state.ranges()
-            if record.owner and record.generation == generation
+            if record.generation == generation
         )
         history = self._recorder.history.assignments
         if history and history[-1].ranges == ranges and history[-1].generation == generation:
