Plan losses together, keep one settings tree in the history, name a failed peer

Cause 1: servers lost in the same round were planned one by one from the same state; six servers of 24 ranges with three lost left 10, 7 and 7 ranges. Now one plan: 8, 8 and 8, and the commands of a rule are committed together. Cause 2: the history of views kept up to 4,096 whole settings trees (128 MiB at 32 KiB a tree, by arithmetic); a delta only ever carries the newest. Now one tree is kept. Cause 3: a peer whose handler failed answered like a refusal, which the router takes as not run. It is now told as peer_failed: it may have run. Ruled out: retrying on peer_failed (the outcome is open).

--- a/features/controller_rules.feature
+++ b/features/controller_rules.feature
@@ -43,3 +43,14 @@
 
   Scenario: A move budget is never exceeded
     Then controller: for all intervals at most the budget's moves are taken
+
+  Scenario: Servers lost together leave their ranges evenly to those that remain
+    Given controller: 6 servers that share 24 ranges
+    When controller: 3 of them are lost together
+    Then controller: no lost server owns a range
+    And controller: each remaining server owns 8 ranges
+
+  Scenario: Of the settings the history keeps only the newest
+    Given controller: a state in which server "a" owns the key space
+    When controller: settings versions 1, 3 and 2 are applied
+    Then controller: the history holds one tree
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -12,13 +12,18 @@
 from indigoworks.common.ring.key_hash import KEY_SPACE_MAX
 from indigoworks.controller.control_state import ReplicatedControlState
 from indigoworks.controller.lease_timing import BACKEND_LEASE_S
+from indigoworks.controller.ownership_context import OwnershipContext
+from indigoworks.controller.ownership_rules import take_from_lost_servers
 from indigoworks.controller.placement.key_space_cut import cut_key_space, cut_out_place
 from indigoworks.controller.placement.move_budget import MoveBudget
 from indigoworks.controller.placement.rebalance import next_move
 from indigoworks.controller.placement.server_board import ServerBoard
 from indigoworks.controller.server_lease import ServerLease
 from indigoworks.controller.view_history import MAX_KEPT_CHANGES
+from indigoworks.settings import SettingsTree
 from indigoworks.wire.control_pb2 import (
+    SERVER_STATE_LIVE,
+    SERVER_STATE_LOST,
     ChangeRanges,
     Command,
     RangeRecord,
@@ -39,6 +44,25 @@
         await asyncio.sleep(0)
 
 
+class FakeLeases:
+    """Leases of which some are lost and all others are kept."""
+
+    def __init__(self, lost):
+        self.lost = lost
+
+    def lost_servers(self):
+        return self.lost
+
+    def is_answering(self, server):
+        return server not in self.lost
+
+
+class FakeLeadership:
+    """A leadership of generation 1."""
+
+    generation = 1
+
+
 def whole_space(owner, generation=1):
     return RangeRecord(
         service="catalogue",
@@ -220,3 +244,47 @@
         assert taken <= max(1.0, per_minute / 10) + now_s * per_minute / 60 + 1e-6
 
     check()
+
+
+@given("controller: {server_count:d} servers that share {range_count:d} ranges")
+def shared_ranges(context, server_count, range_count):
+    context.state = ReplicatedControlState(FixedClock())
+    for number in range(server_count):
+        server = Server(name=f"s{number}", service="catalogue", slots=2, state=SERVER_STATE_LIVE)
+        context.state.apply(number + 1, Command(register_server={"server": server}))
+    records = list(cut_key_space("catalogue", range_count))
+    for number, record in enumerate(records):
+        record.owner, record.generation = f"s{number % server_count}", 1
+    context.state.apply(server_count + 1, change([], records))
+
+
+@when("controller: {count:d} of them are lost together")
+def lose_together(context, count):
+    context.lost = context.state.servers()[:count]
+    rule_context = OwnershipContext(
+        context.state, FakeLeases(context.lost), FakeLeadership(), SettingsTree(), FixedClock()
+    )
+    commands = take_from_lost_servers(rule_context)
+    for index, command in enumerate(commands, context.state.applied_index + 1):
+        context.state.apply(index, command)
+
+
+@then("controller: no lost server owns a range")
+def lost_own_nothing(context):
+    assert not [each for server in context.lost for each in context.state.ranges_of(server)]
+    states = [context.state.server(server.name).state for server in context.lost]
+    assert states == [SERVER_STATE_LOST] * len(context.lost), states
+
+
+@then("controller: each remaining server owns {count:d} ranges")
+def remaining_own(context, count):
+    remaining = [each for each in context.state.servers() if each.state == SERVER_STATE_LIVE]
+    owned = [len(context.state.ranges_of(server)) for server in remaining]
+    assert owned == [count] * len(remaining), owned
+
+
+@then("controller: the history holds one tree")
+def one_tree(context):
+    kept = [each for each in context.state.history._changes if each.settings is not None]
+    assert not kept
+    assert context.state.history.delta(0, context.state.version, ()).settings.version == 3
--- a/indigoworks/controller/ownership_manager.py
+++ b/indigoworks/controller/ownership_manager.py
@@ -89,8 +89,8 @@
             self._state, self._leases, self._leadership, tree, self._ports.clock
         )
         for rule in self._rules:
-            for command in rule(context):
-                await self._propose(command)
+            # Appended in this order, committed together: a lost zone costs one round trip.
+            await asyncio.gather(*(self._propose(command) for command in rule(context)))
 
     async def _propose(self, command: Command) -> None:
         proposed = await self._node.propose(command)
--- a/indigoworks/controller/ownership_rules.py
+++ b/indigoworks/controller/ownership_rules.py
@@ -32,11 +32,15 @@
 
 
 def take_from_lost_servers(context: OwnershipContext) -> Sequence[Command]:
-    """Give the ranges of lost servers to others. Their leases have surely lapsed."""
-    commands: list[Command] = []
-    for server in context.leases.lost_servers():
-        commands += _reassign(context, context.state.ranges_named(server.name), {server.name})
-        commands.append(_state_command(server, SERVER_STATE_LOST))
+    """Give the ranges of lost servers to others. Their leases have surely lapsed.
+
+    All losses are planned together: servers that are lost with a zone must neither inherit each
+    other's ranges nor have them all land on the same lightest server.
+    """
+    lost = context.leases.lost_servers()
+    records = [each for server in lost for each in context.state.ranges_named(server.name)]
+    commands = list(_reassign(context, records, {server.name for server in lost}))
+    commands += [_state_command(server, SERVER_STATE_LOST) for server in lost]
     return commands
 
 
--- a/indigoworks/controller/view_history.py
+++ b/indigoworks/controller/view_history.py
@@ -21,16 +21,22 @@
 
 
 class ViewHistory:
-    """The newest changes, oldest first."""
+    """The newest changes, oldest first.
+
+    Of the settings only the newest change is kept: a delta carries no other, and a tree may be
+    large.
+    """
 
     def __init__(self) -> None:
         self._base_version = 0
         self._changes: deque[ViewChange] = deque()
+        self._newest_settings: ViewChange | None = None
 
     def clear(self, base_version: int) -> None:
         """Forget everything; deltas begin at `base_version` from now on."""
         self._base_version = base_version
         self._changes.clear()
+        self._newest_settings = None
 
     def add_server(self, index: int, server: Server) -> None:
         """Record a new or changed server."""
@@ -42,7 +48,7 @@
 
     def add_settings(self, index: int, settings: ReplaceSettings) -> None:
         """Record new settings."""
-        self._add(ViewChange(index, settings=settings))
+        self._newest_settings = ViewChange(index, settings=settings)
 
     def delta(
         self, from_version: int, to_version: int, services: Iterable[str]
@@ -58,6 +64,9 @@
         for change in self._changes:
             if change.index > from_version:
                 self._add_to_delta(delta, change, wanted)
+        newest = self._newest_settings
+        if newest is not None and newest.settings is not None and newest.index > from_version:
+            delta.settings.CopyFrom(newest.settings)
         return delta
 
     def _add(self, change: ViewChange) -> None:
@@ -71,8 +80,6 @@
             delta.servers.append(change.server)
         if change.ranges is not None and (not wanted or _service_of(change.ranges) in wanted):
             delta.changes.append(change.ranges)
-        if change.settings is not None:
-            delta.settings.CopyFrom(change.settings)
 
 
 def _service_of(change: ChangeRanges) -> str:
--- a/indigoworks/wire/errors.py
+++ b/indigoworks/wire/errors.py
@@ -46,3 +46,10 @@
     """The peer answered with an error of its own: the request was not handled."""
 
     kind: ClassVar[str] = "refused_by_peer"
+
+
+@dataclass(frozen=True)
+class PeerFailed(WireError):
+    """The peer failed while it handled the request: the request may have been handled."""
+
+    kind: ClassVar[str] = "peer_failed"
--- a/indigoworks/wire/rpc_client.py
+++ b/indigoworks/wire/rpc_client.py
@@ -11,6 +11,7 @@
     CallTimedOut,
     ConnectFailed,
     ConnectionLost,
+    PeerFailed,
     RefusedByPeer,
     WireError,
 )
@@ -40,7 +41,8 @@
         :param request: a frame with its payload set; correlation and group id are filled in.
         :param timeout_s: seconds for connection and reply together.
         :returns: the reply; ConnectFailed when the request was never sent; RefusedByPeer when the
-            peer did not handle it; CallTimedOut or ConnectionLost when it may have been handled.
+            peer did not handle it; PeerFailed, CallTimedOut or ConnectionLost when it may have
+            been handled.
         """
         sent = False
         request.correlation_id = next(self._correlation_ids)
@@ -111,6 +113,9 @@
         if reply.WhichOneof("payload") != "error":
             return Ok(reply)
         error = reply.error
+        # A fault may have struck after the request took effect: that is no refusal.
+        if error.kind == PeerFailed.kind:
+            return Err(PeerFailed(error.message, error.remedy, error.retry_after_s))
         return Err(RefusedByPeer(error.message, error.remedy, error.retry_after_s))
 
     def _connect_failed(self) -> ConnectFailed:
--- a/indigoworks/wire/rpc_server.py
+++ b/indigoworks/wire/rpc_server.py
@@ -8,7 +8,7 @@
 
 from indigoworks.common.address import Address
 from indigoworks.wire.control_pb2 import ErrorReply, Frame
-from indigoworks.wire.errors import BadFrame, WireError
+from indigoworks.wire.errors import BadFrame, PeerFailed, WireError
 from indigoworks.wire.frame_codec import encode_frame, read_frame
 
 FrameHandler = Callable[[Frame], Awaitable[Frame]]
@@ -99,7 +99,7 @@
             )
             return Frame(
                 error=ErrorReply(
-                    kind="internal",
+                    kind=PeerFailed.kind,
                     message="The peer failed on this request.",
                     remedy="See the peer's log under wire:handler_failed.",
                 )
