Never renew a server once its loss is decided

A check, then an act, with a wait between. Ruled out: a longer lapse (the race has no bound); looking again after the commit (the grant is out by then).

--- a/indigoworks/controller/lease_keeper.py
+++ b/indigoworks/controller/lease_keeper.py
@@ -57,8 +57,11 @@
             self._stop_task(name)
 
     def lost_servers(self) -> Sequence[Server]:
-        """Return the servers that do not answer and whose leases have surely lapsed."""
-        return [lease.server for lease in self._leases.values() if lease.is_lost]
+        """Return the servers that do not answer and whose leases have surely lapsed.
+
+        They are not renewed again until they are registered anew.
+        """
+        return [lease.server for lease in self._leases.values() if lease.give_up_if_lost()]
 
     def draining_servers(self) -> Sequence[Server]:
         """Return the servers that asked to be emptied."""
--- a/indigoworks/controller/server_lease_task.py
+++ b/indigoworks/controller/server_lease_task.py
@@ -55,6 +55,7 @@
         self._address = Address(server.host, server.port)
         self._lease = ServerLease(leadership.earlier_leases_lapse_at_s)
         self._failures = 0
+        self._is_given_up = False
         self._wake = asyncio.Event()
         self._owned: Sequence[RangeRecord] | None = None
         self._wanted: tuple[GrantedRange, ...] = ()
@@ -75,16 +76,21 @@
         if self._sent_ranges != self._wanted_ranges():
             self._wake.set()
 
-    @property
-    def is_lost(self) -> bool:
-        """Tell whether the server does not answer and its lease has surely lapsed."""
-        silent = self._failures >= FAILED_RENEWALS_OF_A_LOSS
-        return silent and self._lease.has_lapsed(self._ports.clock.now())
+    def give_up_if_lost(self) -> bool:
+        """Tell whether the server is lost: it does not answer and its lease has surely lapsed.
+
+        From then on it is never renewed again. Its ranges are given away by a command that takes
+        time to commit; a renewal that got through meanwhile would leave two owners.
+        """
+        is_silent = self._failures >= FAILED_RENEWALS_OF_A_LOSS
+        if is_silent and self._lease.has_lapsed(self._ports.clock.now()):
+            self._is_given_up = True
+        return self._is_given_up
 
     @property
     def is_answering(self) -> bool:
         """Tell whether the newest call was answered."""
-        return self._lease.has_reading and self._failures == 0
+        return self._lease.has_reading and self._failures == 0 and not self._is_given_up
 
     @property
     def holds_current_grants(self) -> bool:
@@ -102,6 +108,8 @@
             waking.cancel()
 
     async def _renew_once(self) -> None:
+        if self._is_given_up:
+            return
         if self._lease.has_reading:
             renewal = self._next_renewal()
             answer = await self._ports.backends.renew(self._address, renewal, RENEWAL_TIMEOUT_S)
