Patch a router's table of ranges instead of building all tables anew

Cause: each delta put every range of every service into sets and sorted them again; at 16,384 ranges one changed range cost a router about 22 ms, during which its one thread serves nobody. Ruled out: a tree or a library of sorted containers (one more dependency for what two list copies and a search do). Property: a patched table equals one built anew, and a change that doesn't fit is refused, for 150 seeded tables each.

--- a/indigoworks/common/ring/range_table.py
+++ b/indigoworks/common/ring/range_table.py
@@ -1,7 +1,7 @@
 """The read-only table of a service's ranges."""
 
-from bisect import bisect_right
-from collections.abc import Iterable, Iterator
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterable, Iterator, Sequence
 
 from indigoworks.common.ring.range_assignment import RangeAssignment
 
@@ -32,8 +32,45 @@
         assignment = self._assignments[position]
         return assignment if assignment.contains(place) else None
 
+    def replaced(
+        self, expected: Sequence[RangeAssignment], replacement: Sequence[RangeAssignment]
+    ) -> "RangeTable | None":
+        """Return the table with some ranges replaced, or None where it doesn't fit.
+
+        Costs two copies of the table and a search for each range, no sort.
+
+        :param expected: ranges that must stand in this table as given.
+        :param replacement: ranges that come in their place; they must not overlap others.
+        """
+        assignments = list(self._assignments)
+        starts = list(self._starts)
+        for assignment in expected:
+            position = bisect_left(starts, assignment.start)
+            if position == len(starts) or assignments[position] != assignment:
+                return None
+            del assignments[position], starts[position]
+        for assignment in replacement:
+            position = bisect_left(starts, assignment.start)
+            if _overlaps(assignments, position, assignment):
+                return None
+            assignments.insert(position, assignment)
+            starts.insert(position, assignment.start)
+        table = RangeTable()
+        table._assignments = tuple(assignments)
+        table._starts = starts
+        return table
+
     def __iter__(self) -> Iterator[RangeAssignment]:
         return iter(self._assignments)
 
     def __len__(self) -> int:
         return len(self._assignments)
+
+
+def _overlaps(
+    assignments: Sequence[RangeAssignment], position: int, assignment: RangeAssignment
+) -> bool:
+    """Tell whether `assignment`, put at `position`, overlaps one of its neighbours."""
+    if position > 0 and assignments[position - 1].end >= assignment.start:
+        return True
+    return position < len(assignments) and assignments[position].start <= assignment.end
--- a/indigoworks/router/view_update.py
+++ b/indigoworks/router/view_update.py
@@ -113,19 +113,26 @@
     tables: Mapping[str, RangeTable], changes: Iterable[control_pb2.ChangeRanges]
 ) -> Result[Mapping[str, RangeTable], ViewError]:
     """Apply the changes in order; each only if its expected records stand as given."""
-    current = {service: set(table) for service, table in tables.items()}
+    current = dict(tables)
     for change in changes:
-        for record in change.expected:
-            expected = range_assignment(record)
-            if expected not in current.get(expected.service, ()):
-                return Err(_snapshot_needed(f"range {expected.start:#018x} differs"))
-            current[expected.service].remove(expected)
-        for record in change.replacement:
-            current.setdefault(record.service, set()).add(range_assignment(record))
-    try:
-        return Ok({service: RangeTable(ranges) for service, ranges in current.items()})
-    except ValueError as error:
-        return Err(_snapshot_needed(str(error)))
+        for service, (expected, replacement) in _sides_by_service(change).items():
+            table = current.get(service, RangeTable()).replaced(expected, replacement)
+            if table is None:
+                return Err(_snapshot_needed(f"ranges of {service} differ"))
+            current[service] = table
+    return Ok(current)
+
+
+def _sides_by_service(
+    change: control_pb2.ChangeRanges,
+) -> dict[str, tuple[list[RangeAssignment], list[RangeAssignment]]]:
+    """Return expected and replacement ranges of each service that the change concerns."""
+    sides: dict[str, tuple[list[RangeAssignment], list[RangeAssignment]]] = {}
+    for record in change.expected:
+        sides.setdefault(record.service, ([], []))[0].append(range_assignment(record))
+    for record in change.replacement:
+        sides.setdefault(record.service, ([], []))[1].append(range_assignment(record))
+    return sides
 
 
 def range_assignment(record: control_pb2.RangeRecord) -> RangeAssignment:
