End a process whose needed task has ended; spread what a new leader starts

Cause: a controller whose search for the group had ended by an exception ran on and never found a leader again (seen while the protocol was being edited). Machines that end are replaced, machines that run deaf are not. Ruled out: restarting the task in place (its state is unknown after a fault). Before: nothing noticed the task.

--- a/features/platform_launcher.feature
+++ b/features/platform_launcher.feature
@@ -25,3 +25,8 @@
   Scenario: A process that ends at its start is reported with its output
     When the launcher starts a platform stand-in without a port
     Then the launcher reports it as not ready with its output
+
+  Scenario: A killed launcher leaves no process behind
+    Given a launcher in a process of its own that has launched a platform stand-in
+    When that launcher's process is killed
+    Then nothing listens any more where the platform stand-in did
--- a/features/steps/platform_launcher_steps.py
+++ b/features/steps/platform_launcher_steps.py
@@ -1,6 +1,10 @@
 """Steps on the launcher, with the platform stand-in as the process."""
 
+import socket
+import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 from random import Random
 
@@ -12,9 +16,25 @@
 from indigoworks_lab.launcher.plan_deployment import plan_deployment
 from indigoworks_lab.launcher.readiness import wait_until_ready
 
+LAUNCHER_PROGRAM = """
+import asyncio, sys, time
+from pathlib import Path
+from random import Random
+from indigoworks_lab.launcher.deployment import Deployment
+from indigoworks_lab.launcher.free_ports import FreePorts
+from indigoworks_lab.launcher.launcher import Launcher
+from indigoworks_lab.launcher.plan_deployment import plan_deployment
+plan = plan_deployment(["zone-a"], [], FreePorts(Random()))
+deployment = Deployment(plan, Launcher(Path(sys.argv[1])))
+asyncio.run(deployment.start_platform()).unwrap()
+print(plan.platform.port, flush=True)
+time.sleep(600)
+"""
 STOP_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 20.0
 SILENCE_S = 0.3
+POLL_INTERVAL_S = 0.05
+CLOSED_WITHIN_POLLS = 400
 
 
 def open_launcher(context):
@@ -81,3 +101,35 @@
     error = context.ready.unwrap_err()
     assert error.kind == "process_not_ready" and "ended with code 2" in error.message, error
     assert "port" in error.remedy, error
+
+
+@given("a launcher in a process of its own that has launched a platform stand-in")
+def launcher_process(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    command = [sys.executable, "-c", LAUNCHER_PROGRAM, directory.name]
+    context.launcher_process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    context.add_cleanup(context.launcher_process.wait)
+    context.add_cleanup(context.launcher_process.kill)
+    context.platform_port = int(context.launcher_process.stdout.readline())
+    assert is_listening(context.platform_port)
+
+
+@when("that launcher's process is killed")
+def kill_launcher_process(context):
+    context.launcher_process.kill()
+    context.launcher_process.wait()
+
+
+@then("nothing listens any more where the platform stand-in did")
+def nothing_listens(context):
+    for _ in range(CLOSED_WITHIN_POLLS):
+        if not is_listening(context.platform_port):
+            return
+        time.sleep(POLL_INTERVAL_S)
+    raise AssertionError("the platform stand-in outlived its launcher")
+
+
+def is_listening(port):
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
--- a/indigoworks/cli/errors.py
+++ b/indigoworks/cli/errors.py
@@ -69,3 +69,10 @@
 def as_misuse(error: IndigoworksError) -> Misuse:
     """Return `error` as a fault of the command line itself."""
     return Misuse(error.message, error.remedy)
+
+
+@dataclass(frozen=True)
+class ProcessFailed(IndigoworksError):
+    """A task that the process needs has ended; the process ends as well."""
+
+    kind: ClassVar[str] = "process_failed"
--- a/indigoworks/cli/process_part.py
+++ b/indigoworks/cli/process_part.py
@@ -16,3 +16,10 @@
     async def stop(self) -> None:
         """Refuse new work, finish what runs, and end."""
         ...
+
+    async def wait_failed(self) -> str:
+        """Wait until the part can no longer do its work, and return why.
+
+        A machine whose process has ended is replaced; one that runs on with a dead task is not.
+        """
+        ...
--- a/indigoworks/cli/run_process.py
+++ b/indigoworks/cli/run_process.py
@@ -1,9 +1,11 @@
 """Running a part and its HTTP side until a stop signal."""
 
+import asyncio
+
 from eliot import log_message
 from result import Err, Ok, Result
 
-from indigoworks.cli.errors import AddressUnavailable
+from indigoworks.cli.errors import AddressUnavailable, ProcessFailed
 from indigoworks.cli.http_side import HttpSide
 from indigoworks.cli.pending_command import Report
 from indigoworks.cli.process_part import ProcessPart
@@ -32,11 +34,31 @@
         await part.stop()
         return Err(_unavailable(settings.http_address, error))
     log_message(message_type="process:serving", address=str(settings.http_address))
-    await stop.wait()
+    failure = await _wait_for_stop(part, stop)
     log_message(message_type="process:stopping")
     await http.stop()
     log_message(message_type="process:stopped")
-    return Ok("")
+    return Ok("") if failure is None else Err(_failed(failure))
+
+
+async def _wait_for_stop(part: ProcessPart, stop: StopState) -> str | None:
+    """Wait for a stop signal (None) or for the part's failure (why)."""
+    stopping = asyncio.ensure_future(stop.wait())
+    failing = asyncio.ensure_future(part.wait_failed())
+    await asyncio.wait({stopping, failing}, return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if not failing.done():
+        failing.cancel()
+        return None
+    log_message(message_type="process:failed", level="ERROR", reason=failing.result())
+    return failing.result()
+
+
+def _failed(reason: str) -> ProcessFailed:
+    return ProcessFailed(
+        f"The process cannot go on: {reason}.",
+        "Start it again; report the log's last lines if it happens twice.",
+    )
 
 
 def _unavailable(address: Address, error: OSError) -> AddressUnavailable:
--- /dev/null
+++ b/indigoworks/common/task_failure.py
@@ -0,0 +1,16 @@
+"""Noticing that a task which should run for ever has ended."""
+
+import asyncio
+from collections.abc import Sequence
+
+
+async def wait_for_failure(tasks: Sequence["asyncio.Task[None]"]) -> str:
+    """Wait until one of `tasks`, all meant to run until cancelled, ends by itself.
+
+    :returns: which task ended, and why; for logs.
+    """
+    done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    task = next(iter(done))
+    if task.cancelled():
+        return f"{task.get_name()} was cancelled"
+    return f"{task.get_name()} ended: {task.exception()!r}"
--- a/indigoworks/consensus/consensus_node.py
+++ b/indigoworks/consensus/consensus_node.py
@@ -87,14 +87,26 @@
         )
 
     async def run(self) -> None:
-        """Form or join the group, follow and lead, until stopped or cancelled."""
-        self._tasks.start(self._election.run(), "consensus:election")
-        self._tasks.start(self._discovery.run(), "consensus:discovery")
+        """Form or join the group, follow and lead, until stopped or cancelled.
+
+        A fault in a task that it cannot do without is raised: the process must not go on deaf.
+        """
+        needed = [
+            self._tasks.start(self._election.run(), "consensus:election"),
+            self._tasks.start(self._discovery.run(), "consensus:discovery"),
+        ]
+        ended = self._tasks.start(self._wait_ended(), "consensus:wait_ended")
         try:
-            await self._ended.wait()
+            await asyncio.wait([ended, *needed], return_when=asyncio.FIRST_COMPLETED)
+            for task in needed:
+                if task.done():
+                    task.result()
         finally:
             self._end()
 
+    async def _wait_ended(self) -> None:
+        await self._ended.wait()
+
     async def stop(self) -> None:
         """Hand leadership over, leave the configuration where possible, and end `run`.
 
--- a/indigoworks/consensus/generation_recovery.py
+++ b/indigoworks/consensus/generation_recovery.py
@@ -87,7 +87,8 @@
         if stored is not None:
             await self._consider_next(stored, answers)
         elif self._replica.generation == 0:
-            await self._form(first_generation(self._replica.member), 0)
+            start = first_generation(self._replica.member)
+            await self._form(start, 0, await self._listed_addresses())
 
     async def _consider_next(self, stored: StoredCheckpoint, answers: Answers) -> None:
         found = stored.checkpoint
@@ -100,12 +101,11 @@
         if found.generation != self._replica.generation:
             return
         known = {**answers, **self._own_answer()}
-        self._evidence.observe(
-            found, self._possible_configurations(found), known, await self._listed_addresses()
-        )
+        listed = await self._listed_addresses()
+        self._evidence.observe(found, self._possible_configurations(found), known, listed)
         self._survivors.observe(found.generation, self._start_position(found), answers.values())
         if self._may_form_next():
-            await self._form(next_generation(found, self._replica), stored.version)
+            await self._form(next_generation(found, self._replica), stored.version, listed)
 
     def _may_form_next(self) -> bool:
         """Tell whether the generation has ended and no other node should form the next one."""
@@ -147,8 +147,15 @@
         is_unknown = found.generation > replica.generation or not replica.is_initialised
         return is_unknown and voters == [replica.member.incarnation]
 
-    async def _form(self, checkpoint: Checkpoint, expected_version: int) -> None:
+    async def _form(
+        self, checkpoint: Checkpoint, expected_version: int, listed: frozenset[Address] | None
+    ) -> None:
         generation = self._replica.generation
+        member = self._replica.member
+        # Should this node be lost with its machine before its first checkpoint as leader, the row
+        # must already say that the machine list has shown it: only then can it be shown gone.
+        if listed is not None and address_of(member) in listed:
+            checkpoint.listed_voters.append(member.incarnation)
         replaced = await self._row.replace(checkpoint, expected_version)
         # A lost answer is resolved in a later round, which reads the row again. So is a newer
         # generation that this node heard of while it wrote.
--- a/indigoworks/controller/controller.py
+++ b/indigoworks/controller/controller.py
@@ -10,6 +10,7 @@
 from indigoworks.admin.admin_operations import AdminOperations
 from indigoworks.common.address import Address
 from indigoworks.common.incarnation import new_incarnation
+from indigoworks.common.task_failure import wait_for_failure
 from indigoworks.consensus.consensus_node import ConsensusNode
 from indigoworks.consensus.consensus_timing import ConsensusTiming
 from indigoworks.consensus.role import Role
@@ -68,9 +69,9 @@
         :raises OSError: the control port cannot be bound.
         """
         await self._server.start()
-        self._spawn(self.node.run())
-        self._spawn(self._lead_when_elected())
-        self._spawn(self._reporter.run())
+        self._spawn(self.node.run(), "controller:node")
+        self._spawn(self._lead_when_elected(), "controller:lead")
+        self._spawn(self._reporter.run(), "controller:report_routers")
         log_message(
             message_type="controller:started",
             name=self.member.name,
@@ -86,6 +87,10 @@
         await self._server.stop()
         log_message(message_type="controller:stopped", name=self.member.name)
 
+    async def wait_failed(self) -> str:
+        """Wait until a task that this controller needs has ended by itself; return which."""
+        return await wait_for_failure(self._tasks)
+
     def _make_node(self, random: Random) -> ConsensusNode:
         seeds = [parse_address(text) for text in self._settings.controllers]
         return ConsensusNode(
@@ -119,8 +124,8 @@
         )
         return metrics
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.ensure_future(work))
+    def _spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        self._tasks.append(asyncio.create_task(work, name=name))
 
     async def _lead_when_elected(self) -> None:
         while True:
--- a/indigoworks/controller/lease_keeper.py
+++ b/indigoworks/controller/lease_keeper.py
@@ -6,6 +6,7 @@
 from indigoworks.controller.control_state import ReplicatedControlState
 from indigoworks.controller.controller_ports import ControllerPorts
 from indigoworks.controller.leadership import Leadership
+from indigoworks.controller.lease_timing import RENEWAL_INTERVAL_S
 from indigoworks.controller.server_lease_task import ServerLeaseTask
 from indigoworks.wire.control_pb2 import (
     SERVER_STATE_LEAVING,
@@ -14,6 +15,10 @@
     Server,
 )
 
+START_SPACING_S = 0.001
+"""Time between the first renewals of two servers. A new leader has many at once: all of them in
+one turn of the event loop would hold up its heartbeats, and every later round again."""
+
 LEASED_STATES = (SERVER_STATE_LIVE, SERVER_STATE_LEAVING)
 """States in which a server holds a lease."""
 
@@ -46,10 +51,11 @@
             wanted = leased.get(name)
             if wanted is None or wanted.incarnation != self._leases[name].server.incarnation:
                 self._stop_task(name)
-        for name, server in leased.items():
-            if name not in self._leases:
-                self._start_task(server)
-            self._leases[name].wake()
+        new = [server for name, server in leased.items() if name not in self._leases]
+        for position, server in enumerate(new):
+            self._start_task(server, position * START_SPACING_S % RENEWAL_INTERVAL_S)
+        for lease in self._leases.values():
+            lease.wake()
 
     def close(self) -> None:
         """Stop all tasks."""
@@ -81,10 +87,10 @@
             return False
         return (record.start, record.token) in lease.released
 
-    def _start_task(self, server: Server) -> None:
+    def _start_task(self, server: Server, delay_s: float) -> None:
         lease = ServerLeaseTask(server, self._state, self._leadership, self._ports, self._changed)
         self._leases[server.name] = lease
-        self._tasks[server.name] = asyncio.ensure_future(lease.run())
+        self._tasks[server.name] = asyncio.ensure_future(lease.run(delay_s))
 
     def _stop_task(self, name: str) -> None:
         del self._leases[name]
--- a/indigoworks/controller/new_service_cut.py
+++ b/indigoworks/controller/new_service_cut.py
@@ -28,10 +28,10 @@
         resolver = SettingsResolver(context.tree)
         commands: list[Command] = []
         for service in sorted(context.tree.services):
-            resolved = resolver.resolve(service)
-            if resolved is None or context.state.ranges(service):
+            if context.state.ranges(service):
                 continue
-            if not self._have_gathered(context, service):
+            resolved = resolver.resolve(service)
+            if resolved is None or not self._have_gathered(context, service):
                 continue
             ranges = cut_key_space(service, resolved.placement.initial_ranges)
             commands.append(change_command([], spread(context, service, ranges)))
--- a/indigoworks/controller/server_lease_task.py
+++ b/indigoworks/controller/server_lease_task.py
@@ -63,8 +63,9 @@
         self._sent_version = 0
         self._acknowledged_version = 0
 
-    async def run(self) -> None:
-        """Renew until cancelled."""
+    async def run(self, delay_s: float) -> None:
+        """Renew until cancelled, for the first time after `delay_s` seconds."""
+        await self._ports.clock.sleep(delay_s)
         while True:
             self._wake.clear()
             if self._leadership.may_grant():
@@ -99,13 +100,12 @@
         return acknowledged and self._sent_ranges == self._wanted_ranges()
 
     async def _wait_for_turn(self) -> None:
-        sleeping = asyncio.ensure_future(self._ports.clock.sleep(RENEWAL_INTERVAL_S))
-        waking = asyncio.ensure_future(self._wake.wait())
+        # A timeout costs a tenth of a renewal less than two tasks of which one wins.
         try:
-            await asyncio.wait({sleeping, waking}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            sleeping.cancel()
-            waking.cancel()
+            async with asyncio.timeout(RENEWAL_INTERVAL_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
 
     async def _renew_once(self) -> None:
         if self._is_given_up:
--- a/indigoworks/controller/view_publisher.py
+++ b/indigoworks/controller/view_publisher.py
@@ -1,5 +1,7 @@
 """Answers the polls of routers for their views."""
 
+import asyncio
+
 from indigoworks.common.clock import Clock
 from indigoworks.consensus.consensus_node import ConsensusNode
 from indigoworks.controller.control_state import ReplicatedControlState
@@ -14,6 +16,10 @@
 MAX_STALENESS_S = 1.0
 """A controller whose state was confirmed longer ago sends routers to another one."""
 
+SNAPSHOT_WAIT_S = 0.3
+"""Longest wait for one's turn to get a whole view. A router gives its poll up after 0.6 s; a view
+that comes later would cost the same and help nobody."""
+
 RETRY_AFTER_S = 0.2
 """When a router may ask a controller again that could not answer."""
 
@@ -33,11 +39,29 @@
         self._routers = routers
         self._clock = clock
         self._messages = ViewMessages(state)
+        self._snapshot_turn = asyncio.Lock()
 
     async def handle(self, request: ViewRequest) -> Frame:
         """Answer one poll: at once when something is new, else after HOLD_S."""
         self._routers.record_poll(request)
         await self._wait_for_news(request)
+        if self._needs_snapshot(request):
+            return await self._answer_in_turn(request)
+        return self._answer(request)
+
+    async def _answer_in_turn(self, request: ViewRequest) -> Frame:
+        """Give whole views one by one, so that heartbeats and renewals get through in between.
+
+        When many routers start at once, views for all of them in one turn of the event loop would
+        cost a leader its quorum lease.
+        """
+        arrived_at_s = self._clock.now()
+        async with self._snapshot_turn:
+            if self._clock.now() - arrived_at_s > SNAPSHOT_WAIT_S:
+                return Frame(error=_too_many_snapshots())
+            return self._answer(request)
+
+    def _answer(self, request: ViewRequest) -> Frame:
         staleness_s = self._staleness_s()
         if staleness_s is None or not self._may_serve(request):
             return Frame(error=_cannot_serve())
@@ -55,6 +79,14 @@
         is_other_generation = request.known_generation != self._node.status.generation
         return is_other_generation or self._state.version > request.known_version
 
+    def _needs_snapshot(self, request: ViewRequest) -> bool:
+        generation = self._node.status.generation
+        if request.known_generation != generation or request.known_version == 0:
+            return True
+        if request.known_version >= self._state.version:
+            return False
+        return self._messages.delta(generation, request.known_version, request.services) is None
+
     def _staleness_s(self) -> float | None:
         confirmed_at_s = self._node.confirmed_at_s()
         if confirmed_at_s is None:
@@ -115,3 +147,12 @@
         remedy="Ask another controller.",
         retry_after_s=RETRY_AFTER_S,
     )
+
+
+def _too_many_snapshots() -> ErrorReply:
+    return ErrorReply(
+        kind="too_many_snapshots",
+        message="Too many routers ask this controller for a whole view at once.",
+        remedy="Ask another controller, or this one again after the time given.",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/indigoworks/router/router.py
+++ b/indigoworks/router/router.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from indigoworks.common.incarnation import new_incarnation
+from indigoworks.common.task_failure import wait_for_failure
 from indigoworks.router import refusals
 from indigoworks.router.caller_request import CallerRequest
 from indigoworks.router.caller_response import (
@@ -141,6 +142,10 @@
         ]
         log_message(message_type="router:started", incarnation=self._member.incarnation)
 
+    async def wait_failed(self) -> str:
+        """Wait until a task that this router needs has ended by itself; return which."""
+        return await wait_for_failure(self._tasks)
+
     async def stop(self) -> None:
         """Refuse new requests, finish those in progress, and end. A second call waits as well.
 
--- a/indigoworks_lab/demo/run_demo.py
+++ b/indigoworks_lab/demo/run_demo.py
@@ -51,6 +51,8 @@
                 await step(context)
         except DemoStopped as stopped:
             account.say(f"cannot go on: {stopped}")
+        except asyncio.CancelledError:
+            account.check("the demo runs to its end", False, "stopped by SIGTERM")
     return account.conclude()
 
 
