Start routers from a view in the object store

Cause: each router that starts asked a controller for the whole view; a rack of routers that returns asks for all of them at once, 1.75 MB each at 16,384 ranges. The port to the object store stood unused. Ruled out: acting upon the stored view before a controller confirms one (it may be of any age, so it could take settings back); relays (they come with the size).

--- a/features/router_http.feature
+++ b/features/router_http.feature
@@ -6,9 +6,9 @@
     Given a router with its HTTP server
 
   Scenario Outline: router http: every method reaches the owner and its answer is passed on
-    When a caller sends <method> /v1/shop/sofa/stock?size=2 with <bytes> bytes
+    When a caller sends <method> /v1/shop/item/stock?size=2 with <bytes> bytes
     Then the status is 200 and the outcome header is "completed"
-    And the back end got <method> /v1/shop/sofa/stock?size=2 with <bytes> bytes for the key "sofa"
+    And the back end got <method> /v1/shop/item/stock?size=2 with <bytes> bytes for the key "item"
 
     Examples:
       | method  | bytes |
@@ -36,11 +36,11 @@
 
     Examples:
       | method | path          | bytes   | status | kind            |
-      | GET    | /v1/shoe/sofa | 0       | 404    | unknown_service |
+      | GET    | /v1/shoe/item | 0       | 404    | unknown_service |
       | GET    | /v1/shop      | 0       | 400    | missing_key     |
       | GET    | /v1/shop/     | 0       | 400    | missing_key     |
-      | POST   | /v1/shop/sofa | 1001    | 413    | body_too_large  |
-      | POST   | /v1/shop/sofa | 9000000 | 413    | body_too_large  |
+      | POST   | /v1/shop/item | 1001    | 413    | body_too_large  |
+      | POST   | /v1/shop/item | 9000000 | 413    | body_too_large  |
 
   Scenario: router http: a body over the limit without an announced length gets 413
     When a caller sends 5000 bytes in chunks without a length
@@ -83,6 +83,6 @@
     Then the caller reads the whole answer
 
   Scenario: router http: metrics and health are served beside the callers
-    When a caller sends GET /v1/shop/sofa with 0 bytes
+    When a caller sends GET /v1/shop/item with 0 bytes
     Then the metrics count one completed request of the shop and the view's version
     And the health is good
--- a/features/router_path.feature
+++ b/features/router_path.feature
@@ -54,12 +54,12 @@
 
     Examples:
       | method | path                 | lost | outcome   | status | times |
-      | GET    | /v1/shop/sofa        | 1    | completed | 200    | 2     |
-      | GET    | /v1/shop/sofa        | 9    | unknown   | 504    | 3     |
-      | POST   | /v1/shop/sofa        | 1    | unknown   | 504    | 1     |
-      | DELETE | /v1/shop/sofa        | 1    | unknown   | 504    | 1     |
-      | POST   | /v1/shop/sofa/stock  | 1    | completed | 200    | 2     |
-      | POST   | /v1/shop/sofa/stocks | 1    | unknown   | 504    | 1     |
+      | GET    | /v1/shop/item        | 1    | completed | 200    | 2     |
+      | GET    | /v1/shop/item        | 9    | unknown   | 504    | 3     |
+      | POST   | /v1/shop/item        | 1    | unknown   | 504    | 1     |
+      | DELETE | /v1/shop/item        | 1    | unknown   | 504    | 1     |
+      | POST   | /v1/shop/item/stock  | 1    | completed | 200    | 2     |
+      | POST   | /v1/shop/item/stocks | 1    | unknown   | 504    | 1     |
 
   Scenario: router path: after a lost answer no refusal makes a request "not run"
     When the answer to a GET is lost and then nobody owns the key
--- a/features/steps/router_fakes.py
+++ b/features/steps/router_fakes.py
@@ -9,6 +9,7 @@
 from indigoworks.backend.backend_answer import BackendAnswer
 from indigoworks.backend.errors import BackendAnswerLost, BackendUnreachable
 from indigoworks.common.address import Address
+from indigoworks.platform.errors import PlatformUnavailable
 from indigoworks.wire import control_pb2
 from indigoworks.wire.rpc_server import RpcServer
 
@@ -73,6 +74,19 @@
         return Ok(self.records)
 
 
+class FakeObjects:
+    """An object store with at most one object, which may be down."""
+
+    def __init__(self, content=None, is_down=False):
+        self.content = content
+        self.is_down = is_down
+
+    async def get(self, name):
+        if self.is_down:
+            return Err(PlatformUnavailable("down", "later"))
+        return Ok(self.content)
+
+
 class FakeController:
     """Answers polls from a state that the scenario changes."""
 
--- a/features/steps/router_hop_steps.py
+++ b/features/steps/router_hop_steps.py
@@ -151,7 +151,7 @@
         message = control_pb2.ForwardRequest(
             request_id="a",
             service="shop",
-            key=b"sofa",
+            key=b"item",
             method="POST",
             server_name="alpha",
             server_incarnation="alpha-run",
--- a/features/steps/router_http_steps.py
+++ b/features/steps/router_http_steps.py
@@ -68,7 +68,7 @@
         "Accept": "text/plain",
         "Indigoworks-Request-Id": "my-request",
     }
-    send(context, "GET", "/v1/shop/sofa", headers=headers)
+    send(context, "GET", "/v1/shop/item", headers=headers)
 
 
 @then("the back end got the others only")
@@ -115,7 +115,7 @@
 
     async def run():
         request = HTTPRequest(
-            f"http://{HOST}:{context.port}/v1/shop/sofa", method="POST", body_producer=produce
+            f"http://{HOST}:{context.port}/v1/shop/item", method="POST", body_producer=produce
         )
         client = SimpleAsyncHTTPClient(force_instance=True)
         return await client.fetch(request, raise_error=False)
@@ -126,7 +126,7 @@
 @when("a caller announces {count:d} bytes and waits for leave to send them")
 def expect_continue(context, count):
     head = (
-        f"POST /v1/shop/sofa HTTP/1.1\r\nHost: x\r\nContent-Length: {count}\r\n"
+        f"POST /v1/shop/item HTTP/1.1\r\nHost: x\r\nContent-Length: {count}\r\n"
         "Expect: 100-continue\r\n\r\n"
     )
     context.answer = context.run_async(raw(context, head.encode()))
@@ -141,7 +141,7 @@
 
 @when('a caller sends the header {name} with the value "{value}"')
 def send_header(context, name, value):
-    send(context, "GET", "/v1/shop/sofa", headers={name: value})
+    send(context, "GET", "/v1/shop/item", headers={name: value})
     assert context.backends.sent == []
 
 
@@ -149,7 +149,7 @@
 def lose(context):
     context.backends.script["a"] = [LOST]
     headers = {"Indigoworks-Request-Id": "a"}
-    send(context, "POST", "/v1/shop/sofa", body=b"order", headers=headers)
+    send(context, "POST", "/v1/shop/item", body=b"order", headers=headers)
 
 
 @when("nobody owns the key any more and a caller sends a GET")
@@ -159,7 +159,7 @@
         await until(lambda: context.router.view.version == 2)
 
     context.run_async(move())
-    send(context, "GET", "/v1/shop/sofa")
+    send(context, "GET", "/v1/shop/item")
 
 
 @then("Retry-After is a whole number of seconds, at least what the milliseconds say")
@@ -174,7 +174,7 @@
     async def run():
         context.backends.service_s = LONG_S
         _, writer = await asyncio.open_connection(HOST, context.port)
-        writer.write(b"GET /v1/shop/sofa HTTP/1.1\r\nHost: x\r\n\r\n")
+        writer.write(b"GET /v1/shop/item HTTP/1.1\r\nHost: x\r\n\r\n")
         await until(lambda: context.backends.sent)
         writer.close()
         await until(lambda: context.backends.cancelled)
@@ -195,11 +195,11 @@
         router_module.STOP_LINGER_S = 0.05
         try:
             context.backends.service_s = 0.2
-            first = asyncio.ensure_future(fetch(context, "POST", "/v1/shop/sofa", body=b"order"))
+            first = asyncio.ensure_future(fetch(context, "POST", "/v1/shop/item", body=b"order"))
             await until(lambda: context.backends.sent)
             stopping = asyncio.ensure_future(context.http.stop())
             await until(lambda: context.router.is_stopping)
-            other = await fetch(context, "POST", "/v1/shop/sofa", body=b"late")
+            other = await fetch(context, "POST", "/v1/shop/item", body=b"late")
             await stopping
             return await first, other
         finally:
@@ -235,7 +235,7 @@
         router_module.STOP_LINGER_S = 0.0
         context.backends.answer = answer
         reader, writer = await asyncio.open_connection(HOST, context.port, limit=1024)
-        writer.write(b"GET /v1/shop/sofa HTTP/1.1\r\nHost: x\r\n\r\n")
+        writer.write(b"GET /v1/shop/item HTTP/1.1\r\nHost: x\r\n\r\n")
         await until(lambda: context.backends.sent)
         stopping = asyncio.ensure_future(context.http.stop())
         await context.router.stop()
--- a/features/steps/router_http_world.py
+++ b/features/steps/router_http_world.py
@@ -8,6 +8,7 @@
     FakeBackends,
     FakeController,
     FakeMachines,
+    FakeObjects,
     range_message,
     server_message,
     state_message,
@@ -57,7 +58,7 @@
             controllers=[str(control)],
         )
         context.port = settings.http_port
-        ports = RouterPorts(LoopClock(), FakeMachines(), context.backends)
+        ports = RouterPorts(LoopClock(), FakeMachines(), context.backends, FakeObjects())
         context.router = Router(settings, ports, Random(1))
         rules = admin_http_handlers(
             context.router.administration,
--- a/features/steps/router_world.py
+++ b/features/steps/router_world.py
@@ -9,6 +9,7 @@
     FakeBackends,
     FakeController,
     FakeMachines,
+    FakeObjects,
     address_of,
     range_message,
     server_message,
@@ -56,6 +57,7 @@
             for number in (1, 2)
         )
         self.routers = {}
+        self.objects = FakeObjects()
 
     async def start(self, *names, warm_up_s=WARM_UP_S):
         for number, controller in enumerate(self.controllers, 1):
@@ -77,7 +79,7 @@
             platform_url="http://10.3.0.1:80",
             controllers=["10.1.0.1:7000", "10.1.0.2:7000"],
         )
-        ports = RouterPorts(LoopClock(), self.machines, self.backends)
+        ports = RouterPorts(LoopClock(), self.machines, self.backends, self.objects)
         self.routers[name] = Router(settings, ports, Random(int(number)))
         await detangle.spawn(self.routers[name].start(), host=settings.host)
 
@@ -95,10 +97,10 @@
         request = CallerRequest(
             request_id=request_id,
             service=fields.pop("service", "shop"),
-            key=fields.pop("key", b"sofa"),
+            key=fields.pop("key", b"item"),
             group=fields.pop("group", "retail"),
             method=method,
-            path=fields.pop("path", "/v1/shop/sofa"),
+            path=fields.pop("path", "/v1/shop/item"),
             **fields,
         )
         return detangle.spawn(self.routers[router].handle(request), host=f"10.2.0.{router[-1]}")
--- a/indigoworks/cli/router_command.py
+++ b/indigoworks/cli/router_command.py
@@ -16,6 +16,7 @@
 from indigoworks.common.errors import IndigoworksError
 from indigoworks.common.logging import set_up_logging
 from indigoworks.platform.http_machine_list import HttpMachineList
+from indigoworks.platform.http_object_store import HttpObjectStore
 from indigoworks.platform.http_requests import PlatformHttpRequests
 from indigoworks.router.http_server import RouterHttpServer
 from indigoworks.router.router import Router
@@ -47,10 +48,12 @@
 
 def _ports(settings: RouterSettings) -> RouterPorts:
     clock = LoopClock()
+    platform = PlatformHttpRequests(settings.platform_url)
     return RouterPorts(
         clock=clock,
-        machines=HttpMachineList(PlatformHttpRequests(settings.platform_url)),
+        machines=HttpMachineList(platform),
         backends=HttpBackendRequests(clock),
+        objects=HttpObjectStore(platform),
     )
 
 
--- a/indigoworks/controller/leader_duties.py
+++ b/indigoworks/controller/leader_duties.py
@@ -13,6 +13,7 @@
 from indigoworks.controller.server_discovery import ServerDiscovery
 from indigoworks.controller.settings_service import SettingsService
 from indigoworks.controller.settings_table import SettingsTable
+from indigoworks.controller.view_snapshot_writer import ViewSnapshotWriter
 
 LEADERSHIP_CHECK_INTERVAL_S = 0.05
 """Time between two looks at whether this controller still leads."""
@@ -38,6 +39,9 @@
         self._ownership = OwnershipManager(
             node, state, self.leadership, self._leases, ports, changed
         )
+        self._view_objects = ViewSnapshotWriter(
+            state, self.leadership, ports.objects, group_id, ports.clock
+        )
         self._discovery = ServerDiscovery(node, state, self.leadership, ports, changed)
 
     async def run(self) -> None:
@@ -47,6 +51,7 @@
             asyncio.ensure_future(self.settings.run()),
             asyncio.ensure_future(self._ownership.run()),
             asyncio.ensure_future(self._discovery.run()),
+            asyncio.ensure_future(self._view_objects.run()),
         ]
         try:
             while self.leadership.is_current() and not any(task.done() for task in tasks):
--- a/indigoworks/router/router.py
+++ b/indigoworks/router/router.py
@@ -36,6 +36,7 @@
 from indigoworks.router.router_ports import RouterPorts
 from indigoworks.router.routing_view import RoutingView
 from indigoworks.router.sent_memory import SentMemory
+from indigoworks.router.starting_view import read_starting_view
 from indigoworks.router.view_follower import ViewFollower
 from indigoworks.settings.router_settings import RouterSettings
 from indigoworks.wire import control_pb2
@@ -61,6 +62,8 @@
     ) -> None:
         self.metrics = RouterMetrics(registry or CollectorRegistry())
         self._clock = ports.clock
+        self._objects = ports.objects
+        self._group_id = settings.group_id
         self._member = _member(settings, random)
         self._is_stopping = False
         self._handling = InProgress()
@@ -136,7 +139,7 @@
         """
         await self._server.start()
         self._tasks = [
-            asyncio.ensure_future(self._follower.run()),
+            asyncio.ensure_future(self._follow()),
             asyncio.ensure_future(self._directory.run(self._clock)),
             asyncio.ensure_future(self._observe_views()),
         ]
@@ -224,6 +227,10 @@
         self.administration.close()
         log_message(message_type="router:stopped")
 
+    async def _follow(self) -> None:
+        self._follower.start_from(await read_starting_view(self._objects, self._group_id))
+        await self._follower.run()
+
     async def _observe_views(self) -> None:
         """Keep dispatchers and connections in step with the view."""
         while True:
--- a/indigoworks/router/view_follower.py
+++ b/indigoworks/router/view_follower.py
@@ -69,6 +69,11 @@
         """Poll on, but no longer as a router that others may choose as dispatcher."""
         self._is_router = False
 
+    def start_from(self, view: RoutingView | None) -> None:
+        """Begin with a view that is not in force; polls then ask only for what is newer."""
+        if self._view is None:
+            self._view = view
+
     async def wait_until(
         self, condition: Callable[[RoutingView], bool], timeout_s: float
     ) -> RoutingView | None:
--- a/indigoworks_lab/simulation/router_host.py
+++ b/indigoworks_lab/simulation/router_host.py
@@ -33,10 +33,12 @@
         self._recorder = simulation.recorder
         random = simulation.random(f"router:{self.process.number}")
         self.clock = HostClock(simulation.loop, random)
+        platform_ports = PlatformPorts(self.process, platform)
         ports = RouterPorts(
             clock=self.clock,
-            machines=PlatformPorts(self.process, platform),
+            machines=platform_ports,
             backends=BackendPorts(self.process, backends, self._record_send),
+            objects=platform_ports,
         )
         self.router = Router(settings, ports, random)
 
