Newcomer's reading: one home for lab clients, quieter access lines, dead code

Logic that stood twice (running a process from settings, the lab's HTTP client under the demo), tuples for small types, users' wording in lab data, unused methods, refusals logged at ERROR. Ruled out: removing the doubled flags of the two long-running commands (the help needs the signatures).

--- a/features/settings_process.feature
+++ b/features/settings_process.feature
@@ -7,6 +7,7 @@
     Examples:
       | flag         | value           | text                                           |
       | host         | localhost       | 'localhost' is no IP number                    |
+      | listen_host  | localhost       | 'localhost' is no IP number                    |
       | control_port | 70000           | less than or equal to 65535                    |
       | http_port    | abc             | Change http_port accordingly                   |
       | platform_url | 10.0.0.1:80     | Change platform_url accordingly                |
@@ -29,6 +30,11 @@
     When process settings are loaded from that file with the flag "zone" as "zone-flag"
     Then the process settings have the zone "zone-flag" and the http address "10.0.0.9:8001"
 
+  Scenario: A process may listen at another address than it is reached by
+    When process settings are loaded with the flag "listen_host" as "0.0.0.0"
+    Then the process settings have the zone "zone-a" and the http address "0.0.0.0:8001"
+    And the process settings listen for the control port at "0.0.0.0" and tell "10.0.0.9"
+
   Scenario: Controllers are addresses, also of IPv6
     When process settings are loaded with the flag "controllers" as "10.0.0.1:7101,[::1]:7102"
     Then the process settings name the controllers "10.0.0.1 7101" and "::1 7102"
@@ -54,6 +60,21 @@
       | ERROR   | WARNING   | 1     |
       | DEBUG   | DEBUG     | 1     |
 
+  Scenario Outline: A line of the HTTP server about an answer is no error
+    When an HTTP answer of status <status> is logged under the level "<threshold>"
+    Then the log has <count> lines
+
+    Examples:
+      | status | threshold | count |
+      | 503    | INFO      | 0     |
+      | 404    | INFO      | 0     |
+      | 200    | DEBUG     | 0     |
+
+  Scenario: A line of the HTTP server about a refusal has the level DEBUG
+    When an HTTP answer of status 503 is logged under the level "DEBUG"
+    Then the log has 1 lines
+    And the log line has the level "DEBUG"
+
   Scenario: A record of the standard library is written as one JSON line
     When a standard library warning is logged under the level "INFO"
     Then the log has 1 lines
--- a/features/steps/backend_http_steps.py
+++ b/features/steps/backend_http_steps.py
@@ -158,7 +158,7 @@
     assert isinstance(context.sent, Ok), context.sent
     if "closes" in context.scripted._behaviours[0]:
         pool = context.requests._sender._pool_of(context.address)
-        context.run_async(until(lambda: not pool._idle[0][0].is_open))
+        context.run_async(until(lambda: not pool._idle[0].connection.is_open))
     send(context, request_id="second")
 
 
--- a/features/steps/backend_load_steps.py
+++ b/features/steps/backend_load_steps.py
@@ -121,8 +121,8 @@
         method=request.method,
         key=request.key,
         value="",
-        booking_count=1,
-        recent_bookings=(request.request_id,),
+        entry_count=1,
+        recent_entries=(request.request_id,),
     )
     whole = own.model_dump_json().encode()
     completed = (("Indigoworks-Outcome", "completed"),)
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -10,7 +10,7 @@
 from indigoworks_lab.launcher.free_ports import FreePorts
 from indigoworks_lab.launcher.launcher import Launcher
 from indigoworks_lab.process_run.process_faults import FAULTS
-from indigoworks_lab.process_run.process_run import ProcessRun
+from indigoworks_lab.process_run.process_run import ProcessRun, plan_process_run
 
 FAULT_TIMEOUT_S = 150.0
 
@@ -23,7 +23,7 @@
     context.add_cleanup(launcher.end_all)
 
     async def start():
-        context.process_run = ProcessRun(launcher, FreePorts(Random()))
+        context.process_run = ProcessRun(launcher, plan_process_run(FreePorts(Random())))
         return await context.process_run.start()
 
     assert context.run_async(start(), FAULT_TIMEOUT_S), "not every key came to be served"
--- a/features/steps/settings_process_steps.py
+++ b/features/steps/settings_process_steps.py
@@ -5,12 +5,15 @@
 import logging
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
 
 import yaml
 from behave import given, then, when
 from eliot import Logger, add_destinations, log_message, remove_destination
+from tornado.web import Application
 
 from indigoworks.common.logging import set_up_logging
+from indigoworks.common.logging.access_records import ACCESS_LOGGER, as_debug
 from indigoworks.settings import ControllerSettings, RouterSettings, load_process_settings
 
 SAMPLES = Path(__file__).parents[2] / "etc"
@@ -71,6 +74,12 @@
     assert (loaded.zone, str(loaded.http_address)) == (zone, address), loaded
 
 
+@then('the process settings listen for the control port at "{listen_host}" and tell "{host}"')
+def listen_elsewhere(context, listen_host, host):
+    loaded = context.loaded.unwrap()
+    assert (loaded.control_address.host, loaded.host) == (listen_host, host), loaded
+
+
 @then('the process settings name the controllers "{first}" and "{second}"')
 def name_controllers(context, first, second):
     addresses = [
@@ -101,6 +110,9 @@
 
     def restore():
         root.handlers, root.level = former[0], former[1]
+        access = logging.getLogger(ACCESS_LOGGER)
+        access.removeFilter(as_debug)
+        access.setLevel(logging.NOTSET)
         for each in list(Logger._destinations._destinations):
             if each not in former[2]:
                 remove_destination(each)
@@ -121,12 +133,27 @@
     logging.getLogger("tornado.application").warning("slow")
 
 
+@when('an HTTP answer of status {status:d} is logged under the level "{threshold}"')
+def write_answer(context, status, threshold):
+    set_up_log(context, threshold)
+    request = SimpleNamespace(request_time=lambda: 0.001)
+    handler = SimpleNamespace(
+        get_status=lambda: status, request=request, _request_summary=lambda: "GET /v1/s/k"
+    )
+    Application().log_request(handler)
+
+
 @then("the log has {count:d} lines")
 def log_has_lines(context, count):
     context.lines = context.log.getvalue().splitlines()
     assert len(context.lines) == count, context.lines
 
 
+@then('the log line has the level "{level}"')
+def line_has_level(context, level):
+    assert json.loads(context.lines[0])["log_level"] == level, context.lines
+
+
 @then('each log line is JSON with the process "{name}"')
 def log_is_json(context, name):
     assert all(json.loads(each)["process"] == name for each in context.lines), context.lines
--- a/indigoworks/backend/http_backend_control.py
+++ b/indigoworks/backend/http_backend_control.py
@@ -1,5 +1,7 @@
 """HTTP adapter of the lease and grant interface of the back ends."""
 
+from http import HTTPStatus
+
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
@@ -19,8 +21,6 @@
 CONNECTIONS_PER_SERVER = 2
 """One for renewals, one for a status read beside them."""
 
-STATUS_OK = 200
-STATUS_CONFLICT = 409
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
@@ -62,9 +62,9 @@
 
 
 def _status_of(address: Address, answer: HttpAnswer) -> Result[BackendStatus, BackendError]:
-    if answer.status == STATUS_CONFLICT:
+    if answer.status == HTTPStatus.CONFLICT:
         return Err(_refused(address, answer))
-    if answer.status != STATUS_OK:
+    if answer.status != HTTPStatus.OK:
         return Err(_unusable(address))
     try:
         return Ok(HttpStatusModel.model_validate_json(answer.body).to_status())
--- a/indigoworks/backend/http_backend_requests.py
+++ b/indigoworks/backend/http_backend_requests.py
@@ -1,5 +1,6 @@
 """HTTP adapter of the request interface of the back ends."""
 
+from http import HTTPStatus
 from urllib.parse import quote_from_bytes
 
 from result import Err, Ok, Result
@@ -18,11 +19,25 @@
 CONNECTIONS_PER_SERVER = 8
 """Default bound of connections from one router to one server: of about 100 that it accepts."""
 
-STATUS_WRONG_OWNER = 421
-STATUS_SHED = 503
+STATUS_WRONG_OWNER = HTTPStatus.MISDIRECTED_REQUEST
+STATUS_SHED = HTTPStatus.SERVICE_UNAVAILABLE
 DEFAULT_RETRY_AFTER_S = 0.1
 MS_PER_S = 1000
 
+_CONTRACT_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        names.REQUEST_ID,
+        names.SERVICE,
+        names.KEY,
+        names.GROUP,
+        names.RANGE,
+        names.TOKEN,
+        names.INCARNATION,
+        names.DEADLINE_MS,
+    )
+)
+
 
 class HttpBackendRequests:
     """Sends owned requests over persistent HTTP connections. See BackendRequests."""
@@ -45,10 +60,6 @@
             return Err(sent.unwrap_err())
         return _checked(address, request, sent.unwrap())
 
-    def opened_connections(self, address: Address) -> int:
-        """Return how many connections to `address` were opened so far."""
-        return self._sender.opened_connections(address)
-
     def forget(self, address: Address) -> None:
         """Close the idle connections to a server that left."""
         self._sender.forget(address)
@@ -69,10 +80,9 @@
         (names.INCARNATION, request.server_incarnation),
         (names.DEADLINE_MS, str(max(0, int(remaining_s * MS_PER_S)))),
     )
-    ours = frozenset(name.lower() for name, _ in contract)
     passed_on = end_to_end_headers(request.headers)
     # A caller cannot smuggle in a grant: the headers of the contract are only ours.
-    callers = tuple(pair for pair in passed_on if pair[0].lower() not in ours)
+    callers = tuple(pair for pair in passed_on if pair[0].lower() not in _CONTRACT_HEADERS)
     return HttpMessage(request.method, request.path, contract + callers, request.body)
 
 
--- a/indigoworks/backend/http_connection.py
+++ b/indigoworks/backend/http_connection.py
@@ -88,7 +88,13 @@
         headers.add("Host", str(self._address))
         headers.add("Content-Length", str(len(message.body)))
         for name, value in message.headers:
-            headers.add(name, value)
+            # add() checks the characters anew with two regular expressions: most of its cost. Names
+            # and values come from this code or were checked when they were received, and line ends
+            # are refused again when the headers are written.
+            if name in headers:
+                headers.add(name, value)
+            else:
+                headers[name] = value
         return headers
 
 
--- a/indigoworks/backend/http_connection_pool.py
+++ b/indigoworks/backend/http_connection_pool.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 from indigoworks.backend.http_connection import HttpConnection
+from indigoworks.backend.http_idle_connection import HttpIdleConnection
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 
@@ -18,8 +19,7 @@
         self._address = address
         self._clock = clock
         self._permits = asyncio.Semaphore(limit)
-        self._idle: deque[tuple[HttpConnection, float]] = deque()
-        self.opened_total = 0
+        self._idle: deque[HttpIdleConnection] = deque()
 
     async def acquire(self) -> HttpConnection | None:
         """Wait for a free place and return a connection, or None where connecting failed.
@@ -40,23 +40,22 @@
         """Take back a connection; one that is still open is kept for the next request."""
         if connection.is_open:
             connection.watch_while_idle()
-            self._idle.append((connection, self._clock.now()))
+            self._idle.append(HttpIdleConnection(connection, self._clock.now()))
         self._permits.release()
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            connection, _ = self._idle.pop()
-            connection.close()
+            self._idle.pop().connection.close()
 
     def _take_idle(self) -> HttpConnection | None:
-        oldest_use_s = self._clock.now() - MAX_IDLE_S
+        earliest_s = self._clock.now() - MAX_IDLE_S
         while self._idle:
             # The one used last is the least likely to be closed by the server.
-            connection, used_s = self._idle.pop()
-            if connection.is_open and used_s >= oldest_use_s:
-                return connection
-            connection.close()
+            idle = self._idle.pop()
+            if idle.connection.is_open and idle.idle_since_s >= earliest_s:
+                return idle.connection
+            idle.connection.close()
         return None
 
     async def _open(self) -> HttpConnection | None:
@@ -70,5 +69,4 @@
         if not is_connected:
             self._permits.release()
             return None
-        self.opened_total += 1
         return connection
--- /dev/null
+++ b/indigoworks/backend/http_idle_connection.py
@@ -0,0 +1,13 @@
+"""A connection that waits for its next request."""
+
+from dataclasses import dataclass
+
+from indigoworks.backend.http_connection import HttpConnection
+
+
+@dataclass(frozen=True)
+class HttpIdleConnection:
+    """An open connection, and the clock reading at which its last request ended."""
+
+    connection: HttpConnection
+    idle_since_s: float
--- a/indigoworks/backend/http_sender.py
+++ b/indigoworks/backend/http_sender.py
@@ -51,10 +51,6 @@
             return Err(_answer_lost(address) if is_sent else _unreachable(address))
         return Ok(answer) if answer is not None else Err(_answer_lost(address))
 
-    def opened_connections(self, address: Address) -> int:
-        """Return how many connections to `address` were opened so far."""
-        return self._pool_of(address).opened_total
-
     def forget(self, address: Address) -> None:
         """Close the idle connections to `address`, which left the installation."""
         pool = self._pools.pop(address, None)
--- a/indigoworks/backend/owned_request.py
+++ b/indigoworks/backend/owned_request.py
@@ -24,3 +24,21 @@
     token: int
     server_incarnation: str
     remaining_s: float
+
+    def with_remaining(self, remaining_s: float) -> "OwnedRequest":
+        """Return the same request with another time left. Cheaper than `dataclasses.replace`."""
+        return OwnedRequest(
+            self.request_id,
+            self.service,
+            self.key,
+            self.group,
+            self.method,
+            self.path,
+            self.headers,
+            self.body,
+            self.range_start,
+            self.range_end,
+            self.token,
+            self.server_incarnation,
+            remaining_s,
+        )
--- a/indigoworks/cli/admin_client.py
+++ b/indigoworks/cli/admin_client.py
@@ -35,11 +35,9 @@
         tail = f"?{urlencode(given)}" if given else ""
         return self._ask("GET", path + tail, None, answer)
 
-    def put(
-        self, path: str, body: dict[str, Any], answer: type[BodyT]
-    ) -> Result[BodyT, CommandError]:
+    def put(self, path: str, body: Body, answer: type[BodyT]) -> Result[BodyT, CommandError]:
         """Change what stands under `path`."""
-        return self._ask("PUT", path, json.dumps(body).encode("utf-8"), answer)
+        return self._ask("PUT", path, body.model_dump_json().encode("utf-8"), answer)
 
     def pause(self, duration_s: float) -> None:
         """Wait before the next question."""
--- a/indigoworks/cli/commands.py
+++ b/indigoworks/cli/commands.py
@@ -24,6 +24,7 @@
         name: str | None = None,
         zone: str | None = None,
         host: str | None = None,
+        listen_host: str | None = None,
         control_port: str | None = None,
         http_port: str | None = None,
         platform_url: str | None = None,
@@ -38,7 +39,8 @@
             settings: YAML or JSON file with the settings below, by their names.
             name: name of this process, unique in the system.
             zone: zone that it runs in.
-            host: IP number to listen on and to be reached by.
+            host: IP number to be reached by.
+            listen_host: IP number to listen on; default: host.
             control_port: TCP port of the internal protocol.
             http_port: TCP port of administration, metrics and health.
             platform_url: base URL of the platform's services.
@@ -56,6 +58,7 @@
                 "name": name,
                 "zone": zone,
                 "host": host,
+                "listen_host": listen_host,
                 "control_port": control_port,
                 "http_port": http_port,
                 "platform_url": platform_url,
@@ -73,6 +76,7 @@
         name: str | None = None,
         zone: str | None = None,
         host: str | None = None,
+        listen_host: str | None = None,
         control_port: str | None = None,
         http_port: str | None = None,
         platform_url: str | None = None,
@@ -87,7 +91,8 @@
             settings: YAML or JSON file with the settings below, by their names.
             name: name of this process, unique in the system.
             zone: zone that it runs in.
-            host: IP number to listen on and to be reached by.
+            host: IP number to be reached by.
+            listen_host: IP number to listen on; default: host.
             control_port: TCP port of the internal protocol.
             http_port: TCP port of callers, administration, metrics and health.
             platform_url: base URL of the platform's services.
@@ -105,6 +110,7 @@
                 "name": name,
                 "zone": zone,
                 "host": host,
+                "listen_host": listen_host,
                 "control_port": control_port,
                 "http_port": http_port,
                 "platform_url": platform_url,
--- a/indigoworks/cli/controller_command.py
+++ b/indigoworks/cli/controller_command.py
@@ -1,9 +1,8 @@
 """The command `indigoworks controller`."""
 
-import asyncio
 from random import Random
 
-from result import Err, Result
+from result import Result
 
 from indigoworks.admin.health_report import HealthReport
 from indigoworks.admin.http_handlers import admin_http_handlers
@@ -12,10 +11,10 @@
 from indigoworks.cli.pending_command import Report
 from indigoworks.cli.process_flags import ProcessFlags
 from indigoworks.cli.run_process import run_process
+from indigoworks.cli.run_with_settings import run_with_settings
 from indigoworks.cli.stop_state import StopState
 from indigoworks.common.clock import LoopClock
 from indigoworks.common.errors import IndigoworksError
-from indigoworks.common.logging import set_up_logging
 from indigoworks.controller.controller import Controller
 from indigoworks.controller.controller_ports import ControllerPorts
 from indigoworks.platform.http_machine_list import HttpMachineList
@@ -27,17 +26,10 @@
 
 def run_controller(flags: ProcessFlags) -> Result[Report, IndigoworksError]:
     """Load the settings and run a controller until a stop signal."""
-    settings = flags.load(ControllerSettings)
-    if isinstance(settings, Err):
-        return settings
-    random = flags.random()
-    if isinstance(random, Err):
-        return random
-    return asyncio.run(_serve(settings.unwrap(), random.unwrap()))
+    return run_with_settings(flags, ControllerSettings, _serve)
 
 
 async def _serve(settings: ControllerSettings, random: Random) -> Result[Report, IndigoworksError]:
-    set_up_logging(settings.log_level, settings.name)
     controller = Controller(settings, _ports(settings), random)
     stop = StopState()
     rules = admin_http_handlers(
--- a/indigoworks/cli/errors.py
+++ b/indigoworks/cli/errors.py
@@ -59,6 +59,13 @@
     kind: ClassVar[str] = "address_unavailable"
 
 
+@dataclass(frozen=True)
+class ProcessFailed(CommandError):
+    """A task that the process needs has ended; the process ends as well."""
+
+    kind: ClassVar[str] = "process_failed"
+
+
 def as_command_error(error: IndigoworksError) -> CommandError:
     """Return `error` as it leaves the command line; errors of other parts count as refusals."""
     if isinstance(error, CommandError):
@@ -69,10 +76,3 @@
 def as_misuse(error: IndigoworksError) -> Misuse:
     """Return `error` as a fault of the command line itself."""
     return Misuse(error.message, error.remedy)
-
-
-@dataclass(frozen=True)
-class ProcessFailed(IndigoworksError):
-    """A task that the process needs has ended; the process ends as well."""
-
-    kind: ClassVar[str] = "process_failed"
--- a/indigoworks/cli/router_command.py
+++ b/indigoworks/cli/router_command.py
@@ -1,9 +1,8 @@
 """The command `indigoworks router`."""
 
-import asyncio
 from random import Random
 
-from result import Err, Result
+from result import Result
 
 from indigoworks.admin.health_report import HealthReport
 from indigoworks.admin.http_handlers import admin_http_handlers
@@ -11,10 +10,10 @@
 from indigoworks.cli.pending_command import Report
 from indigoworks.cli.process_flags import ProcessFlags
 from indigoworks.cli.run_process import run_process
+from indigoworks.cli.run_with_settings import run_with_settings
 from indigoworks.cli.stop_state import StopState
 from indigoworks.common.clock import LoopClock
 from indigoworks.common.errors import IndigoworksError
-from indigoworks.common.logging import set_up_logging
 from indigoworks.platform.http_machine_list import HttpMachineList
 from indigoworks.platform.http_object_store import HttpObjectStore
 from indigoworks.platform.http_requests import PlatformHttpRequests
@@ -26,17 +25,10 @@
 
 def run_router(flags: ProcessFlags) -> Result[Report, IndigoworksError]:
     """Load the settings and run a router until a stop signal."""
-    settings = flags.load(RouterSettings)
-    if isinstance(settings, Err):
-        return settings
-    random = flags.random()
-    if isinstance(random, Err):
-        return random
-    return asyncio.run(_serve(settings.unwrap(), random.unwrap()))
+    return run_with_settings(flags, RouterSettings, _serve)
 
 
 async def _serve(settings: RouterSettings, random: Random) -> Result[Report, IndigoworksError]:
-    set_up_logging(settings.log_level, settings.name)
     router = Router(settings, _ports(settings), random)
     stop = StopState()
     rules = admin_http_handlers(
--- a/indigoworks/cli/settings_actions.py
+++ b/indigoworks/cli/settings_actions.py
@@ -8,6 +8,7 @@
 from indigoworks.admin.bodies.change_progress_body import ChangeProgressBody
 from indigoworks.admin.bodies.resolved_body import ResolvedBody
 from indigoworks.admin.bodies.settings_body import SettingsBody
+from indigoworks.admin.bodies.settings_change_body import SettingsChangeBody
 from indigoworks.cli.admin_client import AdminClient
 from indigoworks.cli.errors import CommandError, NodeAnswerLost, as_misuse
 from indigoworks.cli.pending_command import Report
@@ -72,11 +73,11 @@
     version = _base_version(client, expected_version)
     if isinstance(version, Err):
         return version
-    body = {
-        "change_id": change_id,
-        "expected_version": version.unwrap(),
-        "tree": tree.unwrap().model_dump(mode="json", exclude_none=True),
-    }
+    body = SettingsChangeBody(
+        change_id=change_id,
+        expected_version=version.unwrap(),
+        tree=tree.unwrap().model_dump(mode="json", exclude_none=True),
+    )
     accepted = client.put("/settings", body, ChangeProgressBody)
     if isinstance(accepted, Err) and isinstance(accepted.unwrap_err(), NodeAnswerLost):
         return _read_back(client, path, version.unwrap(), change_id)
--- a/indigoworks/common/logging/log_setup.py
+++ b/indigoworks/common/logging/log_setup.py
@@ -7,8 +7,10 @@
 from eliot import FileDestination, add_destinations
 from eliot.stdlib import EliotHandler
 
+from indigoworks.common.logging.access_records import ACCESS_LOGGER, as_debug
 from indigoworks.common.logging.level_filter import LevelFilter
 from indigoworks.common.logging.log_level import LogLevel
+from indigoworks.common.logging.log_threshold import LOG_THRESHOLD
 
 
 def set_up_logging(level: str, process: str, stream: TextIO | None = None) -> None:
@@ -21,6 +23,7 @@
     :param stream: where the lines go; standard output if None.
     """
     threshold = LogLevel[level]
+    LOG_THRESHOLD.set(threshold)
     to_stream = FileDestination(file=sys.stdout if stream is None else stream)
 
     def write(message: dict[str, Any]) -> None:
@@ -30,5 +33,8 @@
     root = logging.getLogger()
     root.handlers = [EliotHandler()]
     root.setLevel(int(threshold))
-    # Requests have messages of their own, with ids; tornado's line a request says less.
-    logging.getLogger("tornado.access").setLevel(max(int(threshold), logging.WARNING))
+    # Requests have messages of their own, with ids; the HTTP server's line says less.
+    access = logging.getLogger(ACCESS_LOGGER)
+    access.addFilter(as_debug)
+    # Refusals come in floods: where DEBUG is not written, their lines are not even built.
+    access.setLevel(logging.WARNING if threshold is LogLevel.DEBUG else logging.CRITICAL)
--- a/indigoworks/consensus/checkpoint_writer.py
+++ b/indigoworks/consensus/checkpoint_writer.py
@@ -140,7 +140,10 @@
         replica = self._replica
         index = replica.commit_index
         configuration = replica.log.configuration_at(index)
+        following = self._following(configuration)
         voters = {voter.incarnation for voter in configuration.voters}
+        if following is not None:
+            voters |= {voter.incarnation for voter in following.voters}
         header = Checkpoint(
             generation=self._leadership.generation,
             term=self._leadership.term,
@@ -149,7 +152,6 @@
             configuration=configuration,
             listed_voters=sorted(voters & self._listed_voters),
         )
-        following = self._following(configuration)
         if following is not None:
             header.next_configuration.CopyFrom(following)
         return header
--- a/indigoworks/consensus/membership.py
+++ b/indigoworks/consensus/membership.py
@@ -11,6 +11,7 @@
     address_of,
     has_same_voters,
     is_member,
+    is_voter,
     members_of,
 )
 from indigoworks.consensus.consensus_timing import ConsensusTiming
@@ -47,6 +48,7 @@
         self._joining: dict[str, Member] = {}
         self._leaving: set[str] = set()
         self._gone: set[str] = set()
+        self._listed: set[str] = set()
         self._is_own_leaving = False
         self._changed = ChangeSignal()
 
@@ -83,18 +85,18 @@
                 await self._change_to(following)
 
     async def note_machine_list(self) -> None:
-        """Tell the checkpoint which voters the machine list shows, until cancelled."""
+        """Note which members the machine list shows, also for the checkpoint, until cancelled."""
         while self._leadership.is_current:
             listed = await self._machines.machines()
             if listed.is_ok():
                 addresses = {(record.host, record.port) for record in listed.unwrap()}
-                self._checkpoints.note_listed(
-                    {
-                        voter.incarnation
-                        for voter in self._replica.log.configuration.voters
-                        if (voter.host, voter.control_port) in addresses
-                    }
-                )
+                self._listed |= {
+                    member.incarnation
+                    for member in members_of(self._replica.log.configuration)
+                    if (member.host, member.control_port) in addresses
+                }
+                self._checkpoints.note_listed(self._listed)
+                self._changed.notify()
             await self._clock.sleep(self._timing.machine_list_interval_s)
 
     async def _wait(self) -> None:
@@ -134,26 +136,15 @@
         return MembershipPlan(configuration, self._facts(), self._timing.max_voters)
 
     def _facts(self) -> MembershipFacts:
-        timing = self._timing
         own = self._replica.member.incarnation
         peers = self._leadership.peers
         live = {peer.peer.incarnation for peer in peers if self._is_live(peer)}
-        voters = {voter.incarnation for voter in self._replica.log.configuration.voters}
         return MembershipFacts(
             own=own,
             live=frozenset(live | {own}),
             caught_up=frozenset(peer.peer.incarnation for peer in peers if self._is_fit(peer)),
             gone=frozenset(self._gone),
-            silent=frozenset(
-                peer.peer.incarnation
-                for peer in peers
-                if peer.silence_s()
-                > (
-                    timing.replace_silent_voter_s
-                    if peer.peer.incarnation in voters
-                    else timing.remove_silent_learner_s
-                )
-            ),
+            silent=frozenset(peer.peer.incarnation for peer in peers if self._is_silent(peer)),
             leaving=frozenset(self._leaving),
             joining=tuple(self._joining.values()),
             is_own_leaving=self._is_own_leaving,
@@ -166,7 +157,23 @@
     def _is_fit(self, peer: PeerReplication) -> bool:
         missing = self._replica.log.last_index - peer.match_index
         is_close = peer.match_index > 0 and missing <= self._timing.caught_up_entries
-        return is_close and self._is_live(peer) and peer.peer.incarnation not in self._leaving
+        is_staying = peer.peer.incarnation not in self._leaving
+        return is_close and is_staying and self._is_live(peer) and self._may_be_shown_gone(peer)
+
+    def _may_be_shown_gone(self, peer: PeerReplication) -> bool:
+        """Tell whether the loss of the peer with its machine could be noticed.
+
+        A voter that the machine list never showed cannot be found missing there, and would block
+        every later generation. That counts only where the platform lists controllers at all.
+        """
+        is_own_listed = self._replica.member.incarnation in self._listed
+        return peer.peer.incarnation in self._listed or not is_own_listed
+
+    def _is_silent(self, peer: PeerReplication) -> bool:
+        """Tell whether the peer has been silent for so long that it is given up."""
+        if is_voter(self._replica.log.configuration, peer.peer.incarnation):
+            return peer.silence_s() > self._timing.replace_silent_voter_s
+        return peer.silence_s() > self._timing.remove_silent_learner_s
 
     async def _probe_silent_members(self) -> None:
         """Ask who answers at the addresses of silent members: another run shows the old ended."""
--- a/indigoworks/controller/controller.py
+++ b/indigoworks/controller/controller.py
@@ -8,7 +8,6 @@
 from eliot import log_message
 
 from indigoworks.admin.admin_operations import AdminOperations
-from indigoworks.common.address import Address
 from indigoworks.common.incarnation import new_incarnation
 from indigoworks.common.task_failure import wait_for_failure
 from indigoworks.consensus.consensus_node import ConsensusNode
@@ -60,7 +59,7 @@
         self.administration = ControllerAdministration(
             self.node, AdminOperations(plane), self.member
         )
-        self._server = RpcServer(Address(settings.host, settings.control_port), self._handle_frame)
+        self._server = RpcServer(settings.control_address, self._handle_frame)
         self.metrics = self._make_metrics()
 
     async def start(self) -> None:
--- a/indigoworks/controller/server_lease_task.py
+++ b/indigoworks/controller/server_lease_task.py
@@ -93,12 +93,6 @@
         """Tell whether the newest call was answered."""
         return self._lease.has_reading and self._failures == 0 and not self._is_given_up
 
-    @property
-    def holds_current_grants(self) -> bool:
-        """Tell whether the server acknowledged the grants that stand now."""
-        acknowledged = self._acknowledged_version == self._sent_version > 0
-        return acknowledged and self._sent_ranges == self._wanted_ranges()
-
     async def _wait_for_turn(self) -> None:
         # A timeout costs a tenth of a renewal less than two tasks of which one wins.
         try:
--- a/indigoworks/platform/http_requests.py
+++ b/indigoworks/platform/http_requests.py
@@ -22,6 +22,7 @@
 
 _EXPECTED_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
 _CHECK_PLATFORM = "Check the platform and the setting platform_url."
+_READ_BACK = "Read back before writing again."
 
 
 class PlatformHttpRequests:
@@ -84,7 +85,7 @@
     def _answer_lost(self, error: Exception) -> PlatformOutcomeUnknown:
         return PlatformOutcomeUnknown(
             f"No whole answer from the platform at {self._base_url} ({error}).",
-            "Read back before writing again.",
+            _READ_BACK,
             DEFAULT_RETRY_AFTER_S,
         )
 
@@ -106,31 +107,22 @@
 
 
 def _interpret(response: HTTPResponse) -> Result[PlatformAnswer, PlatformError]:
-    status = response.code
-    if status in _EXPECTED_STATUSES:
-        return Ok(PlatformAnswer(status, response.body))
+    if response.code in _EXPECTED_STATUSES:
+        return Ok(PlatformAnswer(response.code, response.body))
+    return Err(_error_of(response.code, _retry_after_s(response)))
+
+
+def _error_of(status: int, retry_after_s: float) -> PlatformError:
     if status == HTTPStatus.TOO_MANY_REQUESTS:
-        return Err(
-            PlatformRateLimited(
-                "The platform's rate limit is reached.",
-                "Send fewer requests.",
-                _retry_after_s(response),
-            )
+        return PlatformRateLimited(
+            "The platform's rate limit is reached.", "Send fewer requests.", retry_after_s
         )
     if status == HTTPStatus.SERVICE_UNAVAILABLE or status < HTTPStatus.INTERNAL_SERVER_ERROR:
-        return Err(
-            PlatformUnavailable(
-                f"The platform refused with status {status}.",
-                _CHECK_PLATFORM,
-                _retry_after_s(response),
-            )
-        )
-    return Err(
-        PlatformOutcomeUnknown(
-            f"The platform failed with status {status}.",
-            "Read back before writing again.",
-            _retry_after_s(response),
+        return PlatformUnavailable(
+            f"The platform refused with status {status}.", _CHECK_PLATFORM, retry_after_s
         )
+    return PlatformOutcomeUnknown(
+        f"The platform failed with status {status}.", _READ_BACK, retry_after_s
     )
 
 
--- a/indigoworks/router/dispatcher.py
+++ b/indigoworks/router/dispatcher.py
@@ -1,7 +1,6 @@
 """Dispatcher of one back end: its slots and the queue of those who wait for one."""
 
 import asyncio
-from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -136,6 +135,8 @@
         entry.granted.clear()
         self._queue.push(entry, is_first)
         self._pump()
+        if entry.has_slot:
+            return None
         try:
             async with asyncio.timeout(max(0.0, latest_s - self._ports.clock.now())):
                 await entry.granted.wait()
@@ -212,7 +213,7 @@
         if refusal is not None:
             return Err(refusal)
         remaining_s = request.deadline_s - self._ports.clock.now()
-        owned = replace(request.owned, remaining_s=remaining_s)
+        owned = request.owned.with_remaining(remaining_s)
         answered = await self._ports.backends.send(self.server.address, owned)
         outcome = self._outcome(answered)
         if self._is_provably_not_run(outcome):
--- a/indigoworks/router/fair_queue.py
+++ b/indigoworks/router/fair_queue.py
@@ -38,7 +38,9 @@
 
     def push(self, entry: QueueEntry, is_first: bool = False) -> None:
         """Add a waiting request, at the end of its group or (`is_first`) at its head."""
-        group = self._groups.setdefault(entry.group, GroupQueue(entry.group))
+        group = self._groups.get(entry.group)
+        if group is None:
+            group = self._groups[entry.group] = GroupQueue(entry.group)
         group.weight = entry.weight
         group.concurrency_limit = entry.concurrency_limit
         if not group.entries:
--- a/indigoworks/router/forward_service.py
+++ b/indigoworks/router/forward_service.py
@@ -39,11 +39,6 @@
         self._is_stopping = is_stopping
         self._active: dict[str, set[asyncio.Task[DispatchResult]]] = {}
 
-    @property
-    def active_count(self) -> int:
-        """Return how many forwarded requests are in progress."""
-        return sum(len(tasks) for tasks in self._active.values())
-
     async def forward(self, message: control_pb2.ForwardRequest) -> control_pb2.Frame:
         """Dispatch a forwarded request; the reply says what became of it."""
         refusal = self._refusal(message)
--- a/indigoworks/router/forwarder.py
+++ b/indigoworks/router/forwarder.py
@@ -90,7 +90,10 @@
         return control_pb2.Frame(forward_request=message)
 
     def _client(self, peer: RouterPeer) -> RpcClient:
-        return self._clients.setdefault(peer, RpcClient(peer.address, self._group_id))
+        client = self._clients.get(peer)
+        if client is None:
+            client = self._clients[peer] = RpcClient(peer.address, self._group_id)
+        return client
 
     async def _call(
         self, peer: RouterPeer, client: RpcClient, frame: control_pb2.Frame, timeout_s: float
--- a/indigoworks/router/metrics.py
+++ b/indigoworks/router/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a router."""
 
 from collections.abc import Callable
+from functools import cache
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
@@ -28,13 +29,16 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        # Looking a time series up costs more than counting; there are few of them.
+        self._requests_of = cache(self._requests.labels)
+        self._latency_of = cache(self._latency.labels)
 
     def observe(
         self, service: str, group: str, outcome: str, error_kind: str, duration_s: float
     ) -> None:
         """Count one answered request; service and group must be names of the settings tree."""
-        self._requests.labels(service, group, outcome, error_kind).inc()
-        self._latency.labels(service, group).observe(duration_s)
+        self._requests_of(service, group, outcome, error_kind).inc()
+        self._latency_of(service, group).observe(duration_s)
 
     def watch(self, name: str, documentation: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read when the metrics are."""
--- a/indigoworks/router/peer_watch.py
+++ b/indigoworks/router/peer_watch.py
@@ -22,6 +22,8 @@
 """Seconds for which a router that failed to answer is not chosen as dispatcher; doubled with each
 failure in a row."""
 
+_NOBODY: frozenset[RouterPeer] = frozenset()
+
 
 @dataclass
 class PeerState:
@@ -44,10 +46,13 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._states: dict[RouterPeer, PeerState] = {}
+        self._last_suspicion_until_s = float("-inf")
 
     def suspects(self) -> frozenset[RouterPeer]:
         """Return the routers that failed lately."""
         now_s = self._clock.now()
+        if now_s >= self._last_suspicion_until_s:
+            return _NOBODY
         suspected = (
             peer for peer, state in self._states.items() if state.suspected_until_s > now_s
         )
@@ -61,6 +66,7 @@
         if state.suspected_until_s > now_s:
             return
         state.suspected_until_s = now_s + state.suspicion_s
+        self._last_suspicion_until_s = max(self._last_suspicion_until_s, state.suspected_until_s)
         state.suspicion_s = min(MAX_SUSPICION_S, 2 * state.suspicion_s)
 
     def heard(self, peer: RouterPeer, reading_s: float) -> None:
@@ -108,4 +114,7 @@
         return True
 
     def _state(self, peer: RouterPeer) -> PeerState:
-        return self._states.setdefault(peer, PeerState())
+        state = self._states.get(peer)
+        if state is None:
+            state = self._states[peer] = PeerState()
+        return state
--- a/indigoworks/router/request_path.py
+++ b/indigoworks/router/request_path.py
@@ -7,6 +7,8 @@
 
 from indigoworks.backend.owned_request import OwnedRequest
 from indigoworks.common.clock import Clock
+from indigoworks.common.logging.log_level import LogLevel
+from indigoworks.common.logging.log_threshold import LOG_THRESHOLD
 from indigoworks.router import refusals
 from indigoworks.router.dispatch_request import DispatchRequest
 from indigoworks.router.dispatcher import DispatchResult
@@ -73,7 +75,8 @@
             if route is None:
                 return Err(self._verdict(request, self._no_owner(request)))
             result = await self._attempt(route, request)
-            self._log_attempt(request, route, result)
+            if LOG_THRESHOLD.passes(LogLevel.DEBUG):
+                self._log_attempt(request, route, result)
             if isinstance(result, Ok):
                 return result
             error = result.unwrap_err()
@@ -157,7 +160,7 @@
     def _log_attempt(self, request: RoutedRequest, route: Route, result: DispatchResult) -> None:
         log_message(
             message_type="router:attempt",
-            level="DEBUG",
+            level=LogLevel.DEBUG.name,
             request_id=request.caller.request_id,
             result="answered" if isinstance(result, Ok) else result.unwrap_err().kind,
             server=route.server.name,
--- a/indigoworks/router/route_finder.py
+++ b/indigoworks/router/route_finder.py
@@ -1,6 +1,6 @@
 """Finds the owner of a key and its dispatcher."""
 
-from indigoworks.router.dispatcher_choice import dispatcher_of
+from indigoworks.router.dispatcher_choices import DispatcherChoices
 from indigoworks.router.peer_watch import PeerWatch
 from indigoworks.router.route import Route
 from indigoworks.router.routed_request import RoutedRequest
@@ -13,6 +13,7 @@
     def __init__(self, incarnation: str, watch: PeerWatch) -> None:
         self._incarnation = incarnation
         self._watch = watch
+        self._choices = DispatcherChoices()
 
     def find(self, view: RoutingView, request: RoutedRequest) -> Route | None:
         """Return the route, or None when nobody serves the key."""
@@ -24,7 +25,7 @@
             return None
         peer = None
         if request.settings.hop != "direct":
-            peer = dispatcher_of(server, view.routers, self._watch.suspects())
+            peer = self._choices.dispatcher_of(server, view.routers, self._watch.suspects())
         if peer is not None and peer.incarnation == self._incarnation:
             peer = None
         return Route(view, assignment, server, peer)
--- a/indigoworks/router/router_observer.py
+++ b/indigoworks/router/router_observer.py
@@ -3,6 +3,8 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
+from indigoworks.common.logging.log_level import LogLevel
+from indigoworks.common.logging.log_threshold import LOG_THRESHOLD
 from indigoworks.router.caller_request import CallerRequest
 from indigoworks.router.caller_response import CallerResponse
 from indigoworks.router.dispatcher_pool import DispatcherPool
@@ -41,9 +43,15 @@
         duration_s = self._clock.now() - started_s
         service, group = self._labels(request)
         self._metrics.observe(service, group, outcome, error_kind, duration_s)
+        if LOG_THRESHOLD.passes(LogLevel.DEBUG):
+            self._log(request, outcome, error_kind, duration_s)
+
+    def _log(
+        self, request: CallerRequest, outcome: str, error_kind: str, duration_s: float
+    ) -> None:
         log_message(
             message_type="router:request",
-            level="DEBUG",
+            level=LogLevel.DEBUG.name,
             request_id=request.request_id,
             service=request.service,
             group=request.group,
--- a/indigoworks/router/service_handler.py
+++ b/indigoworks/router/service_handler.py
@@ -125,7 +125,8 @@
         size_bytes = int(announced) if announced.isdecimal() else 0
         connection: Any = self.request.connection
         connection.set_max_body_size(max(size_bytes, REFUSED_BODY_BYTES))
-        connection.set_body_timeout(BODY_TIMEOUT_S)
+        if announced != "0" or "Transfer-Encoding" in self.request.headers:
+            connection.set_body_timeout(BODY_TIMEOUT_S)
         if size_bytes <= self._limit_bytes:
             return
         self._refuse_body(size_bytes)
@@ -147,8 +148,10 @@
         if isinstance(request, Err):
             return response_of_error(request.unwrap_err())
         self._running = asyncio.ensure_future(self._router.handle(request.unwrap()))
-        await asyncio.wait({self._running})
-        return None if self._running.cancelled() else self._running.result()
+        try:
+            return await self._running
+        except asyncio.CancelledError:
+            return None
 
     def _caller_request(self) -> Result[CallerRequest, RouterError]:
         if self._refusal is not None:
--- a/indigoworks/router/view_follower.py
+++ b/indigoworks/router/view_follower.py
@@ -78,6 +78,9 @@
         self, condition: Callable[[RoutingView], bool], timeout_s: float
     ) -> RoutingView | None:
         """Wait for a view in force that fulfils `condition`; None after `timeout_s` seconds."""
+        present = self.in_force()
+        if present is not None and condition(present):
+            return present
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
--- a/indigoworks/router/view_lease.py
+++ b/indigoworks/router/view_lease.py
@@ -24,10 +24,6 @@
         if self._valid_until_s is None or valid_until_s > self._valid_until_s:
             self._valid_until_s = valid_until_s
 
-    def void(self) -> None:
-        """End the lease at once."""
-        self._valid_until_s = None
-
     def is_valid(self, now_s: float) -> bool:
         """Tell whether the view may be used at `now_s`."""
         return self.remaining_s(now_s) > 0
--- a/indigoworks/settings/process_settings.py
+++ b/indigoworks/settings/process_settings.py
@@ -41,7 +41,9 @@
 
     :ivar name: name of the process, unique among the processes of the system.
     :ivar zone: zone it runs in.
-    :ivar host: IP number it listens on and is reached by.
+    :ivar host: IP number it is reached by; it listens there too where listen_host is None.
+    :ivar listen_host: IP number it listens on where this is another one, as behind a translation
+        of addresses; the ports are the same.
     :ivar control_port: TCP port of the internal protocol.
     :ivar http_port: TCP port of the HTTP interfaces.
     :ivar platform_url: base URL of the platform's services.
@@ -56,6 +58,7 @@
     name: Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
     zone: Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
     host: Annotated[str, AfterValidator(_checked_ip)]
+    listen_host: Annotated[str, AfterValidator(_checked_ip)] | None = None
     control_port: Port
     http_port: Port
     platform_url: Annotated[str, StringConstraints(pattern=r"^https?://[^\s/?#]+(/[^\s?#]*)?$")]
@@ -67,13 +70,13 @@
 
     @property
     def control_address(self) -> Address:
-        """Return where the process serves the internal protocol."""
-        return Address(self.host, self.control_port)
+        """Return where the process listens for the internal protocol."""
+        return Address(self.listen_host or self.host, self.control_port)
 
     @property
     def http_address(self) -> Address:
-        """Return where the process serves HTTP."""
-        return Address(self.host, self.http_port)
+        """Return where the process listens for HTTP."""
+        return Address(self.listen_host or self.host, self.http_port)
 
     @property
     def controller_addresses(self) -> tuple[Address, ...]:
--- a/indigoworks/wire/frame_codec.py
+++ b/indigoworks/wire/frame_codec.py
@@ -13,6 +13,7 @@
 """Largest frame accepted, in bytes; a snapshot or a forwarded body must fit."""
 
 _LENGTH = struct.Struct("!I")
+_CHECK_PEER = "Check that the peer is an indigoworks process of this version."
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -36,26 +37,25 @@
         header = await reader.readexactly(_LENGTH.size)
         (length,) = _LENGTH.unpack(header)
         if length > MAX_FRAME_BYTES:
-            return Err(
-                BadFrame(
-                    f"A peer announced a frame of {length} bytes; the limit is {MAX_FRAME_BYTES}.",
-                    "Check that the peer is an indigoworks process of this version.",
-                )
-            )
+            return Err(_too_long(length))
         payload = await reader.readexactly(length)
     except (asyncio.IncompleteReadError, OSError) as error:
-        return Err(
-            ConnectionLost(
-                f"The connection ended: {type(error).__name__}.",
-                "Check that the peer runs and that the network path is up.",
-            )
-        )
+        return Err(_ended(error))
     try:
         return Ok(Frame.FromString(payload))
     except DecodeError:
-        return Err(
-            BadFrame(
-                "A peer sent bytes that are no frame.",
-                "Check that the peer is an indigoworks process of this version.",
-            )
-        )
+        return Err(BadFrame("A peer sent bytes that are no frame.", _CHECK_PEER))
+
+
+def _too_long(length: int) -> BadFrame:
+    return BadFrame(
+        f"A peer announced a frame of {length} bytes; the limit is {MAX_FRAME_BYTES}.",
+        _CHECK_PEER,
+    )
+
+
+def _ended(error: Exception) -> ConnectionLost:
+    return ConnectionLost(
+        f"The connection ended: {type(error).__name__}.",
+        "Check that the peer runs and that the network path is up.",
+    )
--- a/indigoworks_lab/backend/answer_body.py
+++ b/indigoworks_lab/backend/answer_body.py
@@ -26,8 +26,8 @@
     method: str
     key: str
     value: str
-    booking_count: int
-    recent_bookings: tuple[str, ...]
+    entry_count: int
+    recent_entries: tuple[str, ...]
 
     @classmethod
     def of(cls, identity: StandInIdentity, request: OwnedRequest, state: KeyState) -> "AnswerBody":
@@ -41,6 +41,6 @@
             method=request.method,
             key=quote_from_bytes(request.key, safe=""),
             value=state.value.decode("latin-1"),
-            booking_count=state.booking_count,
-            recent_bookings=state.recent_bookings,
+            entry_count=state.entry_count,
+            recent_entries=state.recent_entries,
         )
--- a/indigoworks_lab/backend/key_value_store.py
+++ b/indigoworks_lab/backend/key_value_store.py
@@ -12,7 +12,7 @@
     def apply(self, method: str, key: bytes, body: bytes, request_id: str) -> KeyState:
         """Run one request and return the key's state after it.
 
-        PUT sets the value, POST appends one booking under the request's id, DELETE removes the
+        PUT sets the value, POST appends one entry under the request's id, DELETE removes the
         state; all other methods read.
         """
         before = self._states.get(key, KeyState())
@@ -28,7 +28,7 @@
     if method == "PUT":
         return state.with_value(body)
     if method == "POST":
-        return state.with_booking(request_id)
+        return state.with_entry(request_id)
     if method == "DELETE":
         return KeyState()
     return state
--- a/indigoworks_lab/launcher/controller_plan.py
+++ b/indigoworks_lab/launcher/controller_plan.py
@@ -7,7 +7,11 @@
 
 @dataclass(frozen=True)
 class ControllerPlan:
-    """Name, zone and addresses of a controller."""
+    """Name, zone and addresses of a controller.
+
+    :ivar control: where the others reach it; it listens on the same port of the host of `http`.
+    :ivar http: where it listens for HTTP.
+    """
 
     name: str
     zone: str
--- a/indigoworks_lab/launcher/launcher.py
+++ b/indigoworks_lab/launcher/launcher.py
@@ -33,7 +33,7 @@
 
     def start(self, name: str, program: str, arguments: Sequence[str]) -> ManagedProcess:
         """Start `program` (a command installed in this environment) under the name `name`."""
-        command = [str(Path(sys.executable).parent / program), *arguments]
+        command = self.command(name, program, arguments)
         log_path = self.log_directory / f"{name}.log"
         if name not in self.processes:
             log_path.unlink(missing_ok=True)  # left by an earlier run of the launcher
@@ -41,6 +41,10 @@
         self.processes[name] = process
         return process
 
+    def command(self, name: str, program: str, arguments: Sequence[str]) -> list[str]:
+        """Return the command line of a process; a kind of launcher may put another one around."""
+        return [str(Path(sys.executable).parent / program), *arguments]
+
     def end_all(self) -> None:
         """Kill and reap every process that still runs."""
         for process in self.processes.values():
--- a/indigoworks_lab/launcher/platform_steering.py
+++ b/indigoworks_lab/launcher/platform_steering.py
@@ -24,13 +24,14 @@
 
     async def put_server(self, server: ServerPlan, is_leaving: bool = False) -> None:
         """Enter a back end, or mark it as leaving."""
+        address = server.listed or server.http
         record = MachineRecord(
             server.name,
             "server",
             server.service,
             server.zone,
-            server.http.host,
-            server.http.port,
+            address.host,
+            address.port,
             is_leaving,
         )
         await self._put(record)
--- a/indigoworks_lab/launcher/server_plan.py
+++ b/indigoworks_lab/launcher/server_plan.py
@@ -7,7 +7,11 @@
 
 @dataclass(frozen=True)
 class ServerPlan:
-    """Name, service, zone, address and capacity of a back end."""
+    """Name, service, zone, address and capacity of a back end.
+
+    :ivar http: where it listens.
+    :ivar listed: address in the list of machines, where this is another one.
+    """
 
     name: str
     service: str
@@ -16,3 +20,4 @@
     slots: int
     connections: int
     seed: int
+    listed: Address | None = None
--- a/indigoworks_lab/process_run/call_recorder.py
+++ b/indigoworks_lab/process_run/call_recorder.py
@@ -4,8 +4,8 @@
 
 from indigoworks_lab.checkers.history.call import Call
 from indigoworks_lab.checkers.history.call_outcome import CallOutcome
-from indigoworks_lab.demo.call_answer import CallAnswer
-from indigoworks_lab.demo.demo_caller import DemoCaller
+from indigoworks_lab.client.call_answer import CallAnswer
+from indigoworks_lab.client.router_caller import RouterCaller
 from indigoworks_lab.launcher.router_plan import RouterPlan
 
 OUTCOMES = {
@@ -24,7 +24,7 @@
         self._routers = routers
         self._service = service
         self._keys = keys
-        self._caller = DemoCaller()
+        self._caller = RouterCaller()
         self.calls: list[Call] = []
         self.foreign_answers: list[CallAnswer] = []
 
@@ -36,14 +36,22 @@
             if call.invoked_s >= moment_s and call.outcome is CallOutcome.COMPLETED
         }
 
+    def routers_served_since(self, moment_s: float) -> set[str]:
+        """Return the routers that completed a call that began after `moment_s`."""
+        return {
+            call.router
+            for call in self.calls
+            if call.invoked_s >= moment_s and call.outcome is CallOutcome.COMPLETED
+        }
+
     async def call(self, number: int) -> CallAnswer:
         """Make the call with the given number."""
         router = self._routers[number % len(self._routers)]
-        key = f"order-{number // 2 % self._keys}"
+        key = f"key-{number // 2 % self._keys}"
         is_repeatable = number % 2 == 0
         method = "GET" if is_repeatable else "POST"
         invoked_s = asyncio.get_running_loop().time()
-        body = None if is_repeatable else b"deposit"
+        body = None if is_repeatable else b"entry"
         answer = await self._caller.call(router.http, method, self._service, key, body)
         self._record(answer, router.name, key, is_repeatable, invoked_s)
         return answer
--- a/indigoworks_lab/process_run/execution_collector.py
+++ b/indigoworks_lab/process_run/execution_collector.py
@@ -6,7 +6,7 @@
 from indigoworks_lab.backend.execution_outcome import ExecutionOutcome
 from indigoworks_lab.backend.history_model import HistoryModel, RecordModel
 from indigoworks_lab.checkers.history.execution import Execution
-from indigoworks_lab.demo.json_client import JsonClient
+from indigoworks_lab.client.json_client import JsonClient
 from indigoworks_lab.launcher.server_plan import ServerPlan
 
 COLLECT_INTERVAL_S = 0.1
