--- a/features/checkers_histories.feature
+++ b/features/checkers_histories.feature
@@ -21,6 +21,7 @@
       | an assignment that goes back                     | assignments kept          |
       | an assignment that vanishes                      | assignments kept          |
       | two owners under one token                       | assignments kept          |
+      | two leaders at the same moment                   | one leader                |
       | a write that takes effect twice                  | at most once              |
       | an effect of a request answered as not run       | not run                   |
       | an answer cut short                              | whole answers             |
@@ -29,6 +30,7 @@
       | a version that goes back at a router             | settings in force         |
       | two changes accepted as one version              | settings in force         |
       | an accepted change replaced under its version    | accepted settings kept    |
+      | a refused change that is used                    | refused settings          |
       | new work for a server that was to leave          | leaving servers idle      |
       | a call cut by a planned stop                     | planned stop cuts nothing |
       | a key that is not served at the end              | served at the end         |
--- a/features/steps/checkers_steps.py
+++ b/features/steps/checkers_steps.py
@@ -9,6 +9,7 @@
 from indigoworks_lab.checkers.history.departure import Departure
 from indigoworks_lab.checkers.history.execution import Execution
 from indigoworks_lab.checkers.history.history import History
+from indigoworks_lab.checkers.history.leader_overlap import LeaderOverlap
 from indigoworks_lab.checkers.history.loss import Loss
 from indigoworks_lab.checkers.history.ownership_span import OwnershipSpan
 from indigoworks_lab.checkers.history.planned_stop import PlannedStop
@@ -132,6 +133,12 @@
     context.history.assignments.append(sample(7.0, *ranges))
 
 
+@when("two leaders at the same moment is put into the history")
+def step_two_leaders(context):
+    overlap = LeaderOverlap(4.0, ("controller-1", "controller-2"))
+    context.history.leader_overlaps.append(overlap)
+
+
 @when("a write that takes effect twice is put into the history")
 def step_twice(context):
     context.history.executions.append(execution("request-3", 2, 6, 9.2, 9.3))
@@ -174,6 +181,12 @@
     context.history.settings_uses[2] = use(7.1, 2, "c")
 
 
+@when("a refused change that is used is put into the history")
+def step_refused_used(context):
+    context.history.settings_changes.append(SettingsChangeCall("c", 2, 5.0, 5.1, 409))
+    context.history.settings_uses.append(use(9.0, 3, "c"))
+
+
 @when("new work for a server that was to leave is put into the history")
 def step_work_for_leaving(context):
     context.history.departures.append(Departure("server-1", 1, 0.9))
@@ -195,7 +208,10 @@
     context.history.spans[1].from_s = 5.0
 
 
-@when("the owner of the key is lost at {lost_s:g} s and a call invoked at {invoked_s:g} s completes at {answered_s:g} s")  # noqa: E501
+@when(
+    "the owner of the key is lost at {lost_s:g} s and a call invoked at {invoked_s:g} s "
+    "completes at {answered_s:g} s"
+)
 def step_loss(context, lost_s, invoked_s, answered_s):
     history = context.history
     history.losses.append(Loss("server killed", "server-1", 1, lost_s))
--- a/indigoworks_lab/checkers/check_history.py
+++ b/indigoworks_lab/checkers/check_history.py
@@ -9,7 +9,9 @@
 from indigoworks_lab.checkers.history.history import History
 from indigoworks_lab.checkers.leaving_idle import check_leaving_idle
 from indigoworks_lab.checkers.not_run import check_not_run
+from indigoworks_lab.checkers.one_leader import check_one_leader
 from indigoworks_lab.checkers.planned_stop_cuts_nothing import check_planned_stop_cuts_nothing
+from indigoworks_lab.checkers.refused_settings import check_refused_settings
 from indigoworks_lab.checkers.settings_in_force import check_settings_in_force
 from indigoworks_lab.checkers.sole_ownership import check_sole_ownership
 from indigoworks_lab.checkers.tokens_grow import check_tokens_grow
@@ -23,11 +25,13 @@
     check_effects_under_ownership,
     check_tokens_grow,
     check_assignments_kept,
+    check_one_leader,
     check_at_most_once,
     check_not_run,
     check_whole_answers,
     check_settings_in_force,
     check_accepted_settings_kept,
+    check_refused_settings,
     check_leaving_idle,
     check_planned_stop_cuts_nothing,
 )
--- a/indigoworks_lab/checkers/history/history.py
+++ b/indigoworks_lab/checkers/history/history.py
@@ -6,6 +6,7 @@
 from indigoworks_lab.checkers.history.call import Call
 from indigoworks_lab.checkers.history.departure import Departure
 from indigoworks_lab.checkers.history.execution import Execution
+from indigoworks_lab.checkers.history.leader_overlap import LeaderOverlap
 from indigoworks_lab.checkers.history.loss import Loss
 from indigoworks_lab.checkers.history.ownership_span import OwnershipSpan
 from indigoworks_lab.checkers.history.planned_stop import PlannedStop
@@ -24,6 +25,7 @@
     calls: list[Call] = field(default_factory=list)
     spans: list[OwnershipSpan] = field(default_factory=list)
     assignments: list[AssignmentSample] = field(default_factory=list)
+    leader_overlaps: list[LeaderOverlap] = field(default_factory=list)
     settings_changes: list[SettingsChangeCall] = field(default_factory=list)
     settings_uses: list[SettingsUse] = field(default_factory=list)
     losses: list[Loss] = field(default_factory=list)
--- a/indigoworks_lab/simulation/broken_rules/backend_rules.py
+++ b/indigoworks_lab/simulation/broken_rules/backend_rules.py
@@ -45,25 +45,41 @@
         "lease-from-receipt",
         "A back end counts its lease from the receipt of a renewal.",
         lambda: [Replacement(StandInServer, "renew", _renew_from_receipt)],
+        "leases",
+        ("sole ownership",),
     ),
     BrokenRule(
         "accept-older-grants",
         "A back end takes grants that are older than those it holds.",
         lambda: [Replacement(GrantBook, "renew", _renew_with_any_version)],
+        "leases",
+        ("sole ownership",),
     ),
     BrokenRule(
         "forget-token-check",
         "A back end runs requests whatever their token.",
         lambda: _with_faults(StandInFaults(forgets_token_check=True)),
+        "leases",
+        (
+            "effects under ownership",
+            "tokens grow",
+        ),
     ),
     BrokenRule(
         "forget-lease-check",
         "A back end runs requests after its lease has lapsed.",
         lambda: _with_faults(StandInFaults(forgets_lease_check=True)),
+        "leases",
+        (
+            "effects under ownership",
+            "tokens grow",
+        ),
     ),
     BrokenRule(
         "release-while-running",
         "A back end reports a range as released while requests run on it.",
         lambda: _with_faults(StandInFaults(releases_while_running=True)),
+        "handovers",
+        ("effects under ownership",),
     ),
 )
--- a/indigoworks_lab/simulation/broken_rules/consensus_rules.py
+++ b/indigoworks_lab/simulation/broken_rules/consensus_rules.py
@@ -4,6 +4,9 @@
 from indigoworks.consensus import vote_handler as vote_handler_module
 from indigoworks.consensus.leader_support import LeaderSupport
 from indigoworks.consensus.leadership import Leadership
+from indigoworks.consensus.refusal import older_generation
+from indigoworks.consensus.vote_handler import VoteHandler
+from indigoworks.wire.control_pb2 import Frame, VoteRequest
 from indigoworks_lab.simulation.broken_rules.broken_rule import BrokenRule, Replacement
 
 
@@ -15,18 +18,38 @@
     return leadership.is_established
 
 
+def _refuse_older_generations_only(handler: VoteHandler, request: VoteRequest) -> Frame | None:
+    replica = handler._replica
+    if request.generation < replica.generation:
+        return older_generation(replica.generation)
+    if request.generation > replica.generation:
+        replica.adopt_generation(request.generation)
+    return None
+
+
 CONSENSUS_RULES = (
     BrokenRule(
         "vote-after-restart",
         "A controller that restarts keeps its old identity, and so its vote, with an empty log.",
         lambda: [
             Replacement(controller_module, "new_incarnation", lambda name, _random: name),
+            Replacement(VoteHandler, "_refusal", _refuse_older_generations_only),
         ],
+        "agreement",
+        (
+            "assignments kept",
+            "sole ownership",
+        ),
     ),
     BrokenRule(
         "acknowledge-before-quorum",
         "A leader counts an entry as committed once it stands in its own log.",
         lambda: [Replacement(Leadership, "_majority_match_index", _own_last_index)],
+        "agreement",
+        (
+            "assignments kept",
+            "sole ownership",
+        ),
     ),
     BrokenRule(
         "ignore-quorum-lease",
@@ -35,15 +58,24 @@
             Replacement(Leadership, "holds_quorum_lease", _is_established),
             Replacement(Leadership, "_is_lease_running", lambda _leadership: True),
         ],
+        "agreement",
+        ("one leader",),
     ),
     BrokenRule(
         "support-two-leaders",
         "A voter votes for another leader while its promise to the present one runs.",
         lambda: [Replacement(LeaderSupport, "may_support", lambda *_: True)],
+        "agreement",
+        ("one leader",),
     ),
     BrokenRule(
         "vote-for-shorter-log",
         "A voter votes for a candidate that lacks entries of its own log.",
         lambda: [Replacement(vote_handler_module, "is_log_up_to_date", lambda *_: True)],
+        "agreement",
+        (
+            "assignments kept",
+            "sole ownership",
+        ),
     ),
 )
--- a/indigoworks_lab/simulation/deployment.py
+++ b/indigoworks_lab/simulation/deployment.py
@@ -25,6 +25,10 @@
 SEED_HOSTS = 3
 """Controllers that the process settings name; all others are found by the machine list."""
 
+SERVICE_MEDIANS_S = (0.004, 0.02, 0.1, 0.25)
+"""Medians of the service time, one drawn per server: slow ones have requests in progress at most
+moments, so that faults and handovers meet them."""
+
 FIRST_FREE_POSITION = 30
 """Position of the first machine that replaces a lost one; a multiple of the number of zones."""
 
@@ -115,7 +119,9 @@
         clock = HostClock(simulation.loop, random)
         self._incarnations += 1
         identity = StandInIdentity(name, f"{name}#{self._incarnations}", service, zone)
-        profile = StandInProfile(service_median_s=random.choice((0.004, 0.02, 0.08)))
+        profile = StandInProfile(
+            service_median_s=random.choice(SERVICE_MEDIANS_S), cold_requests=10, cold_factor=2.0
+        )
         core = RecordingServer(
             identity, profile, clock, random, simulation.recorder, process.number
         )
--- a/indigoworks_lab/simulation/faults/fault_injector.py
+++ b/indigoworks_lab/simulation/faults/fault_injector.py
@@ -3,13 +3,15 @@
 import asyncio
 
 from indigoworks_lab.simulation.deployment import Deployment
+from indigoworks_lab.simulation.faults.controller_faults import ControllerFaults
 from indigoworks_lab.simulation.faults.fault_counts import FaultCounts
 from indigoworks_lab.simulation.faults.fault_kind import FaultKind
 from indigoworks_lab.simulation.faults.fault_plan import FaultPlan
 from indigoworks_lab.simulation.faults.network_faults import NetworkFaults
 from indigoworks_lab.simulation.faults.operator_faults import OperatorFaults
 from indigoworks_lab.simulation.faults.platform_faults import PlatformFaults
-from indigoworks_lab.simulation.faults.process_faults import ProcessFaults
+from indigoworks_lab.simulation.faults.router_faults import RouterFaults
+from indigoworks_lab.simulation.faults.server_faults import ServerFaults
 from indigoworks_lab.simulation.workload.operators import Operators
 
 MIN_DURATION_S = 0.2
@@ -34,8 +36,11 @@
         self._random = deployment.simulation.random("faults")
         self._standing: set[asyncio.Task[None]] = set()
         self._is_over = asyncio.Event()
+        controllers = ControllerFaults(deployment, self._random)
         self._groups = (
-            ProcessFaults(deployment, self._random),
+            controllers,
+            RouterFaults(deployment, self._random),
+            ServerFaults(deployment, self._random, controllers),
             NetworkFaults(deployment, self._random),
             PlatformFaults(deployment, self._random),
             OperatorFaults(deployment, operators, self._random),
--- a/indigoworks_lab/simulation/run_report.py
+++ b/indigoworks_lab/simulation/run_report.py
@@ -33,3 +33,8 @@
     def is_ok(self) -> bool:
         """Tell whether nothing was found."""
         return not self.violations and not self.failures
+
+
+def failed_run(seed: int, failure: str) -> RunReport:
+    """Return the report of a run that could not be finished."""
+    return RunReport(seed, 0.0, 0, (), (failure,), {}, 0, (), {}, 0, 0, "")
