--- /dev/null
+++ b/indigoworks_lab/bench/baseline/__init__.py
@@ -0,0 +1,1 @@
+"""Baselines that are not made of the product."""
--- /dev/null
+++ b/indigoworks_lab/bench/installation/__init__.py
@@ -0,0 +1,1 @@
+"""The installations that the bench models."""
--- /dev/null
+++ b/indigoworks_lab/bench/network/__init__.py
@@ -0,0 +1,1 @@
+"""Event loop and network of the bench, on virtual time."""
--- /dev/null
+++ b/indigoworks_lab/bench/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of an experiment."""
--- /dev/null
+++ b/indigoworks_lab/bench/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""Loads and events of the experiments."""
