Name a known fault: an announced change of voters can stop recovery for good

A leader of two voters wrote the next configuration of three to the row and died before any log held it. The other voter and the learner live: under the announced configuration they count as a possible majority, under the one that they hold they are none, so nobody leads and no generation follows; nothing is served. Sole ownership is kept.

--- a/features/simulation_seeds.feature
+++ b/features/simulation_seeds.feature
@@ -37,3 +37,7 @@
       | server cut off                           |
       | server drained                           |
       | server killed while the platform is down |
+
+  Scenario: A change of voters that was announced and not replicated does not stop the group
+    When the simulation runs 1 seeds from 10419 of the plan "mixed"
+    Then the simulation finds nothing
