One constant for a missing leader, one list of a configuration's members

Cause: read over the whole change: the time to come back without a leader stood in three files of the controller, and the reporter of routers listed voters and learners by hand where consensus.configurations.members_of does it. Ruled out: one error for all three places (their texts and remedies differ).

--- a/indigoworks/controller/controller_administration.py
+++ b/indigoworks/controller/controller_administration.py
@@ -9,6 +9,7 @@
 from indigoworks.admin.errors import AdminOutcomeUnknown, NotLeader
 from indigoworks.common.address import Address
 from indigoworks.consensus.consensus_node import ConsensusNode
+from indigoworks.controller.retry_timing import LEADER_RETRY_AFTER_S
 from indigoworks.wire.control_pb2 import AdminReply, AdminRequest, Frame, Member
 from indigoworks.wire.errors import ConnectFailed, RefusedByPeer, WireError
 from indigoworks.wire.rpc_client import RpcClient
@@ -19,9 +20,6 @@
 MAX_HOPS = 2
 """Times a request is passed on, at most; two controllers may take each other for the leader."""
 
-RETRY_AFTER_S = 2.0
-"""When a request may be repeated that found no leader."""
-
 LOCAL_PATHS = ("/admin/v1/health",)
 """Paths that concern this process and are never passed on."""
 
@@ -83,7 +81,7 @@
         AdminOutcomeUnknown(
             "The leader did not answer; the request may have taken effect.",
             "Read the state back before you send it again.",
-            RETRY_AFTER_S,
+            LEADER_RETRY_AFTER_S,
         )
     )
 
@@ -92,5 +90,5 @@
     return NotLeader(
         "No leader can be reached from this controller; nothing took effect.",
         "Send the request again after the time given.",
-        RETRY_AFTER_S,
+        LEADER_RETRY_AFTER_S,
     )
--- a/indigoworks/controller/controller_control_plane.py
+++ b/indigoworks/controller/controller_control_plane.py
@@ -14,6 +14,7 @@
 from indigoworks.consensus.consensus_node import ConsensusNode
 from indigoworks.controller.control_state import ReplicatedControlState
 from indigoworks.controller.leader_duties import LeaderDuties
+from indigoworks.controller.retry_timing import LEADER_RETRY_AFTER_S
 from indigoworks.controller.router_registry import RouterRegistry
 from indigoworks.wire.control_pb2 import (
     SERVER_STATE_LEAVING,
@@ -23,9 +24,6 @@
     SetServerState,
 )
 
-LEADER_RETRY_AFTER_S = 2.0
-"""When a request may be repeated that found no leader."""
-
 
 class ControllerControlPlane:
     """Implements ControlPlane on one controller; changes need it to lead."""
--- a/indigoworks/controller/router_reporter.py
+++ b/indigoworks/controller/router_reporter.py
@@ -4,6 +4,7 @@
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
+from indigoworks.consensus.configurations import members_of
 from indigoworks.consensus.consensus_node import ConsensusNode
 from indigoworks.controller.router_registry import RouterRegistry
 from indigoworks.wire.control_pb2 import Frame, Member
@@ -40,7 +41,7 @@
 
     def _follow_configuration(self) -> None:
         configuration = self._node.status.configuration
-        members = [*configuration.voters, *configuration.learners]
+        members = members_of(configuration)
         others = {m.incarnation: m for m in members if m.incarnation != self._member.incarnation}
         for incarnation in list(self._tasks):
             if incarnation not in others:
--- a/indigoworks/controller/settings_service.py
+++ b/indigoworks/controller/settings_service.py
@@ -21,6 +21,7 @@
 from indigoworks.consensus.consensus_node import ConsensusNode
 from indigoworks.controller.control_state import ReplicatedControlState
 from indigoworks.controller.leadership import Leadership
+from indigoworks.controller.retry_timing import LEADER_RETRY_AFTER_S
 from indigoworks.controller.settings_record import SettingsRecord
 from indigoworks.controller.settings_table import SettingsTable
 from indigoworks.controller.tree_cache import TreeCache
@@ -37,9 +38,6 @@
 STORE_RETRY_AFTER_S = 2.0
 """When an operator may try again after a refusal of the table service that names no time."""
 
-LEADER_RETRY_AFTER_S = 2.0
-"""When an operator may try again after a change of leader."""
-
 
 class SettingsService:
     """Accepts changes in the table service first, then puts them in force through the log.
