Let a voter count itself out of a change that was announced and never appended

Mend: a node may count itself out of a configuration of the row that is not the newest in its log. It may do so only when every other voter of it that is not gone answered in the same round with no longer log, and no leader was heard for longer than every lease. The rule for a single voter that had appended a second one is a case of this and is replaced by it. Ruled out: only the write of the row, as first proposed, without the withdrawal: a voter that takes the delayed change meanwhile could be elected with this node's vote, and lead beside the new generation until that vote's lease lapsed.

--- a/features/consensus_generations.feature
+++ b/features/consensus_generations.feature
@@ -47,6 +47,41 @@
     And the agreement group has 3 voters
     And this run of the agreement holds for seeds 1 to 3
 
+  Scenario: The leader is lost between the announcement of a third voter and its entry
+    Given an agreement group of 3 controllers in 3 zones
+    When the agreement leader crashes once it has announced a third voter
+    Then the agreement stays without a leader for 1 s
+    When the crashed agreement controllers start again
+    Then the agreement has reached generation 2
+    And the agreement group has 3 voters
+    And the agreement commits "a"
+    And every running controller of the agreement has applied "a"
+    And this run of the agreement holds for seeds 1 to 6
+
+  Scenario: No voter counts itself out while another announced voter gives no answer
+    Given an agreement group of 3 controllers in 3 zones
+    When the agreement leader crashes once it has announced a third voter
+    And the link between the announced voters of the agreement that are left is cut
+    And the crashed agreement controllers start again
+    Then the agreement stays without a leader for 12 s
+    When the agreement network heals
+    Then the agreement has reached generation 2
+    And the agreement group has 3 voters
+    And this run of the agreement holds for seeds 1 to 4
+
+  Scenario: A voter that counted itself out takes no part while its write is in doubt
+    Given an agreement group of 3 controllers in 3 zones
+    When the agreement leader crashes once it has announced a third voter
+    And the table service loses the answer of the next agreement write
+    And the crashed agreement controllers start again
+    And an agreement answer was lost
+    And 3 s pass in the agreement
+    Then an agreement controller has withdrawn, and refuses votes and entries
+    When the platform of the agreement is up again
+    Then the agreement has reached generation 2
+    And the agreement group has 3 voters
+    And this run of the agreement holds for seeds 1 to 4
+
   Scenario: The answer to the write that forms the group is lost
     Given an agreement group of 3 controllers in 3 zones
     When the table service loses the answer of the next agreement write
--- a/features/steps/consensus_check_steps.py
+++ b/features/steps/consensus_check_steps.py
@@ -9,6 +9,7 @@
 from consensus_script import script
 
 from indigoworks.consensus.role import Role
+from indigoworks.wire.control_pb2 import AppendRequest, Frame, SnapshotRequest, VoteRequest
 
 
 @then("the stopped controller is no member of the agreement and had a successor in {limit:g} s")
@@ -111,6 +112,40 @@
         )
 
 
+@then("an agreement controller has withdrawn, and refuses votes and entries")
+def _withdrawn(context: Any) -> None:
+    @script(context)
+    async def step(cluster: Cluster) -> None:
+        withdrawn = [node for node in cluster.nodes.values() if node._replica.has_withdrawn]
+        assert withdrawn, "no controller has withdrawn"
+        for node in withdrawn:
+            own, newer = node.status.member, node.status.term + 9
+            generation = node.status.generation
+            requests = [
+                Frame(
+                    vote_request=VoteRequest(
+                        generation=generation,
+                        term=newer,
+                        last_log_term=newer,
+                        is_pre_vote=is_pre_vote,
+                        voter_incarnation=own.incarnation,
+                    )
+                )
+                for is_pre_vote in (True, False)
+            ]
+            append = AppendRequest(
+                generation=generation, term=newer, follower_incarnation=own.incarnation
+            )
+            snapshot = SnapshotRequest(
+                generation=generation, term=newer, follower_incarnation=own.incarnation
+            )
+            requests += [Frame(append_request=append), Frame(snapshot_request=snapshot)]
+            for request in requests:
+                reply = await node.handle(request)
+                assert reply.error.kind == "withdrawn", reply
+            assert node.status.term < newer
+
+
 @then("the row of the agreement is as it was")
 def _row_unchanged(context: Any) -> None:
     @script(context)
