Moves only to servers that orders reach; renewals of a server over one connection; stop closes resting connections only

Ruled out: closing the listener (it closes no accepted connection); late accept (the request was in hand 1 ms before the close).

--- a/indigoworks/consensus/generation_recovery.py
+++ b/indigoworks/consensus/generation_recovery.py
@@ -57,6 +57,7 @@
         self._withdrawal = OwnWithdrawal(replica, clock, timing)
         self._next_read_s = float("-inf")
         self._row_addresses: set[Address] = set()
+        self._is_own_listed = False
 
     @property
     def row_addresses(self) -> set[Address]:
@@ -87,7 +88,8 @@
             await self._consider_next(stored, answers)
         elif self._replica.generation == 0:
             start = first_generation(self._replica.member)
-            await self._form(start, 0, await self._listed_addresses())
+            await self._listed_addresses()
+            await self._form(start, 0)
 
     async def _consider_next(self, stored: StoredCheckpoint, answers: Answers) -> None:
         found = stored.checkpoint
@@ -108,7 +110,7 @@
         self._evidence.observe(found, partial(self._withdrawal.counted_out, found), known, listed)
         self._survivors.observe(found.generation, self._start_position(found), answers.values())
         if self._replica.has_withdrawn or self._may_form_next(stored.version, answers):
-            await self._form(next_generation(found, self._replica), stored.version, listed)
+            await self._form(next_generation(found, self._replica), stored.version)
 
     def _resolve_withdrawal(self, version: int) -> None:
         """End a withdrawal once the write for which it was made can no longer take effect.
@@ -155,14 +157,13 @@
         is_unknown = found.generation > replica.generation or not replica.is_initialised
         return is_unknown and voters == [replica.member.incarnation]
 
-    async def _form(
-        self, checkpoint: Checkpoint, expected_version: int, listed: frozenset[Address] | None
-    ) -> None:
+    async def _form(self, checkpoint: Checkpoint, expected_version: int) -> None:
         generation = self._replica.generation
         member = self._replica.member
         # Should this node be lost with its machine before its first checkpoint as leader, the row
-        # must already say that the machine list has shown it: only then can it be shown gone.
-        if listed is not None and address_of(member) in listed:
+        # must already say that the machine list has shown it: only then can it be shown gone. That
+        # holds also when the list cannot be read just now.
+        if self._is_own_listed:
             checkpoint.listed_voters.append(member.incarnation)
         replaced = await self._row.replace(checkpoint, expected_version)
         # A lost answer is resolved in a later round, which reads the row again. So is a newer
@@ -189,4 +190,6 @@
         listed = await self._machines.machines()
         if listed.is_err():
             return None
-        return frozenset(Address(record.host, record.port) for record in listed.unwrap())
+        addresses = frozenset(Address(record.host, record.port) for record in listed.unwrap())
+        self._is_own_listed |= address_of(self._replica.member) in addresses
+        return addresses
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -22,6 +22,7 @@
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.range_keeper import RangeKeeper
+from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.table_follower import TableFollower
 
@@ -61,6 +62,7 @@
         )
         self._bounds = HoldBounds(clock)
         self._policy = HoldPolicy(ports.health, settings.hold_max_s)
+        self._reach = ServerReach(clock)
         self._keepers = KeeperSet(self._make_keeper)
         self._board: ServerBoard | None = None
         self.send_report_now: Callable[[], None] = _nothing
@@ -114,6 +116,7 @@
             self._platform.servers,
             self._bounds,
             self._policy,
+            self._reach,
             self._clock,
             self._pending_changed,
         )
@@ -133,7 +136,7 @@
             self._tables,
             self._keepers,
             self._bounds,
-            self._policy,
+            self._reach,
             self._ports.store,
             self._platform.servers,
             self._peers,
--- a/indigoworks/gateway/front_exchange.py
+++ b/indigoworks/gateway/front_exchange.py
@@ -75,6 +75,22 @@
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.ensure_future(self._run(self._request()))
 
+    def close_if_resting(self) -> None:
+        """Close the connection unless any part of a request has come."""
+        stream = self._connection.stream
+        if self._start_line.method or stream is None or stream.closed():
+            return
+        # While a read is pending, nothing was taken from the socket: a request whose header has
+        # been read, but whose reader has not run yet, is no rest.
+        if stream.reading() and stream._read_buffer_size == 0:
+            stream.close()
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the connection is closed."""
+        stream = self._connection.stream
+        return stream is None or bool(stream.closed())
+
     def on_connection_close(self) -> None:
         """The caller went away: end the work on its request."""
         if self._task is not None:
--- a/indigoworks/gateway/front_server.py
+++ b/indigoworks/gateway/front_server.py
@@ -1,8 +1,8 @@
 """HTTP server towards callers."""
 
-import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from weakref import WeakKeyDictionary
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection, HTTPServerConnectionDelegate
@@ -19,6 +19,9 @@
 
 BACKLOG = 1024
 
+CLOSE_PERIOD_S = 0.02
+"""Time between two looks for connections that rest while the process stops."""
+
 Handler = Callable[[ClientRequest], Awaitable[FinalAnswer]]
 
 
@@ -34,6 +37,7 @@
         self._clock = clock
         self._server = HTTPServer(self)
         self._listeners: list[socket.socket] = []
+        self._exchanges: WeakKeyDictionary[object, FrontExchange] = WeakKeyDictionary()
         self.in_progress = InProgress()
         self.is_stopping = False
 
@@ -56,10 +60,12 @@
 
     def start_request(self, server_conn: object, request_conn: HTTPConnection) -> FrontExchange:
         """Begin to read a request; called by the HTTP library."""
-        return FrontExchange(self, request_conn, self._names, self._clock)
+        exchange = FrontExchange(self, request_conn, self._names, self._clock)
+        self._exchanges[server_conn] = exchange
+        return exchange
 
     def on_close(self, server_conn: object) -> None:
-        """Take note of nothing: exchanges notice a close themselves."""
+        """Take note of nothing: the exchange notices the close itself."""
 
     async def answer(self, request: ClientRequest) -> FinalAnswer:
         """Let the handler answer one request."""
@@ -70,10 +76,15 @@
         self._server.stop()
 
     async def finish(self, timeout_s: float) -> None:
-        """Wait until nothing is in progress, at most `timeout_s` seconds, and close."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.in_progress.wait_for_none()
-        except TimeoutError:
-            pass
-        await self._server.close_all_connections()
+        """Close connections as soon as they rest; wait for the others at most `timeout_s` seconds.
+
+        A connection on which any part of a request has come is never closed before the answer.
+        """
+        until_s = self._clock.now() + timeout_s
+        while self._clock.now() < until_s:
+            open_exchanges = [each for each in self._exchanges.values() if not each.is_closed]
+            if not open_exchanges and self.in_progress.count == 0:
+                return
+            for exchange in open_exchanges:
+                exchange.close_if_resting()
+            await self._clock.sleep(CLOSE_PERIOD_S)
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -163,7 +163,8 @@
             return False
         if state.service.is_keyed:
             return await self._may_repeat_keyed(state, answer)
-        if len(set(state.tried)) >= state.route.max_attempts and answer.result is not ExchangeResult.NOT_SENT:
+        was_sent = answer.result is not ExchangeResult.NOT_SENT
+        if was_sent and len(set(state.tried)) >= state.route.max_attempts:
             return False
         return self._take_repeat(state, answer)
 
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -125,6 +125,7 @@
         """Read one answer; the second value tells that nothing of the exchange is left to do."""
         collector = AnswerCollector()
         reading: asyncio.Future[bool] = asyncio.ensure_future(connection.read_response(collector))
+        reading.add_done_callback(_retrieve)
         try:
             parts: set[asyncio.Future[Any]] = {reading, collector.finished}
             await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
@@ -149,3 +150,9 @@
 
 def _ignore_close() -> None:
     """Serve as close callback: `is_reusable` tells the rest."""
+
+
+def _retrieve(reading: asyncio.Future[bool]) -> None:
+    """Take note of how reading ended: a broken connection shows in what was read."""
+    if not reading.cancelled():
+        reading.exception()
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -9,7 +9,7 @@
 from indigoworks.exchange.peer_view import PeerView
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.hold_bounds import CLOCK_FACTOR, MARGIN_S, HoldBounds
-from indigoworks.ownership.hold_policy import HOLD_S, HoldPolicy
+from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.keeper_set import KeeperSet
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
@@ -17,7 +17,7 @@
 from indigoworks.ownership.load_window import LoadWindow, add_samples
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
-from indigoworks.ownership.range_keeper import FAILURES_TO_MOVE
+from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_editor import (
     first_table,
     with_moves,
@@ -63,7 +63,7 @@
         tables: OwnershipTables,
         keepers: KeeperSet,
         bounds: HoldBounds,
-        policy: HoldPolicy,
+        reach: ServerReach,
         store: RowStore,
         servers: ServerSource,
         peers: PeerView,
@@ -78,7 +78,7 @@
         self._tables = tables
         self._keepers = keepers
         self._bounds = bounds
-        self._policy = policy
+        self._reach = reach
         self._store = store
         self._servers = servers
         self._peers = peers
@@ -188,16 +188,15 @@
         for owned in table.ranges:
             if not self._servers.is_usable(owned.server_id):
                 leavers[owned.server_id] = "leaving"
-        for server_id, failures in self._keepers.failures(service).items():
-            if failures >= FAILURES_TO_MOVE and server_id not in leavers:
-                leavers[server_id] = "out_of_reach"
+            elif self._reach.is_lost(owned.server_id):
+                leavers[owned.server_id] = "out_of_reach"
         return leavers
 
     def _capacities(self, service: str, leavers: dict[str, str]) -> list[ServerCapacity]:
         return [
             ServerCapacity(each.server_id, each.slots / self._speed_of(each.server_id))
             for each in self._servers.usable(service)
-            if each.server_id not in leavers
+            if each.server_id not in leavers and not self._reach.is_suspect(each.server_id)
         ]
 
     def _balanced_table(
--- a/indigoworks/ownership/hold_policy.py
+++ b/indigoworks/ownership/hold_policy.py
@@ -2,13 +2,13 @@
 
 from indigoworks.rowstore.store_health import StoreHealth
 
-HOLD_S = 3.0
+HOLD_S = 2.0
 """Hold while the store is sound: a dark server's keys are served again after about so long."""
 
-RENEWAL_S = 1.0
+RENEWAL_S = 0.5
 """Time between two renewals."""
 
-TROUBLE_S = 2.7
+TROUBLE_S = 4.0
 """Age of the store's last word from which holds are made as long as servers accept: without the
 store no other leader can be found, and keys are to outlast this one."""
 
--- a/indigoworks/ownership/keeper_set.py
+++ b/indigoworks/ownership/keeper_set.py
@@ -44,14 +44,6 @@
         """Return the ranges that their owners hold."""
         return [each.owned for each in self._of(service) if each.is_granted]
 
-    def failures(self, service: str) -> dict[str, int]:
-        """Return by server the fewest orders in a row that did not reach it."""
-        failures: dict[str, int] = {}
-        for keeper in self._of(service):
-            server_id = keeper.owned.server_id
-            failures[server_id] = min(failures.get(server_id, 1000), keeper.failures)
-        return failures
-
     def wanting_token(self, service: str) -> OwnedRange | None:
         """Return a range whose owner has seen a higher token."""
         return next((each.owned for each in self._of(service) if each.wants_token), None)
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -1,6 +1,7 @@
 """Keeps one range granted to its owner; one task a range."""
 
 import asyncio
+import zlib
 from collections.abc import Callable
 
 from eliot import log_message
@@ -14,6 +15,7 @@
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.server_orders import ServerOrders
+from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.servers.server_source import ServerSource
 
 ORDER_TIMEOUT_S = 0.8
@@ -25,9 +27,6 @@
 RETRY_S = 0.15
 """Pause before an order is sent again."""
 
-FAILURES_TO_MOVE = 2
-"""Orders in a row that did not reach the owner until its range is to be moved."""
-
 
 class RangeKeeper:
     """Rules out former owners, grants the range, and renews the grant.
@@ -36,7 +35,6 @@
     cut off sends nothing more.
 
     :ivar is_granted: the owner has answered a grant of this range.
-    :ivar failures: orders in a row that did not reach the owner.
     :ivar wants_token: the owner has seen a higher token: the range needs a new one.
     """
 
@@ -49,6 +47,7 @@
         servers: ServerSource,
         bounds: HoldBounds,
         policy: HoldPolicy,
+        reach: ServerReach,
         clock: Clock,
         on_granted: Callable[[], None],
     ) -> None:
@@ -59,12 +58,11 @@
         self._servers = servers
         self._bounds = bounds
         self._policy = policy
+        self._reach = reach
         self._clock = clock
         self._on_granted = on_granted
         self._handover: str | None = None
-        self._ruled_out: set[str] = set()
         self.is_granted = False
-        self.failures = 0
         self.wants_token = False
         self.task: asyncio.Task[None] | None = None
 
@@ -93,6 +91,7 @@
         if former == self.owned.server_id:
             return
         started_s = self._clock.now()
+        tries = 0
         while True:
             reason = self._reason_ruled_out(former)
             if reason is None:
@@ -103,8 +102,10 @@
                     former=former,
                     reason=reason,
                     took_s=round(self._clock.now() - started_s, 3),
+                    tries=tries,
                 )
                 return
+            tries += 1
             await self._clock.sleep(RETRY_S)
 
     def _reason_ruled_out(self, former: str) -> str | None:
@@ -121,12 +122,12 @@
             return None
         release = KeyRelease(self.owned.first, self.owned.last, self.owned.token - 1)
         outcome = await self._orders.release(record, release, RELEASE_TIMEOUT_S)
+        self._reach.note(former, outcome.result)
         if outcome.result is OrderResult.DONE:
             self._handover = outcome.handover or self._handover
             return "released"
         if outcome.result is OrderResult.OTHER_SERVER:
             return "gone"
-        self._log_trouble("range:release_failed", former, outcome)
         return None
 
     # ---- the owner ----
@@ -135,7 +136,6 @@
         """Send a grant or renewal; returns the pause until the next, in seconds."""
         record = self._servers.get(self.owned.server_id)
         if record is None:
-            self.failures += 1
             return RETRY_S
         if not self._leadership.may_act():
             return RETRY_S
@@ -153,30 +153,31 @@
 
     def _note_outcome(self, outcome: OrderOutcome, hold_s: float) -> float:
         result = outcome.result
+        self._reach.note(self.owned.server_id, result)
         if result is OrderResult.DONE:
             self._bounds.close_answered(self.owned, hold_s)
-            self.failures = 0
             if not self.is_granted:
                 self.is_granted = True
                 self._log("range:granted", hold_s=hold_s, has_handover=self._handover is not None)
                 self._on_granted()
             self._handover = None
-            return RENEWAL_S
-        self._log_trouble("range:grant_failed", self.owned.server_id, outcome)
+            return self._until_renewal_s()
         if result is OrderResult.UNANSWERED:
             self._bounds.close_unanswered(self.owned)
         else:
             self._bounds.close_not_taken(self.owned)
         if result is OrderResult.FENCED:
             self.wants_token = True
+            self._log("range:fenced", level="WARNING")
             return RENEWAL_S
-        self.failures += 1
         return RETRY_S
 
-    # ---- log ----
+    def _until_renewal_s(self) -> float:
+        """Return the pause until the next renewal: the ranges of a server are renewed together."""
+        phase_s = zlib.crc32(self.owned.server_id.encode()) % 1000 / 1000 * RENEWAL_S
+        return RENEWAL_S - (self._clock.now() - phase_s) % RENEWAL_S
 
-    def _log_trouble(self, message_type: str, server_id: str, outcome: OrderOutcome) -> None:
-        self._log(message_type, level="WARNING", to=server_id, result=outcome.result.value)
+    # ---- log ----
 
     def _log(self, message_type: str, **fields: object) -> None:
         log_message(
--- /dev/null
+++ b/indigoworks/ownership/server_reach.py
@@ -0,0 +1,48 @@
+"""Whether orders reach servers, as the leader sees it."""
+
+from eliot import log_message
+
+from indigoworks.common.clock import Clock
+from indigoworks.ownership.order_outcome import OrderResult
+
+LOST_S = 0.4
+"""A server that no order has reached for so long since the first failure is to lose its ranges."""
+
+LOST_FAILURES = 2
+"""And so many orders in a row must have failed."""
+
+
+class ServerReach:
+    """Orders in a row that did not reach a server, over all of its ranges."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._failures: dict[str, int] = {}
+        self._first_failure_s: dict[str, float] = {}
+
+    def note(self, server_id: str, result: OrderResult) -> None:
+        """Take the result of an order."""
+        if result not in (OrderResult.NOT_SENT, OrderResult.UNANSWERED, OrderResult.OTHER_SERVER):
+            if self._failures.pop(server_id, None) is not None:
+                failed_s = self._clock.now() - self._first_failure_s.pop(server_id)
+                self._log("reach:regained", server_id, result, round(failed_s, 3))
+            return
+        count = self._failures[server_id] = self._failures.get(server_id, 0) + 1
+        self._first_failure_s.setdefault(server_id, self._clock.now())
+        if count == 1:
+            self._log("reach:failed", server_id, result, 0.0)
+
+    def is_suspect(self, server_id: str) -> bool:
+        """Tell whether the last order did not reach the server: it gets no further ranges."""
+        return server_id in self._failures
+
+    def is_lost(self, server_id: str) -> bool:
+        """Tell whether the server is to lose its ranges."""
+        if self._failures.get(server_id, 0) < LOST_FAILURES:
+            return False
+        return self._clock.now() - self._first_failure_s[server_id] >= LOST_S
+
+    def _log(self, message_type: str, server_id: str, result: OrderResult, age_s: float) -> None:
+        log_message(
+            message_type=message_type, server=server_id, result=result.value, failing_s=age_s
+        )
