Simulate the control code on a row store, with checkers from outside

Ruled out: carrying this in indigoworks_lab/simulation: its hosts, platform and histories are those of the replicated log; only its loop, clock and processes are used. DatagramExchange is replaced by NodeExchange, of the same pace, so that this does not follow its constructor. Before: no simulated run of indigoworks/ownership.

--- /dev/null
+++ b/features/control_simulation.feature
@@ -0,0 +1,39 @@
+Feature: The real control code holds the rules of ownership on simulated machines
+
+  Scenario Outline: A seed of the control simulation replays identically
+    When control simulation seed <seed> runs twice
+    Then control simulation runs were equal and met grants, requests and moves
+
+    Examples:
+      | seed |
+      | 1    |
+      | 3    |
+
+  Scenario: A calm run of the control simulation breaks no rule
+    When control simulation runs without faults
+    Then control simulation found nothing
+    And control simulation moved ranges because of load
+    And control simulation had one leader
+
+  Scenario: A calm run finds a planned stop of the leader harmless
+    When control simulation runs with a planned stop of the leader
+    Then control simulation found nothing
+
+  Scenario Outline: The checkers of the control simulation find <rule>
+    When control simulation runs with the broken rule "<rule>"
+    Then control simulation caught it and passed the sound rule on the same seed
+
+    Examples:
+      | rule                      |
+      | grant-without-ruling-out  |
+      | grant-while-work-runs     |
+      | act-without-lease         |
+      | same-token-after-move     |
+      | renew-whole-after-move    |
+      | predecessor-bound-ignored |
+      | late-orders-ignored       |
+      | write-without-conditions  |
+      | keep-leavers              |
+
+  Scenario: Every broken rule of the control simulation has a scenario
+    Then control simulation scenarios name all broken rules
--- /dev/null
+++ b/features/steps/control_simulation_steps.py
@@ -0,0 +1,73 @@
+"""Steps that run the simulation of the control code on a row store."""
+
+from pathlib import Path
+
+from behave import then, when
+
+from indigoworks_lab.control_simulation.broken_control_rules import BROKEN_CONTROL_RULES
+from indigoworks_lab.control_simulation.control_catch import control_catch
+from indigoworks_lab.control_simulation.control_plan import ControlPlan
+from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
+from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.run_control_seed import run_control_seed
+
+NODES = 3
+SERVERS = 4
+FEATURE = Path(__file__).parent.parent / "control_simulation.feature"
+
+
+@when("control simulation seed {seed:d} runs twice")
+def step_twice(context, seed):
+    context.reports = [run_control_seed(seed) for _ in range(2)]
+
+
+@then("control simulation runs were equal and met grants, requests and moves")
+def step_equal(context):
+    first, second = context.reports
+    assert first == second, (first, second)
+    assert min(first.grants, first.begun, first.moves) > 0, first
+
+
+@when("control simulation runs without faults")
+def step_calm(context):
+    context.report = run_control_seed(context.seed, ControlPlan(NODES, SERVERS, ()))
+
+
+@when("control simulation runs with a planned stop of the leader")
+def step_stop(context):
+    faults = (DrawnFault(FaultKind.LEADER_STOPPED, 1.0, 3.0),)
+    context.report = run_control_seed(context.seed, ControlPlan(NODES, SERVERS, faults))
+    assert context.report.epochs > 1, context.report
+
+
+@then("control simulation found nothing")
+def step_nothing(context):
+    assert context.report.is_ok, context.report.text()
+
+
+@then("control simulation moved ranges because of load")
+def step_moved(context):
+    # The first table is one; every other one of a calm run moves keys or tidies after a move.
+    assert context.report.moves > 2, context.report
+
+
+@then("control simulation had one leader")
+def step_one_leader(context):
+    assert context.report.epochs == 1, context.report
+
+
+@when('control simulation runs with the broken rule "{rule}"')
+def step_broken(context, rule):
+    context.catch = control_catch(BROKEN_CONTROL_RULES[rule])
+
+
+@then("control simulation caught it and passed the sound rule on the same seed")
+def step_caught(context):
+    assert context.catch.is_shown, context.catch
+
+
+@then("control simulation scenarios name all broken rules")
+def step_all_named(context):
+    text = FEATURE.read_text()
+    missing = [rule for rule in BROKEN_CONTROL_RULES if f"| {rule} " not in text]
+    assert not missing, missing
--- /dev/null
+++ b/indigoworks_lab/control_simulation/broken_control_rules.py
@@ -0,0 +1,123 @@
+"""All broken rules of the control code; each is found by its checker."""
+
+from typing import Any
+
+from indigoworks.ownership import group_leader, hold_bounds, table_editor
+from indigoworks.ownership.group_leader import GroupLeader
+from indigoworks.ownership.hold_bounds import HoldBounds
+from indigoworks.ownership.leadership import Leadership
+from indigoworks.ownership.range_keeper import RangeKeeper
+from indigoworks.rowstore.transaction import Transaction
+from indigoworks_lab.control_simulation import (
+    lease_checker,
+    overlap_checker,
+    recovery_checker,
+    row_checker,
+    token_checker,
+    work_checker,
+)
+from indigoworks_lab.control_simulation.broken_control_rule import broken_control_rule
+from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.simulation.broken_rules.broken_rule import Replacement
+
+
+async def _rule_out_nobody(_keeper: RangeKeeper, _former: str) -> None:
+    """Take every former owner for gone."""
+
+
+def _act_as_named(leadership: Leadership) -> bool:
+    return leadership._names_us()
+
+
+def _until_own_only(bounds: HoldBounds, server_id: str, first: int, last: int) -> float:
+    return bounds.own_until_s(server_id, first, last)
+
+
+def _unconditional(part: str, _expected: Any, puts: Any) -> Transaction:
+    return Transaction(part, (), puts)
+
+
+def _no_leavers(_leader: GroupLeader, _service: str, _table: Any) -> dict[str, str]:
+    return {}
+
+
+def _renew_on(_keeper: RangeKeeper) -> None:
+    """Go on with the task."""
+
+
+CUT = (FaultKind.SERVER_DARK, 1.0, 8.0)
+
+BROKEN_CONTROL_RULES = {
+    each.rule.name: each
+    for each in (
+        broken_control_rule(
+            "grant-without-ruling-out",
+            "A range is granted while its former owner may still hold it.",
+            overlap_checker.CHECKER,
+            lambda: [Replacement(RangeKeeper, "_rule_out", _rule_out_nobody)],
+            CUT,
+            (FaultKind.SERVER_CUT_FROM_LEADER, 10.0, 5.0),
+        ),
+        broken_control_rule(
+            "grant-while-work-runs",
+            "As above; the former owner still works on requests.",
+            work_checker.CHECKER,
+            lambda: [Replacement(RangeKeeper, "_rule_out", _rule_out_nobody)],
+            CUT,
+        ),
+        broken_control_rule(
+            "act-without-lease",
+            "A leader acts on while it knows of no other, however old its proof.",
+            lease_checker.CHECKER,
+            lambda: [Replacement(Leadership, "may_act", _act_as_named)],
+            (FaultKind.LEADER_CUT_FROM_STORE, 1.0, 12.0),
+        ),
+        broken_control_rule(
+            "same-token-after-move",
+            "A range that moves keeps the token.",
+            token_checker.CHECKER,
+            lambda: [Replacement(table_editor, "TOKEN_STEP", 0)],
+            (FaultKind.SERVER_DRAINING, 1.0, 0.0),
+        ),
+        broken_control_rule(
+            "renew-whole-after-move",
+            "The renewals of a range go on when a part of it or all has moved.",
+            overlap_checker.CHECKER,
+            lambda: [Replacement(RangeKeeper, "stop", _renew_on)],
+            CUT,
+            (FaultKind.SERVER_CUT_FROM_LEADER, 10.0, 4.0),
+        ),
+        broken_control_rule(
+            "predecessor-bound-ignored",
+            "A new leader does not wait for what earlier leaders granted.",
+            overlap_checker.CHECKER,
+            lambda: [Replacement(HoldBounds, "until_s", _until_own_only)],
+            (FaultKind.STORE_REFUSING, 0.5, 4.2),
+            (FaultKind.SERVER_DARK, 4.3, 10.0),
+            (FaultKind.LEADER_KILLED, 4.4, 13.0),
+        ),
+        broken_control_rule(
+            "late-orders-ignored",
+            "An unanswered grant counts from its sending, as if it were taken then.",
+            overlap_checker.CHECKER,
+            lambda: [Replacement(hold_bounds, "LATE_ORDER_S", -0.8)],
+            (FaultKind.ORDERS_LATE, 0.5, 14.0),
+            (FaultKind.SERVER_CUT_FROM_LEADER, 1.0, 12.0),
+            (FaultKind.SERVER_CUT_FROM_LEADER, 4.0, 12.0),
+        ),
+        broken_control_rule(
+            "write-without-conditions",
+            "A leader writes tables without saying which version it knows.",
+            row_checker.CHECKER,
+            lambda: [Replacement(group_leader, "Transaction", _unconditional)],
+            (FaultKind.LEADER_FROZEN, 1.0, 4.0),
+        ),
+        broken_control_rule(
+            "keep-leavers",
+            "Ranges of servers that left stay where they are.",
+            recovery_checker.CHECKER,
+            lambda: [Replacement(GroupLeader, "_leavers", _no_leavers)],
+            (FaultKind.SERVER_CRASHED, 1.0, 0.0),
+        ),
+    )
+}
--- /dev/null
+++ b/indigoworks_lab/control_simulation/control_plan.py
@@ -0,0 +1,34 @@
+"""What a run meets."""
+
+from dataclasses import dataclass
+from random import Random
+
+from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
+from indigoworks_lab.control_simulation.fault_kind import FaultKind
+
+CALM_S = 5.0
+FAULTS_S = 18.0
+MAX_FAULTS = 8
+DURATIONS_S = (0.4, 1.5, 3.0, 5.0, 8.0, 12.0)
+
+
+@dataclass(frozen=True, slots=True)
+class ControlPlan:
+    """Size of the deployment, and the faults; all end FAULTS_S after the calm beginning."""
+
+    nodes: int
+    servers: int
+    faults: tuple[DrawnFault, ...]
+
+
+def draw_plan(seed: int, kinds: tuple[FaultKind, ...] = tuple(FaultKind)) -> ControlPlan:
+    """Draw a plan; `kinds` are those that may come."""
+    random = Random(f"{seed}:plan")
+    faults = []
+    for _ in range(random.randint(2, MAX_FAULTS)):
+        start_s = random.uniform(0.0, FAULTS_S - 1.0)
+        longest_s = random.choice(DURATIONS_S) * random.uniform(0.6, 1.2)
+        duration_s = min(longest_s, FAULTS_S - start_s)
+        faults.append(DrawnFault(random.choice(kinds), start_s, duration_s))
+    faults.sort(key=lambda each: each.start_s)
+    return ControlPlan(random.choice((2, 3, 4)), random.choice((3, 4, 5)), tuple(faults))
--- /dev/null
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -0,0 +1,37 @@
+"""Faults that a run may meet."""
+
+from enum import Enum
+
+
+class FaultKind(Enum):
+    """One kind of fault each."""
+
+    STORE_SILENT = "store silent"
+    STORE_REFUSING = "store refusing"
+    STORE_SLOW = "store slow"
+    STORE_LOSES_ANSWERS = "store loses answers"
+    STORE_WRITES_LATE = "store writes late"
+    STORE_FORGETS_HISTORY = "store forgets its history"
+    NODE_CUT_FROM_STORE = "node cut from store"
+    LEADER_CUT_FROM_STORE = "leader cut from store"
+    NODE_CUT_FROM_PEERS = "node cut from peers"
+    LEADER_CUT_FROM_PEERS = "leader cut from peers"
+    NODE_KILLED = "node killed"
+    LEADER_KILLED = "leader killed"
+    LEADER_STOPPED = "leader stopped"
+    NODE_FROZEN = "node frozen"
+    LEADER_FROZEN = "leader frozen"
+    ALL_NODES_KILLED = "all nodes killed"
+    DATAGRAMS_LOST = "datagrams lost"
+    ORDERS_LATE = "orders late"
+    ORDERS_UNANSWERED = "orders unanswered"
+    SERVER_CRASHED = "server crashed"
+    SERVER_REPLACED = "server replaced at its address"
+    SERVER_DARK = "server dark"
+    SERVER_CUT_FROM_NODE = "server cut from a node"
+    SERVER_CUT_FROM_LEADER = "server cut from the leader"
+    SERVER_CUT_FROM_STORE = "server cut from the store"
+    SERVER_DRAINING = "server draining"
+    SERVER_VANISHED = "server vanished from the list"
+    SERVER_ADDED = "server added"
+    MACHINES_SLOW = "machines slow"
--- /dev/null
+++ b/indigoworks_lab/control_simulation/memory_rows.py
@@ -0,0 +1,111 @@
+"""Rows of the simulated store."""
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from indigoworks.rowstore.errors import ConditionFailed, HistoryGone, StoreError
+from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.transaction import Transaction
+
+RowId = tuple[str, str, str]
+"""Table, part and key."""
+
+
+@dataclass(frozen=True, slots=True)
+class RowState:
+    """Rows as of one version."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+class MemoryRows:
+    """Versioned rows: transactions all or nothing, one counter, a feed with a history."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._rows: dict[RowId, Row] = {}
+        self._history: list[Row] = []
+        self._first_known = 0
+        self._changed = asyncio.Event()
+
+    def row(self, table: str, part: str, key: str) -> Row | None:
+        """Return a row; None where there is none."""
+        return self._rows.get((table, part, key))
+
+    def all_rows(self) -> tuple[Row, ...]:
+        """Return all rows."""
+        return tuple(self._rows.values())
+
+    def read(self, table: str, part: str) -> RowState:
+        """Return one part of a table, by key."""
+        rows = [each for each in self._rows.values() if (each.table, each.part) == (table, part)]
+        return RowState(tuple(sorted(rows, key=lambda each: each.key)), self.version)
+
+    def changes(self, table: str, after: int) -> Result[RowState, StoreError]:
+        """Return the rows of a table that changed after a version, in order."""
+        if after < self._first_known:
+            return Err(HistoryGone("The history is gone.", "Read the table whole."))
+        newest: dict[RowId, Row] = {}
+        for row in reversed(self._history):
+            if row.version <= after:
+                break
+            if row.table == table:
+                newest.setdefault((row.table, row.part, row.key), row)
+        rows = sorted(newest.values(), key=lambda each: each.version)
+        return Ok(RowState(tuple(rows), self.version))
+
+    async def wait_for_change(self, table: str, after: int, wait_s: float) -> None:
+        """Wait until a row of the table changes after a version, at most `wait_s` seconds."""
+        try:
+            async with asyncio.timeout(wait_s):
+                while True:
+                    answer = self.changes(table, after)
+                    if isinstance(answer, Err) or answer.unwrap().rows:
+                        return
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    def commit(self, transaction: Transaction) -> Result[int, StoreError]:
+        """Make a transaction where its conditions hold."""
+        for each in transaction.expected:
+            row = self._rows.get((each.table, transaction.part, each.key))
+            if (0 if row is None else row.version) != each.version:
+                return Err(ConditionFailed("A row has changed.", "Read it and decide again."))
+        self.version += 1
+        for put in transaction.puts:
+            row = Row(put.table, transaction.part, put.key, put.value, self.version)
+            self._keep(row)
+        self._wake()
+        return Ok(self.version)
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row of the empty part, as servers and operators do."""
+        self.version += 1
+        self._keep(Row(table, "", key, value, self.version))
+        self._wake()
+
+    def remove(self, table: str, key: str) -> None:
+        """Take a row of the empty part out."""
+        if self._rows.pop((table, "", key), None) is None:
+            return
+        self.version += 1
+        self._history.append(Row(table, "", key, b"", self.version, True))
+        self._wake()
+
+    def forget_history(self) -> None:
+        """Lose the history: feeds from earlier versions fail."""
+        self._history = []
+        self._first_known = self.version
+        self._wake()
+
+    def _keep(self, row: Row) -> None:
+        self._rows[(row.table, row.part, row.key)] = row
+        self._history.append(row)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/indigoworks_lab/control_simulation/node_fault_actions.py
@@ -0,0 +1,98 @@
+"""Faults of nodes and of the paths between them."""
+
+import asyncio
+
+from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
+from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.simulated_node import SimulatedNode
+from indigoworks_lab.control_simulation.simulated_store import STORE
+
+STOP_S = 1.0
+LOSS = 0.5
+CALM_LOSS = 0.02
+SLOW_S = 0.25
+
+OF_LEADER = frozenset(
+    {
+        FaultKind.LEADER_CUT_FROM_STORE,
+        FaultKind.LEADER_CUT_FROM_PEERS,
+        FaultKind.LEADER_KILLED,
+        FaultKind.LEADER_STOPPED,
+        FaultKind.LEADER_FROZEN,
+    }
+)
+
+
+class NodeFaultActions:
+    """Begins and ends a fault of one node, or of all."""
+
+    def __init__(self, deployment: ControlDeployment) -> None:
+        self._deployment = deployment
+        self._links = deployment.links
+        self._random = deployment.random("node faults")
+
+    async def act(self, kind: FaultKind, duration_s: float) -> None:
+        """Let a fault act for its time."""
+        if kind is FaultKind.DATAGRAMS_LOST:
+            self._links.datagram_loss = LOSS
+            await asyncio.sleep(duration_s)
+            self._links.datagram_loss = CALM_LOSS
+            return
+        if kind is FaultKind.ALL_NODES_KILLED:
+            nodes = self._deployment.living_nodes()
+            await asyncio.gather(*(self._kill(node, duration_s) for node in nodes))
+            return
+        node = self._pick(kind)
+        if node is None:
+            return
+        if kind in (FaultKind.NODE_CUT_FROM_STORE, FaultKind.LEADER_CUT_FROM_STORE):
+            await self._cut(node, [STORE], duration_s)
+        elif kind in (FaultKind.NODE_CUT_FROM_PEERS, FaultKind.LEADER_CUT_FROM_PEERS):
+            others = [name for name in self._deployment.nodes if name != node.name]
+            await self._cut(node, others, duration_s)
+        elif kind in (FaultKind.NODE_KILLED, FaultKind.LEADER_KILLED):
+            await self._kill(node, duration_s)
+        elif kind is FaultKind.LEADER_STOPPED:
+            await self._stop(node, duration_s)
+        elif kind is FaultKind.MACHINES_SLOW:
+            self._links.slow_s[node.name] = SLOW_S
+            await asyncio.sleep(duration_s)
+            self._links.slow_s.pop(node.name, None)
+        else:
+            await self._freeze(node, duration_s)
+
+    def _pick(self, kind: FaultKind) -> SimulatedNode | None:
+        leader = self._deployment.leader() if kind in OF_LEADER else None
+        nodes = self._deployment.living_nodes()
+        if leader is not None:
+            return leader
+        return self._random.choice(nodes) if nodes else None
+
+    async def _cut(self, node: SimulatedNode, others: list[str], duration_s: float) -> None:
+        for other in others:
+            self._links.cut(node.name, other)
+        await asyncio.sleep(duration_s)
+        for other in others:
+            self._links.heal(node.name, other, self._deployment.loop.time())
+
+    async def _kill(self, node: SimulatedNode, duration_s: float) -> None:
+        """Kill a process; a new one starts on its machine after the time."""
+        if not node.process.is_alive:
+            return
+        node.process.kill(is_silent=True)
+        await asyncio.sleep(duration_s)
+        self._deployment.restart_node(node.name)
+
+    async def _stop(self, node: SimulatedNode, duration_s: float) -> None:
+        node.process.spawn(node.control.leadership.resign())
+        await asyncio.sleep(min(STOP_S, duration_s))
+        await self._kill(node, max(0.0, duration_s - STOP_S))
+
+    async def _freeze(self, node: SimulatedNode, duration_s: float) -> None:
+        if node.process.is_frozen:
+            return
+        node.process.freeze()
+        await asyncio.sleep(duration_s)
+        if node.process.is_alive:
+            self._links.note_thaw(node.name, self._deployment.loop.time())
+            node.process.thaw()
--- /dev/null
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -0,0 +1,79 @@
+"""The port through which one node's orders reach the simulated servers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from indigoworks.ownership.key_grant import KeyGrant
+from indigoworks.ownership.key_release import KeyRelease
+from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.servers.server_record import ServerRecord
+from indigoworks_lab.control_simulation.order_carrier import OrderCarrier, OrderTransit
+from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
+
+CONNECT_TIMEOUT_S = 0.3
+
+
+class NodeOrders:
+    """Implements `ServerOrders`: each order over a connection of its own, once."""
+
+    def __init__(
+        self,
+        node: str,
+        boot: str,
+        carrier: OrderCarrier,
+        on_order: Callable[[str], None],
+        run_outside: Callable[[Coroutine[Any, Any, None]], object],
+    ) -> None:
+        self._node = node
+        self._boot = boot
+        self._carrier = carrier
+        self._on_order = on_order
+        self._run_outside = run_outside
+
+    async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
+        """Grant keys, or renew the same grant."""
+
+        async def operation(target: SimulatedServer) -> OrderOutcome:
+            is_excused = self._carrier.is_excused(self._node, target)
+            return target.grant(grant, is_excused)
+
+        return await self._order(server, operation, timeout_s)
+
+    async def release(
+        self, server: ServerRecord, release: KeyRelease, timeout_s: float
+    ) -> OrderOutcome:
+        """Release keys."""
+
+        async def operation(target: SimulatedServer) -> OrderOutcome:
+            return await target.release(release)
+
+        return await self._order(server, operation, timeout_s)
+
+    async def _order(
+        self,
+        server: ServerRecord,
+        operation: Callable[[SimulatedServer], Awaitable[OrderOutcome]],
+        timeout_s: float,
+    ) -> OrderOutcome:
+        self._on_order(self._boot)
+        if not await self._connects(server):
+            return OrderOutcome(OrderResult.NOT_SENT)
+        transit = OrderTransit(asyncio.get_running_loop().create_future())
+        self._run_outside(self._carrier.carry(self._node, server, operation, transit))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await transit.answer
+        except TimeoutError:
+            return OrderOutcome(OrderResult.UNANSWERED)
+        finally:
+            transit.is_given_up = True
+
+    async def _connects(self, server: ServerRecord) -> bool:
+        connected: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._run_outside(self._carrier.connect(self._node, server, connected))
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await connected
+        except TimeoutError:
+            return False
--- /dev/null
+++ b/indigoworks_lab/control_simulation/node_store.py
@@ -0,0 +1,133 @@
+"""The port to the row store, as one node uses it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol, TypeVar
+
+from result import Err, Ok, Result
+
+from indigoworks.common.clock import Clock
+from indigoworks.rowstore.errors import StoreError, StoreRefused, StoreUnreachable
+from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.transaction import Transaction
+from indigoworks_lab.control_simulation.memory_rows import RowState
+from indigoworks_lab.control_simulation.simulated_store import SimulatedStore, StoreAnswer
+
+CALL_TIMEOUT_S = 1.0
+SLOW_CALL_S = 0.2
+"""Both as in the adapter to the platform's store."""
+
+REMEDY = "Wait."
+
+ResultT = TypeVar("ResultT")
+
+
+class StoreWatcher(Protocol):
+    """Told what passed between a node and the store."""
+
+    def answered(self, boot: str, made_s: float) -> None:
+        """An answer that was made at `made_s` reached the process."""
+        ...
+
+    def committing(self, boot: str, transaction: Transaction) -> None:
+        """A transaction reached the store and is tried now."""
+        ...
+
+    def committed(self) -> None:
+        """That transaction was tried."""
+        ...
+
+    def acknowledged(self, transaction: Transaction, version: int) -> None:
+        """A process was told that its transaction was made."""
+        ...
+
+
+class NodeStore:
+    """Implements `RowStore`; notes the health as the platform's adapter does."""
+
+    def __init__(
+        self,
+        node: str,
+        boot: str,
+        store: SimulatedStore,
+        health: StoreHealth,
+        clock: Clock,
+        watcher: StoreWatcher,
+        run_outside: Callable[[Coroutine[Any, Any, None]], object],
+    ) -> None:
+        self._node = node
+        self._boot = boot
+        self._store = store
+        self._health = health
+        self._clock = clock
+        self._watcher = watcher
+        self._run_outside = run_outside
+
+    async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
+        """Read one part of a table whole."""
+
+        async def operation() -> Result[RowState, StoreError]:
+            return Ok(self._store.rows.read(table, part))
+
+        return _rows(await self._call("read", operation, 0.0, False))
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Result[Rows, StoreError]:
+        """Wait for changed rows of a table."""
+
+        async def operation() -> Result[RowState, StoreError]:
+            await self._store.rows.wait_for_change(table, after, wait_s)
+            return self._store.rows.changes(table, after)
+
+        return _rows(await self._call("feed", operation, wait_s, False))
+
+    async def commit(self, transaction: Transaction) -> Result[int, StoreError]:
+        """Make a transaction."""
+
+        async def operation() -> Result[int, StoreError]:
+            self._watcher.committing(self._boot, transaction)
+            result = self._store.rows.commit(transaction)
+            self._watcher.committed()
+            return result
+
+        result = await self._call("transaction", operation, 0.0, True)
+        if isinstance(result, Err):
+            return result
+        version, _ = result.unwrap()
+        self._watcher.acknowledged(transaction, version)
+        return Ok(version)
+
+    async def _call(
+        self,
+        name: str,
+        operation: Callable[[], Awaitable[Result[ResultT, StoreError]]],
+        wait_s: float,
+        is_write: bool,
+    ) -> Result[tuple[ResultT, float], StoreError]:
+        sent_s = self._clock.now()
+        future: asyncio.Future[StoreAnswer[Result[ResultT, StoreError]]]
+        future = asyncio.get_running_loop().create_future()
+        self._run_outside(self._store.carry(self._node, operation, is_write, future))
+        try:
+            async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
+                answer = await future
+        except TimeoutError:
+            self._health.note_trouble(name, "unreachable")
+            return Err(StoreUnreachable("No answer came.", REMEDY))
+        if answer.result is None:
+            self._health.note_trouble(name, "refused")
+            return Err(StoreRefused("Nothing was done.", REMEDY))
+        true_at_s = self._health.note_answer(sent_s, answer.store_time_s)
+        self._watcher.answered(self._boot, answer.made_s)
+        if self._clock.now() - sent_s > wait_s + SLOW_CALL_S:
+            self._health.note_trouble(name, "slow")
+        if isinstance(answer.result, Err):
+            return answer.result
+        return Ok((answer.result.unwrap(), true_at_s))
+
+
+def _rows(result: Result[tuple[RowState, float], StoreError]) -> Result[Rows, StoreError]:
+    if isinstance(result, Err):
+        return result
+    state, true_at_s = result.unwrap()
+    return Ok(Rows(state.rows, state.version, true_at_s))
--- /dev/null
+++ b/indigoworks_lab/control_simulation/order_carrier.py
@@ -0,0 +1,105 @@
+"""Carries orders to servers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.servers.server_record import ServerRecord
+from indigoworks_lab.control_simulation.links import Links
+from indigoworks_lab.control_simulation.server_faults import LATE_ORDER_S, ServerFaults
+from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
+
+POLL_S = 0.05
+
+
+@dataclass
+class OrderTransit:
+    """An order under way; `is_given_up`: its connection was reset by the sender."""
+
+    answer: "asyncio.Future[OrderOutcome]"
+    is_given_up: bool = False
+
+
+class OrderCarrier:
+    """A cut holds an order back until it ends, or for good where the sender gives up."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        links: Links,
+        server_at: Callable[[str], SimulatedServer | None],
+        random: Random,
+    ) -> None:
+        self.faults = ServerFaults()
+        self._loop = loop
+        self._links = links
+        self._server_at = server_at
+        self._random = random
+
+    def is_excused(self, node: str, target: SimulatedServer) -> bool:
+        """Tell whether the rules do not count an order that arrives now."""
+        return self._links.is_excused(node, str(target.address), self._loop.time())
+
+    async def connect(
+        self, node: str, server: ServerRecord, connected: "asyncio.Future[bool]"
+    ) -> None:
+        """Open a connection; nothing is set where the path is cut."""
+        address = str(server.address)
+        await asyncio.sleep(self._links.latency_s(node, address))
+        if self._links.is_cut(node, address):
+            return
+        if not connected.done():
+            connected.set_result(self._server_at(address) is not None)
+
+    async def carry(
+        self,
+        node: str,
+        server: ServerRecord,
+        operation: Callable[[SimulatedServer], Awaitable[OrderOutcome]],
+        transit: OrderTransit,
+    ) -> None:
+        """Bring an order to whoever listens at the address, and the answer back."""
+        address = str(server.address)
+        await asyncio.sleep(self._links.latency_s(node, address))
+        if not await self._passes(node, address, transit):
+            return
+        outcome = await self._carried_out(address, server.server_id, operation)
+        await asyncio.sleep(self._links.latency_s(node, address))
+        if await self._passes(node, address, transit) and outcome is not None:
+            _settle(transit, outcome)
+
+    async def _passes(self, node: str, address: str, transit: OrderTransit) -> bool:
+        while self._links.is_cut(node, address):
+            if transit.is_given_up:
+                return False
+            await asyncio.sleep(POLL_S)
+        return True
+
+    async def _carried_out(
+        self,
+        address: str,
+        server_id: str,
+        operation: Callable[[SimulatedServer], Awaitable[OrderOutcome]],
+    ) -> OrderOutcome | None:
+        target = self._server_at(address)
+        if target is None:
+            return OrderOutcome(OrderResult.UNANSWERED)
+        if target.server_id != server_id:
+            return OrderOutcome(OrderResult.OTHER_SERVER)
+        is_late = self._random.random() < self.faults.late_ratio
+        is_lost = self._random.random() < self.faults.lost_ratio
+        if is_late:
+            await asyncio.sleep(self._random.uniform(*LATE_ORDER_S))
+            if not target.is_up:
+                return None
+        outcome = await operation(target)
+        if is_late or is_lost:
+            return None
+        return outcome if target.is_up else OrderOutcome(OrderResult.UNANSWERED)
+
+
+def _settle(transit: OrderTransit, outcome: OrderOutcome) -> None:
+    if not transit.answer.done():
+        transit.answer.set_result(outcome)
--- /dev/null
+++ b/indigoworks_lab/control_simulation/request_load.py
@@ -0,0 +1,48 @@
+"""Requests of callers."""
+
+import asyncio
+from random import Random
+
+from indigoworks.ownership.ownership_table import KEY_COUNT
+from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
+
+REQUESTS_PER_S = 45.0
+HOT_SHARE = 0.6
+HOT_WIDTH = 3000
+HOT_CHANGE_S = 9.0
+MEAN_DURATION_S = 0.15
+LONG_SHARE = 0.03
+LONG_S = (0.5, 3.0)
+
+
+class RequestLoad:
+    """Random keys at random nodes; a range that is hot moves on every HOT_CHANGE_S."""
+
+    def __init__(self, deployment: ControlDeployment) -> None:
+        self._deployment = deployment
+        self._random = deployment.random("load")
+        self._hot_first = 0
+        self._hot_until_s = 0.0
+
+    async def run(self) -> None:
+        """Send requests for ever."""
+        while True:
+            await asyncio.sleep(self._random.expovariate(REQUESTS_PER_S))
+            nodes = self._deployment.living_nodes()
+            key, duration_s = self._key(), self._duration_s(self._random)
+            if nodes:
+                self._random.choice(nodes).request(key, duration_s)
+
+    def _key(self) -> int:
+        now_s = self._deployment.loop.time()
+        if now_s >= self._hot_until_s:
+            self._hot_first = self._random.randrange(KEY_COUNT - HOT_WIDTH)
+            self._hot_until_s = now_s + HOT_CHANGE_S
+        if self._random.random() < HOT_SHARE:
+            return self._hot_first + self._random.randrange(HOT_WIDTH)
+        return self._random.randrange(KEY_COUNT)
+
+    def _duration_s(self, random: Random) -> float:
+        if random.random() < LONG_SHARE:
+            return random.uniform(*LONG_S)
+        return random.uniform(0.2, 1.8) * MEAN_DURATION_S
--- /dev/null
+++ b/indigoworks_lab/control_simulation/row_checker.py
@@ -0,0 +1,75 @@
+"""Acknowledged rows are never lost."""
+
+from indigoworks.ownership.control_group import CONTROL_TABLE
+from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
+from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
+from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
+from indigoworks.rowstore.transaction import Transaction
+from indigoworks_lab.control_simulation.memory_rows import MemoryRows
+from indigoworks_lab.control_simulation.violation_list import ViolationList
+
+CHECKER = "rows"
+
+
+class RowChecker:
+    """Looks at each transaction as it reaches the store and at each acknowledgement.
+
+    A row of owners or of the leader is replaced only by who knew it: under its version. Tables of
+    owners are changed only by the leader, cover all keys, and their highest token grows.
+
+    :ivar tables_written: tables of owners that were written so far.
+    """
+
+    def __init__(self, rows: MemoryRows, violations: ViolationList) -> None:
+        self._rows = rows
+        self._violations = violations
+        self._acknowledged: dict[tuple[str, str], int] = {}
+        self.tables_written = 0
+
+    def committing(self, boot: str, transaction: Transaction) -> None:
+        """A transaction is about to be tried."""
+        expected = {each.key: each.version for each in transaction.expected}
+        versions = {
+            key: 0 if row is None else row.version
+            for key in {*expected, *(put.key for put in transaction.puts)}
+            for row in [self._rows.row(CONTROL_TABLE, transaction.part, key)]
+        }
+        if any(versions[key] != version for key, version in expected.items()):
+            return
+        for put in transaction.puts:
+            is_owners = put.key.startswith(OWNERS_PREFIX)
+            if (is_owners or put.key == LEADER_KEY) and put.key not in expected:
+                self._add(f"{boot} writes {put.key} without knowing version {versions[put.key]}")
+            if is_owners:
+                self.tables_written += 1
+                self._check_table(boot, transaction.part, put.key, put.value)
+
+    def acknowledged(self, transaction: Transaction, version: int) -> None:
+        """A process learnt that its transaction was made."""
+        for put in transaction.puts:
+            known = self._acknowledged.get((transaction.part, put.key), 0)
+            self._acknowledged[(transaction.part, put.key)] = max(known, version)
+
+    def check_end(self) -> None:
+        """Compare what was acknowledged with what the store holds."""
+        for (part, key), version in self._acknowledged.items():
+            row = self._rows.row(CONTROL_TABLE, part, key)
+            if row is None or row.version < version:
+                self._add(f"{key} was acknowledged in version {version} and is gone")
+
+    def _check_table(self, boot: str, part: str, key: str, value: bytes) -> None:
+        leader = self._rows.row(CONTROL_TABLE, part, LEADER_KEY)
+        if leader is None or LeaderRow.decode(leader.value, 1).boot != boot:
+            self._add(f"{boot} writes {key} and does not lead")
+        table = OwnershipTable.decode("", value, 0)
+        if sum(each.width for each in table.ranges) != KEY_COUNT:
+            self._add(f"{boot} writes {key}, which does not cover the keys")
+        before = self._rows.row(CONTROL_TABLE, part, key)
+        if before is None:
+            return
+        highest = OwnershipTable.decode("", before.value, 0).highest_token
+        if table.highest_token < highest:
+            self._add(f"{boot} lowers the highest token of {key} from {highest}")
+
+    def _add(self, text: str) -> None:
+        self._violations.add(CHECKER, text)
--- /dev/null
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -0,0 +1,190 @@
+"""One life of a gateway process, without HTTP."""
+
+import asyncio
+from random import Random
+
+from result import Err
+
+from indigoworks.exchange.peer_address import PeerAddress
+from indigoworks.exchange.peer_directory import PEER_PREFIX, PeerDirectory, encode_peer
+from indigoworks.exchange.peer_report import PeerReport
+from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.gateway.control_side import ControlSide
+from indigoworks.gateway.gateway_settings import GatewaySettings
+from indigoworks.gateway.header_names import HeaderNames
+from indigoworks.gateway.key_sampler import KeySampler
+from indigoworks.gateway.owner_lookup import OwnerLookup, OwnerState
+from indigoworks.gateway.platform_ports import PlatformPorts
+from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.server_board import ServerBoard
+from indigoworks.ownership.control_group import CONTROL_TABLE
+from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.transaction import RowPut, Transaction
+from indigoworks.servers.server_record import ServerRecord
+from indigoworks_lab.control_simulation.node_exchange import NodeExchange
+from indigoworks_lab.control_simulation.node_orders import NodeOrders
+from indigoworks_lab.control_simulation.node_store import NodeStore
+from indigoworks_lab.control_simulation.node_world import NodeWorld
+from indigoworks_lab.control_simulation.server_entry import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    SERVERS_TABLE,
+    SERVICE,
+    read_configuration,
+    read_server,
+)
+from indigoworks_lab.simulation.core.host_clock import HostClock
+from indigoworks_lab.simulation.core.simulated_process import SimulatedProcess
+
+REGISTER_RETRY_S = 0.3
+REQUEST_PATIENCE_S = 1.0
+REQUEST_TIMEOUT_S = 2.0
+LOOK_AGAIN_S = 0.05
+
+
+class SimulatedNode:
+    """Builds and starts the parts that `indigoworks/gateway/gateway.py` does.
+
+    :ivar tables: the owners as this node knows them.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        boot: str,
+        process: SimulatedProcess,
+        world: NodeWorld,
+        random: Random,
+    ) -> None:
+        self.name = settings.node
+        self.boot = boot
+        self.process = process
+        self.tables = OwnershipTables()
+        self._settings = settings
+        self._world = world
+        self._clock = HostClock(world.loop, random, rate=1.0)
+        self._peers = PeerTable(self._clock)
+        self._directory = PeerDirectory(settings.node)
+        self._board = ServerBoard(self._peers, self._clock)
+        self._sampler = KeySampler()
+        self._sequence = 0
+        self._ports = self._make_ports()
+        self._platform = PlatformSide(self._ports, settings, self._clock)
+        self._lookup = OwnerLookup(self.tables, self._platform.servers, self._board)
+        self.control = ControlSide(
+            boot,
+            settings,
+            self._ports,
+            self._platform,
+            self._peers,
+            self._directory,
+            self.tables,
+            self._clock,
+            random,
+        )
+        self._exchange = NodeExchange(
+            self.name,
+            world.datagrams,
+            self._directory,
+            self._peers,
+            self._clock,
+            self._make_report,
+            self._sampler.has_samples,
+            self.control.take_report,
+        )
+        self.control.use_board(self._board)
+        self.control.send_report_now = self._exchange.send_now
+
+    def start(self) -> None:
+        """Start the tasks of the process."""
+        address = self._settings.peer_address
+        endpoint = (address.host, address.port)
+        self._world.datagrams.attach(endpoint, self.name, self.process, self._exchange)
+        for follower in (*self._platform.followers, self.control.follower):
+            self.process.spawn(follower.run())
+        self.process.spawn(self._register())
+        self.process.spawn(self._exchange.run())
+        self.process.spawn(self.control.member.run())
+
+    def can_send(self, key: int) -> bool:
+        """Tell whether a request for a key would go out at once."""
+        return self._lookup.find(SERVICE, key).state is OwnerState.READY
+
+    def request(self, key: int, duration_s: float) -> None:
+        """Take a request of a caller."""
+        self.process.spawn(self._handle(key, duration_s))
+
+    # ---- requests ----
+
+    async def _handle(self, key: int, duration_s: float) -> None:
+        self._sampler.add(SERVICE, key)
+        until_s = self._clock.now() + REQUEST_PATIENCE_S
+        while not self.can_send(key):
+            if self._clock.now() > until_s:
+                return
+            await self._clock.sleep(LOOK_AGAIN_S)
+        server = self._lookup.find(SERVICE, key).server
+        assert server is not None
+        started_s = self._board.start(server)
+        is_served = await self._send(server, key, duration_s)
+        self._board.finish(server, started_s, is_served)
+
+    async def _send(self, server: ServerRecord, key: int, duration_s: float) -> bool:
+        answer: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._world.run_outside(
+            self._world.requests.carry(self.name, server, key, duration_s, answer)
+        )
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                return await answer
+        except TimeoutError:
+            return False
+
+    # ---- parts ----
+
+    def _make_ports(self) -> PlatformPorts:
+        world, health = self._world, StoreHealth(self._clock)
+        store = NodeStore(
+            self.name, self.boot, world.store, health, self._clock, world.audit, world.run_outside
+        )
+        orders = NodeOrders(
+            self.name, self.boot, world.orders, world.audit.ordering, world.run_outside
+        )
+        return PlatformPorts(
+            names=HeaderNames(*([""] * 8)),
+            store=store,
+            health=health,
+            orders=orders,
+            configuration_table=CONFIGURATION_TABLE,
+            configuration_key=CONFIGURATION_KEY,
+            servers_table=SERVERS_TABLE,
+            readiness_path="",
+            read_configuration=read_configuration,
+            read_server=read_server,
+        )
+
+    async def _register(self) -> None:
+        peer = PeerAddress(self.name, self.boot, "z1", self._settings.peer_address)
+        put = RowPut(CONTROL_TABLE, PEER_PREFIX + peer.node, encode_peer(peer))
+        transaction = Transaction(self.control.group.part, (), (put,))
+        while isinstance(await self._ports.store.commit(transaction), Err):
+            await self._clock.sleep(REGISTER_RETRY_S)
+
+    def _make_report(self) -> PeerReport:
+        self._sequence += 1
+        samples = self._sampler.drain()
+        self._peers.add_samples(samples)
+        leadership = self.control.leadership
+        epoch = leadership.row.epoch
+        return PeerReport(
+            node=self.name,
+            boot=self.boot,
+            sequence=self._sequence,
+            epoch=epoch,
+            beat_age_s=leadership.signs.beat_age_s(epoch),
+            leader=self.control.beat(),
+            loads=self._board.loads(),
+            samples=samples,
+            retry_count=0,
+        )
--- /dev/null
+++ b/indigoworks_lab/control_simulation/simulated_store.py
@@ -0,0 +1,88 @@
+"""The store as its callers reach it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Generic, TypeVar
+
+from indigoworks_lab.control_simulation.links import Links
+from indigoworks_lab.control_simulation.memory_rows import MemoryRows
+from indigoworks_lab.control_simulation.store_faults import StoreFaults, StoreState
+
+STORE = "store"
+"""Name of the store among the machines."""
+
+LATE_WRITE_S = (1.0, 6.0)
+STORE_TIME_OFFSET_S = 7000.0
+REFUSAL_S = 0.3
+
+ResultT = TypeVar("ResultT")
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer(Generic[ResultT]):
+    """An answer; `result` is None where the store refused to work.
+
+    :ivar store_time_s: reading of the store's steady clock.
+    :ivar made_s: true time at which it was made.
+    """
+
+    result: ResultT | None
+    store_time_s: float
+    made_s: float
+
+
+class SimulatedStore:
+    """Carries calls to the rows and answers back, with the faults that act."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, links: Links, random: Random) -> None:
+        self.rows = MemoryRows()
+        self.faults = StoreFaults()
+        self._loop = loop
+        self._links = links
+        self._random = random
+
+    def is_reachable(self, source: str) -> bool:
+        """Tell whether a call would be answered now."""
+        return self.faults.state is StoreState.UP and not self._links.is_cut(source, STORE)
+
+    async def carry(
+        self,
+        source: str,
+        operation: Callable[[], Awaitable[ResultT]],
+        is_write: bool,
+        answer: "asyncio.Future[StoreAnswer[ResultT]]",
+    ) -> None:
+        """Run one call; sets `answer` unless it is lost. Runs outside of the calling process."""
+        await asyncio.sleep(self._delay_s(source))
+        if not await self._arrives(source, answer):
+            return
+        if is_write and self._random.random() < self.faults.late_ratio:
+            await asyncio.sleep(self._random.uniform(*LATE_WRITE_S))
+            await operation()
+            return
+        result = await operation()
+        made = StoreAnswer(result, self._loop.time() + STORE_TIME_OFFSET_S, self._loop.time())
+        is_lost = self._random.random() < self.faults.lost_ratio
+        await asyncio.sleep(self._delay_s(source))
+        if is_lost or not self.is_reachable(source):
+            return
+        _settle(answer, made)
+
+    async def _arrives(self, source: str, answer: "asyncio.Future[StoreAnswer[ResultT]]") -> bool:
+        if self.is_reachable(source):
+            return True
+        if self.faults.state is StoreState.REFUSING or self._random.random() < 0.3:
+            await asyncio.sleep(self._random.uniform(0.0, REFUSAL_S))
+            _settle(answer, StoreAnswer(None, 0.0, self._loop.time()))
+        return False
+
+    def _delay_s(self, source: str) -> float:
+        slow_s = self._random.uniform(0.0, self.faults.slow_s)
+        return slow_s + self._links.latency_s(source, STORE)
+
+
+def _settle(answer: "asyncio.Future[StoreAnswer[ResultT]]", value: StoreAnswer[ResultT]) -> None:
+    if not answer.done():
+        answer.set_result(value)
--- /dev/null
+++ b/indigoworks_lab/control_simulation/store_faults.py
@@ -0,0 +1,27 @@
+"""What is wrong with the simulated store."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class StoreState(Enum):
+    """Whether the store answers."""
+
+    UP = "up"
+    SILENT = "silent"
+    REFUSING = "refusing"
+
+
+@dataclass
+class StoreFaults:
+    """Faults that act now.
+
+    :ivar slow_s: each answer takes up to so long more.
+    :ivar lost_ratio: share of answers that are lost after the work was done.
+    :ivar late_ratio: share of writes that are made LATE_WRITE_S later, without an answer.
+    """
+
+    state: StoreState = StoreState.UP
+    slow_s: float = 0.0
+    lost_ratio: float = 0.0
+    late_ratio: float = 0.0
