--- a/indigoworks/exchange/datagram_exchange.py
+++ b/indigoworks/exchange/datagram_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import cast
 
 from indigoworks.common.address import Address
@@ -17,6 +18,9 @@
 QUIET_PERIODS = 4
 """A report that would say nothing new goes out every so many periods."""
 
+FAR_PERIODS = 2
+"""Peers of other zones get every so many-th report: bytes between zones are dear."""
+
 
 class DatagramExchange(asyncio.DatagramProtocol):
     """One UDP socket; a report to every peer, and whatever peers send.
@@ -24,18 +28,23 @@
     :param make_report: returns the report of this moment; called once for each sending.
     :param has_news: tells whether a report would say something new.
     :param on_report: called with each report that is newer than the last of its peer.
+    :param leader_node: returns the node that leads the control group.
     """
 
     def __init__(
         self,
         address: Address,
+        zone: str,
         directory: PeerDirectory,
         table: PeerTable,
         clock: Clock,
         make_report: Callable[[], PeerReport],
         has_news: Callable[[], bool],
         on_report: Callable[[PeerReport], None],
+        leader_node: Callable[[], str],
     ) -> None:
+        self._zone = zone
+        self._leader_node = leader_node
         self._address = address
         self._directory = directory
         self._table = table
@@ -58,21 +67,31 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         quiet = 0
+        near_only = 0
         while True:
             await self._clock.sleep(CHANGED_PERIOD_S)
             quiet += 1
             if quiet >= QUIET_PERIODS or self._has_news():
+                near_only = (near_only + 1) % FAR_PERIODS if quiet < QUIET_PERIODS else 0
                 quiet = 0
                 self._table.drop_silent()
-                self.send_now()
+                self.send_now(is_to_all_zones=near_only == 0)
+
+    def send_now(self, is_to_all_zones: bool = True) -> None:
+        """Send a report to every peer; samples of keys go to the leader only.
 
-    def send_now(self) -> None:
-        """Send a report to every peer."""
+        :param is_to_all_zones: False: only to peers in the own zone, and to the leader.
+        """
         if self._transport is None:
             return
-        datagram = encode_report(self._make_report())
+        report = self._make_report()
+        leader = self._leader_node()
+        short = encode_report(replace(report, samples=()))
         for peer in self._directory.others():
-            self._transport.sendto(datagram, (peer.address.host, peer.address.port))
+            is_leader = peer.node == leader
+            if is_to_all_zones or is_leader or peer.zone == self._zone:
+                datagram = encode_report(report) if is_leader and report.samples else short
+                self._transport.sendto(datagram, (peer.address.host, peer.address.port))
 
     def close(self) -> None:
         """Close the socket."""
--- a/indigoworks/exchange/peer_table.py
+++ b/indigoworks/exchange/peer_table.py
@@ -11,6 +11,9 @@
 LIVE_S = 1.0
 """A peer counts as live while its newest report is younger."""
 
+SMOOTHING = 0.1
+"""Weight of the newest report in the moving average of a server's time."""
+
 MAX_SAMPLES = 2000
 """Samples that wait to be taken; older ones are dropped first."""
 
@@ -23,6 +26,7 @@
         self._reports: dict[str, PeerReport] = {}
         self._times_s: dict[str, float] = {}
         self._in_flight: dict[str, int] = {}
+        self._service_s: dict[str, float] = {}
         self._samples: list[KeySample] = []
 
     def note(self, report: PeerReport) -> bool:
@@ -37,6 +41,7 @@
         self._reports[report.node] = report
         self._times_s[report.node] = self._clock.now()
         self._add_loads(report, +1)
+        self._average_times(report)
         self.add_samples(report.samples)
         return True
 
@@ -64,14 +69,9 @@
         """Return the requests in flight to a server from all live peers."""
         return self._in_flight.get(server_id, 0)
 
-    def service_times_s(self, server_id: str) -> list[float]:
-        """Return the time of a request at a server as each live peer measured it, in seconds."""
-        return [
-            load.service_s
-            for report in self._reports.values()
-            for load in report.loads
-            if load.server_id == server_id
-        ]
+    def service_s(self, server_id: str) -> float | None:
+        """Return the seconds that a request takes at a server as peers measured it; None: none."""
+        return self._service_s.get(server_id)
 
     def drain_samples(self) -> list[KeySample]:
         """Take the samples that arrived since the last call."""
@@ -82,6 +82,13 @@
     def _is_live(self, node: str) -> bool:
         return self._clock.now() - self._times_s[node] <= LIVE_S
 
+    def _average_times(self, report: PeerReport) -> None:
+        for load in report.loads:
+            if load.service_s > 0:
+                known_s = self._service_s.get(load.server_id, load.service_s)
+                smoothed_s = known_s + SMOOTHING * (load.service_s - known_s)
+                self._service_s[load.server_id] = smoothed_s
+
     def _add_loads(self, report: PeerReport, sign: int) -> None:
         for load in report.loads:
             count = self._in_flight.get(load.server_id, 0) + sign * load.in_flight
--- a/indigoworks/exchange/peer_view.py
+++ b/indigoworks/exchange/peer_view.py
@@ -25,8 +25,8 @@
         """Return the requests in flight to a server from all live peers, without this process."""
         ...
 
-    def service_times_s(self, server_id: str) -> list[float]:
-        """Return the time of a request at a server as each live peer measured it, in seconds."""
+    def service_s(self, server_id: str) -> float | None:
+        """Return the seconds that a request takes at a server as peers measured it; None: none."""
         ...
 
     def drain_samples(self) -> list[KeySample]:
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -10,7 +10,7 @@
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
-from indigoworks.gateway.platform_side import FEED_WAIT_S, PlatformSide
+from indigoworks.gateway.platform_side import FEED_WAIT_S, PROBE_WAIT_S, PlatformSide
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.group_leader import GroupLeader
@@ -72,12 +72,13 @@
             ports.store,
             CONTROL_TABLE,
             self.group.part,
-            FEED_WAIT_S,
+            self._feed_wait_s,
             clock,
             self._take_rows,
             self._take_rows,
             self.leadership.note_proof,
         )
+        platform.on_path_failed(self.follower.restart_call)
 
     def use_board(self, board: ServerBoard) -> None:
         """Take the measured times of servers from `board`."""
@@ -101,6 +102,10 @@
             self._tables.note_beat(report.leader)
         self.owners_changed()
 
+    def _feed_wait_s(self) -> float:
+        """A leader asks often: each answer is a proof of its leadership."""
+        return PROBE_WAIT_S if self.leadership.may_act() else FEED_WAIT_S
+
     def _take_rows(self, rows: Sequence[Row]) -> None:
         self.leadership.apply(rows)
         self._directory.apply(rows)
@@ -130,6 +135,7 @@
         self.owners_changed()
 
     def _make_leader(self) -> GroupLeader:
+        self.follower.restart_call()
         return GroupLeader(
             self.group,
             self.leadership,
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -70,12 +70,14 @@
         )
         self._exchange = DatagramExchange(
             settings.peer_address,
+            settings.zone,
             self._directory,
             self._peers,
             self._clock,
             self._make_report,
             self._has_news,
             self._take_report,
+            lambda: self._control.leadership.row.node,
         )
         self._sequence = 0
         self._reported_loads: object = ()
--- a/indigoworks/gateway/platform_side.py
+++ b/indigoworks/gateway/platform_side.py
@@ -13,9 +13,12 @@
 from indigoworks.rowstore.table_follower import TableFollower
 from indigoworks.servers.server_list import ServerList
 
-FEED_WAIT_S = 2.0
-"""Longest wait of one step of a feed. A path that was cut is noticed so much later at most, well
-within the time that leaving servers and new configurations leave."""
+PROBE_WAIT_S = 2.0
+"""Longest wait of one step of the feed of servers. A path that was cut is noticed so much later at
+most, well within the time that leaving servers and new configurations leave."""
+
+FEED_WAIT_S = 20.0
+"""Longest wait of one step of the other feeds; they are asked anew when that of servers fails."""
 
 
 class PlatformSide:
@@ -27,12 +30,13 @@
         self.servers = ServerList(ports.health, settings.server_heartbeat_s, clock)
         self._has_read_servers = False
         self._listeners: list[Callable[[], None]] = []
+        self._path_listeners: list[Callable[[], None]] = []
         self.followers = (
             TableFollower(
                 ports.store,
                 ports.configuration_table,
                 "",
-                FEED_WAIT_S,
+                lambda: FEED_WAIT_S,
                 clock,
                 self._take_configuration,
                 self._take_configuration,
@@ -41,13 +45,18 @@
                 ports.store,
                 ports.servers_table,
                 "",
-                FEED_WAIT_S,
+                lambda: PROBE_WAIT_S,
                 clock,
                 self._take_all_servers,
                 self._take_servers,
+                on_failure=self._path_failed,
             ),
         )
 
+    def on_path_failed(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each failure of the feed that probes the path to the store."""
+        self._path_listeners.append(listener)
+
     def on_servers_changed(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of the list of servers."""
         self._listeners.append(listener)
@@ -88,6 +97,11 @@
                 self.servers.put(record)
         self._notify()
 
+    def _path_failed(self) -> None:
+        self.followers[0].restart_call()
+        for listener in self._path_listeners:
+            listener()
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/indigoworks/gateway/server_board.py
+++ b/indigoworks/gateway/server_board.py
@@ -1,5 +1,7 @@
 """What this gateway knows of the load and health of servers."""
 
+from dataclasses import dataclass
+
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_view import PeerView
 from indigoworks.exchange.server_load import ServerLoad
@@ -15,6 +17,14 @@
 """A server that has just started is taken to be this much slower than it was measured."""
 
 
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """Start of a request; `rounds`: how many requests one slot had to work on in turn by then."""
+
+    at_s: float
+    rounds: float
+
+
 class ServerBoard:
     """Requests in flight, time of a request and reachability, by server."""
 
@@ -29,12 +39,13 @@
 
     # ---- changes ----
 
-    def start(self, server: ServerRecord) -> float:
-        """Note that a request goes out; returns the time to finish it by."""
+    def start(self, server: ServerRecord) -> Measurement:
+        """Note that a request goes out; returns what to finish it by."""
         self._in_flight[server.server_id] = self._in_flight.get(server.server_id, 0) + 1
-        return self._clock.now()
+        rounds = max(1.0, self.in_flight(server.server_id) / server.slots)
+        return Measurement(self._clock.now(), rounds)
 
-    def finish(self, server: ServerRecord, started_s: float, is_served: bool) -> None:
+    def finish(self, server: ServerRecord, started: Measurement, is_served: bool) -> None:
         """Note that a request ended; `is_served`: the server worked on it and answered."""
         count = self._in_flight.get(server.server_id, 1) - 1
         if count:
@@ -45,9 +56,9 @@
             return
         now_s = self._clock.now()
         self._last_answer_s[server.server_id] = now_s
-        queued = max(1.0, (count + 1) / server.slots)
-        self._average(self._service_s, server.server_id, (now_s - started_s) / queued)
-        self._average(self._by_service_s, server.service, (now_s - started_s) / queued)
+        measured_s = (now_s - started.at_s) / started.rounds
+        self._average(self._service_s, server.server_id, measured_s)
+        self._average(self._by_service_s, server.service, measured_s)
 
     def note_answer(self, server_id: str) -> None:
         """Note a sign of life of a server."""
@@ -95,10 +106,8 @@
 
     def service_s_by_id(self, server_id: str) -> float:
         """Return the seconds that one request takes at a server, as all gateways measured it."""
-        measured = [each for each in self._peers.service_times_s(server_id) if each > 0]
-        own_s = self._service_s.get(server_id)
-        if own_s is not None:
-            measured.append(own_s)
+        known = [self._peers.service_s(server_id), self._service_s.get(server_id)]
+        measured = [each for each in known if each is not None]
         return sum(measured) / len(measured) if measured else DEFAULT_SERVICE_S
 
     def service_s_of(self, service: str) -> float:
--- a/indigoworks/gateway/server_choice.py
+++ b/indigoworks/gateway/server_choice.py
@@ -6,7 +6,7 @@
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
-OTHER_ZONE_FACTOR = 1.1
+OTHER_ZONE_FACTOR = 1.25
 """A server of another zone must be this much better: bytes between zones cost."""
 
 
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -92,13 +92,13 @@
         self._seen: dict[str, tuple[frozenset[str], float]] = {}
 
     async def run(self, predecessor: LeaderRow) -> None:
-        """Lead until another leader is named or the proof of leadership is too old for good."""
+        """Lead until another leader is named, or none."""
         self._bounds.start_epoch(self._predecessor_bound_s(predecessor))
         epoch = self._leadership.row.epoch
         try:
-            if not await self._take_tables():
-                return
-            while self._leadership.row.epoch == epoch and self._leadership.proof_age_s() < 1e9:
+            while self._leads(epoch) and not await self._take_tables():
+                await self._clock.sleep(TICK_S)
+            while self._leads(epoch):
                 self._watch_predecessor(predecessor)
                 self._bounds.drop_past()
                 self._take_samples()
@@ -108,6 +108,10 @@
         finally:
             self._keepers.stop_all()
 
+    def _leads(self, epoch: int) -> bool:
+        """Tell whether the newest known row still names this process for `epoch`."""
+        return self._leadership.row.epoch == epoch and self._leadership.is_named()
+
     # ---- beginning ----
 
     def _predecessor_bound_s(self, predecessor: LeaderRow) -> float:
@@ -130,7 +134,11 @@
             self._bounds.tighten_predecessor(self._clock.now() + hold_s * CLOCK_FACTOR + MARGIN_S)
 
     async def _take_tables(self) -> bool:
-        """Read the tables as the last leader left them and put new tokens on all ranges."""
+        """Read the tables as the last leader left them and put new tokens on all ranges.
+
+        False where that did not come about, such as by a write whose answer was lost: it is then to
+        be done again from the rows as they are.
+        """
         if not await self._read_again():
             return False
         for service in self._keyed_services():
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -93,6 +93,10 @@
         """Return the newest known row."""
         return self._row
 
+    def is_named(self) -> bool:
+        """Tell whether the newest known row names this process."""
+        return self._names_us()
+
     def may_act(self) -> bool:
         """Tell whether this process may act as leader now; ask right before each order."""
         return self._names_us() and self.proof_age_s() < LEADER_LEASE_S
--- a/indigoworks/ownership/load_balancer.py
+++ b/indigoworks/ownership/load_balancer.py
@@ -23,6 +23,15 @@
 MAX_MOVES = 4
 """Moves decided at once for balance."""
 
+EXCESS = 1.2
+"""A part may carry so many times what is wanted."""
+
+HOT_KEY_UTILISATION = 0.7
+"""A single key is hot when it keeps so much of its server busy: it cannot be cut."""
+
+FASTER_RATIO = 1.25
+"""Such a key moves to a server that is so many times as fast."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServerCapacity:
@@ -64,6 +73,9 @@
         capacity = {each.server_id: each for each in servers}
         moves: list[RangeMove] = []
         taken: set[OwnedRange] = set()
+        hot = self._move_of_hot_key(servers, load, taken)
+        if hot is not None:
+            return [hot]
         for _ in range(MAX_MOVES):
             mean = sum(load.values()) / len(load)
             busiest = max(load, key=lambda each: load[each])
@@ -92,6 +104,7 @@
         load: dict[str, float],
         taken: set[OwnedRange],
     ) -> RangeMove | None:
+        """Return what evens two servers out; the hottest range that can be cut goes first."""
         surplus = (load[busiest.server_id] - load[idlest.server_id]) / 2
         wanted_hits = surplus / self._utilisation(1.0, busiest)
         ranges = [
@@ -99,33 +112,56 @@
             for each in self._table.ranges_of(busiest.server_id)
             if each not in taken and not each.former
         ]
-        if not ranges:
-            return None
-        hottest = max(ranges, key=lambda each: self._window.count_between(each.first, each.last))
-        piece = self._piece(hottest, wanted_hits)
-        if piece is None:
-            return None
-        taken.add(hottest)
-        hits = self._window.count_between(*piece)
-        load[busiest.server_id] -= self._utilisation(hits, busiest)
-        load[idlest.server_id] += self._utilisation(hits, idlest)
-        return RangeMove(*piece, busiest.server_id, idlest.server_id, "load")
+        ranges.sort(key=lambda each: -self._window.count_between(each.first, each.last))
+        for owned in ranges:
+            piece = self._piece(owned, wanted_hits)
+            if piece is None:
+                continue
+            taken.add(owned)
+            hits = self._window.count_between(*piece)
+            load[busiest.server_id] -= self._utilisation(hits, busiest)
+            load[idlest.server_id] += self._utilisation(hits, idlest)
+            return RangeMove(*piece, busiest.server_id, idlest.server_id, "load")
+        return None
+
+    def _move_of_hot_key(
+        self, servers: Sequence[ServerCapacity], load: Mapping[str, float], taken: set[OwnedRange]
+    ) -> RangeMove | None:
+        """Return the move of a key that alone is too much for its server to a much faster one."""
+        capacity = {each.server_id: each for each in servers}
+        for owned in self._table.ranges:
+            server = capacity.get(owned.server_id)
+            if server is None or owned.former or load[owned.server_id] < MIN_UTILISATION:
+                continue
+            key, hits = self._hottest_key(owned)
+            if self._utilisation(hits, server) < HOT_KEY_UTILISATION:
+                continue
+            fastest = max(servers, key=lambda each: each.requests_per_s)
+            if fastest.requests_per_s > FASTER_RATIO * server.requests_per_s:
+                taken.add(owned)
+                return RangeMove(key, key, owned.server_id, fastest.server_id, "hot_key")
+        return None
+
+    def _hottest_key(self, owned: OwnedRange) -> tuple[int, float]:
+        of_key: dict[int, float] = {}
+        for key, weight in self._window.hits_between(owned.first, owned.last):
+            of_key[key] = of_key.get(key, 0.0) + weight
+        if not of_key:
+            return owned.first, 0.0
+        key = max(of_key, key=lambda each: of_key[each])
+        return key, of_key[key]
 
     def _piece(self, owned: OwnedRange, wanted_hits: float) -> tuple[int, int] | None:
-        """Return the end of a range that carries about `wanted_hits`, or all of it."""
+        """Return a part of a range that carries at most about `wanted_hits`; None: there is none.
+
+        Of its two ends the one that carries more, and among equals the narrower one.
+        """
         hits = self._window.hits_between(owned.first, owned.last)
         total = sum(weight for _, weight in hits)
         if total <= 0:
             return None
-        if total <= wanted_hits * 1.2:
+        if total <= wanted_hits * EXCESS:
             return owned.first, owned.last
-        from_left = self._narrow(hits, wanted_hits, owned)
-        return from_left
-
-    def _narrow(
-        self, hits: list[tuple[int, float]], wanted_hits: float, owned: OwnedRange
-    ) -> tuple[int, int] | None:
-        """Return the narrower end of `owned` that carries about `wanted_hits`."""
         left = self._cut(hits, wanted_hits)
         right = self._cut(hits[::-1], wanted_hits)
         pieces: list[tuple[int, int]] = []
@@ -133,23 +169,26 @@
             pieces.append((owned.first, left))
         if right is not None and right > owned.first:
             pieces.append((right, owned.last))
-        return min(pieces, key=lambda each: each[1] - each[0], default=None)
+        return max(
+            pieces,
+            key=lambda each: (self._window.count_between(*each), each[0] - each[1]),
+            default=None,
+        )
 
     def _cut(self, hits: list[tuple[int, float]], wanted_hits: float) -> int | None:
-        """Return the key up to which `hits` carry about what is wanted; None: one key is it all."""
+        """Return the key up to which `hits` carry at most about what is wanted; None: none do."""
         total = 0.0
+        cut: int | None = None
         index = 0
         while index < len(hits):
             key = hits[index][0]
-            of_key = 0.0
             while index < len(hits) and hits[index][0] == key:
-                of_key += hits[index][1]
+                total += hits[index][1]
                 index += 1
-            total += of_key
-            if total >= wanted_hits:
-                is_too_much = total > 2 * wanted_hits
-                return None if is_too_much else key
-        return None
+            if total > wanted_hits * EXCESS:
+                return cut
+            cut = key
+        return cut
 
     def _parts(self, owned: OwnedRange, count: int) -> list[tuple[int, int]]:
         """Cut a range into parts of equal load, or of equal width where nothing was sampled."""
