Scenarios for a request's way through a gateway, over real sockets

Ruled out: fakes in place of sockets, since what is tested is what stands on the connections; waits for a time to pass, since clocks are moved by the scripted servers instead. Before: no scenario (CONTRIBUTING.md asks for them). Conclusion: settles the path of one request.

--- /dev/null
+++ b/features/gateway_repeats.feature
@@ -0,0 +1,96 @@
+Feature: What a gateway sends again
+
+  Scenario: An unsafe request whose answer was lost is sent once
+    Given a gateway
+    And 3 gateway servers that each loses the answer
+    And the gateway route is not repeatable
+    When a gateway caller sends 1 request one after the other
+    Then the gateway answers have the statuses 502
+    And the gateway servers got 1 request
+
+  Scenario: An unsafe request goes again after word that it has not run
+    Given a gateway
+    And 2 gateway servers, of which the first to be asked says not run
+    And the gateway route is not repeatable
+    When a gateway caller sends 1 request one after the other
+    Then every gateway answer is the server's, whole
+    And the gateway servers got 2 requests, each server one
+
+  Scenario: An unsafe request goes again after word that another server was meant
+    Given a gateway
+    And 2 gateway servers, of which the first to be asked says misdirected
+    And the gateway route is not repeatable
+    When a gateway caller sends 1 request one after the other
+    Then every gateway answer is the server's, whole
+    And the gateway servers got 2 requests, each server one
+
+  Scenario: An unsafe request that failed at its server is not sent again
+    Given a gateway
+    And 2 gateway servers that each answers 500
+    And the gateway route is not repeatable
+    When a gateway caller sends 1 request one after the other
+    Then the gateway answers have the statuses 500
+    And the gateway servers got 1 request
+
+  Scenario: A safe request goes again after its answer was lost
+    Given a gateway
+    And 2 gateway servers, of which the first to be asked loses the answer
+    When a gateway caller sends 1 request one after the other
+    Then every gateway answer is the server's, whole
+    And the gateway servers got 2 requests, each server one
+
+  Scenario: After a lost answer a refusal is no promise
+    Given a gateway
+    And 2 gateway servers, of which the first to be asked loses the answer
+    And the other gateway server says not run
+    When a gateway caller sends 1 request one after the other
+    Then the gateway answers have the statuses 502
+    And the gateway servers got 2 requests, each server one
+
+  Scenario Outline: Never more servers than the route allows
+    Given a gateway
+    And 6 gateway servers that each <behaviour>
+    And the gateway route allows <most> servers
+    When a gateway caller sends 1 request one after the other
+    Then the gateway answers have the statuses <status>
+    And the gateway servers got <most> requests, each server one at most
+
+    Examples:
+      | behaviour        | most | status |
+      | loses the answer | 1    | 502    |
+      | loses the answer | 3    | 502    |
+      | says not run     | 1    | 503    |
+      | says not run     | 4    | 503    |
+
+  Scenario: A server to which no connection comes about has not been asked
+    Given a gateway
+    And a gateway server at whose address nothing listens
+    And a gateway server of another zone that answers
+    And the gateway route allows 1 servers
+    When a gateway caller sends 4 requests one after the other
+    Then every gateway answer is the server's, whole
+    And the gateway servers got 4 requests
+
+  Scenario: Nothing that can be reached at all
+    Given a gateway
+    And a gateway server at whose address nothing listens
+    And the gateway route is not repeatable
+    When a gateway caller sends 1 request one after the other
+    Then the gateway answers have the statuses 503
+    And every gateway answer says when to come back
+
+  Scenario: The budget denies what goes beyond it
+    Given a gateway that may repeat 0 requests
+    And 4 gateway servers that each loses the answer
+    When a gateway caller sends 2 requests one after the other
+    Then the gateway answers have the statuses 502, 502
+    And the gateway servers got 2 requests
+
+  Scenario: The budget is spent to its end and no further
+    Given a gateway that may repeat 3 requests
+    And 4 gateway servers that each loses the answer
+    When a gateway caller sends 5 requests one after the other
+    Then the gateway servers got 8 requests
+
+  Scenario: The budget over its window and among gateways
+    Then gateway budget: whatever is asked, no window holds more repeats than its share
--- /dev/null
+++ b/features/steps/gateway_repeat_steps.py
@@ -0,0 +1,124 @@
+"""Steps on repeats, their budget, room at servers, and the stop of a gateway."""
+
+from collections import deque
+from random import Random
+
+from backend_manual_clock import ManualClock
+from behave import given, then
+from gateway_request_steps import add, make_world
+from gateway_scripted_server import BEHAVIOURS
+from gateway_world import (
+    HOST,
+    free_port,
+    make_record,
+)
+from hypothesis import given as for_all
+from hypothesis import strategies
+
+from indigoworks.common.address import Address
+from indigoworks.exchange.peer_report import PeerReport
+from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.gateway.retry_allowance import SAFETY, RetryAllowance
+
+
+@given("a gateway that may repeat {count:d} requests")
+def with_budget(context, count):
+    # A whisker above, so that rounding does not decide.
+    slack = (count + 1e-6) / SAFETY if count else 0.0
+    make_world(context, retry_ratio=0.0, retry_slack=slack)
+
+
+@given("a gateway server of another zone that {behaviour}")
+def other_zone(context, behaviour):
+    """Any other server that is as good is asked before it."""
+    add(context, "far", [behaviour], zone="z2")
+
+
+@given("{count:d} gateway servers that each {behaviour}")
+def several(context, count, behaviour):
+    for number in range(count):
+        add(context, f"s{number}", [behaviour])
+
+
+@given("2 gateway servers, of which the first to be asked {behaviour}")
+def first_asked(context, behaviour):
+    for name in ("s0", "s1"):
+        add(context, name, ["answers"])
+    servers = list(context.gateway.servers.values())
+
+    async def as_first(server, request, writer):
+        is_first = len(context.gateway.requests()) == 1
+        chosen = behaviour if is_first else context.gateway_other
+        return await BEHAVIOURS[chosen](server, request, writer)
+
+    context.gateway_other = "answers"
+    for server in servers:
+        server.behaviours = [as_first]
+
+
+@given("the other gateway server {behaviour}")
+def other_server(context, behaviour):
+    context.gateway_other = behaviour
+
+
+@given("the gateway route allows {most:d} servers")
+def allow(context, most):
+    context.gateway.configure(max_attempts=most)
+
+
+@given("a gateway server at whose address nothing listens")
+def nothing_listens(context):
+    record = make_record("dark", Address(HOST, free_port()))
+    context.run_async(context.gateway.put_server(record))
+
+
+@then("the gateway servers got {count:d} requests, each server one")
+@then("the gateway servers got {count:d} requests, each server one at most")
+def one_each(context, count):
+    servers = context.gateway.servers.values()
+    counts = sorted(len(each.requests) for each in servers)
+    assert sum(counts) == count and counts[-1] == 1, counts
+
+
+@then("every gateway answer says when to come back")
+def come_back(context):
+    assert context.gateway_answers
+    for each in context.gateway_answers:
+        assert float(each.header("Retry-After")) > 0, each
+
+
+@then("gateway budget: whatever is asked, no window holds more repeats than its share")
+def budget_property(context):
+    steps = strategies.lists(strategies.sampled_from(["ask", "repeat", "repeat", "wait"]))
+    numbers = strategies.integers(0, 6)
+
+    @for_all(steps, numbers, numbers, strategies.integers(0, 10**6))
+    def check(actions, slack, peer_count, seed):
+        clock = ManualClock()
+        peers = PeerTable(clock)
+        for number in range(peer_count):
+            peers.note(PeerReport(f"p{number}", "b", 1, 0, 0.0, None, (), (), 0))
+        allowance = RetryAllowance(0.5, 10.0, slack, peers, clock)
+        # Peers that were heard once go on counting when they fall silent.
+        allowance.take("other")
+        check_budget(Random(seed), clock, allowance, actions, slack / (1 + peer_count))
+
+    check()
+
+
+def check_budget(random, clock, allowance, actions, slack):
+    asked, repeated = deque(), deque()
+    for action in actions:
+        if action == "wait":
+            clock._now_s += random.uniform(0.0, 8.0)
+        if action == "ask":
+            allowance.add_request("shop")
+            asked.append(clock.now())
+        if action != "repeat":
+            continue
+        recent = [sum(at >= clock.now() - 10.0 for at in each) for each in (asked, repeated)]
+        share = SAFETY * (0.5 * recent[0] + slack)
+        is_granted = allowance.take("shop")
+        assert is_granted == (recent[1] + 1 <= share), (recent, share)
+        if is_granted:
+            repeated.append(clock.now())
