--- /dev/null
+++ b/features/gateway_servers.feature
@@ -0,0 +1,92 @@
+Feature: The list of servers that a gateway follows
+
+  Scenario: A listed server is usable until it drains
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    Then gateway server entry "a" is usable
+    When gateway server entry "a" comes draining at port 1 with version 6
+    Then gateway server entry "a" is known and not usable
+    When gateway server entry "a" comes at port 1 with version 5
+    Then gateway server entry "a" is known and not usable
+
+  Scenario: An entry that vanishes while the store is sound means that the server is leaving
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "a" vanishes
+    Then gateway server entry "a" is known and not usable
+
+  Scenario: An entry that vanishes in a trouble of the store says nothing until it has settled
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And the gateway's store has trouble
+    And gateway server entry "a" vanishes
+    Then gateway server entry "a" is usable
+    When nearly the time passes in which the gateway's store settles
+    Then gateway server entry "a" is usable
+    When the rest of that gateway time passes
+    Then gateway server entry "a" is known and not usable
+
+  Scenario: Trouble long before the entry vanished does not count
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And the gateway's store has trouble
+    And nearly the time passes in which the gateway's store settles
+    And the rest of that gateway time passes
+    And gateway server entry "a" vanishes
+    Then gateway server entry "a" is known and not usable
+
+  Scenario: Trouble that goes on keeps the server usable
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And the gateway's store has trouble
+    And gateway server entry "a" vanishes
+    And nearly the time passes in which the gateway's store settles
+    And the gateway's store has trouble
+    And the rest of that gateway time passes
+    Then gateway server entry "a" is usable
+
+  Scenario: A draining server that vanishes in trouble is not usable
+    Given a gateway server list
+    When gateway server entry "a" comes draining at port 1 with version 5
+    And the gateway's store has trouble
+    And gateway server entry "a" vanishes
+    Then gateway server entry "a" is known and not usable
+
+  Scenario: The address of a server that vanished in trouble belongs to another id
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And the gateway's store has trouble
+    And gateway server entry "a" vanishes
+    And gateway server entry "b" comes at port 1 with version 7
+    Then gateway server entry "a" is known and not usable
+    And gateway server entry "b" is usable
+    And gateway server entry "b" holds the address of "a"
+
+  Scenario: The newest of several at one address holds it
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "c" comes at port 1 with version 9
+    And gateway server entry "b" comes at port 1 with version 7
+    And gateway server entry "d" comes at port 2 with version 11
+    Then gateway server entry "c" holds the address of "a"
+    And nobody else holds the address of gateway server entry "d"
+
+  Scenario: A whole reading drops what it no longer holds, and an entry can come back
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "b" comes at port 2 with version 6
+    And a gateway's whole reading holds only "b"
+    Then gateway server entry "a" is known and not usable
+    And gateway server entry "b" is usable
+    When gateway server entry "a" comes at port 1 with version 8
+    Then gateway server entry "a" is usable
+
+  Scenario: What vanished long ago is forgotten
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "a" vanishes
+    And the gateway remembers no longer
+    Then gateway server entry "a" is not known
+
+  Scenario: Trouble of the store, and the age of its word
+    Then gateway store health: an answer proves no more than the store's clock allows
--- a/features/steps/gateway_request_steps.py
+++ b/features/steps/gateway_request_steps.py
@@ -10,11 +10,12 @@
 HOP = ("connection", "x-hop", "keep-alive", "te", "proxy-authorization", "transfer-encoding")
 
 
-def make_world(context, **settings):
+def make_world(context, is_configured=True, **settings):
     async def run():
         context.gateway = GatewayWorld(**settings)
         context.gateway.side.front.start()
-        context.gateway.configure()
+        if is_configured:
+            context.gateway.configure()
 
     context.run_async(run())
     context.gateway_answers = []
