--- /dev/null
+++ b/indigoworks/common/metrics_page.py
@@ -0,0 +1,63 @@
+"""The page of metrics, in the form of the library."""
+
+from collections.abc import Iterable, Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from indigoworks.common.metrics import Counts, Gauges, Metrics, Times
+
+
+class _MetricsCollector(Collector):
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[Metric]:
+        """Return all families; called by the library."""
+        for counts in self._metrics.counts:
+            yield _counter(counts)
+        for times in self._metrics.times:
+            yield _histogram(times)
+        for gauges in self._metrics.gauges:
+            yield _gauge(gauges)
+
+
+def metrics_page(metrics: Metrics) -> bytes:
+    """Return the page as text."""
+    registry = CollectorRegistry()
+    registry.register(_MetricsCollector(metrics))
+    return generate_latest(registry)
+
+
+def _counter(counts: Counts) -> Metric:
+    family = CounterMetricFamily(counts.name, counts.description, labels=counts.labels)
+    for labels, value in counts.values.items():
+        family.add_metric(list(labels), value)
+    return family
+
+
+def _histogram(times: Times) -> Metric:
+    family = HistogramMetricFamily(times.name, times.description, labels=times.labels)
+    for labels, value in times.values.items():
+        family.add_metric(list(labels), list(_buckets(times.bounds_s, value.counts)), value.sum_s)
+    return family
+
+
+def _buckets(bounds_s: Iterable[float], counts: list[int]) -> Iterator[tuple[str, float]]:
+    total = 0
+    for bound, count in zip([*map(str, bounds_s), "+Inf"], counts, strict=True):
+        total += count
+        yield bound, total
+
+
+def _gauge(gauges: Gauges) -> Metric:
+    family = GaugeMetricFamily(gauges.name, gauges.description, labels=gauges.labels)
+    for labels, value in gauges.read().items():
+        family.add_metric(list(labels), value)
+    return family
--- a/indigoworks/exchange/peer_table.py
+++ b/indigoworks/exchange/peer_table.py
@@ -7,13 +7,11 @@
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.key_sample import KeySample
 from indigoworks.exchange.peer_report import PeerReport
+from indigoworks.exchange.server_load import server_checksum
 
 LIVE_S = 1.0
 """A peer counts as live while its newest report is younger."""
 
-SMOOTHING = 0.1
-"""Weight of the newest report in the moving average of a server's time."""
-
 MAX_SAMPLES = 2000
 """Samples that wait to be taken; older ones are dropped first."""
 
@@ -25,8 +23,8 @@
         self._clock = clock
         self._reports: dict[str, PeerReport] = {}
         self._times_s: dict[str, float] = {}
-        self._in_flight: dict[str, int] = {}
-        self._service_s: dict[str, float] = {}
+        self._in_flight: dict[int, int] = {}
+        self._times_by_peer: dict[int, dict[str, float]] = {}
         self._samples: list[KeySample] = []
 
     def note(self, report: PeerReport) -> bool:
@@ -41,7 +39,7 @@
         self._reports[report.node] = report
         self._times_s[report.node] = self._clock.now()
         self._add_loads(report, +1)
-        self._average_times(report)
+        self._note_times(report)
         self.add_samples(report.samples)
         return True
 
@@ -67,11 +65,12 @@
 
     def in_flight(self, server_id: str) -> int:
         """Return the requests in flight to a server from all live peers."""
-        return self._in_flight.get(server_id, 0)
+        return self._in_flight.get(server_checksum(server_id), 0)
 
     def service_s(self, server_id: str) -> float | None:
         """Return the seconds that a request takes at a server as peers measured it; None: none."""
-        return self._service_s.get(server_id)
+        known = self._times_by_peer.get(server_checksum(server_id))
+        return sum(known.values()) / len(known) if known else None
 
     def drain_samples(self) -> list[KeySample]:
         """Take the samples that arrived since the last call."""
@@ -82,17 +81,15 @@
     def _is_live(self, node: str) -> bool:
         return self._clock.now() - self._times_s[node] <= LIVE_S
 
-    def _average_times(self, report: PeerReport) -> None:
+    def _note_times(self, report: PeerReport) -> None:
         for load in report.loads:
             if load.service_s > 0:
-                known_s = self._service_s.get(load.server_id, load.service_s)
-                smoothed_s = known_s + SMOOTHING * (load.service_s - known_s)
-                self._service_s[load.server_id] = smoothed_s
+                self._times_by_peer.setdefault(load.server, {})[report.node] = load.service_s
 
     def _add_loads(self, report: PeerReport, sign: int) -> None:
         for load in report.loads:
-            count = self._in_flight.get(load.server_id, 0) + sign * load.in_flight
+            count = self._in_flight.get(load.server, 0) + sign * load.in_flight
             if count > 0:
-                self._in_flight[load.server_id] = count
+                self._in_flight[load.server] = count
             else:
-                self._in_flight.pop(load.server_id, None)
+                self._in_flight.pop(load.server, None)
--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -28,7 +28,7 @@
         _encode_beat(report.leader, message)
     for load in report.loads:
         message.loads.add(
-            server_id=load.server_id,
+            server=load.server,
             in_flight=load.in_flight,
             service_ms=_milliseconds(load.service_s),
         )
@@ -54,7 +54,7 @@
         beat_age_s=message.beat_age_ms / MS_PER_S if message.has_heard_beat else float("inf"),
         leader=_decode_beat(message) if message.HasField("leader") else None,
         loads=tuple(
-            ServerLoad(each.server_id, each.in_flight, each.service_ms / MS_PER_S)
+            ServerLoad(each.server, each.in_flight, each.service_ms / MS_PER_S)
             for each in message.loads
         ),
         samples=tuple(
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 from eliot import log_message
-from prometheus_client import CollectorRegistry, generate_latest
 from result import Err
 
 from indigoworks.common.clock import LoopClock
+from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.datagram_exchange import DatagramExchange
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PEER_PREFIX, PeerDirectory, encode_peer
@@ -46,16 +46,23 @@
         self._settings = settings
         self._ports = ports
         self._clock = LoopClock()
-        self._boot = uuid.uuid4().hex[:12]
+        self._boot = uuid.uuid4().hex[:8]
         random = Random(self._boot)
-        registry = CollectorRegistry()
-        self._registry = registry
+        self._metric_values = Metrics()
         self._peers = PeerTable(self._clock)
         self._directory = PeerDirectory(settings.node)
         tables = OwnershipTables()
         self._platform = PlatformSide(ports, settings, self._clock)
         self._requests = RequestSide(
-            settings, ports, self._platform, tables, self._peers, registry, self._clock, random
+            settings,
+            ports,
+            self._platform,
+            tables,
+            self._peers,
+            self._directory,
+            self._metric_values,
+            self._clock,
+            random,
         )
         self._control = ControlSide(
             self._boot,
@@ -208,13 +215,18 @@
     # ---- status ----
 
     def _answer_readiness(self, path: str) -> FinalAnswer:
-        is_ready = self._platform.is_known and not self._is_stopping
+        is_known = self._platform.is_known and self._control.leadership.has_read
+        is_ready = is_known and not self._is_stopping
         if path != self._ports.readiness_path:
             return FinalAnswer(404, (), b"")
         return FinalAnswer(200 if is_ready else 503, (), b"")
 
     def _answer_metrics(self, path: str) -> FinalAnswer:
-        return FinalAnswer(200, (("Content-Type", "text/plain"),), generate_latest(self._registry))
+        # Loaded when first asked for: see indigoworks.common.metrics.
+        from indigoworks.common.metrics_page import metrics_page
+
+        page = metrics_page(self._metric_values)
+        return FinalAnswer(200, (("Content-Type", "text/plain"),), page)
 
     def _reload(self) -> None:
         """The settings that a running process uses do not change under it."""
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -15,10 +15,11 @@
 from indigoworks.gateway.retry_allowance import RetryAllowance
 from indigoworks.gateway.server_answer import ExchangeResult, ServerAnswer
 from indigoworks.gateway.server_board import ServerBoard
-from indigoworks.gateway.server_sender import ServerSender
+from indigoworks.gateway.server_sender import MISDIRECTED, ServerSender
 from indigoworks.gateway.weighted_split import WeightedSplit
 from indigoworks.routes.configuration_holder import ConfigurationHolder
 from indigoworks.servers.server_record import ServerRecord
+from indigoworks.servers.server_source import ServerSource
 
 HOLD_SHARE = 0.24
 """Share of a route's aim for which a request waits for an owner before it is refused."""
@@ -46,6 +47,7 @@
         queue: DispatchQueue,
         sender: ServerSender,
         board: ServerBoard,
+        servers: ServerSource,
         watch: ReachWatch,
         allowance: RetryAllowance,
         sampler: KeySampler,
@@ -57,6 +59,7 @@
         self._queue = queue
         self._sender = sender
         self._board = board
+        self._servers = servers
         self._watch = watch
         self._allowance = allowance
         self._sampler = sampler
@@ -128,12 +131,21 @@
             answer = await self._exchange(state, server)
             is_served = answer.result is ExchangeResult.ANSWERED and not answer.is_not_run
             if answer.result is ExchangeResult.ANSWERED:
-                self._board.note_answer(server.server_id)
+                self._note_answerer(server, answer)
             return answer
         finally:
             self._board.finish(server, started_s, is_served)
             self._queue.capacity_changed(server.service)
 
+    def _note_answerer(self, server: ServerRecord, answer: ServerAnswer) -> None:
+        """A server that says it is another one has taken the address of the one that is gone."""
+        by_server_id = answer.answering_id
+        is_other = by_server_id is not None and by_server_id != server.server_id
+        if answer.status == MISDIRECTED and is_other:
+            self._servers.note_replaced(server.server_id, by_server_id or "")
+        else:
+            self._board.note_answer(server.server_id)
+
     async def _exchange(self, state: FlowState, server: ServerRecord) -> ServerAnswer:
         """Send; a repeatable request leaves a server that turns out to be out of reach."""
         sending = asyncio.ensure_future(self._sender.send(state.request, server, state.deadline_s))
@@ -170,7 +182,7 @@
 
     async def _may_repeat_keyed(self, state: FlowState, answer: ServerAnswer) -> bool:
         """The owner is the only server for a key: repeats go where the key is now."""
-        if answer.is_not_run and answer.status != 421:
+        if answer.is_not_run and answer.status != MISDIRECTED:
             return False
         state.misdirected += 1
         if state.misdirected > MAX_MISDIRECTED:
--- a/indigoworks/gateway/request_metrics.py
+++ b/indigoworks/gateway/request_metrics.py
@@ -1,39 +1,34 @@
 """Counters and histograms of requests."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
-
-LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0)
+from indigoworks.common.metrics import Metrics
 
 
 class RequestMetrics:
-    """Ends of requests by service, outcome and reason, and their time."""
+    """Ends of requests by service, outcome and reason, their time, and attempts at servers."""
 
-    def __init__(self, registry: CollectorRegistry) -> None:
-        self._ended = Counter(
-            "gateway_requests",
-            "Requests by outcome",
-            ["service", "outcome", "reason"],
-            registry=registry,
+    def __init__(self, metrics: Metrics) -> None:
+        self._ended = metrics.counter(
+            "gateway_requests", "Requests by outcome", "service", "outcome", "reason"
+        )
+        self._repeats = metrics.counter(
+            "gateway_repeats", "Repeats by permission", "service", "permission"
         )
-        self._repeats = Counter(
-            "gateway_repeats",
-            "Repeats by permission",
-            ["service", "permission"],
-            registry=registry,
+        self._request_s = metrics.histogram(
+            "gateway_request_seconds", "Arrival to final answer", "service", "outcome"
         )
-        self._latency_s = Histogram(
-            "gateway_request_seconds",
-            "Time from arrival to the final answer",
-            ["service", "outcome"],
-            buckets=LATENCY_BUCKETS_S,
-            registry=registry,
+        self._attempt_s = metrics.histogram(
+            "gateway_attempt_seconds", "Time at one server", "service", "result"
         )
 
     def ended(self, service: str, outcome: str, reason: str, elapsed_s: float) -> None:
         """Count a request that ended."""
-        self._ended.labels(service, outcome, reason).inc()
-        self._latency_s.labels(service, outcome).observe(elapsed_s)
+        self._ended.add(service, outcome, reason)
+        self._request_s.add(elapsed_s, service, outcome)
+
+    def attempted(self, service: str, result: str, elapsed_s: float) -> None:
+        """Count an attempt at a server that ended."""
+        self._attempt_s.add(elapsed_s, service, result)
 
     def repeated(self, service: str, is_granted: bool) -> None:
         """Count a repeat that the budget granted or denied."""
-        self._repeats.labels(service, "granted" if is_granted else "denied").inc()
+        self._repeats.add(service, "granted" if is_granted else "denied")
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -2,9 +2,9 @@
 
 from random import Random
 
-from prometheus_client import CollectorRegistry
-
 from indigoworks.common.clock import Clock
+from indigoworks.common.metrics import Metrics
+from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.front_server import FrontServer
@@ -35,7 +35,8 @@
         platform: PlatformSide,
         tables: OwnershipTables,
         peers: PeerTable,
-        registry: CollectorRegistry,
+        directory: PeerDirectory,
+        metrics: Metrics,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -48,18 +49,24 @@
         owners = OwnerLookup(tables, platform.servers, self.board)
         self.queue = DispatchQueue(choice, owners, self.board, clock)
         allowance = RetryAllowance(
-            settings.retry_ratio, settings.retry_window_s, settings.retry_slack, peers, clock
+            settings.retry_ratio,
+            settings.retry_window_s,
+            settings.retry_slack,
+            peers,
+            directory,
+            clock,
         )
         flow = RequestFlow(
             platform.configurations,
             self.queue,
             self.sender,
             self.board,
+            platform.servers,
             self._watch,
             allowance,
             self.sampler,
             GatewayAnswers(ports.names),
-            RequestLog(self.board, RequestMetrics(registry), clock),
+            RequestLog(self.board, RequestMetrics(metrics), clock),
             clock,
         )
         self.front = FrontServer(settings.front_address, ports.names, flow.run, clock)
--- a/indigoworks/gateway/retry_allowance.py
+++ b/indigoworks/gateway/retry_allowance.py
@@ -3,11 +3,15 @@
 from collections import deque
 
 from indigoworks.common.clock import Clock
+from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_view import PeerView
 
 SAFETY = 0.6
 """Share of the budget that is used: reports of peers lag, and machines come and go."""
 
+NEW_PROCESS_SHARE = 0.4
+"""Share of that for a process younger than the window: its predecessor may have used the rest."""
+
 
 class RetryAllowance:
     """Repeats to each service within a sliding window.
@@ -20,8 +24,16 @@
     """
 
     def __init__(
-        self, ratio: float, window_s: float, slack: float, peers: PeerView, clock: Clock
+        self,
+        ratio: float,
+        window_s: float,
+        slack: float,
+        peers: PeerView,
+        directory: PeerDirectory,
+        clock: Clock,
     ) -> None:
+        self._directory = directory
+        self._started_s = clock.now()
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
@@ -40,8 +52,12 @@
         repeats = self._repeats.setdefault(service, deque())
         used = self._count(repeats)
         requests = self._count(self._requests.get(service, deque()))
-        self._most_gateways = max(self._most_gateways, 1 + len(list(self._peers.live_reports())))
+        heard = 1 + sum(1 for _ in self._peers.live_reports())
+        listed = 1 + sum(1 for _ in self._directory.others())
+        self._most_gateways = max(self._most_gateways, heard, listed)
         allowed = SAFETY * (self._ratio * requests + self._slack / self._most_gateways)
+        if self._clock.now() - self._started_s < self._window_s:
+            allowed *= NEW_PROCESS_SHARE
         if used + 1 > allowed:
             return False
         repeats.append(self._clock.now())
--- a/indigoworks/gateway/server_answer.py
+++ b/indigoworks/gateway/server_answer.py
@@ -25,5 +25,6 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     is_not_run: bool = False
+    answering_id: str | None = None
     keep_alive_s: float | None = None
     detail: str = ""
--- a/indigoworks/gateway/server_board.py
+++ b/indigoworks/gateway/server_board.py
@@ -4,10 +4,10 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_view import PeerView
-from indigoworks.exchange.server_load import ServerLoad
+from indigoworks.exchange.server_load import ServerLoad, server_checksum
 from indigoworks.servers.server_record import ServerRecord
 
-SMOOTHING = 0.15
+SMOOTHING = 0.1
 """Weight of the newest measurement in the moving average of a server's time."""
 
 DEFAULT_SERVICE_S = 0.1
@@ -106,9 +106,9 @@
 
     def service_s_by_id(self, server_id: str) -> float:
         """Return the seconds that one request takes at a server, as all gateways measured it."""
-        known = [self._peers.service_s(server_id), self._service_s.get(server_id)]
-        measured = [each for each in known if each is not None]
-        return sum(measured) / len(measured) if measured else DEFAULT_SERVICE_S
+        return (
+            self._peers.service_s(server_id) or self._service_s.get(server_id) or DEFAULT_SERVICE_S
+        )
 
     def service_s_of(self, service: str) -> float:
         """Return the seconds that one request takes at a service, over all its servers."""
@@ -117,7 +117,7 @@
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return what this gateway has in flight."""
         return tuple(
-            ServerLoad(server_id, count, self._service_s.get(server_id, 0.0))
+            ServerLoad(server_checksum(server_id), count, self._service_s.get(server_id, 0.0))
             for server_id, count in self._in_flight.items()
         )
 
--- a/indigoworks/gateway/server_sender.py
+++ b/indigoworks/gateway/server_sender.py
@@ -102,6 +102,7 @@
             travelling(answer.headers),
             answer.body,
             is_not_run,
+            answer.headers.get(self._names.answering_server_id),
             answer.keep_alive_s,
         )
 
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -8,15 +8,17 @@
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_view import PeerView
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.group_load import GroupLoad
 from indigoworks.ownership.hold_bounds import CLOCK_FACTOR, MARGIN_S, HoldBounds
 from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.latency_balancer import LatencyBalancer
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
-from indigoworks.ownership.load_balancer import LoadBalancer, ServerCapacity
-from indigoworks.ownership.load_window import LoadWindow, add_samples
+from indigoworks.ownership.load_balancer import HIGH_UTILISATION, LoadBalancer
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
+from indigoworks.ownership.server_capacity import ServerCapacity
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_editor import (
     first_table,
@@ -32,15 +34,15 @@
 TICK_S = 0.1
 """Time between two looks at what has changed."""
 
-FAST_WINDOW_S = 1.5
-SLOW_WINDOW_S = 8.0
-"""Loads are judged over a short time, for keys that turn hot, and over a long one."""
-
 BALANCE_PERIOD_S = 0.3
-"""Time between two decisions on balance."""
+"""Time between two decisions on servers that are too busy."""
+
+EVEN_PERIOD_S = 3.0
+"""Time between two decisions on servers that are merely slower or busier than others."""
 
-CLEAN_PERIOD_S = 2.0
-"""Former owners that are ruled out are taken out of the rows so often."""
+CLEAN_PERIOD_S = 8.0
+"""Former owners that are ruled out are taken out of the rows so often where nothing else is
+written."""
 
 SETTLE_S = 1.5
 """Before the first table of a service is written, its servers have stood so long unchanged: at the
@@ -81,13 +83,12 @@
         self._reach = reach
         self._store = store
         self._servers = servers
-        self._peers = peers
         self._keyed_services = keyed_services
         self._speed_of = speed_of
         self._clock = clock
-        self._fast: dict[str, LoadWindow] = {}
-        self._slow: dict[str, LoadWindow] = {}
+        self._load = GroupLoad(peers, clock)
         self._balanced_s = float("-inf")
+        self._evened_s = float("-inf")
         self._cleaned_s = float("-inf")
         self._seen: dict[str, tuple[frozenset[str], float]] = {}
 
@@ -101,7 +102,7 @@
             while self._leads(epoch):
                 self._watch_predecessor(predecessor)
                 self._bounds.drop_past()
-                self._take_samples()
+                self._load.take_samples(self._keyed_services())
                 for service in self._keyed_services():
                     await self._look_after(service)
                 await self._clock.sleep(TICK_S)
@@ -182,13 +183,22 @@
         fenced = self._keepers.wanting_token(service)
         if fenced is not None:
             return with_new_token_of(table, fenced), "fenced"
+        # Former owners that are ruled out leave the row with whatever else is written: each write
+        # goes to every gateway.
+        granted = [each for each in self._keepers.granted(service) if each.former]
+        cleaned = without_former(table, granted) if granted else table
+        return self._moved_table(service, cleaned) or self._cleaned_table(cleaned, bool(granted))
+
+    def _moved_table(
+        self, service: str, table: OwnershipTable
+    ) -> tuple[OwnershipTable, str] | None:
         leavers = self._leavers(service, table)
         stayers = self._capacities(service, leavers)
-        balancer = LoadBalancer(table, self._window(self._slow, service, SLOW_WINDOW_S))
+        balancer = LoadBalancer(table, self._load.slow(service))
         moves = balancer.moves_of_leavers(leavers, stayers)
         if moves:
             return with_moves(table, moves), moves[0].reason
-        return self._balanced_table(service, table, stayers) or self._cleaned_table(service, table)
+        return self._balanced_table(service, table, stayers)
 
     def _leavers(self, service: str, table: OwnershipTable) -> dict[str, str]:
         """Return the owners that are to lose their ranges, with the reason."""
@@ -202,7 +212,7 @@
 
     def _capacities(self, service: str, leavers: dict[str, str]) -> list[ServerCapacity]:
         return [
-            ServerCapacity(each.server_id, each.slots / self._speed_of(each.server_id))
+            ServerCapacity(each.server_id, each.slots, each.slots / self._speed_of(each.server_id))
             for each in self._servers.usable(service)
             if each.server_id not in leavers and not self._reach.is_suspect(each.server_id)
         ]
@@ -213,21 +223,21 @@
         if self._clock.now() - self._balanced_s < BALANCE_PERIOD_S:
             return None
         self._balanced_s = self._clock.now()
-        for windows, length_s in ((self._fast, FAST_WINDOW_S), (self._slow, SLOW_WINDOW_S)):
-            window = self._window(windows, service, length_s)
-            moves = LoadBalancer(table, window).moves_for_balance(servers)
-            if moves:
-                return with_moves(table, moves), "load"
-        return None
+        fast = self._load.fast(service)
+        moves = LoadBalancer(table, fast).moves_for_balance(servers, HIGH_UTILISATION)
+        if not moves and self._clock.now() - self._evened_s > EVEN_PERIOD_S:
+            self._evened_s = self._clock.now()
+            slow = self._load.slow(service)
+            moves = LatencyBalancer(table, slow).moves(servers)
+        return (with_moves(table, moves), moves[0].reason) if moves else None
 
     def _cleaned_table(
-        self, service: str, table: OwnershipTable
+        self, cleaned: OwnershipTable, is_changed: bool
     ) -> tuple[OwnershipTable, str] | None:
-        if self._clock.now() - self._cleaned_s < CLEAN_PERIOD_S:
+        if not is_changed or self._clock.now() - self._cleaned_s < CLEAN_PERIOD_S:
             return None
         self._cleaned_s = self._clock.now()
-        granted = [each for each in self._keepers.granted(service) if each.former]
-        return (without_former(table, granted), "former_ruled_out") if granted else None
+        return cleaned, "former_ruled_out"
 
     async def _first_table(self, service: str) -> None:
         servers = sorted(self._servers.usable(service), key=lambda each: each.server_id)
@@ -282,21 +292,3 @@
             epoch=self._leadership.row.epoch,
         )
         return True
-
-    # ---- load ----
-
-    def _take_samples(self) -> None:
-        for service in self._keyed_services():
-            self._window(self._fast, service, FAST_WINDOW_S)
-            self._window(self._slow, service, SLOW_WINDOW_S)
-        samples = self._peers.drain_samples()
-        for windows in (self._fast, self._slow):
-            add_samples(windows, samples)
-            for window in windows.values():
-                window.advance()
-
-    def _window(self, windows: dict[str, LoadWindow], service: str, length_s: float) -> LoadWindow:
-        window = windows.get(service)
-        if window is None:
-            window = windows[service] = LoadWindow(length_s, self._clock)
-        return window
--- /dev/null
+++ b/indigoworks/ownership/group_load.py
@@ -0,0 +1,46 @@
+"""Load of the services of a control group, from samples of their keys."""
+
+from collections.abc import Iterable
+
+from indigoworks.common.clock import Clock
+from indigoworks.exchange.peer_view import PeerView
+from indigoworks.ownership.load_window import LoadWindow, add_samples
+
+FAST_WINDOW_S = 1.5
+SLOW_WINDOW_S = 12.0
+"""Loads are judged over a short time, for keys that turn hot, and over a long one."""
+
+
+class GroupLoad:
+    """A short and a long window for each service."""
+
+    def __init__(self, peers: PeerView, clock: Clock) -> None:
+        self._peers = peers
+        self._clock = clock
+        self._fast: dict[str, LoadWindow] = {}
+        self._slow: dict[str, LoadWindow] = {}
+
+    def fast(self, service: str) -> LoadWindow:
+        """Return the window that shows a key which has just turned hot."""
+        return self._window(self._fast, service, FAST_WINDOW_S)
+
+    def slow(self, service: str) -> LoadWindow:
+        """Return the window that shows lasting differences."""
+        return self._window(self._slow, service, SLOW_WINDOW_S)
+
+    def take_samples(self, services: Iterable[str]) -> None:
+        """Add what the exchange has brought since the last call, for `services`."""
+        for service in services:
+            self.fast(service)
+            self.slow(service)
+        samples = self._peers.drain_samples()
+        for windows in (self._fast, self._slow):
+            add_samples(windows, samples)
+            for window in windows.values():
+                window.advance()
+
+    def _window(self, windows: dict[str, LoadWindow], service: str, length_s: float) -> LoadWindow:
+        window = windows.get(service)
+        if window is None:
+            window = windows[service] = LoadWindow(length_s, self._clock)
+        return window
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -37,6 +37,8 @@
     Proof of leadership is an answer of the store that shows the row still naming this boot; it
     counts from the moment at which the answer was certainly true. A challenge does not wait for the
     old leader's lease: what the old leader may still do is ruled out server by server.
+
+    :ivar has_read: the group's rows have been read.
     """
 
     def __init__(
@@ -61,7 +63,7 @@
         self._random = random
         self._row = NO_LEADER
         self._row_seen_s = clock.now()
-        self._has_read = False
+        self.has_read = False
         self._proof_s: float | None = None
         self._changed = asyncio.Event()
         self._is_resigned = False
@@ -77,7 +79,7 @@
 
     def note_proof(self, true_at_s: float) -> None:
         """Take note that the rows applied so far were the newest at `true_at_s`."""
-        self._has_read = True
+        self.has_read = True
         if self._names_us() and (self._proof_s is None or true_at_s > self._proof_s):
             self._proof_s = true_at_s
 
@@ -145,7 +147,7 @@
         log_message(message_type="leader:resigned", epoch=row.epoch)
 
     def _reason_to_challenge(self) -> str | None:
-        is_sound = self._has_read and self._health.proof_age_s() < SOUND_STORE_S
+        is_sound = self.has_read and self._health.proof_age_s() < SOUND_STORE_S
         if self._is_resigned or not is_sound or self._names_us():
             return None
         if self._row.version == 0:
--- /dev/null
+++ b/indigoworks/ownership/range_cutter.py
@@ -0,0 +1,75 @@
+"""Parts of ranges by the load that they carry."""
+
+from indigoworks.ownership.load_window import LoadWindow
+from indigoworks.ownership.owned_range import OwnedRange
+
+EXCESS = 1.2
+"""A part may carry so many times what is wanted."""
+
+
+class RangeCutter:
+    """Cuts ranges by the requests of a window; nothing here decides what moves."""
+
+    def __init__(self, window: LoadWindow) -> None:
+        self._window = window
+
+    def piece(self, owned: OwnedRange, wanted_hits: float) -> tuple[int, int] | None:
+        """Return a part of a range that carries at most about `wanted_hits`; None: there is none.
+
+        Of its two ends the one that carries more, and among equals the narrower one.
+        """
+        hits = self._window.hits_between(owned.first, owned.last)
+        total = sum(weight for _, weight in hits)
+        if total <= 0:
+            return None
+        if total <= wanted_hits * EXCESS:
+            return owned.first, owned.last
+        left = self._cut(hits, wanted_hits)
+        right = self._cut(hits[::-1], wanted_hits)
+        pieces: list[tuple[int, int]] = []
+        if left is not None and left < owned.last:
+            pieces.append((owned.first, left))
+        if right is not None and right > owned.first:
+            pieces.append((right, owned.last))
+        return max(
+            pieces,
+            key=lambda each: (self._window.count_between(*each), each[0] - each[1]),
+            default=None,
+        )
+
+    def _cut(self, hits: list[tuple[int, float]], wanted_hits: float) -> int | None:
+        """Return the key up to which `hits` carry at most about what is wanted; None: none do."""
+        total = 0.0
+        cut: int | None = None
+        index = 0
+        while index < len(hits):
+            key = hits[index][0]
+            while index < len(hits) and hits[index][0] == key:
+                total += hits[index][1]
+                index += 1
+            if total > wanted_hits * EXCESS:
+                return cut
+            cut = key
+        return cut
+
+    def equal_parts(self, owned: OwnedRange, count: int) -> list[tuple[int, int]]:
+        """Cut a range into parts of equal load, or of equal width where nothing was sampled."""
+        count = min(count, owned.width)
+        hits = self._window.hits_between(owned.first, owned.last)
+        if len(hits) < 2 * count:
+            cuts = [owned.first + owned.width * index // count for index in range(1, count)]
+        else:
+            cuts = sorted({hits[len(hits) * index // count][0] for index in range(1, count)})
+        firsts = [owned.first, *(cut for cut in cuts if cut > owned.first)]
+        lasts = [*(first - 1 for first in firsts[1:]), owned.last]
+        return list(zip(firsts, lasts, strict=True))
+
+    def hottest_key(self, owned: OwnedRange) -> tuple[int, float]:
+        """Return the busiest key of a range and its requests in the window."""
+        of_key: dict[int, float] = {}
+        for key, weight in self._window.hits_between(owned.first, owned.last):
+            of_key[key] = of_key.get(key, 0.0) + weight
+        if not of_key:
+            return owned.first, 0.0
+        key = max(of_key, key=lambda each: of_key[each])
+        return key, of_key[key]
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -109,8 +109,7 @@
             await self._clock.sleep(RETRY_S)
 
     def _reason_ruled_out(self, former: str) -> str | None:
-        record = self._servers.get(former)
-        if record is not None and self._servers.holder_of_address(record) is not None:
+        if self._servers.is_gone(former):
             return "address_has_another_server"
         until_s = self._bounds.until_s(former, self.owned.first, self.owned.last)
         return "hold_has_ended" if self._clock.now() > until_s else None
@@ -127,6 +126,7 @@
             self._handover = outcome.handover or self._handover
             return "released"
         if outcome.result is OrderResult.OTHER_SERVER:
+            self._servers.note_replaced(former, "")
             return "gone"
         return None
 
@@ -166,6 +166,8 @@
             self._bounds.close_unanswered(self.owned)
         else:
             self._bounds.close_not_taken(self.owned)
+        if result is OrderResult.OTHER_SERVER:
+            self._servers.note_replaced(self.owned.server_id, "")
         if result is OrderResult.FENCED:
             self.wants_token = True
             self._log("range:fenced", level="WARNING")
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -30,6 +30,7 @@
         self._clock = clock
         self._listed: dict[str, ServerRecord] = {}
         self._vanished: dict[str, tuple[ServerRecord, float]] = {}
+        self._replaced: dict[str, float] = {}
         self._first_seen_s: dict[str, float] = {}
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
 
@@ -60,8 +61,27 @@
         for server_id in [each for each in self._listed if each not in server_ids]:
             self.remove(server_id)
 
+    def note_replaced(self, server_id: str, by_server_id: str) -> None:
+        """Take note that another server answers at the address of `server_id`: it is gone.
+
+        The list may say so much later, when the store is out of reach.
+        """
+        if server_id in self._replaced:
+            return
+        self._replaced[server_id] = self._clock.now()
+        log_message(
+            message_type="server:replaced", level="WARNING", server=server_id, by=by_server_id
+        )
+
     # ---- questions ----
 
+    def is_gone(self, server_id: str) -> bool:
+        """Tell whether the server's process is known to have ended."""
+        if server_id in self._replaced:
+            return True
+        record = self.get(server_id)
+        return record is not None and self.holder_of_address(record) is not None
+
     def usable(self, service: str) -> Iterable[ServerRecord]:
         """Return the servers of `service` that may get new work."""
         records = self._by_service.get(service, {})
@@ -69,6 +89,8 @@
 
     def is_usable(self, server_id: str) -> bool:
         """Tell whether the server may get new work."""
+        if server_id in self._replaced:
+            return False
         record = self._listed.get(server_id)
         if record is not None:
             return not record.is_draining
@@ -107,6 +129,7 @@
             if at_s < earliest_s:
                 del self._vanished[server_id]
                 self._first_seen_s.pop(server_id, None)
+                self._replaced.pop(server_id, None)
                 self._by_service.get(record.service, {}).pop(server_id, None)
 
     def _vanished_in_trouble(self, server_id: str) -> bool:
--- a/indigoworks/servers/server_source.py
+++ b/indigoworks/servers/server_source.py
@@ -25,6 +25,10 @@
         """Tell whether the server may get new work."""
         ...
 
-    def holder_of_address(self, record: ServerRecord) -> ServerRecord | None:
-        """Return the newest listed server at the address of `record` where it is another one."""
+    def is_gone(self, server_id: str) -> bool:
+        """Tell whether the server's process is known to have ended."""
+        ...
+
+    def note_replaced(self, server_id: str, by_server_id: str) -> None:
+        """Take note that another server answers at the address of `server_id`."""
         ...
