--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -12,10 +12,9 @@
 from indigoworks.ownership.hold_bounds import CLOCK_FACTOR, MARGIN_S, HoldBounds
 from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.keeper_set import KeeperSet
-from indigoworks.ownership.latency_balancer import LatencyBalancer
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
-from indigoworks.ownership.load_balancer import HIGH_UTILISATION, LoadBalancer
+from indigoworks.ownership.load_balancer import HIGH_UTILISATION, MIN_UTILISATION, LoadBalancer
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
 from indigoworks.ownership.server_capacity import ServerCapacity
@@ -37,8 +36,8 @@
 BALANCE_PERIOD_S = 0.3
 """Time between two decisions on servers that are too busy."""
 
-EVEN_PERIOD_S = 3.0
-"""Time between two decisions on servers that are merely slower or busier than others."""
+EVEN_PERIOD_S = 1.5
+"""Time between two decisions on servers that are merely busier than others."""
 
 CLEAN_PERIOD_S = 8.0
 """Former owners that are ruled out are taken out of the rows so often where nothing else is
@@ -228,7 +227,7 @@
         if not moves and self._clock.now() - self._evened_s > EVEN_PERIOD_S:
             self._evened_s = self._clock.now()
             slow = self._load.slow(service)
-            moves = LatencyBalancer(table, slow).moves(servers)
+            moves = LoadBalancer(table, slow).moves_for_balance(servers, MIN_UTILISATION)
         return (with_moves(table, moves), moves[0].reason) if moves else None
 
     def _cleaned_table(
--- a/indigoworks/ownership/group_load.py
+++ b/indigoworks/ownership/group_load.py
@@ -7,7 +7,7 @@
 from indigoworks.ownership.load_window import LoadWindow, add_samples
 
 FAST_WINDOW_S = 1.5
-SLOW_WINDOW_S = 12.0
+SLOW_WINDOW_S = 8.0
 """Loads are judged over a short time, for keys that turn hot, and over a long one."""
 
 
--- a/indigoworks/ownership/load_balancer.py
+++ b/indigoworks/ownership/load_balancer.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Mapping, Sequence
 
-from indigoworks.ownership.latency_balancer import requests_of, utilisation
 from indigoworks.ownership.load_window import LoadWindow
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.range_cutter import RangeCutter
 from indigoworks.ownership.range_move import RangeMove
 from indigoworks.ownership.server_capacity import ServerCapacity
+from indigoworks.ownership.server_load_share import requests_of, utilisation
 
 OVERLOAD_RATIO = 1.3
 """A server is too busy when it has so many times the mean load."""
--- /dev/null
+++ b/indigoworks/ownership/server_load_share.py
@@ -0,0 +1,25 @@
+"""Load of servers by the requests of a window."""
+
+from collections.abc import Sequence
+
+from indigoworks.ownership.load_window import LoadWindow
+from indigoworks.ownership.ownership_table import OwnershipTable
+from indigoworks.ownership.server_capacity import ServerCapacity
+
+
+def requests_of(
+    table: OwnershipTable, window: LoadWindow, servers: Sequence[ServerCapacity]
+) -> dict[str, float]:
+    """Return by server the requests of a window for the keys that it owns."""
+    return {
+        server.server_id: sum(
+            window.count_between(each.first, each.last)
+            for each in table.ranges_of(server.server_id)
+        )
+        for server in servers
+    }
+
+
+def utilisation(requests: float, server: ServerCapacity, window: LoadWindow) -> float:
+    """Return the share of its slots that so many requests in the window keep busy."""
+    return requests / window.covered_s / server.requests_per_s
