--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -24,7 +24,7 @@
 HOLD_SHARE = 0.24
 """Share of a route's aim for which a request waits for an owner before it is refused."""
 
-LATE_FACTOR = 1.2
+LATE_FACTOR = 0.9
 """Requests are taken on while their answer is expected within this multiple of the aim."""
 
 MISDIRECTED_PAUSE_S = 0.02
--- a/indigoworks/ownership/hold_policy.py
+++ b/indigoworks/ownership/hold_policy.py
@@ -2,7 +2,7 @@
 
 from indigoworks.rowstore.store_health import StoreHealth
 
-HOLD_S = 2.0
+HOLD_S = 3.0
 """Hold while the store is sound: a dark server's keys are served again after about so long."""
 
 RENEWAL_S = 0.5
