--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -23,6 +23,7 @@
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.range_keeper import RangeKeeper
 from indigoworks.ownership.server_reach import ServerReach
+from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.table_follower import TableFollower
 
@@ -122,6 +123,7 @@
             self._bounds,
             self._policy,
             self._reach,
+            self._ports.health,
             self._clock,
             self._pending_changed,
         )
@@ -136,20 +138,29 @@
 
     def _make_leader(self) -> GroupLeader:
         self.follower.restart_call()
-        return GroupLeader(
+        writer = TableWriter(
             self.group,
             self.leadership,
             self._tables,
             self._keepers,
             self._bounds,
-            self._reach,
+            self._ports.health,
             self._ports.store,
+            self._clock,
+            self._pending_changed,
+        )
+        return GroupLeader(
+            self.leadership,
+            self._tables,
+            self._keepers,
+            self._bounds,
+            self._reach,
+            writer,
             self._platform.servers,
             self._peers,
             self._keyed_services,
             self._speed_of,
             self._clock,
-            self._pending_changed,
         )
 
     def _keyed_services(self) -> Sequence[str]:
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -2,21 +2,17 @@
 
 from collections.abc import Callable, Sequence
 
-from eliot import log_message
-from result import Err
-
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_view import PeerView
-from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.group_load import GroupLoad
 from indigoworks.ownership.hold_bounds import CLOCK_FACTOR, MARGIN_S, HoldBounds
 from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.keeper_set import KeeperSet
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
-from indigoworks.ownership.load_balancer import HIGH_UTILISATION, MIN_UTILISATION, LoadBalancer
+from indigoworks.ownership.load_balancer import HIGH_UTILISATION, LoadBalancer
 from indigoworks.ownership.ownership_table import OwnershipTable
-from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
+from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.server_capacity import ServerCapacity
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_editor import (
@@ -26,8 +22,7 @@
     with_new_tokens,
     without_former,
 )
-from indigoworks.rowstore.row_store import RowStore
-from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
+from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.servers.server_source import ServerSource
 
 TICK_S = 0.1
@@ -59,28 +54,24 @@
 
     def __init__(
         self,
-        group: ControlGroup,
         leadership: Leadership,
         tables: OwnershipTables,
         keepers: KeeperSet,
         bounds: HoldBounds,
         reach: ServerReach,
-        store: RowStore,
+        writer: TableWriter,
         servers: ServerSource,
         peers: PeerView,
         keyed_services: Callable[[], Sequence[str]],
         speed_of: SpeedOf,
         clock: Clock,
-        on_pending_changed: Callable[[], None],
     ) -> None:
-        self._on_pending_changed = on_pending_changed
-        self._group = group
         self._leadership = leadership
         self._tables = tables
         self._keepers = keepers
         self._bounds = bounds
         self._reach = reach
-        self._store = store
+        self._writer = writer
         self._servers = servers
         self._keyed_services = keyed_services
         self._speed_of = speed_of
@@ -139,28 +130,14 @@
         False where that did not come about, such as by a write whose answer was lost: it is then to
         be done again from the rows as they are.
         """
-        if not await self._read_again():
+        if not await self._writer.read_again():
             return False
         for service in self._keyed_services():
             table = self._tables.table(service)
-            if table.ranges and not await self._write(with_new_tokens(table), "new_leader"):
+            if table.ranges and not await self._writer.write(with_new_tokens(table), "new_leader"):
                 return False
         return True
 
-    async def _read_again(self) -> bool:
-        """Read the group's rows whole; False where this process leads no longer."""
-        while self._leadership.proof_age_s() < LEADER_LEASE_S:
-            result = await self._store.read(CONTROL_TABLE, self._group.part)
-            if isinstance(result, Err):
-                await self._clock.sleep(TICK_S)
-                continue
-            answer = result.unwrap()
-            self._leadership.apply(answer.rows)
-            self._leadership.note_proof(answer.true_at_s)
-            self._tables.apply(answer.rows)
-            return self._leadership.may_act()
-        return False
-
     # ---- one service ----
 
     async def _look_after(self, service: str) -> None:
@@ -173,12 +150,14 @@
         self._keepers.keep(service, table)
         changed = self._changed_table(service, table)
         if changed is not None:
-            await self._write(*changed)
+            await self._writer.write(*changed)
 
     def _changed_table(
         self, service: str, table: OwnershipTable
     ) -> tuple[OwnershipTable, str] | None:
         """Return the next change of a table, with its reason; None: it is to stay."""
+        if self._writer.is_unsettled(service):
+            return table, "settle"
         fenced = self._keepers.wanting_token(service)
         if fenced is not None:
             return with_new_token_of(table, fenced), "fenced"
@@ -227,7 +206,7 @@
         if not moves and self._clock.now() - self._evened_s > EVEN_PERIOD_S:
             self._evened_s = self._clock.now()
             slow = self._load.slow(service)
-            moves = LoadBalancer(table, slow).moves_for_balance(servers, MIN_UTILISATION)
+            moves = LoadBalancer(table, slow).moves_for_evenness(servers)
         return (with_moves(table, moves), moves[0].reason) if moves else None
 
     def _cleaned_table(
@@ -247,47 +226,4 @@
         if not servers or now_s - self._seen[service][1] < SETTLE_S:
             return
         table = first_table(service, sorted(names), [each.slots for each in servers])
-        await self._write(table, "first")
-
-    # ---- rows ----
-
-    async def _write(self, table: OwnershipTable, reason: str) -> bool:
-        """Write a table under the condition that we lead and that nobody has changed it."""
-        if not self._leadership.may_act():
-            return False
-        key = OWNERS_PREFIX + table.service
-        transaction = Transaction(
-            self._group.part,
-            (
-                self._leadership.condition(),
-                ExpectedVersion(CONTROL_TABLE, key, table.version),
-            ),
-            (RowPut(CONTROL_TABLE, key, table.encode()),),
-        )
-        sent_s = self._clock.now()
-        result = await self._store.commit(transaction)
-        if isinstance(result, Err):
-            log_message(
-                message_type="ownership:write_failed",
-                level="WARNING",
-                service=table.service,
-                reason=reason,
-                error=result.unwrap_err().kind,
-            )
-            await self._read_again()
-            return False
-        self._leadership.note_commit(sent_s)
-        written = OwnershipTable(table.service, table.ranges, table.highest_token, result.unwrap())
-        self._tables.put(written)
-        self._keepers.keep(table.service, written)
-        self._on_pending_changed()
-        log_message(
-            message_type="ownership:written",
-            service=table.service,
-            reason=reason,
-            ranges=len(table.ranges),
-            token=table.highest_token,
-            version=written.version,
-            epoch=self._leadership.row.epoch,
-        )
-        return True
+        await self._writer.write(table, "first")
--- a/indigoworks/ownership/group_member.py
+++ b/indigoworks/ownership/group_member.py
@@ -24,6 +24,8 @@
         """Take part until cancelled."""
         while True:
             await self._leadership.wait_for_change(WATCH_PERIOD_S)
-            predecessor = self._leadership.row
-            if await self._leadership.challenge_if_lost():
-                await self._make_leader().run(predecessor)
+            await self._leadership.challenge_if_lost()
+            # The row decides, not the answer to the challenge: that may be lost, or the store may
+            # make the write seconds later.
+            if self._leadership.is_named():
+                await self._make_leader().run(self._leadership.predecessor)
--- a/indigoworks/ownership/keeper_set.py
+++ b/indigoworks/ownership/keeper_set.py
@@ -33,6 +33,17 @@
             keeper = keepers[owned] = self._make_keeper(service, owned)
             keeper.start(granted[owned])
 
+    async def quiesce(self, service: str, table: OwnershipTable) -> None:
+        """Send no grant for ranges that `table` changes; returns when none is under way."""
+        wanted = set(table.ranges)
+        for keeper in [each for each in self._of(service) if each.owned not in wanted]:
+            await keeper.quiesce()
+
+    def resume(self, service: str) -> None:
+        """Renew all ranges of a service again."""
+        for keeper in self._of(service):
+            keeper.resume()
+
     def stop_all(self) -> None:
         """Stop all keepers."""
         for keepers in self._keepers.values():
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -39,6 +39,7 @@
     old leader's lease: what the old leader may still do is ruled out server by server.
 
     :ivar has_read: the group's rows have been read.
+    :ivar predecessor: the row before the newest one, where that names this process.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self._clock = clock
         self._random = random
         self._row = NO_LEADER
+        self.predecessor = NO_LEADER
         self._row_seen_s = clock.now()
         self.has_read = False
         self._proof_s: float | None = None
@@ -124,17 +126,14 @@
 
     # ---- challenge ----
 
-    async def challenge_if_lost(self) -> bool:
-        """Take the leadership over where the leader is lost; True where that was done."""
+    async def challenge_if_lost(self) -> None:
+        """Try to take the leadership over where the leader is lost; `is_named` tells the result."""
         reason = self._reason_to_challenge()
-        if reason is None:
-            return False
-        if reason != "own_earlier_boot":
+        if reason is not None and reason != "own_earlier_boot":
             await self._clock.sleep(self._random.uniform(0.0, MAX_JITTER_S))
             reason = self._reason_to_challenge()
-            if reason is None:
-                return False
-        return await self._take_over(reason)
+        if reason is not None:
+            await self._take_over(reason)
 
     async def resign(self) -> None:
         """Give the leadership up, so that a challenge needs no wait."""
@@ -170,7 +169,7 @@
         row_age_s = self._clock.now() - self._row_seen_s
         return "silent_alone" if min(silence_s, row_age_s) > LEADER_LEASE_S else None
 
-    async def _take_over(self, reason: str) -> bool:
+    async def _take_over(self, reason: str) -> None:
         silence_s = self.signs.silence_s(self._row.epoch, self._row_seen_s)
         row = LeaderRow(self._row.epoch + 1, self._node, self._boot, 0)
         sent_s = self._clock.now()
@@ -182,7 +181,7 @@
                 reason=reason,
                 error=result.unwrap_err().kind,
             )
-            return False
+            return
         self._take_row(LeaderRow(row.epoch, row.node, row.boot, result.unwrap()))
         self.note_commit(sent_s)
         log_message(
@@ -191,7 +190,6 @@
             reason=reason,
             silence_s=round(min(silence_s, 1e6), 3),
         )
-        return True
 
     def _write_of(self, row: LeaderRow) -> Transaction:
         put = RowPut(CONTROL_TABLE, LEADER_KEY, row.encode())
@@ -201,6 +199,8 @@
         if row.version <= self._row.version:
             return
         was_ours = self._names_us()
+        if not was_ours:
+            self.predecessor = self._row
         self._row = row
         self._row_seen_s = self._clock.now()
         self._changed.set()
--- a/indigoworks/ownership/load_balancer.py
+++ b/indigoworks/ownership/load_balancer.py
@@ -31,6 +31,21 @@
 HOT_KEY_UTILISATION = 0.7
 """A single key is hot when it keeps so much of its server busy: it cannot be cut."""
 
+MIN_COVERED_S = 4.0
+"""Pressure is not judged before the window covers so much."""
+
+MIN_SURPLUS = 0.15
+"""Differences of pressure below twice this are left alone."""
+
+MAX_TARGET_LOAD = 0.55
+"""A server that uses more of its slots gets nothing for the sake of evenness."""
+
+SLOW_RATIO = 1.4
+"""A server is slow when a request takes so many times as long as at the middle one."""
+
+SLOW_PENALTY = 0.5
+"""Pressure of a server at which requests take twice as long as at the middle one."""
+
 FASTER_RATIO = 1.25
 """Such a key moves to a server that is so many times as fast."""
 
@@ -86,6 +101,36 @@
             moves.append(move)
         return moves
 
+    def moves_for_evenness(self, servers: Sequence[ServerCapacity]) -> list[RangeMove]:
+        """Return moves that even out the pressure on servers, as far as differences are clear.
+
+        Pressure is the share of slots in use, and more on a server that is clearly slower than
+        most: while others have room, a request is answered sooner there.
+        """
+        if len(servers) < 2 or self._window.covered_s < MIN_COVERED_S:
+            return []
+        load = self._loads(servers)
+        penalty = _penalties(servers)
+        capacity = {each.server_id: each for each in servers}
+        pressure = {each: load[each] + penalty[each] for each in load}
+        moves: list[RangeMove] = []
+        taken: set[OwnedRange] = set()
+        for _ in range(MAX_MOVES):
+            loaded = [each for each in load if load[each] > 0]
+            if not loaded:
+                break
+            source = max(loaded, key=lambda each: pressure[each])
+            target = min(load, key=lambda each: pressure[each])
+            surplus = (pressure[source] - pressure[target]) / 2
+            if surplus < MIN_SURPLUS or load[target] > MAX_TARGET_LOAD:
+                break
+            move = self._move_of(capacity[source], capacity[target], surplus, load, taken)
+            if move is None:
+                break
+            pressure = {each: load[each] + penalty[each] for each in load}
+            moves.append(move)
+        return moves
+
     # ---- parts ----
 
     def _is_too_busy(self, load: float, mean: float, server: ServerCapacity, limit: float) -> bool:
@@ -102,8 +147,19 @@
         load: dict[str, float],
         taken: set[OwnedRange],
     ) -> RangeMove | None:
-        """Return what evens two servers out; the hottest range that can be cut goes first."""
+        """Return what evens two servers out."""
         surplus = (load[busiest.server_id] - load[idlest.server_id]) / 2
+        return self._move_of(busiest, idlest, surplus, load, taken)
+
+    def _move_of(
+        self,
+        busiest: ServerCapacity,
+        idlest: ServerCapacity,
+        surplus: float,
+        load: dict[str, float],
+        taken: set[OwnedRange],
+    ) -> RangeMove | None:
+        """Return the move of about `surplus` of a server's slots; the hottest range goes first."""
         wanted_hits = surplus / self._utilisation(1.0, busiest)
         ranges = [
             each
@@ -146,3 +202,13 @@
 
     def _utilisation(self, hits: float, server: ServerCapacity) -> float:
         return utilisation(hits, server, self._window)
+
+
+def _penalties(servers: Sequence[ServerCapacity]) -> dict[str, float]:
+    """Return the pressure that slowness adds, by server."""
+    times = {each.server_id: each.slots / each.requests_per_s for each in servers}
+    middle_s = sorted(times.values())[len(times) // 2]
+    return {
+        server_id: SLOW_PENALTY * (time_s / middle_s - 1) if time_s > SLOW_RATIO * middle_s else 0.0
+        for server_id, time_s in times.items()
+    }
--- a/indigoworks/ownership/owned_range.py
+++ b/indigoworks/ownership/owned_range.py
@@ -2,6 +2,20 @@
 
 from dataclasses import dataclass
 
+BOUND_UNKNOWN = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FormerOwner:
+    """A server that may still hold keys of a range under a lower token.
+
+    :ivar until_ms: reading of the store's steady clock after which it holds them no longer, in
+        milliseconds; BOUND_UNKNOWN: none is known.
+    """
+
+    server_id: str
+    until_ms: int = BOUND_UNKNOWN
+
 
 @dataclass(frozen=True, slots=True)
 class OwnedRange:
@@ -15,7 +29,7 @@
     last: int
     server_id: str
     token: int
-    former: tuple[str, ...] = ()
+    former: tuple[FormerOwner, ...] = ()
 
     def holds(self, key: int) -> bool:
         """Tell whether `key` lies inside."""
--- a/indigoworks/ownership/ownership_table.py
+++ b/indigoworks/ownership/ownership_table.py
@@ -4,7 +4,7 @@
 from bisect import bisect_right
 from dataclasses import dataclass, field
 
-from indigoworks.ownership.owned_range import OwnedRange
+from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 
 KEY_COUNT = 65536
 """Keys of a service: whole numbers from 0."""
@@ -41,7 +41,13 @@
     def encode(self) -> bytes:
         """Return the value of the row that holds this table."""
         ranges = [
-            [each.first, each.last, each.server_id, each.token, list(each.former)]
+            [
+                each.first,
+                each.last,
+                each.server_id,
+                each.token,
+                [[former.server_id, former.until_ms] for former in each.former],
+            ]
             for each in self.ranges
         ]
         return json.dumps(
@@ -56,7 +62,7 @@
         """
         document = json.loads(value)
         ranges = tuple(
-            OwnedRange(first, last, server_id, token, tuple(former))
+            OwnedRange(first, last, server_id, token, tuple(FormerOwner(*each) for each in former))
             for first, last, server_id, token, former in document["ranges"]
         )
         return cls(service, ranges, int(document["highest_token"]), version)
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -13,9 +13,10 @@
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
-from indigoworks.ownership.owned_range import OwnedRange
+from indigoworks.ownership.owned_range import BOUND_UNKNOWN, FormerOwner, OwnedRange
 from indigoworks.ownership.server_orders import ServerOrders
 from indigoworks.ownership.server_reach import ServerReach
+from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers.server_source import ServerSource
 
 ORDER_TIMEOUT_S = 0.8
@@ -48,6 +49,7 @@
         bounds: HoldBounds,
         policy: HoldPolicy,
         reach: ServerReach,
+        health: StoreHealth,
         clock: Clock,
         on_granted: Callable[[], None],
     ) -> None:
@@ -59,12 +61,16 @@
         self._bounds = bounds
         self._policy = policy
         self._reach = reach
+        self._health = health
         self._clock = clock
         self._on_granted = on_granted
         self._handover: str | None = None
         self.is_granted = False
         self.wants_token = False
         self.task: asyncio.Task[None] | None = None
+        self._is_quiet = False
+        self._no_order = asyncio.Event()
+        self._no_order.set()
 
     def start(self, is_granted: bool) -> None:
         """Start the task; `is_granted`: the owner already holds the range under its token."""
@@ -76,30 +82,41 @@
         if self.task is not None:
             self.task.cancel()
 
+    async def quiesce(self) -> None:
+        """Send no further grant; returns when none is under way.
+
+        Before the row takes the range from its owner, the bound of the owner's hold must stand.
+        """
+        self._is_quiet = True
+        await self._no_order.wait()
+
+    def resume(self) -> None:
+        """Renew again: the row leaves the range with its owner."""
+        self._is_quiet = False
+
     async def _run(self) -> None:
         if not self.is_granted:
             for former in self.owned.former:
-                await self._rule_out(former)
+                if former.server_id != self.owned.server_id:
+                    await self._rule_out(former)
         while True:
             pause_s = await self._grant()
             await self._clock.sleep(pause_s)
 
     # ---- former owners ----
 
-    async def _rule_out(self, former: str) -> None:
+    async def _rule_out(self, former: FormerOwner) -> None:
         """Return when `former` can hold no key of the range any more."""
-        if former == self.owned.server_id:
-            return
         started_s = self._clock.now()
         tries = 0
         while True:
             reason = self._reason_ruled_out(former)
             if reason is None:
-                reason = await self._release(former)
+                reason = await self._release(former.server_id)
             if reason is not None:
                 self._log(
                     "range:former_ruled_out",
-                    former=former,
+                    former=former.server_id,
                     reason=reason,
                     took_s=round(self._clock.now() - started_s, 3),
                     tries=tries,
@@ -108,10 +125,12 @@
             tries += 1
             await self._clock.sleep(RETRY_S)
 
-    def _reason_ruled_out(self, former: str) -> str | None:
-        if self._servers.is_gone(former):
+    def _reason_ruled_out(self, former: FormerOwner) -> str | None:
+        if self._servers.is_gone(former.server_id):
             return "address_has_another_server"
-        until_s = self._bounds.until_s(former, self.owned.first, self.owned.last)
+        if former.until_ms != BOUND_UNKNOWN and self._health.is_past(former.until_ms):
+            return "hold_has_ended"
+        until_s = self._bounds.until_s(former.server_id, self.owned.first, self.owned.last)
         return "hold_has_ended" if self._clock.now() > until_s else None
 
     async def _release(self, former: str) -> str | None:
@@ -137,18 +156,21 @@
         record = self._servers.get(self.owned.server_id)
         if record is None:
             return RETRY_S
-        if not self._leadership.may_act():
+        if self._is_quiet or not self._leadership.may_act():
             return RETRY_S
         hold_s = self._policy.hold_s()
         grant = KeyGrant(
             self.owned.first, self.owned.last, self.owned.token, hold_s, self._handover
         )
         self._bounds.open(self.owned, hold_s, ORDER_TIMEOUT_S)
+        self._no_order.clear()
         try:
             outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S)
         except asyncio.CancelledError:
             self._bounds.close_unanswered(self.owned)
             raise
+        finally:
+            self._no_order.set()
         return self._note_outcome(outcome, hold_s)
 
     def _note_outcome(self, outcome: OrderOutcome, hold_s: float) -> float:
--- /dev/null
+++ b/indigoworks/ownership/table_writer.py
@@ -0,0 +1,127 @@
+"""Reads and writes the rows of a control group as its leader."""
+
+from collections.abc import Callable
+
+from eliot import log_message
+from result import Err
+
+from indigoworks.common.clock import Clock
+from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.hold_bounds import HoldBounds
+from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
+from indigoworks.ownership.owned_range import BOUND_UNKNOWN, OwnedRange
+from indigoworks.ownership.ownership_table import OwnershipTable
+from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
+from indigoworks.ownership.table_editor import with_bounds
+from indigoworks.rowstore.row_store import RowStore
+from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
+
+READ_RETRY_S = 0.1
+
+
+class TableWriter:
+    """Writes tables of owners under the condition that this process leads.
+
+    Before a write takes keys from an owner, renewals of its range stop, so that the row can name
+    the latest end of its hold: whoever leads next waits no longer than that.
+
+    :param on_pending_changed: called after each write, when new ranges are not granted yet.
+    """
+
+    def __init__(
+        self,
+        group: ControlGroup,
+        leadership: Leadership,
+        tables: OwnershipTables,
+        keepers: KeeperSet,
+        bounds: HoldBounds,
+        health: StoreHealth,
+        store: RowStore,
+        clock: Clock,
+        on_pending_changed: Callable[[], None],
+    ) -> None:
+        self._group = group
+        self._leadership = leadership
+        self._tables = tables
+        self._keepers = keepers
+        self._bounds = bounds
+        self._health = health
+        self._store = store
+        self._clock = clock
+        self._on_pending_changed = on_pending_changed
+        self._unsettled: set[str] = set()
+
+    def is_unsettled(self, service: str) -> bool:
+        """Tell whether an earlier write may still be made; the next one rules it out."""
+        return service in self._unsettled
+
+    async def read_again(self) -> bool:
+        """Read the group's rows whole; False where this process leads no longer."""
+        while self._leadership.proof_age_s() < LEADER_LEASE_S:
+            result = await self._store.read(CONTROL_TABLE, self._group.part)
+            if isinstance(result, Err):
+                await self._clock.sleep(READ_RETRY_S)
+                continue
+            answer = result.unwrap()
+            self._leadership.apply(answer.rows)
+            self._leadership.note_proof(answer.true_at_s)
+            self._tables.apply(answer.rows)
+            return self._leadership.may_act()
+        return False
+
+    def _bound_ms(self, server_id: str, owned: OwnedRange) -> int:
+        """Return until when a server may hold keys of a range, on the store's clock."""
+        until_s = self._bounds.until_s(server_id, owned.first, owned.last)
+        if until_s == float("inf"):
+            return BOUND_UNKNOWN
+        return self._health.to_store_ms(max(until_s, self._clock.now()))
+
+    async def write(self, table: OwnershipTable, reason: str) -> bool:
+        """Write a table under the condition that we lead and that nobody has changed it."""
+        if not self._leadership.may_act():
+            return False
+        await self._keepers.quiesce(table.service, table)
+        table = with_bounds(table, self._bound_ms)
+        key = OWNERS_PREFIX + table.service
+        transaction = Transaction(
+            self._group.part,
+            (
+                self._leadership.condition(),
+                ExpectedVersion(CONTROL_TABLE, key, table.version),
+            ),
+            (RowPut(CONTROL_TABLE, key, table.encode()),),
+        )
+        sent_s = self._clock.now()
+        result = await self._store.commit(transaction)
+        if isinstance(result, Err):
+            log_message(
+                message_type="ownership:write_failed",
+                level="WARNING",
+                service=table.service,
+                reason=reason,
+                error=result.unwrap_err().kind,
+            )
+            # The write may still be made: what it takes from owners is not renewed until another
+            # write of this row has ruled that out.
+            self._unsettled.add(table.service)
+            await self.read_again()
+            return False
+        self._unsettled.discard(table.service)
+        self._leadership.note_commit(sent_s)
+        written = OwnershipTable(table.service, table.ranges, table.highest_token, result.unwrap())
+        self._tables.put(written)
+        self._keepers.keep(table.service, written)
+        self._keepers.resume(table.service)
+        self._on_pending_changed()
+        log_message(
+            message_type="ownership:written",
+            service=table.service,
+            reason=reason,
+            ranges=len(table.ranges),
+            token=table.highest_token,
+            version=written.version,
+            epoch=self._leadership.row.epoch,
+        )
+        return True
--- a/indigoworks/rowstore/store_health.py
+++ b/indigoworks/rowstore/store_health.py
@@ -1,9 +1,16 @@
 """How well the row store answers this process."""
 
+import math
+
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
 
+MS_PER_S = 1000.0
+
+CLOCKS_MARGIN_S = 0.1
+"""For the drift between the store's steady clock and ours."""
+
 
 class StoreHealth:
     """Newest proof of what the store held, and the last trouble.
@@ -16,6 +23,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._offset_s: float | None = None
+        self._largest_offset_s: float | None = None
         self._proof_s: float | None = None
         self._is_lost = False
         self.last_trouble_s: float | None = None
@@ -26,6 +34,9 @@
         :param store_time_s: reading of the store's steady clock in the answer.
         :returns: the clock reading at which this answer was certainly true.
         """
+        received_offset_s = self._clock.now() - store_time_s
+        if self._largest_offset_s is None or received_offset_s < self._largest_offset_s:
+            self._largest_offset_s = received_offset_s
         offset_s = sent_s - store_time_s
         if self._offset_s is None or offset_s > self._offset_s:
             self._offset_s = offset_s
@@ -57,6 +68,18 @@
             return float("inf")
         return self._clock.now() - self._proof_s
 
+    def to_store_ms(self, at_s: float) -> int:
+        """Return a reading of the store's clock that is not before `at_s` on ours; 0: unknown."""
+        if self._offset_s is None:
+            return 0
+        return max(1, math.ceil((at_s - self._offset_s) * MS_PER_S))
+
+    def is_past(self, store_ms: int) -> bool:
+        """Tell whether the store's clock has certainly passed a reading."""
+        if self._largest_offset_s is None:
+            return False
+        return self._clock.now() > store_ms / MS_PER_S + self._largest_offset_s + CLOCKS_MARGIN_S
+
     def trouble_age_s(self) -> float | None:
         """Return the seconds since the last trouble; None: there was none."""
         if self.last_trouble_s is None:
