Room is reserved until it is used; later trouble revives no server; paged reading; story of a request

Also: a request whose owner is ready but busy was refused at a quarter of its aim although expected in time.

--- a/features/gateway_room.feature
+++ b/features/gateway_room.feature
@@ -50,3 +50,14 @@
     When a gateway caller sends 5 requests one after the other
     Then every gateway answer is the server's, whole
     And gateway server "b" got 5 requests on 1 connection
+
+  Scenario: A full server makes requests wait, and takes them one by one
+    Given a gateway
+    And a gateway server with 1 slot that holds
+    When 8 gateway callers send a request each
+    Then the gateway server works on its limit of requests and the others wait
+    When the gateway server answers one request
+    Then the gateway server works on its limit of requests and the others wait
+    When the gateway server goes on
+    Then all 8 gateway callers got the server's answer
+    And the gateway server never had more than its limit
--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -90,3 +90,11 @@
 
   Scenario: Trouble of the store, and the age of its word
     Then gateway store health: an answer proves no more than the store's clock allows
+
+  Scenario: Trouble after an entry vanished does not bring the server back
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "a" vanishes
+    And nearly the time passes in which the gateway's store settles
+    And the gateway's store has trouble
+    Then gateway server entry "a" is known and not usable
--- a/features/platform_folder_store.feature
+++ b/features/platform_folder_store.feature
@@ -71,3 +71,9 @@
     Then the platform folder's configuration is 3 and its server drains
     When the platform folder store gets configuration 2, then 9
     Then the platform folder's configuration is 9, and 2 never was
+
+  Scenario: A row that changes while its part is read page by page is not lost
+    Given a platform folder store with pages of 3 rows
+    And the platform folder store holds 10 rows in part "p" and 0 in part "q"
+    When a row of its first page changes while the platform folder reads part "p"
+    Then the platform folder's reading and the feed after it hold the change
--- a/indigoworks/cli/commands.py
+++ b/indigoworks/cli/commands.py
@@ -172,3 +172,14 @@
         if fault is not None:
             return refuse(fault)
         return ask_node(node, lambda client: explain_key(client, service, key, group))
+
+    def story(self, request_id: str, *, log: str) -> PendingCommand:
+        """Print what happened to a request, from the log lines of the gateways.
+
+        Args:
+            request_id: id of the request, as its caller sent it.
+            log: file that holds the lines of one or several gateways, in any order.
+        """
+        from indigoworks.cli.story_command import tell_story
+
+        return PendingCommand(lambda: tell_story(request_id, log))
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -33,6 +33,7 @@
         self._board = board
         self._clock = clock
         self._waiting: dict[str, list[WaitingRequest]] = {}
+        self._reserved: dict[str, int] = {}
         self._sequence = 0
 
     async def place(
@@ -63,12 +64,14 @@
             asyncio.get_running_loop().create_future(),
         )
         if self._try(entry):
+            self._give_reservation_back(entry)
             return entry.placed.result()
         self._insert(entry)
         try:
             return await self._wait(entry)
         finally:
             self._remove(entry)
+            self._give_reservation_back(entry)
 
     def capacity_changed(self, service: str | None = None) -> None:
         """Try to place what waits: a request ended, a report came, or owners changed."""
@@ -83,14 +86,14 @@
         return sum(map(len, self._waiting.values()))
 
     async def _wait(self, entry: WaitingRequest) -> Placement:
-        while True:
-            left_s = min(entry.give_up_s, entry.limit_s) - self._clock.now()
+        """Wait for a place; first for an owner, then for room while that is worth it."""
+        for until_s in (entry.give_up_s, entry.limit_s):
+            left_s = min(until_s, entry.limit_s) - self._clock.now()
             done, _ = await asyncio.wait({entry.placed}, timeout=max(left_s, 0.0))
-            if done:
+            if done or self._try(entry):
                 return entry.placed.result()
-            if not self._try(entry, is_last=True):
-                return Refusal(RefusalReason.OVERLOAD, self._retry_after_s(entry))
-            return entry.placed.result()
+        self._try(entry, is_last=True)
+        return entry.placed.result()
 
     # ---- one entry ----
 
@@ -99,6 +102,11 @@
         if placement is None:
             return False
         entry.placed.set_result(placement)
+        if isinstance(placement, ServerRecord):
+            # The request counts at the server only when its own task goes on: until then this
+            # keeps the place from being given to everyone who waits.
+            reserved = self._reserved.get(placement.server_id, 0)
+            self._reserved[placement.server_id] = reserved + 1
         return True
 
     def _placement(self, entry: WaitingRequest, is_last: bool) -> Placement | None:
@@ -117,14 +125,13 @@
 
     def _placement_by_key(self, entry: WaitingRequest, key: int, is_last: bool) -> Placement | None:
         owner = self._owners.find(entry.service, key)
-        if owner.state is OwnerState.PENDING or owner.server is None:
-            if is_last or self._clock.now() >= entry.give_up_s:
-                return Refusal(RefusalReason.NO_OWNER, OWNER_BACK_S)
-            return None
-        if owner.state is OwnerState.UNREACHABLE:
-            if is_last or self._clock.now() >= entry.give_up_s:
-                return Refusal(RefusalReason.OWNER_UNREACHABLE, OWNER_BACK_S)
-            return None
+        if owner.state is not OwnerState.READY or owner.server is None:
+            if not is_last and self._clock.now() < entry.give_up_s:
+                return None
+            is_unreachable = owner.state is OwnerState.UNREACHABLE
+            reason = RefusalReason.OWNER_UNREACHABLE if is_unreachable else RefusalReason.NO_OWNER
+            server_id = "" if owner.server is None else owner.server.server_id
+            return Refusal(reason, OWNER_BACK_S, server_id)
         if self._has_room(owner.server) and not self._is_overtaken(entry, owner.server):
             return owner.server
         return self._overload(entry, [owner.server], is_last)
@@ -134,9 +141,15 @@
     ) -> Refusal | None:
         wait_s = self._expected_wait_s(entry, servers)
         service_s = min(self._board.service_s(each) for each in servers)
-        if is_last or self._clock.now() + wait_s + service_s > entry.limit_s:
-            return Refusal(RefusalReason.OVERLOAD, max(MIN_RETRY_AFTER_S, wait_s))
-        return None
+        if not is_last and self._clock.now() + wait_s + service_s <= entry.limit_s:
+            return None
+        return Refusal(
+            RefusalReason.OVERLOAD,
+            max(MIN_RETRY_AFTER_S, wait_s),
+            servers[0].server_id if entry.key is not None else "",
+            sum(self._board.in_flight(each.server_id) for each in servers),
+            wait_s + service_s,
+        )
 
     def _expected_wait_s(self, entry: WaitingRequest, servers: list[ServerRecord]) -> float:
         """Return how long it takes until all that is before `entry` has a place."""
@@ -147,7 +160,16 @@
         return max(0, in_flight - slots + ahead + 1) / slots * service_s
 
     def _has_room(self, server: ServerRecord) -> bool:
-        return self._board.in_flight(server.server_id) < in_flight_limit(server)
+        reserved = self._reserved.get(server.server_id, 0)
+        return self._board.in_flight(server.server_id) + reserved < in_flight_limit(server)
+
+    def _give_reservation_back(self, entry: WaitingRequest) -> None:
+        """Called right before the request goes on to count at its server, or has left."""
+        if not entry.placed.done() or entry.placed.cancelled():
+            return
+        placement = entry.placed.result()
+        if isinstance(placement, ServerRecord):
+            self._reserved[placement.server_id] -= 1
 
     def _is_overtaken(self, entry: WaitingRequest, owner: ServerRecord | None = None) -> bool:
         """Tell whether a more urgent or older request waits for the same place."""
@@ -170,12 +192,6 @@
         is_ready = found.state is OwnerState.READY
         return is_ready and found.server is not None and found.server.server_id == owner.server_id
 
-    def _retry_after_s(self, entry: WaitingRequest) -> float:
-        servers = list(self._choice.usable(entry.service))
-        if not servers:
-            return OWNER_BACK_S
-        return max(MIN_RETRY_AFTER_S, self._expected_wait_s(entry, servers))
-
     # ---- the line ----
 
     def _insert(self, entry: WaitingRequest) -> None:
--- a/indigoworks/gateway/refusal.py
+++ b/indigoworks/gateway/refusal.py
@@ -19,7 +19,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """A refusal with the seconds after which a repeat may succeed."""
+    """A refusal with the seconds after which a repeat may succeed, and what decided it.
+
+    :ivar server_id: the server that the request would have gone to; empty: none in particular.
+    :ivar in_flight: requests in flight there, from all gateways.
+    :ivar expected_s: seconds until an answer was expected.
+    """
 
     reason: RefusalReason
     retry_after_s: float
+    server_id: str = ""
+    in_flight: int = 0
+    expected_s: float = 0.0
--- a/indigoworks/gateway/request_log.py
+++ b/indigoworks/gateway/request_log.py
@@ -29,7 +29,13 @@
         """The request has not run; the caller is told when to come back."""
         service = "" if state is None else state.service.name
         self._metrics.ended(service, "refused", refusal.reason.value, self._elapsed_s(request))
-        fields = {"reason": refusal.reason.value, "retry_after_s": round(refusal.retry_after_s, 3)}
+        fields: dict[str, object] = {
+            "reason": refusal.reason.value,
+            "retry_after_s": round(refusal.retry_after_s, 3),
+            "server": refusal.server_id,
+            "in_flight": refusal.in_flight,
+            "expected_s": round(refusal.expected_s, 3),
+        }
         if state is None:
             log_message(
                 message_type="request:refused",
@@ -91,8 +97,7 @@
             key=state.request.key,
             configuration=state.configuration_version,
             servers=state.tried,
-            in_flight=None if server is None else self._board.in_flight(server),
             elapsed_s=round(self._elapsed_s(state.request), 4),
             left_s=round(state.deadline_s - self._clock.now(), 4),
-            **fields,
+            **{"in_flight": None if server is None else self._board.in_flight(server), **fields},
         )
--- a/indigoworks/gateway/weighted_split.py
+++ b/indigoworks/gateway/weighted_split.py
@@ -4,7 +4,11 @@
 
 
 class WeightedSplit:
-    """Smooth weighted round robin: after any number of requests each share is right within one."""
+    """Smooth weighted round robin.
+
+    Two services have their shares right within one after any number of requests; of more, each has
+    them exactly after each round of as many requests as the weights add up to.
+    """
 
     def __init__(self) -> None:
         self._credit: dict[str, dict[str, float]] = {}
--- a/indigoworks/rowstore/store_health.py
+++ b/indigoworks/rowstore/store_health.py
@@ -1,6 +1,7 @@
 """How well the row store answers this process."""
 
 import math
+from collections import deque
 
 from eliot import log_message
 
@@ -8,6 +9,8 @@
 
 MS_PER_S = 1000.0
 
+REMEMBERED_TROUBLES = 200
+
 CLOCKS_MARGIN_S = 0.1
 """For the drift between the store's steady clock and ours."""
 
@@ -26,7 +29,7 @@
         self._largest_offset_s: float | None = None
         self._proof_s: float | None = None
         self._is_lost = False
-        self.last_trouble_s: float | None = None
+        self._troubles_s: deque[float] = deque(maxlen=REMEMBERED_TROUBLES)
 
     def note_answer(self, sent_s: float, store_time_s: float) -> float:
         """Take note of an answer to a question that was sent at `sent_s`.
@@ -51,7 +54,7 @@
 
     def note_trouble(self, call: str, reason: str) -> None:
         """Take note that a call was not answered, refused, or answered late."""
-        self.last_trouble_s = self._clock.now()
+        self._troubles_s.append(self._clock.now())
         if not self._is_lost:
             self._is_lost = True
             log_message(
@@ -62,6 +65,15 @@
                 proof_age_s=round(self.proof_age_s(), 3),
             )
 
+    @property
+    def last_trouble_s(self) -> float | None:
+        """Return the clock reading of the last trouble; None: there was none."""
+        return self._troubles_s[-1] if self._troubles_s else None
+
+    def last_trouble_before(self, at_s: float) -> float | None:
+        """Return the clock reading of the last trouble up to `at_s`; None: none is remembered."""
+        return max((each for each in self._troubles_s if each <= at_s), default=None)
+
     def proof_age_s(self) -> float:
         """Return the age of the newest answer, in seconds; infinity before the first one."""
         if self._proof_s is None:
@@ -82,6 +94,5 @@
 
     def trouble_age_s(self) -> float | None:
         """Return the seconds since the last trouble; None: there was none."""
-        if self.last_trouble_s is None:
-            return None
-        return round(self._clock.now() - self.last_trouble_s, 3)
+        last_s = self.last_trouble_s
+        return None if last_s is None else round(self._clock.now() - last_s, 3)
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -14,6 +14,9 @@
 TROUBLE_HEARTBEATS = 2
 """Heartbeats within which every living server is back in the list after a trouble of the store."""
 
+LATE_TROUBLE_S = 1.0
+"""A call that fails is noticed so much later than the trouble began."""
+
 TROUBLE_MARGIN_S = 1.0
 """Added to that time."""
 
@@ -54,7 +57,7 @@
         if record is None:
             return
         self._vanished[server_id] = (record, self._clock.now())
-        self._log("server:vanished", record, store_trouble_age_s=self._trouble_age_s())
+        self._log("server:vanished", record, store_trouble_age_s=self._health.trouble_age_s())
 
     def keep_only(self, server_ids: set[str]) -> None:
         """Remove what a whole reading of the list no longer holds."""
@@ -133,20 +136,21 @@
                 self._by_service.get(record.service, {}).pop(server_id, None)
 
     def _vanished_in_trouble(self, server_id: str) -> bool:
-        """An entry that vanished in a time of trouble says nothing until the store settled."""
+        """An entry that vanished in a time of trouble says nothing until the store settled.
+
+        Trouble that begins later says nothing about it; a call that found the trouble may have
+        timed out a little after the entry vanished.
+        """
         vanished = self._vanished.get(server_id)
         if vanished is None or vanished[0].is_draining:
             return False
         if self.holder_of_address(vanished[0]) is not None:
             return False
-        trouble_s = self._health.last_trouble_s
+        trouble_s = self._health.last_trouble_before(vanished[1] + LATE_TROUBLE_S)
         if trouble_s is None or vanished[1] - trouble_s > self._settle_s:
             return False
-        return self._clock.now() - trouble_s <= self._settle_s
-
-    def _trouble_age_s(self) -> float | None:
-        trouble_s = self._health.last_trouble_s
-        return None if trouble_s is None else round(self._clock.now() - trouble_s, 3)
+        latest_s = self._health.last_trouble_s
+        return latest_s is not None and self._clock.now() - latest_s <= self._settle_s
 
     def _log(self, message_type: str, record: ServerRecord, **fields: object) -> None:
         log_message(
