--- /dev/null
+++ b/features/gateway_control.feature
@@ -0,0 +1,28 @@
+Feature: Leading a control group when answers of the store are lost
+
+  Scenario: A challenge that was made leads, although its answer was lost
+    Given a gateway control group whose store loses the answer of write 1
+    When the gateway control member finds no leader
+    Then the gateway control member leads
+
+  Scenario: A leader whose first table was written without an answer goes on
+    Given a gateway control group whose store loses the answer of write 2
+    And gateway control rows of an earlier leader with servers "a" and "b"
+    When the gateway control member finds no leader
+    Then the gateway control member has granted all keys to their owners
+
+  Scenario: Renewals stop before a row takes keys from their owner
+    Given a gateway control group whose store loses the answer of write 0
+    And gateway control rows of an earlier leader with servers "a" and "b"
+    When the gateway control member finds no leader
+    And gateway control server "a" begins to leave
+    Then gateway control keys of "a" are granted to "b" after their release
+    And the gateway control row named the end of the hold of "a"
+
+  Scenario: Placement by load
+    Then gateway balancer: a hot range is cut and its part goes to the idlest server
+    And gateway balancer: a single hot key goes to a much faster server and is not cut
+    And gateway balancer: keys beside a hot key leave its server
+    And gateway balancer: servers with little load are left alone
+    And gateway balancer: a clearly slower server gives keys away while others have room
+    And gateway balancer: a leaving server is emptied
--- /dev/null
+++ b/features/steps/gateway_balancer_steps.py
@@ -0,0 +1,98 @@
+"""Steps on the placement of keys by load."""
+
+from behave import then
+
+from indigoworks.exchange.key_sample import KeySample
+from indigoworks.ownership.load_balancer import HIGH_UTILISATION, LoadBalancer
+from indigoworks.ownership.load_window import LoadWindow
+from indigoworks.ownership.server_capacity import ServerCapacity
+from indigoworks.ownership.table_editor import first_table, with_moves
+
+LENGTH_S = 8.0
+SERVERS = ("a", "b", "c", "d")
+TABLE = first_table("shop", SERVERS, [1, 1, 1, 1])
+FIRST_OF_B = TABLE.ranges_of("b")[0].first
+
+
+class SetClock:
+    """A clock that stands where it was set."""
+
+    def __init__(self):
+        self.at_s = 0.0
+
+    def now(self):
+        return self.at_s
+
+
+def window(keys):
+    clock = SetClock()
+    made = LoadWindow(LENGTH_S, clock)
+    clock.at_s = LENGTH_S
+    made.add(KeySample("shop", tuple(keys), len(keys)))
+    return made
+
+
+def capacities(**slower):
+    """Return servers of 2 slots that take 0.1 s a request, or so many times as long."""
+    return [ServerCapacity(each, 2, 20.0 / slower.get(each, 1.0)) for each in SERVERS]
+
+
+def load_of(table, made, server_id):
+    return sum(made.count_between(each.first, each.last) for each in table.ranges_of(server_id))
+
+
+@then("gateway balancer: a hot range is cut and its part goes to the idlest server")
+def step_hot_range(context):
+    keys = [FIRST_OF_B + 10 + number % 60 for number in range(200)]
+    made = window(keys)
+    moves = LoadBalancer(TABLE, made).moves_for_balance(capacities(), HIGH_UTILISATION)
+    assert moves and all(each.from_server == "b" for each in moves), moves
+    after = with_moves(TABLE, moves)
+    assert load_of(after, made, "b") <= 0.65 * len(keys), moves
+
+
+@then("gateway balancer: a single hot key goes to a much faster server and is not cut")
+def step_hot_key(context):
+    key = FIRST_OF_B + 77
+    made = window([key] * 150)
+    moves = LoadBalancer(TABLE, made).moves_for_balance(
+        capacities(a=2.0, b=2.0, d=2.0), HIGH_UTILISATION
+    )
+    assert [(each.first, each.last, each.to_server) for each in moves] == [(key, key, "c")], moves
+
+
+@then("gateway balancer: keys beside a hot key leave its server")
+def step_beside(context):
+    key = FIRST_OF_B + 77
+    beside = [FIRST_OF_B + 300 + number for number in range(60)]
+    made = window([key] * 150 + beside)
+    moves = LoadBalancer(TABLE, made).moves_for_balance(capacities(), HIGH_UTILISATION)
+    assert moves and not any(each.first <= key <= each.last for each in moves), moves
+
+
+@then("gateway balancer: servers with little load are left alone")
+def step_idle(context):
+    made = window([FIRST_OF_B + number for number in range(12)])
+    balancer = LoadBalancer(TABLE, made)
+    assert not balancer.moves_for_balance(capacities(), HIGH_UTILISATION)
+    assert not balancer.moves_for_evenness(capacities())
+
+
+@then("gateway balancer: a clearly slower server gives keys away while others have room")
+def step_slow(context):
+    keys = [each.first + number * 7 for each in TABLE.ranges for number in range(30)]
+    made = window(keys)
+    slow = capacities(b=2.5)
+    moves = LoadBalancer(TABLE, made).moves_for_evenness(slow)
+    assert moves and all(each.from_server == "b" for each in moves), moves
+    assert not LoadBalancer(TABLE, made).moves_for_evenness(capacities(b=1.2))
+
+
+@then("gateway balancer: a leaving server is emptied")
+def step_leaver(context):
+    made = window([FIRST_OF_B + number for number in range(40)])
+    stayers = [each for each in capacities() if each.server_id != "b"]
+    moves = LoadBalancer(TABLE, made).moves_of_leavers({"b": "leaving"}, stayers)
+    after = with_moves(TABLE, moves)
+    assert not after.ranges_of("b"), after.ranges
+    assert len({each.to_server for each in moves}) > 1, moves
--- /dev/null
+++ b/features/steps/gateway_control_steps.py
@@ -0,0 +1,118 @@
+"""Steps on the leader of a control group whose store loses answers."""
+
+import asyncio
+import json
+
+from behave import given, then, when
+from gateway_control_world import SERVICE, ControlWorld
+
+from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
+from indigoworks.ownership.ownership_table import KEY_COUNT
+from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
+from indigoworks.ownership.table_editor import first_table
+from indigoworks_lab.simulation.core.poll_until import poll_until
+
+PATIENCE_S = 10.0
+OWNERS = OWNERS_PREFIX + SERVICE
+
+
+async def until(condition):
+    async with asyncio.timeout(PATIENCE_S):
+        await poll_until(condition)
+
+
+@given("a gateway control group whose store loses the answer of write {number:d}")
+def step_group(context, number):
+    async def build():
+        return ControlWorld(number)
+
+    context.control = context.run_async(build())
+
+
+@given('gateway control rows of an earlier leader with servers "{first}" and "{second}"')
+def step_rows(context, first, second):
+    world = context.control
+
+    async def fill():
+        for number, name in enumerate((first, second)):
+            world.list_server(name, number + 1)
+        table = first_table(SERVICE, [first, second], [1, 1])
+        world.store.put(OWNERS, table.encode())
+        world.store.put(LEADER_KEY, LeaderRow(3, "n1", "boot-1", 0).encode())
+
+    context.run_async(fill())
+
+
+@when("the gateway control member finds no leader")
+def step_start(context):
+    async def start():
+        world = context.control
+        for work in (world.follower.run(), world.member.run()):
+            asyncio.ensure_future(work)
+
+    context.run_async(start())
+
+
+@when('gateway control server "{name}" begins to leave')
+def step_leave(context, name):
+    world = context.control
+
+    async def leave():
+        await until(lambda: world.orders.granted(name))
+        world.list_server(name, 50, is_draining=True)
+
+    context.run_async(leave())
+
+
+@then("the gateway control member leads")
+def step_leads(context):
+    world = context.control
+    context.run_async(until(lambda: world.led and world.leadership.may_act()))
+    assert world.store.writes >= world.store.lost_write, world.store.writes
+
+
+@then("the gateway control member has granted all keys to their owners")
+def step_granted(context):
+    world = context.control
+    context.run_async(until(lambda: covered(world) == KEY_COUNT))
+    assert world.store.writes > world.store.lost_write, world.store.writes
+
+
+@then('gateway control keys of "{name}" are granted to "{other}" after their release')
+def step_handed(context, name, other):
+    world = context.control
+    context.run_async(until(lambda: covered(world) == KEY_COUNT and not owned(world, name)))
+    released = [each for each in world.orders.orders if each[:2] == ("release", name)]
+    assert released, world.orders.orders
+    last_release = max(world.orders.orders.index(each) for each in released)
+    after = world.orders.orders[last_release + 1 :]
+    assert not [each for each in after if each[:2] == ("grant", name)], after
+    handed = [order for what, to, order in after if (what, to) == ("grant", other)]
+    assert any(order.handover == "handed" for order in handed), handed
+
+
+@then('the gateway control row named the end of the hold of "{name}"')
+def step_bound(context, name):
+    world = context.control
+    tables = [json.loads(value) for key, value in world.store.written if key == OWNERS]
+    former = [entry for table in tables for each in table["ranges"] for entry in each[4]]
+    bounds = [until_ms for server, until_ms in former if server == name]
+    assert bounds and all(bound > 0 for bound in bounds), tables
+
+
+def owned(world, name):
+    return world.tables.table(SERVICE).ranges_of(name)
+
+
+def covered(world):
+    """Return the keys whose owner was granted them under the token of the row."""
+    grants = [
+        (server, order.first, order.last, order.token)
+        for what, server, order in world.orders.orders
+        if what == "grant"
+    ]
+    return sum(
+        each.width
+        for each in world.tables.table(SERVICE).ranges
+        if (each.server_id, each.first, each.last, each.token) in grants and each.token > 2
+    )
--- /dev/null
+++ b/features/steps/gateway_control_world.py
@@ -0,0 +1,183 @@
+"""A control group in memory: rows whose answers get lost, servers that take every order."""
+
+from random import Random
+
+from result import Err, Ok
+
+from indigoworks.common.address import Address
+from indigoworks.common.clock import LoopClock
+from indigoworks.exchange.peer_directory import PeerDirectory
+from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.group_leader import GroupLeader
+from indigoworks.ownership.group_member import GroupMember
+from indigoworks.ownership.hold_bounds import HoldBounds
+from indigoworks.ownership.hold_policy import HoldPolicy
+from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.leadership import Leadership
+from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.ownership.range_keeper import RangeKeeper
+from indigoworks.ownership.server_reach import ServerReach
+from indigoworks.ownership.table_writer import TableWriter
+from indigoworks.rowstore.errors import ConditionFailed, StoreUnreachable
+from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.table_follower import TableFollower
+from indigoworks.servers.server_list import ServerList
+from indigoworks.servers.server_record import ServerRecord
+
+SERVICE = "shop"
+HOLD_MAX_S = 10.0
+
+
+class LossyRows:
+    """Rows in memory; the answer of one write is lost after it was made."""
+
+    def __init__(self, lost_write, health, clock):
+        self.rows = {}
+        self.written = []
+        self.version = 0
+        self.writes = 0
+        self.lost_write = lost_write
+        self.health = health
+        self.clock = clock
+
+    def put(self, key, value):
+        self.written.append((key, value))
+        self.version += 1
+        self.rows[key] = Row(CONTROL_TABLE, ControlGroup().part, key, value, self.version)
+
+    def answer(self, rows):
+        now_s = self.clock.now()
+        true_at_s = self.health.note_answer(now_s, now_s)
+        return Ok(Rows(tuple(rows), self.version, true_at_s))
+
+    async def read(self, table, part):
+        return self.answer(self.rows.values())
+
+    async def follow(self, table, after, wait_s):
+        await self.clock.sleep(0.02)
+        return self.answer([each for each in self.rows.values() if each.version > after])
+
+    async def commit(self, transaction):
+        for each in transaction.expected:
+            known = self.rows.get(each.key)
+            if (0 if known is None else known.version) != each.version:
+                return Err(ConditionFailed("A row has changed.", "Read it."))
+        for put in transaction.puts:
+            self.put(put.key, put.value)
+        self.writes += 1
+        if self.writes == self.lost_write:
+            return Err(StoreUnreachable("No answer.", "Wait."))
+        return Ok(self.version)
+
+
+class WillingServers:
+    """Servers that take every order; `orders` holds (what, server, order)."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def grant(self, server, grant, timeout_s):
+        self.orders.append(("grant", server.server_id, grant))
+        return OrderOutcome(OrderResult.DONE)
+
+    async def release(self, server, release, timeout_s):
+        self.orders.append(("release", server.server_id, release))
+        return OrderOutcome(OrderResult.DONE, "handed")
+
+    def granted(self, server_id):
+        return [order for what, name, order in self.orders if (what, name) == ("grant", server_id)]
+
+
+class ControlWorld:
+    """One member of a control group, wired as a gateway wires it."""
+
+    def __init__(self, lost_write):
+        self.clock = LoopClock()
+        self.health = StoreHealth(self.clock)
+        self.store = LossyRows(lost_write, self.health, self.clock)
+        self.servers = ServerList(self.health, 1.0, self.clock)
+        self.orders = WillingServers()
+        self.tables = OwnershipTables()
+        self.bounds = HoldBounds(self.clock)
+        self.peers = PeerTable(self.clock)
+        self.directory = PeerDirectory("n1")
+        self.group = ControlGroup()
+        self.led = 0
+        self.leadership = Leadership(
+            "n1",
+            "boot-2",
+            self.group,
+            self.store,
+            self.health,
+            self.peers,
+            self.directory,
+            self.clock,
+            Random(1),
+        )
+        self.reach = ServerReach(self.clock)
+        self.keepers = KeeperSet(self.make_keeper)
+        self.member = GroupMember(self.leadership, self.make_leader, self.clock)
+        self.follower = TableFollower(
+            self.store,
+            CONTROL_TABLE,
+            self.group.part,
+            lambda: 1.0,
+            self.clock,
+            self.take_rows,
+            self.take_rows,
+            self.leadership.note_proof,
+        )
+
+    def take_rows(self, rows):
+        self.leadership.apply(rows)
+        self.tables.apply(rows)
+
+    def list_server(self, name, version, is_draining=False):
+        address = Address("127.0.0.1", 1000 + ord(name))
+        self.servers.put(ServerRecord(name, SERVICE, address, "z", 2, is_draining, 0.0, version))
+
+    def make_keeper(self, service, owned):
+        return RangeKeeper(
+            service,
+            owned,
+            self.leadership,
+            self.orders,
+            self.servers,
+            self.bounds,
+            HoldPolicy(self.health, HOLD_MAX_S),
+            self.reach,
+            self.health,
+            self.clock,
+            lambda: None,
+        )
+
+    def make_leader(self):
+        self.led += 1
+        writer = TableWriter(
+            self.group,
+            self.leadership,
+            self.tables,
+            self.keepers,
+            self.bounds,
+            self.health,
+            self.store,
+            self.clock,
+            lambda: None,
+        )
+        return GroupLeader(
+            self.leadership,
+            self.tables,
+            self.keepers,
+            self.bounds,
+            self.reach,
+            writer,
+            self.servers,
+            self.peers,
+            lambda: [SERVICE],
+            lambda server_id: 0.1,
+            self.clock,
+        )
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -10,7 +10,7 @@
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
-from indigoworks.gateway.platform_side import FEED_WAIT_S, PROBE_WAIT_S, PlatformSide
+from indigoworks.gateway.platform_side import FEED_WAIT_S, PlatformSide
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.group_leader import GroupLeader
@@ -27,6 +27,9 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.table_follower import TableFollower
 
+LEADER_WAIT_S = 0.8
+"""Longest wait of one step of the feed of the group's rows at its leader."""
+
 
 class ControlSide:
     """Leadership, tables of owners, and what the leader does with them."""
@@ -105,7 +108,7 @@
 
     def _feed_wait_s(self) -> float:
         """A leader asks often: each answer is a proof of its leadership."""
-        return PROBE_WAIT_S if self.leadership.may_act() else FEED_WAIT_S
+        return LEADER_WAIT_S if self.leadership.may_act() else FEED_WAIT_S
 
     def _take_rows(self, rows: Sequence[Row]) -> None:
         self.leadership.apply(rows)
--- a/indigoworks/ownership/hold_policy.py
+++ b/indigoworks/ownership/hold_policy.py
@@ -8,9 +8,10 @@
 RENEWAL_S = 0.5
 """Time between two renewals."""
 
-TROUBLE_S = 4.0
-"""Age of the store's last word from which holds are made as long as servers accept: without the
-store no other leader can be found, and keys are to outlast this one."""
+TROUBLE_S = 1.3
+"""Age of the store's last word to the leader from which holds are made as long as servers accept:
+without the store no other leader can be found and nothing can move, and keys are to outlast this
+leader. A leader hears from a sound store more often (see LEADER_WAIT_S)."""
 
 
 class HoldPolicy:
