--- a/indigoworks/exchange/leader_beat.py
+++ b/indigoworks/exchange/leader_beat.py
@@ -18,7 +18,8 @@
     """A sign of life of a leader.
 
     :ivar proof_age_s: age of its last proof of leadership when it was sent.
-    :ivar hold_s: the longest hold that it has granted within the last 10 s.
+    :ivar hold_s: how long any of its grants may still hold, those included that a server has not
+        answered and may take late.
     """
 
     epoch: int
--- a/indigoworks/exchange/peer_report.py
+++ b/indigoworks/exchange/peer_report.py
@@ -17,6 +17,8 @@
     :ivar leader: where it leads.
     :ivar loads: of all servers with requests in flight.
     :ivar retry_count: repeats it sent in the last second, by all services together.
+    :ivar configuration_version: version of the configuration in force there; 0: none.
+    :ivar group_version: version of the newest row of the group that it has applied.
     """
 
     node: str
@@ -28,3 +30,5 @@
     loads: tuple[ServerLoad, ...]
     samples: tuple[KeySample, ...]
     retry_count: int
+    configuration_version: int = 0
+    group_version: int = 0
--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -20,6 +20,8 @@
         sequence=report.sequence,
         epoch=report.epoch,
         retry_count=report.retry_count,
+        configuration_version=report.configuration_version,
+        group_version=report.group_version,
     )
     if report.beat_age_s != float("inf"):
         message.has_heard_beat = True
@@ -61,6 +63,8 @@
             KeySample(each.service, tuple(each.keys), each.total) for each in message.samples
         ),
         retry_count=message.retry_count,
+        configuration_version=message.configuration_version,
+        group_version=message.group_version,
     )
 
 
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from indigoworks.common.clock import Clock
+from indigoworks.exchange.lag_watch import LagWatch
 from indigoworks.exchange.leader_beat import LeaderBeat
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_report import PeerReport
@@ -83,6 +84,16 @@
             self.leadership.note_proof,
         )
         platform.on_path_failed(self.follower.restart_call)
+        self.group_version = 0
+        self._lags = (
+            LagWatch(
+                "configuration",
+                self.configuration_version,
+                platform.followers[0].restart_call,
+                clock,
+            ),
+            LagWatch("group", lambda: self.group_version, self.follower.restart_call, clock),
+        )
 
     def use_board(self, board: ServerBoard) -> None:
         """Take the measured times of servers from `board`."""
@@ -95,13 +106,15 @@
         return LeaderBeat(
             epoch=self.leadership.row.epoch,
             proof_age_s=self.leadership.proof_age_s(),
-            hold_s=min(self._policy.longest_s, self._bounds.longest_left_s()),
+            hold_s=self._bounds.longest_left_s(),
             pending=self._keepers.pending(),
         )
 
     def take_report(self, report: PeerReport) -> None:
         """Take a report of a peer."""
         self.leadership.signs.note(report)
+        self._lags[0].note(report.node, report.configuration_version)
+        self._lags[1].note(report.node, report.group_version)
         if report.leader is not None and report.leader.epoch >= self.leadership.row.epoch:
             self._tables.note_beat(report.leader)
         self.owners_changed()
@@ -110,7 +123,13 @@
         """A leader asks often: each answer is a proof of its leadership."""
         return LEADER_WAIT_S if self.leadership.may_act() else FEED_WAIT_S
 
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force; 0: none."""
+        configuration = self._platform.configurations.current()
+        return 0 if configuration is None else configuration.version
+
     def _take_rows(self, rows: Sequence[Row]) -> None:
+        self.group_version = max(self.group_version, *(each.version for each in rows), 0)
         self.leadership.apply(rows)
         self._directory.apply(rows)
         if self._tables.apply(rows):
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -207,6 +207,8 @@
             loads=loads,
             samples=samples,
             retry_count=0,
+            configuration_version=self._control.configuration_version(),
+            group_version=self._control.group_version,
         )
 
     def _take_report(self, report: PeerReport) -> None:
--- a/indigoworks/gateway/platform_side.py
+++ b/indigoworks/gateway/platform_side.py
@@ -17,8 +17,9 @@
 """Longest wait of one step of the feed of servers. A path that was cut is noticed so much later at
 most, well within the time that leaving servers and new configurations leave."""
 
-FEED_WAIT_S = 20.0
-"""Longest wait of one step of the other feeds; they are asked anew when that of servers fails."""
+FEED_WAIT_S = 10.0
+"""Longest wait of one step of the other feeds; they are asked anew when that of servers fails, and
+when a peer is ahead."""
 
 
 class PlatformSide:
--- a/indigoworks/ownership/hold_policy.py
+++ b/indigoworks/ownership/hold_policy.py
@@ -21,11 +21,6 @@
         self._health = health
         self._hold_max_s = hold_max_s
 
-    @property
-    def longest_s(self) -> float:
-        """Return the longest hold that servers accept, in seconds."""
-        return self._hold_max_s
-
     def hold_s(self) -> float:
         """Return the hold of a grant that is sent now, in seconds."""
         if self._health.proof_age_s() > TROUBLE_S:
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -35,6 +35,7 @@
         self._vanished: dict[str, tuple[ServerRecord, float]] = {}
         self._replaced: dict[str, float] = {}
         self._first_seen_s: dict[str, float] = {}
+        self._first_versions: dict[str, int] = {}
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
 
     # ---- changes ----
@@ -47,6 +48,7 @@
         self._listed[record.server_id] = record
         self._vanished.pop(record.server_id, None)
         self._first_seen_s.setdefault(record.server_id, self._clock.now())
+        self._first_versions.setdefault(record.server_id, record.version)
         self._by_service.setdefault(record.service, {})[record.server_id] = record
         if known is None or known.is_draining != record.is_draining:
             self._log("server:listed", record, is_draining=record.is_draining)
@@ -108,13 +110,18 @@
         return None if vanished is None else vanished[0]
 
     def holder_of_address(self, record: ServerRecord) -> ServerRecord | None:
-        """Return the newest listed server at the address of `record` where it is another one."""
-        others = [
+        """Return the listed server that came to the address of `record` after it, if there is one.
+
+        The entry of a server that has ended stays listed for some heartbeats beside that of the one
+        that was started in its place: only the later of two says anything of the earlier.
+        """
+        own_first = self._first_versions.get(record.server_id, record.version)
+        later = [
             each
             for each in self._listed.values()
-            if each.address == record.address and each.server_id != record.server_id
+            if each.address == record.address and self._first_versions[each.server_id] > own_first
         ]
-        return max(others, key=lambda each: each.version, default=None)
+        return max(later, key=lambda each: each.version, default=None)
 
     def age_s(self, server_id: str) -> float:
         """Return the seconds since the server was first seen."""
@@ -133,6 +140,7 @@
                 del self._vanished[server_id]
                 self._first_seen_s.pop(server_id, None)
                 self._replaced.pop(server_id, None)
+                self._first_versions.pop(server_id, None)
                 self._by_service.get(record.service, {}).pop(server_id, None)
 
     def _vanished_in_trouble(self, server_id: str) -> bool:
