Scenarios for an older entry at an address and for feeds that fall behind

Ruled out: timed steps (a stepped clock is used). Before: features/gateway_servers.feature with 12 scenarios. Conclusion: both guarded.

--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -98,3 +98,22 @@
     And nearly the time passes in which the gateway's store settles
     And the gateway's store has trouble
     Then gateway server entry "a" is known and not usable
+
+  Scenario: The entry of a server that has ended says nothing of the one in its place
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "b" comes at port 1 with version 8
+    And gateway server entry "a" comes at port 1 with version 9
+    Then gateway server "a" is known to have ended
+    And gateway server "b" is not known to have ended
+
+  Scenario: A feed that stays behind a peer is asked anew, ever less often
+    Given a gateway lag watch at version 4
+    When a gateway peer says version 4 for 2 s
+    Then the gateway feed was asked anew 0 times
+    When a gateway peer says version 6 for 0.3 s
+    Then the gateway feed was asked anew 0 times
+    When a gateway peer says version 6 for 0.7 s
+    Then the gateway feed was asked anew 1 times
+    When a gateway peer says version 6 for 20 s
+    Then the gateway feed was asked anew 7 times
