Lengths of the simulation's work in a module of their own

Ruled out: an import inside a function (hides the same circle). Before: scripts/explore-control ended with an ImportError.

--- a/indigoworks_lab/control_simulation/recovery_checker.py
+++ b/indigoworks_lab/control_simulation/recovery_checker.py
@@ -5,11 +5,11 @@
 
 from indigoworks.ownership.ownership_table import KEY_COUNT
 from indigoworks_lab.control_simulation.interval_map import IntervalMap
-from indigoworks_lab.control_simulation.request_load import LONG_S
 from indigoworks_lab.control_simulation.server_entry import SERVICE
 from indigoworks_lab.control_simulation.simulated_node import SimulatedNode
 from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
 from indigoworks_lab.control_simulation.violation_list import ViolationList
+from indigoworks_lab.control_simulation.work_lengths import LONG_S
 
 CHECKER = "recovery"
 RECOVER_S = 15.0
--- a/indigoworks_lab/control_simulation/request_load.py
+++ b/indigoworks_lab/control_simulation/request_load.py
@@ -1,18 +1,15 @@
 """Requests of callers."""
 
 import asyncio
-from random import Random
 
 from indigoworks.ownership.ownership_table import KEY_COUNT
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
+from indigoworks_lab.control_simulation.work_lengths import draw_work_s
 
 REQUESTS_PER_S = 45.0
 HOT_SHARE = 0.6
 HOT_WIDTH = 3000
 HOT_CHANGE_S = 9.0
-MEAN_DURATION_S = 0.15
-LONG_SHARE = 0.03
-LONG_S = (0.5, 3.0)
 
 
 class RequestLoad:
@@ -29,7 +26,7 @@
         while True:
             await asyncio.sleep(self._random.expovariate(REQUESTS_PER_S))
             nodes = self._deployment.living_nodes()
-            key, duration_s = self._key(), self._duration_s(self._random)
+            key, duration_s = self._key(), draw_work_s(self._random)
             if nodes:
                 self._random.choice(nodes).request(key, duration_s)
 
@@ -41,8 +38,3 @@
         if self._random.random() < HOT_SHARE:
             return self._hot_first + self._random.randrange(HOT_WIDTH)
         return self._random.randrange(KEY_COUNT)
-
-    def _duration_s(self, random: Random) -> float:
-        if random.random() < LONG_SHARE:
-            return random.uniform(*LONG_S)
-        return random.uniform(0.2, 1.8) * MEAN_DURATION_S
