--- a/features/steps/gateway_control_steps.py
+++ b/features/steps/gateway_control_steps.py
@@ -13,6 +13,9 @@
 from indigoworks_lab.simulation.core.poll_until import poll_until
 
 PATIENCE_S = 10.0
+WRITE_WAITS_S = 0.4
+"""Longer than a leader takes to notice a leaving server and to begin its write."""
+
 OWNERS = OWNERS_PREFIX + SERVICE
 
 
@@ -64,6 +67,30 @@
     context.run_async(leave())
 
 
+@when('another gateway control leader is named while a write waits for a grant to "{name}"')
+def step_named_meanwhile(context, name):
+    world = context.control
+
+    async def overtake():
+        await until(lambda: covered(world) == KEY_COUNT)
+        world.orders.gate.clear()
+        await until(lambda: world.orders.waiting >= len(world.tables.table(SERVICE).ranges))
+        world.list_server(name, 50, is_draining=True)
+        await asyncio.sleep(WRITE_WAITS_S)
+        world.store.put(LEADER_KEY, LeaderRow(9, "n2", "boot-9", 0).encode())
+        await until(lambda: not world.leadership.is_named())
+        context.control_written = len(world.store.written)
+        world.orders.gate.set()
+        await asyncio.sleep(WRITE_WAITS_S)
+
+    context.run_async(overtake())
+
+
+@then("the gateway control member has written nothing more")
+def step_nothing_more(context):
+    assert len(context.control.store.written) == context.control_written
+
+
 @then("the gateway control member leads")
 def step_leads(context):
     world = context.control
--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -1,5 +1,6 @@
 """A control group in memory: rows whose answers get lost, servers that take every order."""
 
+import asyncio
 from random import Random
 
 from result import Err, Ok
@@ -75,12 +76,21 @@
 
 
 class WillingServers:
-    """Servers that take every order; `orders` holds (what, server, order)."""
+    """Servers that take every order; `orders` holds (what, server, order).
+
+    Grants wait while `gate` is closed.
+    """
 
     def __init__(self):
         self.orders = []
+        self.waiting = 0
+        self.gate = asyncio.Event()
+        self.gate.set()
 
     async def grant(self, server, grant, timeout_s):
+        self.waiting += 1
+        await self.gate.wait()
+        self.waiting -= 1
         self.orders.append(("grant", server.server_id, grant))
         return OrderOutcome(OrderResult.DONE)
 
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -83,6 +83,10 @@
         if not self._leadership.may_act():
             return False
         await self._keepers.quiesce(table.service, table)
+        if not self._leadership.may_act():
+            # Another leader may have been named meanwhile: the condition below would name its row.
+            self._keepers.resume(table.service)
+            return False
         table = with_bounds(table, self._bound_ms)
         key = OWNERS_PREFIX + table.service
         transaction = Transaction(
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -187,4 +187,6 @@
             loads=self._board.loads(),
             samples=samples,
             retry_count=0,
+            configuration_version=self.control.configuration_version(),
+            group_version=self.control.group_version,
         )
