A leader that lost the store is challenged after 1.8 s, not after 3.5 s

A challenger waited until the leader itself told of a proof older than 3.5 s, although its own challenge, a conditional write, is what decides. Ruled out: a shorter bound. A leader has a new proof every 0.8 s; one lost answer costs 1.7 s. The scenario fails on the old bound.

--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -118,8 +118,8 @@
 class ControlWorld:
     """One member of a control group, wired as a gateway wires it."""
 
-    def __init__(self, lost_write):
-        self.clock = LoopClock()
+    def __init__(self, lost_write, clock=None):
+        self.clock = clock or LoopClock()
         self.health = StoreHealth(self.clock)
         self.store = LossyRows(lost_write, self.health, self.clock)
         self.servers = ServerList(self.health, 1.0, self.clock)
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -23,7 +23,12 @@
 """A leader acts while its newest proof of leadership is younger."""
 
 SOUND_STORE_S = 2.5
-"""A challenger's own view of the store must be younger; a leader whose proof is older is sick."""
+"""A challenger's own view of the store must be younger."""
+
+SICK_LEADER_S = 1.8
+"""A leader that tells of an older proof is challenged: it has a new one every 0.8 s, and none for as
+long as a leader may be silent (SILENCE_S) beyond that. Where the store is out for all, the challenge
+itself fails."""
 
 SILENCE_S = 1.0
 """A leader of which nobody heard for so long is challenged."""
@@ -160,7 +165,7 @@
         if boot is not None and boot != self._row.boot:
             return "later_boot"
         silence_s = self.signs.silence_s(self._row.epoch, self._row_seen_s)
-        if self.signs.is_sick(self._row.epoch, SOUND_STORE_S + 1.0):
+        if self.signs.is_sick(self._row.epoch, SICK_LEADER_S):
             return "leader_without_store"
         if self.signs.hears_peers():
             return "silent" if silence_s > SILENCE_S else None
