--- a/indigoworks/cli/commands.py
+++ b/indigoworks/cli/commands.py
@@ -185,3 +185,14 @@
         from indigoworks.cli.story_command import tell_story
 
         return PendingCommand(lambda: tell_story(request_id, log))
+
+    def losses(self, *, log: str, window_s: str | None = None) -> PendingCommand:
+        """Print which requests were refused, lost or late, and why, from the gateways' log lines.
+
+        Args:
+            log: file that holds the lines of one or several gateways, in any order.
+            window_s: length of the windows of the second table, in whole seconds; default: 2.
+        """
+        from indigoworks.cli.losses_command import tell_losses
+
+        return PendingCommand(lambda: tell_losses(log, window_s))
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -26,9 +26,9 @@
 """A challenger's own view of the store must be younger."""
 
 SICK_LEADER_S = 1.8
-"""A leader that tells of an older proof is challenged: it has a new one every 0.8 s, and none for as
-long as a leader may be silent (SILENCE_S) beyond that. Where the store is out for all, the challenge
-itself fails."""
+"""A leader that tells of an older proof is challenged: it has a new one every 0.8 s, and may be
+without one for as long as a leader may be silent (SILENCE_S) beyond that. Where the store is out
+for all, the challenge itself fails."""
 
 SILENCE_S = 1.0
 """A leader of which nobody heard for so long is challenged."""
