Small groups follow the store through relays too, where one stands for three gateways of its zone

Every write of the owners wakes each of 11 to 14 gateways. Relays did the same from 17 gateways on. Ruled out: fewer writes of the owners (they relieve busy servers); longer waits of the followers (docs/design/store-control.md); hubs for reports in small groups (not tried: nothing is priced there). The scenario that up to 16 gateways of one zone each ask the store asserted the rule that is given up; two take its place: two gateways of a zone each ask the store, of three two ask the third.

--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -9,9 +9,18 @@
   Scenario: A whole reading that the feed has overtaken leaves no gap in what is handed on
     Then gateway relay: a history that is begun anew as of an older version keeps what it has
 
-  Scenario: A few gateways each ask the store
+  Scenario: Two gateways of a zone in a small group each ask the store
     Given a gateway relay choice of "a" in zone "z1" with capacity 1
-    And 15 other gateways in zone "z1" that are heard
+    And 13 other gateways in zone "z2" that are heard
+    And gateway "r" in zone "z1" with capacity 2 that is heard
+    Then gateway "a" asks the store
+
+  Scenario: Of three gateways of a zone in a small group two ask the third
+    Given a gateway relay choice of "a" in zone "z1" with capacity 1
+    And gateway "r" in zone "z1" with capacity 2 that is heard
+    And gateway "s" in zone "z1" with capacity 1 that is heard
+    Then gateway "a" asks gateway "r"
+    When gateway "r" leads
     Then gateway "a" asks the store
 
   Scenario: Of many gateways those of a zone ask its strongest that does not lead
--- a/indigoworks/relay/relay_choice.py
+++ b/indigoworks/relay/relay_choice.py
@@ -34,6 +34,12 @@
     return cores if link_mbit >= MIN_LINK_MBIT else 0.0
 
 
+MIN_ZONE_GATEWAYS = 3
+"""In a small group a relay is asked only where it stands for so many gateways of its zone, itself
+included: it probes the store three times as often as one that asks for itself alone, and for two
+it would save nothing."""
+
+
 class RelayChoice:
     """The strongest gateway of the zone that is heard and does not lead; ties go by name.
 
@@ -66,14 +72,13 @@
 
     def relay(self) -> PeerAddress | None:
         """Return the gateway to ask; None: ask the store."""
-        if not self._directory.has_many() or self._leader_node() == self._node:
+        if self._leader_node() == self._node:
             return None
-        strongest = min(
-            (each for each in self._directory.others() if self._is_candidate(each)),
-            key=PeerAddress.rank,
-            default=None,
-        )
-        if strongest is None or strongest.rank() > strength_rank(self._capacity, self._node):
+        candidates = [each for each in self._directory.others() if self._is_candidate(each)]
+        if not candidates or not self._is_worth_it(len(candidates)):
+            return None
+        strongest = min(candidates, key=PeerAddress.rank)
+        if strongest.rank() > strength_rank(self._capacity, self._node):
             return None
         if self._clock.now() < self._failed_until_s.get(strongest.node, 0.0):
             return None
@@ -100,6 +105,9 @@
         is_relayed = self.is_acting() or self.relay() is not None
         return RELAY_PROBE_WAIT_S if is_relayed else PROBE_WAIT_S
 
+    def _is_worth_it(self, candidate_count: int) -> bool:
+        return self._directory.has_many() or candidate_count + 1 >= MIN_ZONE_GATEWAYS
+
     def _is_candidate(self, peer: PeerAddress) -> bool:
         if peer.capacity == 0 or peer.zone != self._zone or peer.node == self._leader_node():
             return False
