--- a/indigoworks/gateway/server_choice.py
+++ b/indigoworks/gateway/server_choice.py
@@ -6,8 +6,9 @@
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
-OTHER_ZONE_FACTOR = 1.25
-"""A server of another zone must be this much better: bytes between zones cost."""
+OTHER_ZONE_FACTOR = 1.7
+"""A server of another zone must be this much better: bytes between zones cost. Of 1.25, 1.7 and 2.5
+1.7 earned most on two days of aqaba-ferry (docs/deciding-under-load.md)."""
 
 
 class ServerChoice:
