An entry of a server that cannot be read leaves one log line for each cause

Ruled out: a line for each version of the row: servers write theirs again about every second. Before: no line. After: server:entry_refused with the server, the row's version and the reason, once for each cause. The reader returns a typed error with a remedy, as the reader of the configuration does. Conclusion: behaviour towards servers is as before. The scenario fails without the line; the reader's check asked for None and asks now for an error that names the server and has a remedy.

--- a/features/platform_folder_store.feature
+++ b/features/platform_folder_store.feature
@@ -69,6 +69,8 @@
     Then the platform folder's configuration is 3 and its server is known
     When the platform folder store gets an unreadable configuration, then a change of the server
     Then the platform folder's configuration is 3 and its server drains
+    When the platform folder store gets an unreadable entry of the server, thrice
+    Then the platform folder's log tells once that the entry cannot be read, and why
     When the platform folder store gets configuration 2, then 9
     Then the platform folder's configuration is 9, and 2 never was
 
--- a/features/steps/gateway_process_world.py
+++ b/features/steps/gateway_process_world.py
@@ -70,7 +70,7 @@
 def read_server(row):
     fields = json.loads(row.value)
     address = Address(HOST, fields.pop("port"))
-    return make_record(row.key, address, row.version, **fields)
+    return Ok(make_record(row.key, address, row.version, **fields))
 
 
 class ProcessWorld(GatewayWorld):
--- a/features/steps/platform_folder_reader_steps.py
+++ b/features/steps/platform_folder_reader_steps.py
@@ -219,11 +219,12 @@
     def read(value):
         return read_server_entry(Row("servers", "", "i-1", value, 12))
 
-    got = read(json.dumps(entry).encode())
+    got = read(json.dumps(entry).encode()).unwrap()
     assert (got.server_id, got.service, got.version) == ("i-1", "s", 12)
     assert (got.address, got.zone) == (Address("10.0.0.9", 8080), "z1")
     assert (got.slots, got.is_draining, got.warm_up_left_s) == (7, True, 2.5)
-    ready = read(json.dumps({**entry, "state": "ready"}).encode())
+    ready = read(json.dumps({**entry, "state": "ready"}).encode()).unwrap()
     assert not ready.is_draining
     for value in (b"", b"[]", b"7", b'{"service": "s"}', b'{"service": "s", "address": "x"}'):
-        assert read(value) is None, value
+        error = read(value).unwrap_err()
+        assert "i-1" in error.message and error.remedy, value
--- a/features/steps/platform_folder_store_steps.py
+++ b/features/steps/platform_folder_store_steps.py
@@ -4,6 +4,7 @@
 import json
 
 from behave import given, then, when
+from eliot import add_destinations, remove_destination
 from gateway_world import HOST, free_port, make_ports, make_settings, until
 from platform_folder_store_stand_in import StoreStandIn, wire
 
@@ -228,6 +229,27 @@
     assert not any(each.done() for each in context.platform_tasks)
 
 
+@when("the platform folder store gets an unreadable entry of the server, thrice")
+def unreadable_entry(context):
+    context.platform_lines = []
+    add_destinations(context.platform_lines.append)
+    context.add_cleanup(remove_destination, context.platform_lines.append)
+    stand_in = context.platform_stand_in
+    for sequence in range(3):
+        seen = len(stand_in.calls)
+        stand_in.put("servers", "", "s1", json.dumps({"seq": sequence}).encode())
+        context.run_async(until(lambda seen=seen: len(stand_in.calls) > seen + 4))
+
+
+@then("the platform folder's log tells once that the entry cannot be read, and why")
+def entry_refused(context):
+    lines = [
+        each for each in context.platform_lines if each["message_type"] == "server:entry_refused"
+    ]
+    assert len(lines) == 1, lines
+    assert lines[0]["server"] == "s1" and "'address'" in lines[0]["reason"], lines
+
+
 @when("the platform folder store gets configuration {first:d}, then {second:d}")
 def gets_two(context, first, second):
     calls = context.platform_stand_in.calls
--- a/indigoworks/gateway/platform_ports.py
+++ b/indigoworks/gateway/platform_ports.py
@@ -12,6 +12,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.servers.errors import ServerEntryUnreadable
 from indigoworks.servers.server_record import ServerRecord
 
 
@@ -32,4 +33,4 @@
     servers_table: str
     readiness_path: str
     read_configuration: Callable[[bytes], Result[Configuration, ConfigurationInvalid]]
-    read_server: Callable[[Row], ServerRecord | None]
+    read_server: Callable[[Row], Result[ServerRecord, ServerEntryUnreadable]]
--- a/indigoworks/gateway/platform_side.py
+++ b/indigoworks/gateway/platform_side.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from eliot import log_message
-from result import Err
+from result import Err, Ok
 
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.gateway_settings import GatewaySettings
@@ -43,6 +43,7 @@
         self.servers = ServerList(ports.health, settings.server_heartbeat_s, clock)
         self._drain_s = settings.drain_s
         self._has_read_servers = False
+        self._unreadable: dict[str, str] = {}
         self._listeners: list[Callable[[], None]] = []
         self._path_listeners: list[Callable[[], None]] = []
         self.followers = (
@@ -110,13 +111,31 @@
     def _take_servers(self, rows: Sequence[Row]) -> None:
         for row in rows:
             if row.is_removed:
+                self._unreadable.pop(row.key, None)
                 self.servers.remove(row.key)
                 continue
-            record = self._ports.read_server(row)
-            if record is not None:
-                self.servers.put(record)
+            self._take_server(row)
         self._notify()
 
+    def _take_server(self, row: Row) -> None:
+        result = self._ports.read_server(row)
+        if isinstance(result, Ok):
+            self._unreadable.pop(row.key, None)
+            self.servers.put(result.unwrap())
+            return
+        reason = str(result.unwrap_err())
+        if self._unreadable.get(row.key) == reason:
+            return
+        # Once for each cause: a server writes its entry again about every second.
+        self._unreadable[row.key] = reason
+        log_message(
+            message_type="server:entry_refused",
+            level="ERROR",
+            server=row.key,
+            row_version=row.version,
+            reason=reason,
+        )
+
     def _servers_pace_s(self) -> float:
         return min(SERVERS_PACE_SHARE * self._drain_s, MAX_SERVERS_PACE_S)
 
--- a/indigoworks_lab/control_simulation/server_entry.py
+++ b/indigoworks_lab/control_simulation/server_entry.py
@@ -10,6 +10,7 @@
 from indigoworks.routes.errors import ConfigurationInvalid
 from indigoworks.routes.service import Service
 from indigoworks.rowstore.row import Row
+from indigoworks.servers.errors import ServerEntryUnreadable
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
 
@@ -32,10 +33,10 @@
     ).encode()
 
 
-def read_server(row: Row) -> ServerRecord | None:
+def read_server(row: Row) -> Result[ServerRecord, ServerEntryUnreadable]:
     """Read an entry."""
     entry = json.loads(row.value)
-    return ServerRecord(
+    record = ServerRecord(
         server_id=row.key,
         service=SERVICE,
         address=Address(entry["host"], entry["port"]),
@@ -45,6 +46,7 @@
         warm_up_left_s=0.0,
         version=row.version,
     )
+    return Ok(record)
 
 
 def read_configuration(value: bytes) -> Result[Configuration, ConfigurationInvalid]:
