Where the store leaves a gateway without answers, relays of other zones stand in for it

Relays for each zone cured that where the relay is served; where it is turned away too, its zone stayed blind. Ruled out: tables of owners in the leader's reports (they do not fit a datagram).

--- a/indigoworks/relay/relay_choice.py
+++ b/indigoworks/relay/relay_choice.py
@@ -34,6 +34,10 @@
     return cores if link_mbit >= MIN_LINK_MBIT else 0.0
 
 
+CUT_OFF_S = 0.5
+"""After a trouble the store leaves a process without an answer for so long before another gateway
+stands in: a slow store answers sooner, and the next call or two make up for a lost answer."""
+
 MIN_ZONE_GATEWAYS = 3
 """In a small group a relay is asked only where it stands for so many gateways of its zone, itself
 included: it probes the store three times as often as one that asks for itself alone, and for two
@@ -47,7 +51,11 @@
     relays at once, or none, cost calls and nothing else.
 
     :param capacity: of this process's machine, see `relay_capacity`.
+    Where the store turns this process away while it serves others, any gateway that hears may stand
+    in, the relays of other zones first.
+
     :param leader_node: returns the node that leads the control group; it asks the store itself.
+    :param lost_for_s: returns for how long the store has left this process without answers.
     """
 
     def __init__(
@@ -58,6 +66,7 @@
         directory: PeerDirectory,
         peers: PeerView,
         leader_node: Callable[[], str],
+        lost_for_s: Callable[[], float],
         clock: Clock,
     ) -> None:
         self._node = node
@@ -66,6 +75,7 @@
         self._directory = directory
         self._peers = peers
         self._leader_node = leader_node
+        self._lost_for_s = lost_for_s
         self._clock = clock
         self._failed_until_s: dict[str, float] = {}
         self._asked_s = float("-inf")
@@ -75,14 +85,34 @@
         if self._leader_node() == self._node:
             return None
         candidates = [each for each in self._directory.others() if self._is_candidate(each)]
+        relay = self._zone_relay([each for each in candidates if each.zone == self._zone])
+        if relay is None and self._lost_for_s() > CUT_OFF_S:
+            return self._stand_in(candidates)
+        return relay
+
+    def _zone_relay(self, candidates: list[PeerAddress]) -> PeerAddress | None:
+        """Return the relay of the own zone, if it has one and that did not fail lately."""
         if not candidates or not self._is_worth_it(len(candidates)):
             return None
         strongest = min(candidates, key=PeerAddress.rank)
         if strongest.rank() > strength_rank(self._capacity, self._node):
             return None
-        if self._clock.now() < self._failed_until_s.get(strongest.node, 0.0):
-            return None
-        return strongest
+        return None if self._has_failed(strongest) else strongest
+
+    def _stand_in(self, candidates: list[PeerAddress]) -> PeerAddress | None:
+        """Return whom to ask where the store does not answer this process.
+
+        The strongest of each zone go first: these ask the store often, as relays do. One that is
+        cut off itself says so at once and is left alone like any that failed.
+        """
+        strongest_first = sorted(candidates, key=PeerAddress.rank)
+        places: dict[str, int] = {}
+        ordered: list[tuple[int, PeerAddress]] = []
+        for each in strongest_first:
+            place = places[each.zone] = places.get(each.zone, 0) + 1
+            if not self._has_failed(each):
+                ordered.append((place, each))
+        return min(ordered, key=lambda each: each[0])[1] if ordered else None
 
     def gateway_count(self) -> int:
         """Return the number of gateways that are known, this one included."""
@@ -108,8 +138,11 @@
     def _is_worth_it(self, candidate_count: int) -> bool:
         return self._directory.has_many() or candidate_count + 1 >= MIN_ZONE_GATEWAYS
 
+    def _has_failed(self, peer: PeerAddress) -> bool:
+        return self._clock.now() < self._failed_until_s.get(peer.node, 0.0)
+
     def _is_candidate(self, peer: PeerAddress) -> bool:
-        if peer.capacity == 0 or peer.zone != self._zone or peer.node == self._leader_node():
+        if peer.capacity == 0 or peer.node == self._leader_node():
             return False
         heard_s = self._peers.heard_time_s(peer.node)
         return heard_s is not None and self._clock.now() - heard_s <= HEARD_S
