The choice of a relay looks at its own zone first, at others only where the store is out of reach

Cause: reading the diff: relay() looked up when each gateway of all zones was heard last at each step of a feed and at each question to a relay; a large group has tens of them. Ruled out: none. Before: all gateways each time. The docstring of RelayChoice had a paragraph among its parameters. Conclusion: same choices.

--- a/indigoworks/relay/relay_choice.py
+++ b/indigoworks/relay/relay_choice.py
@@ -50,10 +50,10 @@
     Nobody appoints a relay: each process chooses by itself, and whoever is asked answers. Two
     relays at once, or none, cost calls and nothing else.
 
-    :param capacity: of this process's machine, see `relay_capacity`.
-    Where the store turns this process away while it serves others, any gateway that hears may stand
-    in, the relays of other zones first.
+    Where the store turns this process away while it serves others, any gateway that is heard may
+    stand in, the relays of other zones first.
 
+    :param capacity: of this process's machine, see `relay_capacity`.
     :param leader_node: returns the node that leads the control group; it asks the store itself.
     :param lost_for_s: returns for how long the store has left this process without answers.
     """
@@ -84,14 +84,15 @@
         """Return the gateway to ask; None: ask the store."""
         if self._leader_node() == self._node:
             return None
-        candidates = [each for each in self._directory.others() if self._is_candidate(each)]
-        relay = self._zone_relay([each for each in candidates if each.zone == self._zone])
+        relay = self._zone_relay()
         if relay is None and self._lost_for_s() > CUT_OFF_S:
-            return self._stand_in(candidates)
+            return self._stand_in()
         return relay
 
-    def _zone_relay(self, candidates: list[PeerAddress]) -> PeerAddress | None:
+    def _zone_relay(self) -> PeerAddress | None:
         """Return the relay of the own zone, if it has one and that did not fail lately."""
+        in_zone = (each for each in self._directory.others() if each.zone == self._zone)
+        candidates = [each for each in in_zone if self._is_candidate(each)]
         if not candidates or not self._is_worth_it(len(candidates)):
             return None
         strongest = min(candidates, key=PeerAddress.rank)
@@ -99,20 +100,22 @@
             return None
         return None if self._has_failed(strongest) else strongest
 
-    def _stand_in(self, candidates: list[PeerAddress]) -> PeerAddress | None:
+    def _stand_in(self) -> PeerAddress | None:
         """Return whom to ask where the store does not answer this process.
 
-        The strongest of each zone go first: these ask the store often, as relays do. One that is
-        cut off itself says so at once and is left alone like any that failed.
+        The strongest of each zone go first: as relays these have asked the store most lately. One
+        that is cut off itself says so at once and is left alone like any that failed.
         """
-        strongest_first = sorted(candidates, key=PeerAddress.rank)
-        places: dict[str, int] = {}
-        ordered: list[tuple[int, PeerAddress]] = []
-        for each in strongest_first:
-            place = places[each.zone] = places.get(each.zone, 0) + 1
-            if not self._has_failed(each):
-                ordered.append((place, each))
-        return min(ordered, key=lambda each: each[0])[1] if ordered else None
+        candidates = [each for each in self._directory.others() if self._is_candidate(each)]
+        rank_in_zone: dict[str, int] = {}
+        chosen: PeerAddress | None = None
+        chosen_rank = len(candidates)
+        for each in sorted(candidates, key=PeerAddress.rank):
+            rank = rank_in_zone.get(each.zone, 0)
+            rank_in_zone[each.zone] = rank + 1
+            if rank < chosen_rank and not self._has_failed(each):
+                chosen, chosen_rank = each, rank
+        return chosen
 
     def gateway_count(self) -> int:
         """Return the number of gateways that are known, this one included."""
