Reverted: relays and stand-ins in small groups; they broke DRAIN

A relay's trouble may be its own path's; a gateway that asks the store itself counts only its own. The same hole stands in large groups, where relays stay as they were.

--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -121,7 +121,6 @@
     context.relay_directory = PeerDirectory(node)
     context.relay_peers = HeardPeers()
     context.relay_leader = ""
-    context.relay_lost_for_s = 0.0
     context.relay_choice = RelayChoice(
         node,
         zone,
@@ -129,7 +128,6 @@
         context.relay_directory,
         context.relay_peers,
         lambda: context.relay_leader,
-        lambda: context.relay_lost_for_s,
         context.relay_clock,
     )
 
@@ -172,11 +170,6 @@
     context.relay_choice.note_failure(node)
 
 
-@when('the store has left gateway "a" without an answer for {time_s:g} s')
-def step_lost(context, time_s):
-    context.relay_lost_for_s = time_s
-
-
 @then('gateway "a" asks the store')
 def step_asks_store(context):
     assert context.relay_choice.relay() is None
--- a/indigoworks/gateway/relay_side.py
+++ b/indigoworks/gateway/relay_side.py
@@ -35,14 +35,7 @@
     ) -> None:
         self.capacity = relay_capacity(settings.capacity_cores, settings.link_mbit)
         self.choice = RelayChoice(
-            settings.node,
-            settings.zone,
-            self.capacity,
-            directory,
-            peers,
-            leader_node,
-            ports.health.lost_for_s,
-            clock,
+            settings.node, settings.zone, self.capacity, directory, peers, leader_node, clock
         )
         self.store = RelayedStore(
             ports.store,
