A relay's trouble told after an entry vanished does not bring its server back

The list asked for troubles up to 1 s after the absence, which is right for calls of this process that time out late, and took what a relay told alike. Ruled out: to pass no troubles on: an answer of a relay that spans an outage of the store then shows lapsed entries without its cause. Before: scenario fails (server usable 0.3 s after it vanished). After: a relay's trouble counts only if told before the entry vanished or with the answer that shows it.

--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -31,9 +31,24 @@
     When gateway server entry "a" comes at port 1 with version 5
     And the gateway's store has trouble
     And gateway server entry "a" vanishes
-    And 2.3 s pass after the trouble of the gateway's store
+    And 2.3 s of gateway time pass
     Then gateway server entry "a" is known and not usable
 
+  Scenario: A trouble that a relay tells of after an entry vanished does not bring the server back
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "a" vanishes
+    And 0.3 s of gateway time pass
+    And a relay tells of a trouble of the gateway's store 0.5 s ago
+    Then gateway server entry "a" is known and not usable
+
+  Scenario: A trouble that a relay tells of with the answer in which an entry vanishes makes it say nothing
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And a relay tells of a trouble of the gateway's store 0.5 s ago
+    And gateway server entry "a" vanishes
+    Then gateway server entry "a" is usable
+
   Scenario: Trouble long before the entry vanished does not count
     Given a gateway server list
     When gateway server entry "a" comes at port 1 with version 5
--- a/features/steps/gateway_relay_world_steps.py
+++ b/features/steps/gateway_relay_world_steps.py
@@ -192,5 +192,5 @@
     async def run():
         return member.clock.now() - member.health.last_trouble_s
 
-    assert len(member.health._troubles_s) == 1, member.health._troubles_s
+    assert len(member.health._troubles) == 1, member.health._troubles
     assert age_s - 0.01 < context.run_async(bounded(run())) < age_s + 10.0
--- a/features/steps/gateway_server_steps.py
+++ b/features/steps/gateway_server_steps.py
@@ -54,6 +54,12 @@
     context.gateway_health.note_trouble("read", "503")
 
 
+@when("a relay tells of a trouble of the gateway's store {age_s:g} s ago")
+def relayed_trouble(context, age_s):
+    now_s = context.gateway_clock.now()
+    context.gateway_health.note_relayed(now_s, now_s - age_s)
+
+
 def advance(context, duration_s):
     context.run_async(context.gateway_clock.advance(duration_s))
 
@@ -63,7 +69,7 @@
     advance(context, SETTLE_S - REST_S / 2)
 
 
-@when("{time_s:g} s pass after the trouble of the gateway's store")
+@when("{time_s:g} s of gateway time pass")
 def after_trouble(context, time_s):
     advance(context, time_s)
 
--- a/indigoworks/rowstore/store_health.py
+++ b/indigoworks/rowstore/store_health.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
+from indigoworks.rowstore.store_trouble import StoreTrouble
 
 MS_PER_S = 1000.0
 
@@ -32,7 +33,7 @@
         self._largest_offset_s: float | None = None
         self._proof_s: float | None = None
         self._is_lost = False
-        self._troubles_s: deque[float] = deque(maxlen=REMEMBERED_TROUBLES)
+        self._troubles: deque[StoreTrouble] = deque(maxlen=REMEMBERED_TROUBLES)
 
     def note_answer(self, sent_s: float, store_time_s: float) -> float:
         """Take note of an answer to a question that was sent at `sent_s`.
@@ -63,13 +64,13 @@
         """
         if self._proof_s is None or proof_s > self._proof_s:
             self._proof_s = proof_s
-        last_s = self._troubles_s[-1] if self._troubles_s else float("-inf")
+        last_s = self._troubles[-1].at_s if self._troubles else float("-inf")
         if trouble_s > last_s + SAME_TROUBLE_S:
-            self._troubles_s.append(trouble_s)
+            self._troubles.append(StoreTrouble(trouble_s, told_s=self._clock.now()))
 
     def note_trouble(self, call: str, reason: str) -> None:
         """Take note that a call was not answered, refused, or answered late."""
-        self._troubles_s.append(self._clock.now())
+        self._troubles.append(StoreTrouble(self._clock.now()))
         if not self._is_lost:
             self._is_lost = True
             log_message(
@@ -83,11 +84,21 @@
     @property
     def last_trouble_s(self) -> float | None:
         """Return the clock reading of the last trouble; None: there was none."""
-        return self._troubles_s[-1] if self._troubles_s else None
+        return self._troubles[-1].at_s if self._troubles else None
 
-    def last_trouble_before(self, at_s: float) -> float | None:
-        """Return the clock reading of the last trouble up to `at_s`; None: none is remembered."""
-        return max((each for each in self._troubles_s if each <= at_s), default=None)
+    def last_trouble_before(self, at_s: float, told_by_s: float) -> float | None:
+        """Return the clock reading of the last trouble up to `at_s`; None: none is remembered.
+
+        :param told_by_s: troubles of which another gateway told later than that do not count.
+        """
+        return max(
+            (
+                each.at_s
+                for each in self._troubles
+                if each.at_s <= at_s and (each.told_s is None or each.told_s <= told_by_s)
+            ),
+            default=None,
+        )
 
     def proof_age_s(self) -> float:
         """Return the age of the newest answer, in seconds; infinity before the first one."""
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -161,7 +161,11 @@
             return False
         if self.holder_of_address(vanished[0]) is not None:
             return False
-        trouble_s = self._health.last_trouble_before(vanished[1] + LATE_TROUBLE_S)
+        # A trouble of which a relay tells after the entry vanished may be that of its own path
+        # alone: the server has been taken for leaving, and stays so.
+        trouble_s = self._health.last_trouble_before(
+            vanished[1] + LATE_TROUBLE_S, told_by_s=vanished[1]
+        )
         if trouble_s is None or vanished[1] - trouble_s > self._settle_s:
             return False
         latest_s = self._health.last_trouble_s
