--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -47,7 +47,9 @@
         self._servers = platform.servers
         self._watch = ReachWatch(self.board, platform.servers, clock)
         self.sender = ServerSender(ports.names, clock)
-        self.choice = ServerChoice(platform.servers, self.board, settings.zone, random)
+        self.choice = ServerChoice(
+            platform.servers, self.board, settings.zone, random, directory.has_many
+        )
         owners = OwnerLookup(tables, platform.servers, self.board, clock)
         self.queue = DispatchQueue(self.choice, owners, self.board, clock)
         self.allowance = RetryAllowance(
