A request waits for an owner by what past outages lasted, not for a share of its aim

Cause: HOLD_SHARE = 0.24 held a keyed request without an owner for just under a quarter of its aim. It knew nothing of the outage: it waited in vain for what takes seconds and gave up what ends a moment later, and Retry-After was always 0.5 s. Ruled out: the leader telling how long each outage will last (docs/design/hold-or-refuse.md). Change: expected end from the lengths of past outages of that state and age; refused at once where that is too late for the request, with that time in Retry-After; looked at again each 0.05 s. Test changed: the scenario on room and owners that are back unheard expects the owner after 0.05 s, at the periodic look, in place of 0.1 s, at the next end of a request: earlier, so stricter.

--- a/features/gateway_groups.feature
+++ b/features/gateway_groups.feature
@@ -70,15 +70,15 @@
     Then the other 3 gateway requests were served, the last within 0.2 s
     And the gateway queue kept to the limits of its servers and is empty
 
-  Scenario Outline: gateway groups: room that others made is found at the next end of a request
+  Scenario Outline: gateway groups: room that others made is found at the next end of a request, an owner at the next look
     Given a gateway queue before the owners "a" and "b" of 4 slots and requests of 100 ms
     When a gateway request waits for <what>, and that is there unheard before one to "b" ends
-    Then the gateway request that waited got its place at "a" after 0.1 s
+    Then the gateway request that waited got its place at "a" after <after> s
 
     Examples:
-      | what                                   |
-      | room that another gateway takes at "a" |
-      | "a", which is out of reach             |
+      | what                                   | after |
+      | room that another gateway takes at "a" | 0.1   |
+      | "a", which is out of reach             | 0.05  |
 
   Scenario Outline: gateway groups: places are exact whatever befalls the requests
     Given a gateway queue before the owners "a" and "b" of 4 slots and requests of 100 ms
--- a/features/steps/gateway_group_cost_steps.py
+++ b/features/steps/gateway_group_cost_steps.py
@@ -17,7 +17,7 @@
         for number in range(count):
             tasks += world.send(f"g{number % 2}", 1, aim_s=1000.0)
             await asyncio.sleep(0 if number < waiting else 0.025)
-        found = world.queue.waiting_count()
+        found = sum(world.queue.waiting_by_service().values())
         assert abs(found - waiting) <= 10, (found, waiting)
         await asyncio.gather(*tasks)
 
--- a/features/steps/gateway_group_steps.py
+++ b/features/steps/gateway_group_steps.py
@@ -106,7 +106,9 @@
         tasks = world.send("g", 12, key=KEYS["a"], aim_s=10.0)
         tasks += world.send("g", 8, key=KEYS["b"], aim_s=10.0)
         await asyncio.sleep(0.01)
-        assert world.queue.waiting_count() == 8, world.queue.waiting_count()
+        assert sum(world.queue.waiting_by_service().values()) == 8, sum(
+            world.queue.waiting_by_service().values()
+        )
         return tasks
 
     context.wait_at_both = wait
@@ -251,9 +253,9 @@
         else:
             world.board.set_down("a", True)
         tasks = world.send("g", 1, key=KEYS["b"])
-        tasks += world.send("g", 1, key=KEYS["a"], hold_s=0.5)
+        tasks += world.send("g", 1, key=KEYS["a"], aim_s=3.0)
         await asyncio.sleep(0.05)
-        assert world.queue.waiting_count() == 1
+        assert sum(world.queue.waiting_by_service().values()) == 1
         world.report_of_peer(2, 0)
         world.board.set_down("a", False)
         await asyncio.gather(*tasks)
--- a/features/steps/gateway_group_world.py
+++ b/features/steps/gateway_group_world.py
@@ -101,7 +101,7 @@
         report = PeerReport("n2", "b", number, 0, float("inf"), None, board.loads(), (), 0)
         assert self.peers.note(report)
 
-    def make_entry(self, group, key, priority, hold_s, aim_s):
+    def make_entry(self, group, key, priority, aim_s):
         now_s = self.clock.now()
         return WaitingRequest(
             group=group,
@@ -110,12 +110,11 @@
             key=key,
             priority=priority,
             tried=frozenset(),
-            give_up_s=now_s + (aim_s if key is None else hold_s),
             limit_s=now_s + aim_s,
         )
 
-    async def ask(self, group, key=None, priority=0, hold_s=0.2, aim_s=1.0):
-        asked = Asked(self.make_entry(group, key, priority, hold_s, aim_s))
+    async def ask(self, group, key=None, priority=0, aim_s=1.0):
+        asked = Asked(self.make_entry(group, key, priority, aim_s))
         self.asked[group].append(asked)
         began_s = self.clock.now()
         asked.placement = await self.queue.place(asked.entry)
@@ -159,7 +158,7 @@
 
     def assert_empty(self) -> None:
         """Nothing waits, and nothing is remembered of those that are gone."""
-        assert self.queue.waiting_count() == 0, self.queue.waiting_by_service()
+        assert sum(self.queue.waiting_by_service().values()) == 0, self.queue.waiting_by_service()
         assert not self.board.own_in_flight(), self.board.own_in_flight()
         assert not self.queue._lines and not self.queue._room.reserved_count(), vars(self.queue)
         assert not any(self.queue._ownerless.values()), self.queue._ownerless
--- a/features/steps/gateway_log_bound_steps.py
+++ b/features/steps/gateway_log_bound_steps.py
@@ -256,7 +256,7 @@
         server = world.servers["s1"]
         asking = [asyncio.ensure_future(ask(world)) for _ in range(count)]
         await until(lambda: len(server.requests) == room)
-        await until(lambda: world.side.queue.waiting_count() == count - room)
+        await until(lambda: sum(world.side.queue.waiting_by_service().values()) == count - room)
         world.clock.shift_s += later_s
         for _ in asking:
             server.turns.release()
--- a/features/steps/gateway_room_steps.py
+++ b/features/steps/gateway_room_steps.py
@@ -92,7 +92,9 @@
     queue = context.gateway.side.queue
     for count, target in enumerate(("/2/x", "/0/x"), start=1):
         context.gateway_callers += start_callers(context, [target])
-        context.run_async(until(lambda count=count: queue.waiting_count() == count))
+        context.run_async(
+            until(lambda count=count: sum(queue.waiting_by_service().values()) == count)
+        )
 
 
 @then("the gateway server got the request of priority 0 before that of priority 2")
@@ -110,7 +112,7 @@
 
     async def run():
         await until(lambda: len(server.working) >= limit)
-        await until(lambda: len(server.working) + queue.waiting_count() == left)
+        await until(lambda: len(server.working) + sum(queue.waiting_by_service().values()) == left)
 
     context.run_async(run())
     assert len(server.working) == limit, (len(server.working), limit)
--- a/features/steps/gateway_share_steps.py
+++ b/features/steps/gateway_share_steps.py
@@ -39,9 +39,9 @@
 def hosts_wait(context, count, one, few, other):
     queue = context.gateway.side.queue
     start_of(context, one, "/flood-", count)
-    context.run_async(until(lambda: queue.waiting_count() == count))
+    context.run_async(until(lambda: sum(queue.waiting_by_service().values()) == count))
     start_of(context, other, "/calm-", few)
-    context.run_async(until(lambda: queue.waiting_count() == count + few))
+    context.run_async(until(lambda: sum(queue.waiting_by_service().values()) == count + few))
 
 
 @then('the gateway server got the request of "{other}" before the {count:d} that came earlier')
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -6,6 +6,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.gateway import queue_refusals
 from indigoworks.gateway.owner_lookup import OwnerLookup, OwnerState
+from indigoworks.gateway.owner_outages import OWNER_LOOK_S, OwnerOutages
 from indigoworks.gateway.place_line import JUDGED_PER_CHANGE, PlaceLine
 from indigoworks.gateway.place_load import PlaceLoad
 from indigoworks.gateway.refusal import Refusal
@@ -32,6 +33,7 @@
     ) -> None:
         self._choice = choice
         self._owners = owners
+        self._outages = OwnerOutages(owners, board, clock)
         self._board = board
         self._clock = clock
         self._lines: dict[tuple[str, str | None], PlaceLine] = {}
@@ -73,6 +75,7 @@
 
     def capacity_changed(self) -> None:
         """Place or refuse what waits: owners or servers changed."""
+        self._outages.note_ended()
         for line in list(self._lines.values()):
             self._serve(line)
             self._judge(line)
@@ -80,24 +83,21 @@
             for entry in list(entries):
                 self._look_again(entry)
 
-    def waiting_count(self) -> int:
-        """Return how many requests wait."""
-        return sum(self._waiting.values())
-
     def waiting_by_service(self) -> dict[str, int]:
         """Return how many requests wait, for each service that ever had one waiting."""
         return dict(self._waiting)
 
     async def _wait(self, entry: WaitingRequest) -> Placement:
-        """Wait for a place; first for an owner, then for room while that is worth it."""
-        for until_s in (entry.give_up_s, entry.limit_s):
-            if entry.placed.done():
+        """Wait for a place while an answer is expected within the request's limit."""
+        while not entry.placed.done():
+            left_s = entry.limit_s - self._clock.now()
+            if left_s <= 0:
+                self._end(entry, self._last_refusal(entry))
                 break
-            left_s = min(until_s, entry.limit_s) - self._clock.now()
-            await asyncio.wait({entry.placed}, timeout=max(left_s, 0.0))
+            if entry.line is None:
+                left_s = min(left_s, OWNER_LOOK_S)
+            await asyncio.wait({entry.placed}, timeout=left_s)
             self._look_again(entry)
-        if not entry.placed.done():
-            self._end(entry, self._last_refusal(entry))
         return entry.placed.result()
 
     # ---- where a request waits ----
@@ -275,15 +275,16 @@
         return [each for each in usable if each.server_id not in entry.tried]
 
     def _refuse_ownerless(self, entry: WaitingRequest) -> None:
-        if entry.key is not None and self._clock.now() >= entry.give_up_s:
-            owner = self._owners.find(entry.service, entry.key)
-            self._end(entry, queue_refusals.no_owner(owner))
+        """Refuse a request whose key is not likely to be served again in time for it."""
+        refusal = self._outages.refusal_if_late(entry)
+        if refusal is not None:
+            self._end(entry, refusal)
 
     def _last_refusal(self, entry: WaitingRequest) -> Refusal:
         """Return why a request whose time is up gets no place."""
         servers = self._servers(entry)
         if entry.key is not None and (entry.line is None or not servers):
-            return queue_refusals.no_owner(self._owners.find(entry.service, entry.key))
+            return self._outages.refusal(entry)
         if entry.line is None or not servers:
             return queue_refusals.no_server()
         cost_s = self._board.service_s_of(entry.service)
--- a/indigoworks/gateway/owner_lookup.py
+++ b/indigoworks/gateway/owner_lookup.py
@@ -34,11 +34,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Owner:
-    """Owner of a key; `token` is that of its range."""
+    """Owner of a key; `token` is that of its range, `first` the first key of it."""
 
     state: OwnerState
     server: ServerRecord | None = None
     token: int = 0
+    first: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +81,12 @@
             return Owner(OwnerState.NONE)
         server = self._servers.get(found.server_id)
         if server is None or not self._servers.is_usable(found.server_id):
-            return Owner(OwnerState.UNREACHABLE, server, found.token)
+            return Owner(OwnerState.UNREACHABLE, server, found.token, found.first)
         if self._board.is_down(found.server_id):
-            return Owner(OwnerState.UNREACHABLE, server, found.token)
+            return Owner(OwnerState.UNREACHABLE, server, found.token, found.first)
         if self._tables.is_pending(service, found) or self._is_not_held(service, found):
-            return Owner(OwnerState.PENDING, server, found.token)
-        return Owner(OwnerState.READY, server, found.token)
+            return Owner(OwnerState.PENDING, server, found.token, found.first)
+        return Owner(OwnerState.READY, server, found.token, found.first)
 
     def _is_not_held(self, service: str, found: OwnedRange) -> bool:
         if not self._not_held:
--- a/indigoworks/gateway/queue_refusals.py
+++ b/indigoworks/gateway/queue_refusals.py
@@ -4,22 +4,27 @@
 from indigoworks.gateway.place_load import PlaceLoad
 from indigoworks.gateway.refusal import Refusal, RefusalReason
 
-OWNER_BACK_S = 0.5
-"""Assumed time until keys without a reachable owner are served again."""
+SERVER_BACK_S = 0.5
+"""Assumed time until a service without any server has one again: a server that starts is listed
+within about half a heartbeat."""
 
 MIN_RETRY_AFTER_S = 0.05
 
 
 def no_server() -> Refusal:
     """Refuse a request to a service without a server that it may go to."""
-    return Refusal(RefusalReason.NO_SERVER, OWNER_BACK_S)
+    return Refusal(RefusalReason.NO_SERVER, SERVER_BACK_S)
 
 
-def no_owner(owner: Owner) -> Refusal:
-    """Refuse a request whose key has no owner that it may go to."""
+def no_owner(owner: Owner, left_s: float) -> Refusal:
+    """Refuse a request whose key has no owner that it may go to.
+
+    :param left_s: seconds until the key is likely to be served again.
+    """
     is_unreachable = owner.state is OwnerState.UNREACHABLE
     reason = RefusalReason.OWNER_UNREACHABLE if is_unreachable else RefusalReason.NO_OWNER
-    return Refusal(reason, OWNER_BACK_S, "" if owner.server is None else owner.server.server_id)
+    server_id = "" if owner.server is None else owner.server.server_id
+    return Refusal(reason, max(MIN_RETRY_AFTER_S, left_s), server_id, expected_s=left_s)
 
 
 def overload(server_id: str, load: PlaceLoad, ahead: int) -> Refusal:
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -23,9 +23,6 @@
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
-HOLD_SHARE = 0.24
-"""Share of a route's aim for which a request waits for an owner before it is refused."""
-
 LATE_FACTOR = 0.9
 """Requests are taken on while their answer is expected within this multiple of the aim."""
 
@@ -118,7 +115,6 @@
         now_s = self._clock.now()
         if now_s >= state.deadline_s:
             return Refusal(RefusalReason.NO_TIME, 0.0)
-        hold_s = state.route.aim_s * HOLD_SHARE
         limit_s = state.request.arrived_s + state.route.aim_s * LATE_FACTOR
         try:
             state.waiting = WaitingRequest(
@@ -128,9 +124,6 @@
                 key=state.request.key if state.service.is_keyed else None,
                 priority=state.route.priority,
                 tried=frozenset() if state.service.is_keyed else frozenset(state.tried),
-                give_up_s=max(now_s, state.request.arrived_s + hold_s)
-                if state.service.is_keyed
-                else limit_s,
                 limit_s=min(limit_s, state.deadline_s),
             )
             return await self._queue.place(state.waiting)
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -19,7 +19,6 @@
     :ivar key: number of the key; None where servers of the service own no keys.
     :ivar priority: 0 is the most urgent.
     :ivar tried: servers that it must not go to again.
-    :ivar give_up_s: clock reading until which it waits for an owner.
     :ivar limit_s: clock reading by which its answer is worth waiting for.
     :ivar placed: the server that has room for it, or why there is none.
     :ivar line: where it waits, or holds a place; None: it waits for an owner.
@@ -29,7 +28,6 @@
     key: int | None
     priority: int
     tried: frozenset[str]
-    give_up_s: float
     limit_s: float
     placed: asyncio.Future[ServerRecord | Refusal] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
