Names and comments of relays and outages read without knowing the history

Cause: reading the diff as a newcomer: _is_led_by_others spoke of leaders where it means stronger machines; the assumed lengths of outages did not say that they are estimates. Conclusion: what reads badly in the rest of the diff is left for the next reader to say.

--- a/indigoworks/gateway/owner_outages.py
+++ b/indigoworks/gateway/owner_outages.py
@@ -29,9 +29,9 @@
     OwnerState.UNREACHABLE: 1.0,
     OwnerState.NONE: 1.0,
 }
-"""Assumed length before any outage of that kind was seen. Pending: a planned move, which ends the
-work under way and makes two calls. The others: the silence after which a server is taken for lost,
-a tenth of a second to grant its keys anew, and the rest of a hold."""
+"""Assumed length in seconds before any outage of that kind was seen; no measurement, an estimate.
+Pending: a planned move, which waits for the work under way and makes two calls. The others: the
+silence after which a server is taken for lost, and a moment to grant its keys anew."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +50,7 @@
 
 
 class OwnerOutages:
-    """Tells when a key without an owner is likely to be served again.
+    """Tells whether a request waits for an owner of its key, and how long that is likely to take.
 
     An outage begins with the first request that finds it and ends when its key has an owner again.
     The expectation for one that has lasted a while is the median of what remained of those past
--- a/indigoworks/relay/relay_choice.py
+++ b/indigoworks/relay/relay_choice.py
@@ -89,7 +89,7 @@
         if self._leader_node() == self._node:
             return None
         relay = self._zone_relay()
-        if relay is None and (self._is_cut_off() or self._is_led_by_others()):
+        if relay is None and (self._is_cut_off() or self._leaves_store_to_stronger()):
             return self._stand_in()
         return relay
 
@@ -97,11 +97,12 @@
         """Tell whether the store leaves this process without answers."""
         return self._lost_for_s() > CUT_OFF_S
 
-    def _is_led_by_others(self) -> bool:
-        """Tell whether this is one of many gateways that are to leave the store to stronger ones.
+    def _leaves_store_to_stronger(self) -> bool:
+        """Tell whether this is one of many gateways that ask stronger ones in place of the store.
 
-        Where the strongest gateways of its zone are turned away by the store, or there are none,
-        the whole zone would else ask the store itself: 52 of 78 gateways made 1,660 calls in 8 s.
+        Where the store turns the strongest gateways of its zone away, or there are none, the whole
+        zone would else ask the store itself: 50 of 78 gateways made 1,660 calls in 8 s, counted by
+        a log line for each call.
         """
         return self._directory.has_many() and self._capacity == 0
 
--- a/indigoworks/relay/relayed_store.py
+++ b/indigoworks/relay/relayed_store.py
@@ -143,7 +143,7 @@
         """Return what a relay knows; None: there is none that can be relied upon now.
 
         The next one is asked as soon as one has failed: else each failure would cost a call to the
-        store, which most fail because of.
+        store, of which there are the more the more relays it turns away.
         """
         asked: set[str] = set()
         while len(asked) < MAX_RELAYS_ASKED:
