Evacuated zones get no new work, cold servers no more than they bear

Cause: the product knew neither the operator's evacuations nor the rate that a cold server bears.

Evacuations: rows of the operator's table that the adapter names; begun and ended by the feed that brings configurations, by whole readings, and by peers that are ahead (a lag watch over all rows of the operator in place of configurations alone). Owners in the zone serve their keys for 1 s more while these move.

--- a/features/steps/gateway_drawn_server_steps.py
+++ b/features/steps/gateway_drawn_server_steps.py
@@ -5,7 +5,7 @@
 
 from backend_manual_clock import ManualClock
 from behave import given, then, when
-from gateway_world import HOST, ZONE, make_record
+from gateway_world import HOST, ZONE, make_cold_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_report import PeerReport
@@ -82,7 +82,9 @@
         assert peers.note(PeerReport("n2", "b", 1, 0, 0.0, None, loads, (), 0))
         board = ServerBoard(peers, clock)
         random = Random(f"{context.seed} {number}")
-        choice = ServerChoice(None, board, ZONE, random, lambda: size == "large")
+        choice = ServerChoice(
+            None, board, make_cold_budget(clock), ZONE, random, lambda: size == "large"
+        )
         context.drawn[choice.best(context.drawn_servers).server_id] += 1
 
 
--- a/features/steps/gateway_group_world.py
+++ b/features/steps/gateway_group_world.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from gateway_world import make_record
+from gateway_world import make_cold_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
@@ -16,7 +16,7 @@
 from indigoworks.gateway.refusal import Refusal
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
-from indigoworks.gateway.server_room import in_flight_limit
+from indigoworks.gateway.server_room import ServerRoom, in_flight_limit
 from indigoworks.gateway.waiting_request import WaitingRequest
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
@@ -42,6 +42,9 @@
     def is_usable(self, server_id):
         return server_id in self.records
 
+    def may_serve_own_keys(self, server_id):
+        return self.is_usable(server_id)
+
 
 @dataclass
 class Asked:
@@ -66,10 +69,12 @@
         self.peers = PeerTable(self.clock)
         self.board = ServerBoard(self.peers, self.clock)
         self.tables = OwnershipTables()
+        cold_budget = make_cold_budget(self.clock)
         self.queue = DispatchQueue(
-            ServerChoice(self.servers, self.board, "z1", Random(1)),
+            ServerChoice(self.servers, self.board, cold_budget, "z1", Random(1)),
             OwnerLookup(self.tables, self.servers, self.board, self.clock),
             self.board,
+            ServerRoom(self.board, cold_budget),
             self.clock,
         )
         self.service_s, self.weights, self.times_s = service_s, weights, times_s
--- a/features/steps/gateway_owner_outage_steps.py
+++ b/features/steps/gateway_owner_outage_steps.py
@@ -6,7 +6,7 @@
 from backend_manual_clock import ManualClock, settle
 from behave import given, then, when
 from gateway_group_world import FixedServers
-from gateway_world import make_record
+from gateway_world import make_cold_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
@@ -16,6 +16,7 @@
 from indigoworks.gateway.refusal import Refusal
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
+from indigoworks.gateway.server_room import ServerRoom
 from indigoworks.gateway.waiting_request import WaitingRequest
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
@@ -33,10 +34,12 @@
         self.board = ServerBoard(PeerTable(self.clock), self.clock)
         self.servers = FixedServers([make_record(each, Address("h", 1)) for each in "ab"])
         self.tables = OwnershipTables()
+        cold_budget = make_cold_budget(self.clock)
         self.queue = DispatchQueue(
-            ServerChoice(self.servers, self.board, "z1", Random(1)),
+            ServerChoice(self.servers, self.board, cold_budget, "z1", Random(1)),
             OwnerLookup(self.tables, self.servers, self.board, self.clock),
             self.board,
+            ServerRoom(self.board, cold_budget),
             self.clock,
         )
         self.epoch = 0
--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -12,6 +12,7 @@
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_side import PlatformSide
@@ -22,7 +23,9 @@
 from indigoworks.routes.route import Route, WeightedService
 from indigoworks.routes.service import Service
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.servers.cold_servers import ColdServers
 from indigoworks.servers.server_record import ServerRecord
+from indigoworks.servers.zone_evacuations import ZoneEvacuations
 
 HOST = "127.0.0.1"
 ZONE = "z1"
@@ -112,11 +115,17 @@
         "readiness_path": "/readiness",
         "read_configuration": None,
         "read_server": None,
+        "read_evacuated_zone": lambda key: None,
         **fields,
     }
     return PlatformPorts(**values)
 
 
+def make_cold_budget(clock, cold=None, directory=None, node="n1", is_keyed=False) -> ColdBudget:
+    known = cold or ColdServers(ZoneEvacuations(clock), clock)
+    return ColdBudget(node, directory or PeerDirectory(node), known, lambda _: is_keyed, clock)
+
+
 class GatewayWorld:
     """A gateway's request side; the scenario puts configuration, servers and owners in force."""
 
--- a/indigoworks/exchange/hub_sums.py
+++ b/indigoworks/exchange/hub_sums.py
@@ -24,6 +24,7 @@
         loads=_sum_loads(each for each in reports if not each.is_joining),
         configuration_version=max(each.configuration_version for each in reports),
         group_version=max(each.group_version for each in reports),
+        operator_row_version=max(each.operator_row_version for each in reports),
         members=tuple((node_checksum(each.report.node), each.report.sequence) for each in members),
     )
 
--- a/indigoworks/exchange/peer_report.py
+++ b/indigoworks/exchange/peer_report.py
@@ -20,6 +20,8 @@
     :ivar loads: of all servers with requests in flight; of a hub: its own and those of its members.
     :ivar retry_count: repeats it sent in the last second, by all services together.
     :ivar configuration_version: version of the configuration in force there; 0: none.
+    :ivar operator_row_version: version of the newest row of the operator that it has applied: its
+        configuration or an evacuation.
     :ivar group_version: version of the newest row of the group that it has applied.
     :ivar hub: the gateway that sums this report up; empty: none.
     :ivar is_joining: the hub is to list this process, and to leave its loads out of the sums yet.
@@ -40,6 +42,7 @@
     hub: str = ""
     is_joining: bool = False
     members: tuple[tuple[int, int], ...] = ()
+    operator_row_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -98,8 +98,8 @@
         self.group_version = 0
         self._lags = (
             LagWatch(
-                "configuration",
-                self.configuration_version,
+                "operator",
+                platform.operator_position,
                 platform.followers[0].ask_anew,
                 clock,
             ),
@@ -128,7 +128,7 @@
     def take_report(self, report: PeerReport) -> None:
         """Take a report of a peer."""
         self.leadership.signs.note(report)
-        self._lags[0].note(report.node, report.configuration_version)
+        self._lags[0].note(report.node, report.operator_row_version)
         self._lags[1].note(report.node, report.group_version)
         if report.leader is not None and report.leader.epoch >= self.leadership.row.epoch:
             self.tables.note_beat(report.leader)
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -29,7 +29,12 @@
     """
 
     def __init__(
-        self, choice: ServerChoice, owners: OwnerLookup, board: ServerBoard, clock: Clock
+        self,
+        choice: ServerChoice,
+        owners: OwnerLookup,
+        board: ServerBoard,
+        room: ServerRoom,
+        clock: Clock,
     ) -> None:
         self._choice = choice
         self._owners = owners
@@ -39,7 +44,7 @@
         self._lines: dict[tuple[str, str | None], PlaceLine] = {}
         self._ownerless: dict[str, dict[WaitingRequest, None]] = {}
         self._waiting: dict[str, int] = {}
-        self._room = ServerRoom(board)
+        self._room = room
         self._sequence = 0
 
     async def place(self, entry: WaitingRequest) -> Placement:
@@ -264,7 +269,7 @@
         load = PlaceLoad.of(servers, self._board)
         if self._clock.now() + load.wait_s(ahead) + load.least_s <= entry.limit_s:
             return False
-        self._end(entry, queue_refusals.overload(_owner_id(entry), load, ahead))
+        self._end(entry, queue_refusals.overload(entry.owner_id, load, ahead))
         return True
 
     def _servers(self, entry: WaitingRequest) -> list[ServerRecord]:
@@ -276,8 +281,7 @@
 
     def _refuse_ownerless(self, entry: WaitingRequest) -> None:
         """Refuse a request whose key is not likely to be served again in time for it."""
-        refusal = self._outages.refusal_if_late(entry)
-        if refusal is not None:
+        if (refusal := self._outages.refusal_if_late(entry)) is not None:
             self._end(entry, refusal)
 
     def _last_refusal(self, entry: WaitingRequest) -> Refusal:
@@ -289,12 +293,8 @@
             return queue_refusals.no_server()
         cost_s = self._board.service_s_of(entry.service)
         ahead = entry.line.count_before_last(entry, cost_s)
-        return queue_refusals.overload(_owner_id(entry), PlaceLoad.of(servers, self._board), ahead)
+        return queue_refusals.overload(entry.owner_id, PlaceLoad.of(servers, self._board), ahead)
 
     def _end(self, entry: WaitingRequest, refusal: Refusal) -> None:
         self._take_out(entry)
         entry.placed.set_result(refusal)
-
-
-def _owner_id(entry: WaitingRequest) -> str:
-    return "" if entry.line is None else entry.line.server_id or ""
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -271,6 +271,7 @@
             retry_count=0,
             configuration_version=self._control.configuration_version(),
             group_version=self._control.group_version,
+            operator_row_version=self._platform.operator_row_version,
         )
 
     def _leader_node(self) -> str:
--- a/indigoworks/gateway/gateway_settings.py
+++ b/indigoworks/gateway/gateway_settings.py
@@ -36,6 +36,7 @@
     :ivar server_heartbeat_s: time in which servers renew their entries.
     :ivar drain_s: time after which a leaving server must get no new work.
     :ivar configuration_apply_s: time after which a new configuration must be in force.
+    :ivar bounds_cold_servers: a cold server gets requests at the rate of its service only.
     :ivar stop_grace_s: time from the stop signal to the kill.
     :ivar hold_max_s: longest hold that a server accepts.
     :ivar retry_ratio: repeats for each request within `retry_window_s`, beside `retry_slack`.
@@ -58,6 +59,7 @@
     capacity_cores: float = 1.0
     link_mbit: float = 1000.0
     configuration_apply_s: float = 2.0
+    bounds_cold_servers: bool = False
 
 
 def load_gateway_settings(path: str) -> Result[GatewaySettings, SettingsUnreadable]:
@@ -110,6 +112,7 @@
         capacity_cores=float(document.get("core_share", 1.0)) * float(document.get("cores", 1)),
         link_mbit=float(document.get("link_mbit", 1000.0)),
         configuration_apply_s=float(document.get("configuration_apply_ms", 2000.0)) / MS_PER_S,
+        bounds_cold_servers="cold_overshoot" in document,
     )
 
 
--- a/indigoworks/gateway/owner_lookup.py
+++ b/indigoworks/gateway/owner_lookup.py
@@ -80,7 +80,7 @@
         if found is None:
             return Owner(OwnerState.NONE)
         server = self._servers.get(found.server_id)
-        if server is None or not self._servers.is_usable(found.server_id):
+        if server is None or not self._servers.may_serve_own_keys(found.server_id):
             return Owner(OwnerState.UNREACHABLE, server, found.token, found.first)
         if self._board.is_down(found.server_id):
             return Owner(OwnerState.UNREACHABLE, server, found.token, found.first)
--- a/indigoworks/gateway/platform_ports.py
+++ b/indigoworks/gateway/platform_ports.py
@@ -21,6 +21,8 @@
     """Ports and translations; the platform's own names stay behind them.
 
     :ivar configuration_table: table and key of the operator's configuration (empty part).
+    :ivar read_evacuated_zone: the zone that a row of that table evacuates, by the row's key; None:
+        another row. The zone is in use again once the row is removed.
     :ivar servers_table: table in which servers record themselves (empty part).
     """
 
@@ -34,3 +36,4 @@
     readiness_path: str
     read_configuration: Callable[[bytes], Result[Configuration, ConfigurationInvalid]]
     read_server: Callable[[Row], Result[ServerRecord, ServerEntryUnreadable]]
+    read_evacuated_zone: Callable[[str], str | None]
--- a/indigoworks/gateway/platform_side.py
+++ b/indigoworks/gateway/platform_side.py
@@ -9,9 +9,11 @@
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.relay.relay_choice import PROBE_WAIT_S
+from indigoworks.routes.configuration import Configuration
 from indigoworks.routes.configuration_holder import ConfigurationHolder
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.table_follower import TableFollower
+from indigoworks.servers.cold_servers import ColdLimit
 from indigoworks.servers.server_list import ServerList
 
 FEED_WAIT_S = 10.0
@@ -37,6 +39,7 @@
 class PlatformSide:
     """Two followers: one of the configuration, one of the list of servers.
 
+    :ivar operator_row_version: version of the newest row of the operator that was applied here.
     :param probe_wait_s: returns the longest wait of a step of the feed of servers, which probes the
         path to the store for all feeds.
     :param is_large_group: tells whether there are so many gateways that calls to the store are to
@@ -54,10 +57,13 @@
         self._ports = ports
         self.configurations = ConfigurationHolder()
         self.servers = ServerList(ports.health, settings.server_heartbeat_s, clock)
+        self._bounds_cold_servers = settings.bounds_cold_servers
+        self.configurations.on_change(self._take_cold_limits)
         self._drain_s = settings.drain_s
         self._configuration_apply_s = settings.configuration_apply_s
         self._is_large_group = is_large_group
         self._has_read_servers = False
+        self.operator_row_version = 0
         self._unreadable: dict[str, str] = {}
         self._listeners: list[Callable[[], None]] = []
         self._path_listeners: list[Callable[[], None]] = []
@@ -68,8 +74,8 @@
                 "",
                 self._configuration_wait_s,
                 clock,
-                self._take_configuration,
-                self._take_configuration,
+                self._take_all_operator_rows,
+                self._take_operator_rows,
                 pace_s=self._configuration_pace_s,
             ),
             TableFollower(
@@ -104,6 +110,37 @@
         """Tell whether configuration and servers have been read."""
         return self._has_read_servers and self.configurations.current() is not None
 
+    def is_keyed(self, service: str) -> bool:
+        """Tell whether the servers of a service own keys."""
+        configuration = self.configurations.current()
+        known = None if configuration is None else configuration.services.get(service)
+        return known is not None and known.is_keyed
+
+    def operator_position(self) -> int:
+        """Return the version up to which all rows of the operator are known here."""
+        return self.followers[0].version
+
+    def _take_all_operator_rows(self, rows: Sequence[Row]) -> None:
+        zones = (self._ports.read_evacuated_zone(row.key) for row in rows)
+        self.servers.evacuations.keep_only(zone for zone in zones if zone is not None)
+        self._take_operator_rows(rows)
+
+    def _take_operator_rows(self, rows: Sequence[Row]) -> None:
+        for row in rows:
+            self.operator_row_version = max(self.operator_row_version, row.version)
+            self._take_evacuation(row)
+        self._take_configuration(rows)
+
+    def _take_evacuation(self, row: Row) -> None:
+        zone = self._ports.read_evacuated_zone(row.key)
+        if zone is None:
+            return
+        if row.is_removed:
+            self.servers.evacuations.end(zone)
+        else:
+            self.servers.evacuations.begin(zone)
+        self._notify()
+
     def _take_configuration(self, rows: Sequence[Row]) -> None:
         for row in rows:
             if row.key != self._ports.configuration_key or row.is_removed:
@@ -119,6 +156,16 @@
                 continue
             self.configurations.put_in_force(result.unwrap())
 
+    def _take_cold_limits(self, configuration: Configuration) -> None:
+        if not self._bounds_cold_servers:
+            return
+        limits = {
+            each.name: ColdLimit(each.cold_s, each.cold_requests_per_s)
+            for each in configuration.services.values()
+            if each.cold_requests_per_s > 0
+        }
+        self.servers.cold.set_limits(limits)
+
     def _take_all_servers(self, rows: Sequence[Row]) -> None:
         self._take_servers(rows)
         self.servers.keep_only({row.key for row in rows})
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -7,6 +7,7 @@
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_answers import GatewayAnswers
@@ -22,6 +23,7 @@
 from indigoworks.gateway.retry_allowance import RetryAllowance
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
+from indigoworks.gateway.server_room import ServerRoom
 from indigoworks.gateway.server_sender import ServerSender
 from indigoworks.ownership.ownership_tables import OwnershipTables
 
@@ -47,11 +49,16 @@
         self._servers = platform.servers
         self._watch = ReachWatch(self.board, platform.servers, clock)
         self.sender = ServerSender(ports.names, clock)
+        cold_budget = ColdBudget(
+            settings.node, directory, platform.servers.cold, platform.is_keyed, clock
+        )
         self.choice = ServerChoice(
-            platform.servers, self.board, settings.zone, random, directory.has_many
+            platform.servers, self.board, cold_budget, settings.zone, random, directory.has_many
         )
         owners = OwnerLookup(tables, platform.servers, self.board, clock)
-        self.queue = DispatchQueue(self.choice, owners, self.board, clock)
+        self.queue = DispatchQueue(
+            self.choice, owners, self.board, ServerRoom(self.board, cold_budget), clock
+        )
         self.allowance = RetryAllowance(
             settings.retry_ratio,
             settings.retry_window_s,
--- a/indigoworks/gateway/server_choice.py
+++ b/indigoworks/gateway/server_choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
@@ -26,21 +27,26 @@
         self,
         servers: ServerSource,
         board: ServerBoard,
+        cold_budget: ColdBudget,
         zone: str,
         random: Random,
         is_large_group: Callable[[], bool] = lambda: False,
     ) -> None:
         self._servers = servers
         self._board = board
+        self._cold_budget = cold_budget
         self._zone = zone
         self._random = random
         self._is_large_group = is_large_group
 
     def usable(self, service: str) -> list[ServerRecord]:
-        """Return the servers that may get new work and are not known to be out of reach."""
-        records = list(self._servers.usable(service))
-        reachable = [each for each in records if not self._board.is_down(each.server_id)]
-        return reachable
+        """Return the servers that may get new work from here and are not out of reach."""
+        return [each for each in self._servers.usable(service) if self._is_usable(each)]
+
+    def _is_usable(self, server: ServerRecord) -> bool:
+        if self._board.is_down(server.server_id):
+            return False
+        return not self._cold_budget.is_bound(server) or self._cold_budget.is_holder(server)
 
     def best(self, servers: list[ServerRecord]) -> ServerRecord:
         """Return the server with the least expected time, or one drawn among those with a free
@@ -58,10 +64,17 @@
         candidates = near or free
         if not candidates:
             return None
-        # Requests a second that the free slots can take on.
-        weights = [self._free_slots(each) / self._board.service_s(each) for each in candidates]
+        weights = [self._weight(each) for each in candidates]
         return self._random.choices(candidates, weights)[0]
 
+    def _weight(self, server: ServerRecord) -> float:
+        """Return requests a second that the server's free slots can take on; of a cold server, what
+        this gateway sends in place of the others that may send it nothing."""
+        weight = self._free_slots(server) / self._board.service_s(server)
+        if self._cold_budget.is_bound(server):
+            weight *= self._cold_budget.gateways_for_each_holder(server)
+        return weight
+
     def _free_slots(self, server: ServerRecord) -> int:
         return max(0, server.slots - self._board.in_flight(server.server_id))
 
--- a/indigoworks/gateway/server_room.py
+++ b/indigoworks/gateway/server_room.py
@@ -1,5 +1,6 @@
 """Room at servers, and places that are given but do not count there yet."""
 
+from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.servers.server_record import ServerRecord
 
@@ -11,18 +12,22 @@
     reservation keeps the place from being given to everyone who waits.
     """
 
-    def __init__(self, board: ServerBoard) -> None:
+    def __init__(self, board: ServerBoard, cold_budget: ColdBudget) -> None:
         self._board = board
+        self._cold_budget = cold_budget
         self._reserved: dict[str, int] = {}
 
     def has_room(self, server: ServerRecord) -> bool:
         """Tell whether the server may get one more request."""
         reserved = self._reserved.get(server.server_id, 0)
-        return self._board.in_flight(server.server_id) + reserved < in_flight_limit(server)
+        if self._board.in_flight(server.server_id) + reserved >= in_flight_limit(server):
+            return False
+        return self._cold_budget.may_send(server)
 
     def reserve(self, server: ServerRecord) -> None:
         """Keep a place at the server."""
         self._reserved[server.server_id] = self._reserved.get(server.server_id, 0) + 1
+        self._cold_budget.spend(server)
 
     def unreserve(self, server: ServerRecord) -> None:
         """Give a kept place up: its request counts at the server from now on, or has left."""
--- a/indigoworks/gateway/settings_checks.py
+++ b/indigoworks/gateway/settings_checks.py
@@ -45,6 +45,7 @@
     "server_heartbeat_ms": TIMES_MS,
     "drain_ms": NumberRange(0, MAX_TIME_MS),
     "configuration_apply_ms": NumberRange(0, MAX_TIME_MS),
+    "cold_overshoot": NumberRange(1, 1000),
     "stop_grace_s": TIMES_S,
     "hold_max_ms": TIMES_MS,
     "retry_ratio": NumberRange(0, 1),
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -33,3 +33,8 @@
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
     line: "PlaceLine | None" = None
+
+    @property
+    def owner_id(self) -> str:
+        """Return the server that it waits for; empty: any of its service, or an owner to come."""
+        return "" if self.line is None else self.line.server_id or ""
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -203,11 +203,20 @@
         return leavers
 
     def _capacities(self, service: str, leavers: dict[str, str]) -> list[ServerCapacity]:
-        return [
-            ServerCapacity(each.server_id, each.slots, each.slots / self._speed_of(each.server_id))
+        """Return the servers that may be given keys: not cold ones, unless all are.
+
+        A cold server falls over at little more than half of its usual load.
+        """
+        stayers = [
+            each
             for each in self._servers.usable(service)
             if each.server_id not in leavers and not self._reach.is_suspect(each.server_id)
         ]
+        warm = [each for each in stayers if not self._servers.is_cold(each.server_id)]
+        return [
+            ServerCapacity(each.server_id, each.slots, each.slots / self._speed_of(each.server_id))
+            for each in warm or stayers
+        ]
 
     def _balanced_table(
         self, service: str, table: OwnershipTable, servers: list[ServerCapacity]
--- a/indigoworks/rowstore/table_follower.py
+++ b/indigoworks/rowstore/table_follower.py
@@ -63,6 +63,11 @@
         self._failures = 0
         self._doubted = asyncio.Event()
 
+    @property
+    def version(self) -> int:
+        """Return the version of the store up to which all rows are known here; 0: none is."""
+        return self._version or 0
+
     def ask_anew(self) -> None:
         """Ask anew: the answer that is waited for may be lost, or long in coming.
 
--- /dev/null
+++ b/indigoworks/servers/cold_servers.py
@@ -0,0 +1,66 @@
+"""Servers that are cold: slow for a while, and bound to few requests a second meanwhile."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from indigoworks.common.clock import Clock
+from indigoworks.servers.server_record import ServerRecord
+from indigoworks.servers.zone_evacuations import ZoneEvacuations
+
+
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What the servers of a service bear while they are cold.
+
+    :ivar cold_s: seconds for which a server is cold after it has started or its zone was emptied.
+    :ivar requests_per_s: requests that it bears meanwhile, from all gateways together.
+    """
+
+    cold_s: float
+    requests_per_s: float
+
+
+class ColdServers:
+    """Tells which servers are cold, by their own word and by the evacuations of their zones.
+
+    Servers of a zone may be cold when its evacuation ends, and not all of them say so: each counts
+    as cold for its service's `cold_s` from then on. Services without a limit have no cold servers.
+    """
+
+    def __init__(self, evacuations: ZoneEvacuations, clock: Clock) -> None:
+        self._evacuations = evacuations
+        self._clock = clock
+        self._limits: Mapping[str, ColdLimit] = {}
+        self._until_s: dict[str, float] = {}
+
+    def set_limits(self, limits: Mapping[str, ColdLimit]) -> None:
+        """Go by these limits from now on, by name of the service."""
+        self._limits = limits
+
+    def note_told(self, server_id: str, left_s: float) -> None:
+        """Take a server's own word on how much longer it is cold; 0: it is not."""
+        if left_s > 0:
+            self._until_s[server_id] = self._clock.now() + left_s
+        else:
+            self._until_s.pop(server_id, None)
+
+    def forget(self, server_id: str) -> None:
+        """Forget a server that left."""
+        self._until_s.pop(server_id, None)
+
+    def left_s(self, server: ServerRecord) -> float:
+        """Return how much longer a server counts as cold; 0: it does not."""
+        limit = self._limits.get(server.service)
+        if limit is None:
+            return 0.0
+        told_s = self._until_s.get(server.server_id, 0.0) - self._clock.now()
+        after_evacuation_s = limit.cold_s - self._evacuations.in_use_for_s(server.zone)
+        return max(0.0, told_s, after_evacuation_s)
+
+    def is_cold(self, server: ServerRecord) -> bool:
+        """Tell whether a server counts as cold."""
+        return self.left_s(server) > 0
+
+    def limit_of(self, service: str) -> ColdLimit | None:
+        """Return the limit of the servers of a service; None: they have none."""
+        return self._limits.get(service)
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -6,7 +6,9 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.servers.cold_servers import ColdServers
 from indigoworks.servers.server_record import ServerRecord
+from indigoworks.servers.zone_evacuations import ZoneEvacuations
 
 REMEMBERED_S = 60.0
 """How long a server that left the list can still be looked up."""
@@ -26,14 +28,23 @@
 has 3 s until it must send nothing to a server whose leaving it missed, and the first calls after
 the cut may still fail for half a second."""
 
+MOVE_AWAY_S = 1.0
+"""After this process has learnt of an evacuation, owners in the zone serve their keys for so long
+while these move. An evacuation must be in force everywhere 5 s after it was accepted (the
+platform's `evacuate`); processes that read it last do so about 1 s after it was accepted."""
+
 
 class ServerList:
     """Servers by id; see `ServerSource` for what counts as usable.
 
     :param heartbeat_s: time in which each server renews its entry, in seconds.
+    :ivar evacuations: zones whose servers must get no new work.
+    :ivar cold: servers that bear few requests a second for a while.
     """
 
     def __init__(self, health: StoreHealth, heartbeat_s: float, clock: Clock) -> None:
+        self.evacuations = ZoneEvacuations(clock)
+        self.cold = ColdServers(self.evacuations, clock)
         self._health = health
         self.set_heartbeat(heartbeat_s)
         self._clock = clock
@@ -57,6 +68,7 @@
             return
         self._listed[record.server_id] = record
         self._vanished.pop(record.server_id, None)
+        self.cold.note_told(record.server_id, record.warm_up_left_s)
         self._first_versions.setdefault(record.server_id, record.version)
         self._by_service.setdefault(record.service, {})[record.server_id] = record
         if known is None or known.is_draining != record.is_draining:
@@ -107,12 +119,28 @@
 
     def is_usable(self, server_id: str) -> bool:
         """Tell whether the server may get new work."""
-        if server_id in self._replaced:
+        record = self.get(server_id)
+        if record is None or self.evacuations.is_evacuated(record.zone):
             return False
-        record = self._listed.get(server_id)
-        if record is not None:
-            return not record.is_draining
-        return self._vanished_in_trouble(server_id)
+        return self._is_in_service(server_id)
+
+    def is_cold(self, server_id: str) -> bool:
+        """Tell whether a server bears few requests a second for a while."""
+        record = self.get(server_id)
+        return record is not None and self.cold.is_cold(record)
+
+    def may_serve_own_keys(self, server_id: str) -> bool:
+        """Tell whether an owner may get requests for its keys until these have moved.
+
+        In an evacuation a zone's owners all leave at once; cutting them off before their keys are
+        granted elsewhere would leave a third of all keys unserved for the time of the moves.
+        """
+        if self.is_usable(server_id):
+            return True
+        record = self.get(server_id)
+        if record is None or not self._is_in_service(server_id):
+            return False
+        return self.evacuations.evacuated_for_s(record.zone) < MOVE_AWAY_S
 
     def get(self, server_id: str) -> ServerRecord | None:
         """Return a server that is listed or was so a short time ago, leaving ones included."""
@@ -148,8 +176,17 @@
                 del self._vanished[server_id]
                 self._replaced.pop(server_id, None)
                 self._first_versions.pop(server_id, None)
+                self.cold.forget(server_id)
                 self._by_service.get(record.service, {}).pop(server_id, None)
 
+    def _is_in_service(self, server_id: str) -> bool:
+        if server_id in self._replaced:
+            return False
+        record = self._listed.get(server_id)
+        if record is not None:
+            return not record.is_draining
+        return self._vanished_in_trouble(server_id)
+
     def _vanished_in_trouble(self, server_id: str) -> bool:
         """An entry that vanished in a time of trouble says nothing until the store settled.
 
--- a/indigoworks/servers/server_source.py
+++ b/indigoworks/servers/server_source.py
@@ -25,6 +25,14 @@
         """Tell whether the server may get new work."""
         ...
 
+    def is_cold(self, server_id: str) -> bool:
+        """Tell whether a server bears few requests a second for a while."""
+        ...
+
+    def may_serve_own_keys(self, server_id: str) -> bool:
+        """Tell whether an owner may get requests for its keys until these have moved."""
+        ...
+
     def is_gone(self, server_id: str) -> bool:
         """Tell whether the server's process is known to have ended."""
         ...
--- a/indigoworks_lab/control_simulation/server_entry.py
+++ b/indigoworks_lab/control_simulation/server_entry.py
@@ -18,6 +18,7 @@
 SERVERS_TABLE = "servers"
 CONFIGURATION_TABLE = "operators"
 CONFIGURATION_KEY = "configuration"
+EVACUATION_PREFIX = "evacuation/"
 
 
 def encode_server(server: SimulatedServer, sequence: int) -> bytes:
@@ -49,6 +50,11 @@
     return Ok(record)
 
 
+def read_evacuated_zone(key: str) -> str | None:
+    """Return the zone that a row of the operators evacuates; None: another row."""
+    return key.removeprefix(EVACUATION_PREFIX) if key.startswith(EVACUATION_PREFIX) else None
+
+
 def read_configuration(value: bytes) -> Result[Configuration, ConfigurationInvalid]:
     """Return a configuration with one service that has keys."""
     service = Service(SERVICE, True, 1000, 0.0, "")
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -33,6 +33,7 @@
     SERVERS_TABLE,
     SERVICE,
     read_configuration,
+    read_evacuated_zone,
     read_server,
 )
 from indigoworks_lab.simulation.core.host_clock import HostClock
@@ -168,6 +169,7 @@
             readiness_path="",
             read_configuration=read_configuration,
             read_server=read_server,
+            read_evacuated_zone=read_evacuated_zone,
         )
 
     async def _register(self) -> None:
@@ -199,4 +201,5 @@
             retry_count=0,
             configuration_version=self.control.configuration_version(),
             group_version=self.control.group_version,
+            operator_row_version=self._platform.operator_row_version,
         )
