--- a/features/steps/gateway_log_bound_steps.py
+++ b/features/steps/gateway_log_bound_steps.py
@@ -207,6 +207,7 @@
     "ownership",
     "exchange",
     "relay",
+    "broker",
     "rowstore",
     "servers",
     "routes",
