--- a/indigoworks/common/logging/line_rates.py
+++ b/indigoworks/common/logging/line_rates.py
@@ -24,6 +24,8 @@
     "peer:",
     "relay:",
     "hub:",
+    "broker:acting",
+    "zone:",
     "log:",
 )
 """Types without a bound: they tell of changes, of which there are few, never of single requests."""
