Requests that can only be late wait behind those that can be in time

Cause: an answer counts from a caller's first try, and who comes back after a refusal has mostly lost its aim. Under overload its late answer, worth a tenth, took a slot that a fresh request could have had in time. How long ago a caller tried first shows by how much less it still waits than the longest wait seen on its route (10 to 20 s).

--- a/indigoworks/gateway/flow_state.py
+++ b/indigoworks/gateway/flow_state.py
@@ -11,6 +11,7 @@
     """A request, its route, and what its attempts came to.
 
     :ivar deadline_s: clock reading at which the caller or the route's timeout ends it.
+    :ivar first_try_s: clock reading at which its caller tried first, as far as that shows.
     :ivar tried: servers that it was sent to, in order.
     :ivar share: the group that it is charged to, with its weight.
     :ivar waiting: its place, or the queue's entry in which it last waited for one.
@@ -25,6 +26,7 @@
         service: Service,
         configuration_version: int,
         share: Share | None = None,
+        first_try_age_s: float = 0.0,
     ) -> None:
         self.request = request
         self.route = route
@@ -35,6 +37,7 @@
         if request.wait_s is not None:
             wait_s = min(wait_s, request.wait_s)
         self.deadline_s = request.arrived_s + wait_s
+        self.first_try_s = request.arrived_s - first_try_age_s
         self.tried: list[str] = []
         self.waited_s = 0.0
         self.may_have_run = False
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -5,6 +5,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.client_request import ClientRequest
 from indigoworks.gateway.final_answer import FinalAnswer
+from indigoworks.gateway.first_tries import FirstTries
 from indigoworks.gateway.flow_state import FlowState
 from indigoworks.gateway.gateway_answers import GatewayAnswers
 from indigoworks.gateway.key_sampler import KeySampler
@@ -26,6 +27,11 @@
 LATE_FACTOR = 0.9
 """Requests are taken on while their answer is expected within this multiple of the aim."""
 
+LATE_RANK = 1000
+"""Added to the rank of a request whose answer comes after its aim in any case, counted from its
+caller's first try: an answer in time is worth ten times as much as a late one, and takes one slot
+as well."""
+
 MISDIRECTED_PAUSE_S = 0.02
 """Pause before a request goes again to the owner of its key after it said it has not got it."""
 
@@ -68,6 +74,7 @@
         self._log = log
         self._clock = clock
         self._split = WeightedSplit()
+        self._first_tries = FirstTries(clock)
 
     async def run(self, request: ClientRequest) -> FinalAnswer:
         """Return the final answer to a request."""
@@ -89,7 +96,8 @@
             self._log.no_key(request, service.name, configuration.version)
             return self._answers.no_key(request)
         share = configuration.share_of(route, service.name, request.key)
-        state = FlowState(request, route, service, configuration.version, share)
+        age_s = self._first_tries.age_s(route.name, request.wait_s)
+        state = FlowState(request, route, service, configuration.version, share, age_s)
         self._allowance.add_request(service.name)
         if service.is_keyed and request.key is not None:
             self._sampler.add(service.name, request.key)
@@ -115,14 +123,19 @@
         now_s = self._clock.now()
         if now_s >= state.deadline_s:
             return Refusal(RefusalReason.NO_TIME, 0.0)
-        limit_s = state.request.arrived_s + state.route.aim_s * LATE_FACTOR
+        limit_s = state.first_try_s + state.route.aim_s * LATE_FACTOR
+        priority = state.route.priority
+        if limit_s < now_s + self._board.service_s_of(state.service.name):
+            # It can only be late: it takes what those leave who can be in time.
+            limit_s = state.request.arrived_s + state.route.aim_s * LATE_FACTOR
+            priority += LATE_RANK
         try:
             state.waiting = WaitingRequest(
                 group=state.share.group,
                 weight=state.share.weight,
                 service=state.service.name,
                 key=state.request.key if state.service.is_keyed else None,
-                priority=state.route.priority,
+                priority=priority,
                 tried=frozenset() if state.service.is_keyed else frozenset(state.tried),
                 limit_s=min(limit_s, state.deadline_s),
                 deadline_s=state.deadline_s,
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -17,7 +17,7 @@
     """One request on its way to a place at a server.
 
     :ivar key: number of the key; None where servers of the service own no keys.
-    :ivar priority: 0 is the most urgent.
+    :ivar priority: rank, 0 is the most urgent; requests that can only be late come after all.
     :ivar tried: servers that it must not go to again.
     :ivar limit_s: clock reading by which its answer is worth waiting for.
     :ivar deadline_s: clock reading at which it has ended in any case.
