Large answers of feeds leave a log line

Cause: between a question for a configuration and its being in force the logs told nothing, so volume, thrown-away readings and processor time could not be told apart. Ruled out: a line for each answer (hundreds a second); only values of 32 KiB and more are logged. Before: no line.

--- a/indigoworks/rowstore/table_follower.py
+++ b/indigoworks/rowstore/table_follower.py
@@ -18,6 +18,10 @@
 MAX_RETRY_S = 0.4
 """Longest pause between calls that fail."""
 
+LARGE_ANSWER_BYTES = 32 * 1024
+"""Answers whose values are that large are logged: a link of 5 Mbit/s carries them for 0.05 s and
+more. At most a few come each second."""
+
 
 class TableFollower:
     """Reads a part of a table whole, then follows the table's feed; one task, for ever.
@@ -109,14 +113,40 @@
             whole.cancel()
 
     async def _feed(self, after: int) -> Result[Rows, StoreError]:
+        """Ask for changed rows, after the pause that is due."""
         pause_s = max(0.0, self._rows_came_s + self._pace_s() - self._clock.now())
         if pause_s > 0:
             await self._clock.sleep(pause_s)
         wait_s = max(0.0, self._wait_s() - pause_s)
-        return await self._store.follow(self._table, after, wait_s)
+        asked_s = self._clock.now()
+        result = await self._store.follow(self._table, after, wait_s)
+        self._log_if_large("changes", asked_s, result)
+        return result
 
     async def _read(self) -> Result[Rows, StoreError]:
-        return await self._store.read(self._table, self._part)
+        asked_s = self._clock.now()
+        result = await self._store.read(self._table, self._part)
+        self._log_if_large("whole", asked_s, result)
+        return result
+
+    def _log_if_large(self, call: str, asked_s: float, result: Result[Rows, StoreError]) -> None:
+        """Say how long a large answer was on its way: links carry it at the cost of requests."""
+        if isinstance(result, Err):
+            return
+        answer = result.unwrap()
+        value_bytes = sum(len(each.value) for each in answer.rows)
+        if value_bytes < LARGE_ANSWER_BYTES:
+            return
+        now_s = self._clock.now()
+        log_message(
+            message_type="feed:large_answer",
+            table=self._table,
+            call=call,
+            rows=len(answer.rows),
+            value_bytes=value_bytes,
+            asked_ago_s=round(now_s - asked_s, 3),
+            true_ago_s=round(now_s - answer.true_at_s, 3),
+        )
 
     async def _read_when_doubted(self) -> Result[Rows, StoreError]:
         """Return a whole reading, once this step of the feed is doubted and a reading succeeds."""
