A test of the incident, failing: changes of a large configuration at gateways on slow links

Ruled out: processor time and refused calls, which the test's world does not have. Before: no test. FeedServer.answer takes a query and returns an HttpAnswer, so that the test's world asks relays without sockets; no change of logic.

--- /dev/null
+++ b/features/steps/gateway_large_configuration_steps.py
@@ -0,0 +1,84 @@
+"""Steps on large configurations at gateways on slow links."""
+
+import asyncio
+
+from behave import given, then, when
+from detangle._config import SimConfig
+from gateway_slow_link_world import SlowLinkWorld
+
+from indigoworks_lab.simulation.core.disposal import dispose, silent_disposal
+from indigoworks_lab.simulation.core.faulty_loop import FaultyLoop
+
+MAX_STEPS = 10_000_000
+SETTLE_S = 8.0
+"""Time for the first configuration and, at the end, for the last one, however late it comes."""
+
+
+def run(context, work):
+    """Run a step on the scenario's virtual time."""
+    return context.link_loop.run_until_complete(work)
+
+
+@given(
+    "{slow:d} gateways on links of {slow_mbit:g} Mbit/s and {fast:d} on links of {fast_mbit:g}"
+    " Mbit/s, in one zone of a large group"
+)
+def step_gateways(context, slow, slow_mbit, fast, fast_mbit):
+    loop = context.link_loop = FaultyLoop(SimConfig(reorder=False, max_steps=MAX_STEPS))
+
+    def end():
+        with silent_disposal():
+            dispose(loop)
+
+    context.add_cleanup(end)
+
+    async def make():
+        context.links = SlowLinkWorld(slow, slow_mbit, fast, fast_mbit)
+
+    run(context, make())
+
+
+@given("requests take {rate:g} MB/s of each of those links")
+def step_traffic(context, rate):
+    async def add():
+        context.links.add_traffic(rate * 1e6)
+
+    run(context, add())
+
+
+@given("a configuration of {count:d} routes is in force at all those gateways")
+def step_first(context, count):
+    async def put():
+        context.route_count = count
+        context.links.put(context.random, count)
+        context.links.start()
+        await asyncio.sleep(SETTLE_S)
+        assert all(1 in each.in_force_s for each in context.links.gateways)
+
+    run(context, put())
+
+
+@when("{count:d} changes of that configuration come, one each {gap_s:g} s")
+def step_changes(context, count, gap_s):
+    async def change():
+        for _ in range(count):
+            context.links.put(context.random, context.route_count)
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(SETTLE_S)
+
+    run(context, change())
+
+
+@then(
+    "each of those versions was in force at every gateway within {bound_s:g} s of the store's"
+    " having it"
+)
+def step_in_time(context, bound_s):
+    put_s = context.links.store.put_s
+    late = {
+        (each.node, version): round(each.in_force_s.get(version, float("inf")) - at_s, 2)
+        for each in context.links.gateways
+        for version, at_s in put_s.items()
+        if version > 1 and each.in_force_s.get(version, float("inf")) - at_s > bound_s
+    }
+    assert not late, late
--- /dev/null
+++ b/features/steps/gateway_slow_link_world.py
@@ -0,0 +1,257 @@
+"""Gateways of one zone, each behind a link of its own, follow configurations; virtual time."""
+
+import asyncio
+import base64
+import json
+from random import Random
+from unittest.mock import patch
+
+from gateway_world import HOST, ZONE, make_configuration, make_ports, make_settings
+from result import Err, Ok
+
+from indigoworks.backend.errors import BackendAnswerLost
+from indigoworks.common.address import Address
+from indigoworks.common.clock import LoopClock
+from indigoworks.exchange.lag_watch import LagWatch
+from indigoworks.exchange.peer_address import PeerAddress
+from indigoworks.exchange.peer_directory import PeerDirectory, encode_peer
+from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.relay_side import RelaySide
+from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_health import StoreHealth
+
+TABLE, KEY = "op", "config"
+BYTES_PER_MBIT = 125_000
+CHUNK_BYTES = 16 * 1024
+LATENCY_S = 0.001
+REPORT_PERIOD_S = 0.1
+OTHER_TRAFFIC_PERIOD_S = 0.02
+LETTERS = "abcdefghijklmnopqrstuvwxyz23456789"
+
+
+class Link:
+    """Carries what comes in at a fixed rate; transfers under way share it chunk by chunk."""
+
+    def __init__(self, bytes_per_s):
+        self.bytes_per_s = bytes_per_s
+        self.carried = 0
+        self.turn = asyncio.Lock()
+
+    async def carry(self, count):
+        while count > 0:
+            chunk = min(count, CHUNK_BYTES)
+            async with self.turn:
+                await asyncio.sleep(chunk / self.bytes_per_s)
+            self.carried += chunk
+            count -= chunk
+
+
+class OperatorRows:
+    """Every version of the configuration; a feed brings all that came since."""
+
+    def __init__(self):
+        self.version = 0
+        self.values = {}
+        self.put_s = {}
+        self.changed = asyncio.Event()
+
+    def put(self, value):
+        self.version += 1
+        self.values[self.version] = value
+        self.put_s[self.version] = asyncio.get_running_loop().time()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def rows(self, after):
+        versions = range(after + 1, self.version + 1)
+        return tuple(Row(TABLE, "", KEY, self.values[each], each) for each in versions)
+
+    async def wait_for_change(self, after, wait_s):
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.version <= after:
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+
+
+class StorePort:
+    """The store as one gateway reaches it, over its link; values come in base64."""
+
+    def __init__(self, store, link, health, clock):
+        self.store, self.link, self.health, self.clock = store, link, health, clock
+
+    async def read(self, table, part):
+        rows = self.store.rows(self.store.version - 1) if table == TABLE else ()
+        return await self.answer(self.clock.now(), rows)
+
+    async def follow(self, table, after, wait_s):
+        asked_s = self.clock.now()
+        if table != TABLE:
+            await asyncio.sleep(wait_s)
+            return await self.answer(asked_s, ())
+        await self.store.wait_for_change(after, wait_s)
+        return await self.answer(asked_s, self.store.rows(after))
+
+    async def answer(self, asked_s, rows):
+        version, made_s = self.store.version, self.clock.now()
+        await asyncio.sleep(LATENCY_S)
+        true_at_s = self.health.note_answer(asked_s, made_s)
+        await self.link.carry(sum(len(base64.b64encode(each.value)) for each in rows))
+        return Ok(Rows(rows, version, true_at_s))
+
+
+class RelaySender:
+    """Asks other gateways for rows, over the asker's link."""
+
+    def __init__(self, world, link):
+        self.world, self.link = world, link
+
+    async def send(self, address, build, timeout_s, *limits):
+        relay = next(each for each in self.world.gateways if each.address == address)
+        query = build().path.partition("?")[2]
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await relay.relay.server.answer(query)
+                await asyncio.sleep(LATENCY_S)
+        except TimeoutError:
+            return Err(BackendAnswerLost("", ""))
+        await relay.link.carry(len(answer.body))
+        await self.link.carry(len(answer.body))
+        return Ok(answer)
+
+
+class HeardPeers:
+    """Every peer was heard just now."""
+
+    def heard_time_s(self, node):
+        return asyncio.get_running_loop().time()
+
+
+class LinkedGateway:
+    """The parts of a gateway that follow configurations."""
+
+    def __init__(self, world, number, link_mbit):
+        self.world = world
+        self.node = f"g{number:02}"
+        self.address = Address(HOST, 1 + number)
+        self.link = Link(link_mbit * BYTES_PER_MBIT)
+        self.directory = PeerDirectory(self.node)
+        self.in_force_s = {}
+        clock = LoopClock()
+        health = StoreHealth(clock)
+        ports = make_ports(
+            health,
+            store=StorePort(world.store, self.link, health, clock),
+            read_configuration=self.read,
+        )
+        settings = make_settings(
+            node=self.node,
+            peer_address=self.address,
+            link_mbit=link_mbit,
+            configuration_apply_s=2.5,
+        )
+        sender = RelaySender(world, self.link)
+        with patch("indigoworks.gateway.relay_side.HttpSender", lambda *_: sender):
+            self.relay = RelaySide(
+                settings,
+                ports,
+                HeardPeers(),
+                self.directory,
+                lambda: "",
+                clock,
+                Random(number),
+            )
+        ports = make_ports(health, store=self.relay.store, read_configuration=self.read)
+        self.platform = PlatformSide(
+            ports,
+            settings,
+            clock,
+            self.relay.choice.probe_wait_s,
+            self.directory.has_many,
+        )
+        self.platform.configurations.on_change(self.note_in_force)
+        follower = self.platform.followers[0]
+        self.lag = LagWatch("operator", self.platform.operator_position, follower.ask_anew, clock)
+
+    @staticmethod
+    def read(value):
+        return Ok(make_configuration(json.loads(value)["version"]))
+
+    def note_in_force(self, configuration):
+        now_s = asyncio.get_running_loop().time()
+        newest = max(self.in_force_s, default=0)
+        # With a version all earlier ones are in force.
+        self.in_force_s.update(dict.fromkeys(range(newest + 1, configuration.version + 1), now_s))
+
+    def address_row(self):
+        peer = PeerAddress(self.node, "x", ZONE, self.address, self.relay.capacity)
+        return Row("c", "", f"peer/{self.node}", encode_peer(peer), 1)
+
+
+class SlowLinkWorld:
+    """A store, and gateways that hear each other."""
+
+    def __init__(self, slow, slow_mbit, fast, fast_mbit):
+        self.store = OperatorRows()
+        self.routes = []
+        rates = [slow_mbit] * slow + [fast_mbit] * fast
+        self.gateways = [LinkedGateway(self, number, rate) for number, rate in enumerate(rates)]
+        rows = [each.address_row() for each in self.gateways]
+        for gateway in self.gateways:
+            gateway.directory.apply(rows)
+        self.tasks = []
+
+    def start(self):
+        works = [self.report()]
+        for gateway in self.gateways:
+            works += [follower.run() for follower in gateway.platform.followers]
+        self.tasks += [asyncio.ensure_future(each) for each in works]
+
+    async def report(self):
+        """Tell every gateway how far each other one is."""
+        while True:
+            await asyncio.sleep(REPORT_PERIOD_S)
+            known = [(each.node, each.platform.operator_row_version) for each in self.gateways]
+            for gateway in self.gateways:
+                for node, version in known:
+                    gateway.lag.note(node, version)
+
+    def add_traffic(self, bytes_per_s):
+        for gateway in self.gateways:
+            self.tasks.append(asyncio.ensure_future(other_traffic(gateway.link, bytes_per_s)))
+
+    def put(self, random, count):
+        """Write a configuration of `count` routes; one of them differs from the last one."""
+        while len(self.routes) < count:
+            self.routes.append(route(random))
+        self.routes[random.randrange(count)] = route(random)
+        document = {"version": self.store.version + 1, "routes": self.routes}
+        self.store.put(json.dumps(document, separators=(",", ":")).encode())
+
+
+async def other_traffic(link, bytes_per_s):
+    while True:
+        await asyncio.gather(
+            link.carry(bytes_per_s * OTHER_TRAFFIC_PERIOD_S), asyncio.sleep(OTHER_TRAFFIC_PERIOD_S)
+        )
+
+
+def route(random):
+    """Return a route as large as the operator's, with names that nothing foretells."""
+
+    def word(length):
+        return "".join(random.choice(LETTERS) for _ in range(length))
+
+    return {
+        "name": f"r-{word(7)}",
+        "host": f"{random.choice('abcdefgh') * 4}.example",
+        "path_prefix": f"/{word(8)}/",
+        "kind": "safe",
+        "timeout_ms": 1500,
+        "aim_ms": 1000,
+        "priority": 2,
+        "service": "shop",
+        "max_attempts": 2,
+    }
--- a/indigoworks/relay/feed_server.py
+++ b/indigoworks/relay/feed_server.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from indigoworks.backend.http_answer import HttpAnswer
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 from indigoworks.common.http_listener import HttpListener
@@ -68,34 +69,41 @@
                 self._store.wake_all()
 
     def _handle(self, request: HTTPServerRequest) -> None:
-        task = asyncio.ensure_future(self._answer(request))
+        task = asyncio.ensure_future(self._respond(request))
         self._answering.add(task)
         task.add_done_callback(self._answering.discard)
 
-    async def _answer(self, request: HTTPServerRequest) -> None:
-        status, body = await self._status_and_body(request)
+    async def answer(self, query: str) -> HttpAnswer:
+        """Return the answer to a question, once there is something new or its time is over.
+
+        :param query: part of the question's address behind the question mark.
+        """
+        fields = parse_qs(query)
+        try:
+            table = fields["table"][0]
+            after = int(fields["after"][0])
+            wait_s = min(int(fields["wait_ms"][0]) / MS_PER_S, MAX_WAIT_S)
+        except (KeyError, ValueError):
+            return HttpAnswer(BAD_STATUS, (), b"Send table, after and wait_ms.")
+        self._choice.note_asked()
+        if not self._store.asks_the_store():
+            reason = b"Ask the store: this gateway asks another one."
+            return HttpAnswer(UNAVAILABLE_STATUS, (), reason)
+        rows = await self._feed_answer(table, after, wait_s)
+        return HttpAnswer(OK_STATUS, (), encode_feed_answer(rows))
+
+    async def _respond(self, request: HTTPServerRequest) -> None:
+        answer = await self.answer(request.query)
         connection = request.connection
         assert connection is not None
-        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        headers = HTTPHeaders({"Content-Length": str(len(answer.body))})
+        start_line = ResponseStartLine("HTTP/1.1", answer.status, "")
         try:
-            connection.write_headers(ResponseStartLine("HTTP/1.1", status, ""), headers, body)
+            connection.write_headers(start_line, headers, answer.body)
             connection.finish()
         except (StreamClosedError, OSError):
             pass
 
-    async def _status_and_body(self, request: HTTPServerRequest) -> tuple[int, bytes]:
-        query = parse_qs(request.query)
-        try:
-            table = query["table"][0]
-            after = int(query["after"][0])
-            wait_s = min(int(query["wait_ms"][0]) / MS_PER_S, MAX_WAIT_S)
-        except (KeyError, ValueError):
-            return BAD_STATUS, b"Send table, after and wait_ms."
-        self._choice.note_asked()
-        if not self._store.asks_the_store():
-            return UNAVAILABLE_STATUS, b"Ask the store: this gateway asks another one."
-        return OK_STATUS, encode_feed_answer(await self._feed_answer(table, after, wait_s))
-
     async def _feed_answer(self, table: str, after: int, wait_s: float) -> FeedAnswer:
         history = self._store.history(table)
         until_s = self._clock.now() + wait_s
