--- a/features/steps/platform_folder_store_stand_in.py
+++ b/features/steps/platform_folder_store_stand_in.py
@@ -6,8 +6,10 @@
 import tomllib
 from pathlib import Path
 
+from platform_paced_answers import PacedAnswers
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.iostream import IOStream
 from tornado.testing import bind_unused_port
 
 from indigoworks.common.address import Address
@@ -39,6 +41,8 @@
         self.troubles: list[str] = []
         self.calls: list[str] = []
         self.between_pages = lambda: None
+        self.paced: PacedAnswers | None = None
+        self.streams: list[IOStream] = []
 
     def start(self) -> Address:
         listener, port = bind_unused_port()
@@ -68,6 +72,7 @@
 
     def _handle(self, request) -> None:
         self.calls.append(request.path)
+        self.streams.append(request.connection.stream)
         trouble = self.troubles.pop(0) if self.troubles else ""
         if trouble.isdecimal():
             self._answer(request, int(trouble), {})
@@ -90,6 +95,9 @@
         body = json.dumps(document).encode()
         headers = HTTPHeaders({"Content-Length": str(len(body))})
         start_line = ResponseStartLine("HTTP/1.1", status, "X")
+        if self.paced is not None:
+            self.paced.send(request.connection, start_line, headers, body)
+            return
         request.connection.write_headers(start_line, headers, body)
         request.connection.finish()
 
