Limits of a large answer are on silence, not on its length

Cause: one limit of 1 s stood for a whole call to the store, and slowness was judged by the last byte: an answer whose bytes kept coming was thrown away and counted as a trouble. HttpSender.send takes TransferLimits now: its time holds until the headers, then `silence_s` from piece to piece and `whole_s` for the rest. A trouble of a slow answer stands at the moment of its headers, and does not hide or move a later one. Ruled out: a longer limit on the whole, which notices a lost store later and binds again at the next size. A limit by the announced length, which needs a rate that nobody knows. A smaller chunk size: the library (read in its code) hands over what has come as soon as it would have to wait; the scenario with 40 pieces of 1.1 KB, 0.03 s apart and 0.6 s for silence fails without the note of each piece. The moment of the headers for the clock difference `_largest_offset_s`: a store may read its clock after it sent them; the last byte only makes it larger, and the smallest counts. `lost_for_s` ending with the headers: a path may carry the beginning of each answer and the end of none. Conclusion: a whole reading over a slow link ends. Open: while a ProbingStore's probe is a large answer on its way, the other readers of the process wait for it, up to 16.3 s in place of 1.3 s.

--- a/features/platform_large_answers.feature
+++ b/features/platform_large_answers.feature
@@ -81,10 +81,25 @@
     Given a platform folder store with pages of 500 rows
     And the platform folder store holds 40 large rows
     And the platform folder store sends answers in 4000 pieces, 0.03 s apart
-    When rows are asked for over one connection, with 0.2 s for silence and 0.5 s for the whole
+    When rows are asked for over one connection, with 600 s for silence and 0.5 s for the whole
     Then the question for rows has lost its answer after some pieces
     And the next question for rows is answered over another connection
 
+  Scenario: Silence ends an answer long before the bound on the whole
+    Given a platform folder store with pages of 500 rows
+    And the platform folder store holds 40 large rows
+    And the platform folder store sends 6 of 12 pieces of its answers, then nothing
+    When rows are asked for over one connection, with 0.3 s for silence and 600 s for the whole
+    Then the question for rows has lost its answer after some pieces
+    And the next question for rows is answered over another connection
+
+  Scenario: Pieces count that are far smaller than what the HTTP library reads at once
+    Given a platform folder store with pages of 500 rows
+    And the platform folder store holds 4 large rows
+    And the platform folder store sends answers in 40 pieces, 0.03 s apart
+    When rows are asked for over one connection, with 0.6 s for silence and 600 s for the whole
+    Then the question for rows is answered whole
+
   Scenario: Without limits of a transfer the time is for the whole answer
     Given a platform folder store with pages of 500 rows
     And the platform folder store holds 40 large rows
--- a/features/steps/platform_large_answers_steps.py
+++ b/features/steps/platform_large_answers_steps.py
@@ -1,6 +1,7 @@
 """Steps on large answers of the platform's store, against a stand-in on real sockets."""
 
 import asyncio
+import json
 
 from behave import given, then, when
 from gateway_world import until
@@ -10,6 +11,7 @@
 from indigoworks.backend.errors import BackendAnswerLost
 from indigoworks.backend.http_message import HttpMessage
 from indigoworks.backend.http_sender import HttpSender
+from indigoworks.backend.transfer_limits import TransferLimits
 from indigoworks.common.clock import LoopClock
 from indigoworks.rowstore.transaction import Transaction
 
@@ -123,14 +125,12 @@
 
 
 @when(
-    "rows are asked for over one connection, with {silence_s:g} s for silence and {total_s:g} s "
+    "rows are asked for over one connection, with {silence_s:g} s for silence and {whole_s:g} s "
     "for the whole"
 )
-def ask_with_limits(context, silence_s, total_s):
-    from indigoworks.backend.transfer_limits import TransferLimits
-
+def ask_with_limits(context, silence_s, whole_s):
     use_one_connection(context)
-    ask(context, ANSWER_TIMEOUT_S, TransferLimits(silence_s, total_s))
+    ask(context, ANSWER_TIMEOUT_S, TransferLimits(silence_s, whole_s))
 
 
 @when("rows are asked for over one connection, with {timeout_s:g} s for everything")
@@ -167,6 +167,13 @@
     assert SOME_PIECES < sent < context.platform_stand_in.paced.count, sent
 
 
+@then("the question for rows is answered whole")
+def question_answered(context):
+    answer = context.rows_result.unwrap()
+    assert answer.status == 200
+    assert len(json.loads(answer.body)["rows"]) == len(context.platform_stand_in.rows)
+
+
 @then("the next question for rows is answered over another connection")
 def next_question(context):
     stand_in = context.platform_stand_in
--- a/indigoworks/backend/http_answer.py
+++ b/indigoworks/backend/http_answer.py
@@ -1,15 +1,20 @@
 """A whole HTTP answer."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
 class HttpAnswer:
-    """Status, headers as received and whole body."""
+    """Status, headers as received and whole body.
+
+    :ivar headers_s: clock reading when status and headers had come; not a number: not noted.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    headers_s: float = field(default=math.nan, compare=False)
 
     def header(self, name: str) -> str | None:
         """Return the first value of header `name`, whatever its case, or None."""
--- a/indigoworks/backend/http_answer_reader.py
+++ b/indigoworks/backend/http_answer_reader.py
@@ -8,6 +8,7 @@
 )
 
 from indigoworks.backend.http_answer import HttpAnswer
+from indigoworks.backend.transfer_watch import TransferWatch
 
 STATUS_CONTINUE_LIMIT = 200
 """Statuses below this announce a later answer."""
@@ -20,10 +21,13 @@
 
     An answer is whole only if its length was announced and all of it came. A body that ends with
     the connection is never whole, because a lost connection looks the same.
+
+    :param watch: told of each part as it comes.
     """
 
-    def __init__(self, method: str) -> None:
+    def __init__(self, method: str, watch: TransferWatch) -> None:
         self._method = method
+        self._watch = watch
         self._status = 0
         self._headers: tuple[tuple[str, str], ...] = ()
         self._chunks: list[bytes] = []
@@ -38,6 +42,7 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < STATUS_CONTINUE_LIMIT:
             return
+        self._watch.headers_came()
         self._status = start_line.code
         self._headers = tuple(headers.get_all())
         self._has_known_length = self._length_is_known(headers)
@@ -46,6 +51,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body."""
+        self._watch.piece_came()
         self._chunks.append(chunk)
 
     def finish(self) -> None:
@@ -64,7 +70,8 @@
         """Return the answer, or None where any of it is missing."""
         if not self._is_finished or not self._has_known_length:
             return None
-        return HttpAnswer(self._status, self._headers, b"".join(self._chunks))
+        body = b"".join(self._chunks)
+        return HttpAnswer(self._status, self._headers, body, self._watch.headers_s)
 
     def _length_is_known(self, headers: HTTPHeaders) -> bool:
         if self._method == "HEAD" or self._status in STATUSES_WITHOUT_BODY:
--- a/indigoworks/backend/http_connection.py
+++ b/indigoworks/backend/http_connection.py
@@ -9,6 +9,7 @@
 from indigoworks.backend.http_answer import HttpAnswer
 from indigoworks.backend.http_answer_reader import HttpAnswerReader
 from indigoworks.backend.http_message import HttpMessage
+from indigoworks.backend.transfer_watch import TransferWatch
 from indigoworks.common.address import Address
 
 MAX_HEADERS_BYTES = 64 * 1024
@@ -50,15 +51,16 @@
         # A stream without a close callback and without a read does not listen to its socket.
         self._stream.set_close_callback(_ignore_close)
 
-    async def exchange(self, message: HttpMessage) -> HttpAnswer | None:
+    async def exchange(self, message: HttpMessage, watch: TransferWatch) -> HttpAnswer | None:
         """Send `message` and read its answer.
 
         The connection is closed afterwards unless it can take another request; cancelling the
         call closes it too.
 
+        :param watch: told of each part of the answer as it comes.
         :returns: None where the answer is not whole: the server may have run the request.
         """
-        reader = HttpAnswerReader(message.method)
+        reader = HttpAnswerReader(message.method, watch)
         can_continue = False
         try:
             await self._write_and_read(message, reader)
--- a/indigoworks/backend/http_sender.py
+++ b/indigoworks/backend/http_sender.py
@@ -9,6 +9,8 @@
 from indigoworks.backend.http_answer import HttpAnswer
 from indigoworks.backend.http_connection_pool import HttpConnectionPool
 from indigoworks.backend.http_message import HttpMessage
+from indigoworks.backend.transfer_limits import TransferLimits
+from indigoworks.backend.transfer_watch import TransferWatch
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 
@@ -25,11 +27,18 @@
         self._pools: dict[Address, HttpConnectionPool] = {}
 
     async def send(
-        self, address: Address, build: MessageBuilder, timeout_s: float
+        self,
+        address: Address,
+        build: MessageBuilder,
+        timeout_s: float,
+        transfer: TransferLimits | None = None,
     ) -> Result[HttpAnswer, BackendError]:
         """Send one message and wait for its whole answer.
 
-        :param timeout_s: seconds for waiting, connecting, sending and the answer together.
+        :param timeout_s: seconds for waiting, connecting, sending and the answer together; with
+            `transfer`, for all that up to the answer's headers.
+        :param transfer: limits of the rest of an answer whose length grows, where a slow link may
+            need longer for it than a server that is lost may be waited for.
         :returns: BackendUnreachable only when no byte was sent, otherwise BackendAnswerLost.
         """
         if timeout_s <= 0:
@@ -37,14 +46,16 @@
         pool = self._pool_of(address)
         is_sent = False
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 connection = await pool.acquire()
                 if connection is None:
                     return Err(_unreachable(address))
                 try:
                     message = build()
                     is_sent = True
-                    answer = await connection.exchange(message)
+                    answer = await connection.exchange(
+                        message, TransferWatch(self._clock, limit, transfer)
+                    )
                 finally:
                     pool.release(connection)
         except TimeoutError:
--- a/indigoworks/rowstore/store_health.py
+++ b/indigoworks/rowstore/store_health.py
@@ -33,6 +33,7 @@
         self._largest_offset_s: float | None = None
         self._proof_s: float | None = None
         self._lost_since_s: float | None = None
+        self._last_trouble_s: float | None = None
         self._troubles: deque[StoreTrouble] = deque(maxlen=REMEMBERED_TROUBLES)
 
     def note_answer(self, sent_s: float, store_time_s: float) -> float:
@@ -41,6 +42,9 @@
         :param store_time_s: reading of the store's steady clock in the answer.
         :returns: the clock reading at which this answer was certainly true.
         """
+        # The last byte may come long after the store read its clock. That makes this difference
+        # larger, and the smallest one counts: `is_past` answers later, never too early. The moment
+        # of the headers would not do: a store may send them before it reads its clock.
         received_offset_s = self._clock.now() - store_time_s
         if self._largest_offset_s is None or received_offset_s < self._largest_offset_s:
             self._largest_offset_s = received_offset_s
@@ -64,13 +68,18 @@
         """
         if self._proof_s is None or proof_s > self._proof_s:
             self._proof_s = proof_s
-        last_s = self._troubles[-1].at_s if self._troubles else float("-inf")
+        last_s = float("-inf") if self._last_trouble_s is None else self._last_trouble_s
         if trouble_s > last_s + SAME_TROUBLE_S:
-            self._troubles.append(StoreTrouble(trouble_s, told_s=self._clock.now()))
+            self._append(StoreTrouble(trouble_s, told_s=self._clock.now()))
 
-    def note_trouble(self, call: str, reason: str) -> None:
-        """Take note that a call was not answered, refused, or answered late."""
-        self._troubles.append(StoreTrouble(self._clock.now()))
+    def note_trouble(self, call: str, reason: str, at_s: float | None = None) -> None:
+        """Take note that a call was not answered, refused, or answered late.
+
+        :param at_s: clock reading when a late answer began to come: its last byte may come much
+            later, and meanwhile there may have been another trouble; None: now.
+        """
+        self._append(StoreTrouble(self._clock.now() if at_s is None else at_s))
+        # Not from `at_s` on: the store has answered since.
         if self._lost_since_s is None:
             self._lost_since_s = self._clock.now()
             log_message(
@@ -81,17 +90,23 @@
                 proof_age_s=round(min(self.proof_age_s(), 1e6), 3),
             )
 
+    def _append(self, trouble: StoreTrouble) -> None:
+        self._troubles.append(trouble)
+        if self._last_trouble_s is None or trouble.at_s > self._last_trouble_s:
+            self._last_trouble_s = trouble.at_s
+
     def lost_for_s(self) -> float:
         """Return for how long the store has not answered this process itself after a trouble.
 
-        What other gateways hand on does not count as its answer; 0: it has answered since.
+        What other gateways hand on does not count as its answer; 0: it has answered since. An
+        answer counts once it is whole: a path may carry the beginning of each and the end of none.
         """
         return 0.0 if self._lost_since_s is None else self._clock.now() - self._lost_since_s
 
     @property
     def last_trouble_s(self) -> float | None:
         """Return the clock reading of the last trouble; None: there was none."""
-        return self._troubles[-1].at_s if self._troubles else None
+        return self._last_trouble_s
 
     def last_trouble_before(self, at_s: float, told_by_s: float) -> float | None:
         """Return the clock reading of the last trouble up to `at_s`; None: none is remembered.
--- a/indigoworks_lab/control_simulation/node_store.py
+++ b/indigoworks_lab/control_simulation/node_store.py
@@ -16,7 +16,8 @@
 
 CALL_TIMEOUT_S = 1.0
 SLOW_CALL_S = 0.2
-"""Both as in the adapter to the platform's store."""
+"""Both as in the adapter to the platform's store, where they end with an answer's headers. Answers
+come in one piece here: the adapter's limits on the rest of an answer never bind."""
 
 REMEDY = "Wait."
 
