--- a/features/steps/gateway_store_probe_steps.py
+++ b/features/steps/gateway_store_probe_steps.py
@@ -24,6 +24,7 @@
         self.is_refusing = False
         self.calls_while_refusing = 0
         self.at_work = 0
+        self.first_answer_s = 0.0
         self.most_at_work = 0
         self.answered_tables = set()
         self.transactions = 0
@@ -41,13 +42,20 @@
     async def _answer(self, table, wait_s):
         if not self.is_refusing:
             self.answered_tables.add(table)
-            await self.clock.sleep(max(wait_s, CALL_S))
+            transfer_s, self.first_answer_s = self.first_answer_s, 0.0
+            self.at_work += 1
+            try:
+                await self.clock.sleep(max(wait_s, CALL_S) + transfer_s)
+            finally:
+                self.at_work -= 1
             return Ok(Rows((), 1, self.clock.now()))
         self.calls_while_refusing += 1
         self.at_work += 1
         self.most_at_work = max(self.most_at_work, self.at_work)
-        await self.clock.sleep(CALL_S)
-        self.at_work -= 1
+        try:
+            await self.clock.sleep(CALL_S)
+        finally:
+            self.at_work -= 1
         return Err(StoreRefused("refused", "wait"))
 
 
@@ -102,6 +110,32 @@
     context.run_async(run())
 
 
+@when(
+    "the probing store answers again for {duration_s:g} s, with a first answer that takes "
+    "{answer_s:g} s"
+)
+def step_answers_slowly(context, duration_s, answer_s):
+    context.probe_refusing.first_answer_s = answer_s
+    step_answers(context, duration_s)
+
+
+@when("the readers of the probing store are cancelled")
+def step_cancelled(context):
+    async def run():
+        assert context.probe_refusing.at_work > 0
+        for task in context.probe_tasks:
+            task.cancel()
+        await asyncio.wait(context.probe_tasks)
+        await context.probe_clock.advance(0.0)
+
+    context.run_async(run())
+
+
+@then("no call is under way at the probing store")
+def step_none_at_work(context):
+    assert context.probe_refusing.at_work == 0, context.probe_refusing.at_work
+
+
 @then("at most {count:d} calls went to the probing store meanwhile")
 def step_at_most(context, count):
     assert context.probe_refusing.calls_while_refusing <= count, (
