Soak of real gateway processes under overlapping planned work

Ruled out: the simulation (no sockets, signals or HTTP library), gateways within a test's process (a signal that ends a process cannot be tried there). Before: no run of ours told whether a process had read a request whose connection ended. Each checker is seen failing on a hand-made history.

--- /dev/null
+++ b/features/gateway_soak.feature
@@ -0,0 +1,33 @@
+Feature: Soak of real gateway processes
+
+  Scenario Outline: A checker of the soak sees its rule broken: <rule>
+    Given a soak history in which <rule>
+    Then the soak checkers find just <finding>
+
+    Examples: broken rules
+      | rule                                                    | finding       |
+      | a request that was read got no answer                   | answers_come  |
+      | a request that ran crossed a close and got no answer    | answers_come  |
+      | a request was never answered                            | answers_come  |
+      | a request late in a stop is cut while its server works  | answers_come  |
+      | a stop cuts a request long before its grace time is up  | answers_come  |
+      | an unsafe request ran twice                             | single_runs   |
+      | a request that ran was refused                          | refusals_kept |
+      | a proper request was denied                             | no_denials    |
+      | a route is not found long after its write               | configurations |
+      | a route is not found by a process that had served it    | configurations |
+      | a process ended by itself                               | exits         |
+      | a process outlived its grace time                       | exits         |
+
+    Examples: kept rules
+      | rule                                                    | finding       |
+      | every request is answered                               | nothing       |
+      | a request that did not run crossed a close unread       | nothing       |
+      | a kill cut a request                                    | nothing       |
+      | the end of a stop cuts a request while its server works | nothing       |
+      | a safe request ran twice                                | nothing       |
+      | a route is not found right after its write              | nothing       |
+      | a route is not found while the store is down            | nothing       |
+
+  Scenario: Plans of the soak depend on the seed alone, and hold events of every kind
+    Then soak plans of 20 seeds are drawn alike twice and hold every kind of event
--- /dev/null
+++ b/features/steps/gateway_soak_command.py
@@ -0,0 +1,73 @@
+"""The soak by hand; see scripts/gateway-soak."""
+
+import argparse
+import asyncio
+import shutil
+import sys
+from collections import Counter
+from dataclasses import astuple
+from functools import partial
+from pathlib import Path
+from random import Random
+
+from gateway_soak_world import GATEWAYS, SERVERS, SoakWorld
+
+from indigoworks_lab.gateway_soak.check_soak import check_soak
+from indigoworks_lab.gateway_soak.draw_plan import draw_plan
+from indigoworks_lab.simulation.worker_processes import worker_processes
+
+ROOT = Path(__file__).parents[2]
+LOGS = ROOT / "run" / "gateway-soak"
+MAX_SHOWN = 4
+
+
+def main(arguments) -> int:
+    """Run the seeds; exit code 1 if anything broke."""
+    parser = argparse.ArgumentParser(prog="scripts/gateway-soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1, help="how many")
+    parser.add_argument("--first", type=int, default=1, help="the first one")
+    parser.add_argument("--seconds", type=float, default=12.0, help="of events, in each seed")
+    parser.add_argument("--gateways", type=int, default=GATEWAYS)
+    parser.add_argument("--jobs", type=int, default=1, help="seeds at the same time")
+    chosen = parser.parse_args(arguments)
+    seeds = range(chosen.first, chosen.first + chosen.seeds)
+    run = partial(run_seed, seconds=chosen.seconds, gateways=chosen.gateways)
+    with worker_processes(chosen.jobs) as pool:
+        broken = list(pool.map(run, seeds))
+    print(f"{len(broken)} seeds, {sum(broken)} with breaches")
+    return 1 if any(broken) else 0
+
+
+def run_seed(seed, seconds, gateways) -> bool:
+    """Run one seed, print its line, and return whether anything broke."""
+    folder = LOGS / str(seed)
+    shutil.rmtree(folder, ignore_errors=True)
+    history, violations = asyncio.run(soak(seed, folder, seconds, gateways))
+    statuses = Counter(each.status for each in history.requests)
+    counts = " ".join(f"{status}:{count}" for status, count in sorted(statuses.items()))
+    kinds = Counter(each.checker for each in violations)
+    verdict = ", ".join(f"{count} {kind}" for kind, count in kinds.items()) or "nothing broke"
+    lives = len(history.lives)
+    lines = [f"seed {seed}: {verdict}; {lives} processes, answers {counts}"]
+    lines += [f"  {each}" for each in violations[:MAX_SHOWN]]
+    print("\n".join(lines), flush=True)
+    if not violations:
+        shutil.rmtree(folder)
+        return False
+    (folder / "violations").write_text("\n".join(map(str, violations)) + "\n")
+    (folder / "requests").write_text(
+        "\n".join(str(astuple(each)) for each in history.requests) + "\n"
+    )
+    (folder / "lives").write_text("\n".join(map(str, history.lives)) + "\n")
+    return True
+
+
+async def soak(seed, folder, seconds, gateways):
+    """Run one seed; returns its history and what the checkers find."""
+    world = SoakWorld(seed, folder, gateways)
+    await world.run(draw_plan(Random(seed), seconds, gateways, SERVERS), seconds)
+    return world.history, check_soak(world.history)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/features/steps/gateway_soak_steps.py
@@ -0,0 +1,83 @@
+"""Steps on the soak of gateway processes."""
+
+from dataclasses import replace
+from random import Random
+
+from behave import given, then
+
+from indigoworks_lab.gateway_soak.check_soak import check_soak
+from indigoworks_lab.gateway_soak.draw_plan import draw_plan
+from indigoworks_lab.gateway_soak.event_kind import EventKind
+from indigoworks_lab.gateway_soak.process_life import ProcessLife
+from indigoworks_lab.gateway_soak.server_run import ServerRun
+from indigoworks_lab.gateway_soak.soak_history import SoakHistory
+from indigoworks_lab.gateway_soak.soak_request import SoakRequest
+from indigoworks_lab.gateway_soak.time_span import TimeSpan
+
+SERVED = SoakRequest("r1", "g0", 1, 5, False, 20.0, 20.1, status=200, is_whole=True)
+CUT = replace(SERVED, status=0, is_whole=False)
+MISSING = replace(SERVED, status=404)
+RUN = ServerRun("r1", "s1", 20.01)
+LIFE = ProcessLife("g0", 1, started_s=0.0, grace_s=6.0)
+STOPPED = replace(LIFE, stopped_s=15.0, ended_s=20.6, exit_code=0)
+KILLED = replace(LIFE, killed_s=20.05, ended_s=20.1, exit_code=-9)
+
+
+def history(request=SERVED, runs=(RUN,), life=LIFE, acknowledged_s=10.0, troubles=(), more=()):
+    return SoakHistory([*more, request], list(runs), [life], {5: acknowledged_s}, list(troubles))
+
+
+HISTORIES = {
+    "every request is answered": lambda: history(),
+    "a request that was read got no answer": lambda: history(replace(CUT, was_read=True), ()),
+    "a request that ran crossed a close and got no answer": lambda: history(CUT),
+    "a request that did not run crossed a close unread": lambda: history(CUT, ()),
+    "a request was never answered": lambda: history(replace(CUT, is_given_up=True), ()),
+    "a kill cut a request": lambda: history(CUT, life=KILLED),
+    "the end of a stop cuts a request while its server works": lambda: history(
+        replace(CUT, sent_s=18.0, ended_s=20.6), life=STOPPED
+    ),
+    "a request late in a stop is cut while its server works": lambda: history(
+        replace(CUT, sent_s=18.1, ended_s=20.6), life=STOPPED
+    ),
+    "a stop cuts a request long before its grace time is up": lambda: history(
+        replace(CUT, sent_s=16.0, ended_s=19.9), life=STOPPED
+    ),
+    "an unsafe request ran twice": lambda: history(runs=(RUN, RUN)),
+    "a safe request ran twice": lambda: history(replace(SERVED, is_safe=True), (RUN, RUN)),
+    "a request that ran was refused": lambda: history(replace(SERVED, status=503)),
+    "a proper request was denied": lambda: history(replace(SERVED, status=413), ()),
+    "a route is not found long after its write": lambda: history(MISSING, ()),
+    "a route is not found right after its write": lambda: history(MISSING, (), acknowledged_s=17.6),
+    "a route is not found while the store is down": lambda: history(
+        MISSING, (), troubles=(TimeSpan(13.0, 19.0),)
+    ),
+    "a route is not found by a process that had served it": lambda: history(
+        MISSING,
+        (),
+        acknowledged_s=19.0,
+        more=(replace(SERVED, request_id="r0", sent_s=19.5, ended_s=19.6),),
+    ),
+    "a process ended by itself": lambda: history(life=replace(LIFE, ended_s=21.0, exit_code=-1)),
+    "a process outlived its grace time": lambda: history(
+        life=replace(STOPPED, stopped_s=21.0, killed_s=27.0, ended_s=27.0, exit_code=-9)
+    ),
+}
+
+
+@given("a soak history in which {rule}")
+def history_in_which(context, rule):
+    context.soak_history = HISTORIES[rule]()
+
+
+@then("the soak checkers find just {finding}")
+def find_just(context, finding):
+    found = [each.checker for each in check_soak(context.soak_history)]
+    assert found == ([] if finding == "nothing" else [finding]), found
+
+
+@then("soak plans of {count:d} seeds are drawn alike twice and hold every kind of event")
+def plans(context, count):
+    drawn = [[draw_plan(Random(seed), 10.0, 3, 3) for seed in range(count)] for _ in range(2)]
+    assert drawn[0] == drawn[1]
+    assert {each.kind for plan in drawn[0] for each in plan} == set(EventKind)
--- a/indigoworks_lab/launcher/managed_process.py
+++ b/indigoworks_lab/launcher/managed_process.py
@@ -44,6 +44,10 @@
         """End it at once (SIGKILL)."""
         self._send(signal.SIGKILL)
 
+    def hang_up(self) -> None:
+        """Say that its settings have changed (SIGHUP)."""
+        self._send(signal.SIGHUP)
+
     def freeze(self) -> None:
         """Stop its execution (SIGSTOP)."""
         self._send(signal.SIGSTOP)
