--- a/features/steps/gateway_soak_gateway.py
+++ b/features/steps/gateway_soak_gateway.py
@@ -34,16 +34,20 @@
         self.is_restarting = False
         self.process = None
         self._settings = settings(self, store, GRACE_S)
-        self._path = folder / f"{name}.settings"
+        self.path = folder / f"{name}.settings"
         self._folder = folder
         self._lives = lives
         self._watch = None
 
     def start(self) -> None:
-        """Start a process; its ports are free."""
-        self.life += 1
+        """Write the settings file and start a process; its ports are free."""
         self.write_settings()
-        command = ("env", f"INDIGOWORKS_SETTINGS={self._path}", f"PYTHONPATH={ROOT}")
+        self.spawn()
+
+    def spawn(self) -> None:
+        """Start a process with the settings file as it is."""
+        self.life += 1
+        command = ("env", f"INDIGOWORKS_SETTINGS={self.path}", f"PYTHONPATH={ROOT}")
         program = (sys.executable, str(ROOT / "platform" / "gateway.py"))
         log_path = self._folder / f"{self.name}.{self.life}.log"
         self.process = ManagedProcess(self.name, (*command, *program), log_path)
@@ -55,12 +59,12 @@
     def write_settings(self, mode="", **fields) -> None:
         """Write the file whole, as one rename; `mode`: broken or missing."""
         if mode == "missing":
-            self._path.unlink(missing_ok=True)
+            self.path.unlink(missing_ok=True)
             return
         text = json.dumps({**self._settings, **fields})
-        temporary = self._path.with_suffix(".new")
+        temporary = self.path.with_suffix(".new")
         temporary.write_text(text[: len(text) // 2] if mode == "broken" else text)
-        os.replace(temporary, self._path)
+        os.replace(temporary, self.path)
 
     def terminate(self) -> None:
         self.record.stopped_s = asyncio.get_running_loop().time()
