--- /dev/null
+++ b/features/gateway_idle.feature
@@ -0,0 +1,27 @@
+Feature: Connections of callers that rest
+
+  Background:
+    Given a gateway whose callers may rest for 0.4 s
+    And gateway server "s1" that answers
+
+  Scenario: A request that is there when the time of rest ends is answered
+    When a gateway caller asks, and its next request is there when its rest ends in a busy gateway
+    Then the resting gateway caller's request is answered
+
+  Scenario: A longer limit holds for connections that rest already
+    When a gateway caller asks, and the limit becomes 60 s while it rests
+    And the gateway caller rests for 0.6 s in all
+    Then the resting gateway caller's next request is answered
+
+  Scenario: A shorter limit leaves a connection the time that it had when it began to rest
+    When a gateway caller asks, and the limit becomes 0.01 s while it rests
+    And the gateway caller rests for 0.2 s in all
+    Then the resting gateway caller's next request is answered
+
+  Scenario: A connection that rests for too long is closed
+    When a gateway caller asks once and rests
+    Then the gateway closes the resting caller's connection
+
+  Scenario: A caller that never ends its header is cut off
+    When a gateway caller asks once and then sends half a header
+    Then the gateway closes the resting caller's connection
