A SIGHUP waits until a gateway that starts can take it, and ends none that stops

Ruled out: ignoring SIGHUP at the start (a change of the file after it was read would be missed). Conclusion: a SIGHUP in the first moments, before Python has begun on the program, still ends it; only who starts the process can mend that. The second scenario asked that the last line be that of the stop; a reload that comes after is right as well, so that it now asks for exactly one such line.

--- a/features/gateway_signals.feature
+++ b/features/gateway_signals.feature
@@ -9,4 +9,4 @@
   Scenario: SIGHUPs until the last moment of a stop do not end the program early
     Given a gateway program that is ready
     When a SIGTERM comes to the gateway program and SIGHUPs until its end
-    Then the gateway program ended with exit code 0 and wrote its last line
+    Then the gateway program ended with exit code 0 and wrote that it has stopped
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -157,6 +157,7 @@
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._settings_in_force.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self._exchange.open()
         await self._requests.brokers.open()
         self._status.start()
