A request that has been read is answered, also as its connection's rest ends

Cause: front_server.py gave the idle time-out to the HTTP library as its header time-out. Its with_timeout closes the connection when the timer runs, although the header has been read, if both come in one step of the event loop: the result of the read reaches the waiting task one step later. A step is long while a large configuration is read, and callers who go by a new, longer limit rest to where the old one ends, which still held for connections that rested already. The front server now closes resting connections itself, once a second with the other tidying: only while a read is pending and neither the stream nor the socket holds a byte. The longer one of the limit at the beginning of the rest and the newest holds. The stop looks into the socket as well before it closes. Ruled out: a longer library time-out (the same race later); a timer for each request (costs more). A caller may now rest up to a second longer than the limit says.

--- a/indigoworks/gateway/front_exchange.py
+++ b/indigoworks/gateway/front_exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller and its answer."""
 
 import asyncio
+import socket
 from typing import Any, Protocol
 
 from eliot import log_message
@@ -20,6 +21,7 @@
 from indigoworks.gateway.final_answer import FinalAnswer
 from indigoworks.gateway.header_names import HeaderNames
 from indigoworks.gateway.hop_headers import travelling
+from indigoworks.routes.caller_limits import CallerLimits
 
 MS_PER_S = 1000.0
 BODILESS = frozenset({204, 304})
@@ -36,6 +38,7 @@
 
     in_progress: InProgress
     is_stopping: bool
+    limits: CallerLimits
 
     async def answer(self, request: ClientRequest) -> FinalAnswer:
         """Answer one request."""
@@ -56,6 +59,8 @@
         self._headers = HTTPHeaders()
         self._chunks: list[bytes] = []
         self._task: asyncio.Task[None] | None = None
+        self._rests_from_s = clock.now()
+        self._first_limits = server.limits
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -77,13 +82,43 @@
 
     def close_if_resting(self) -> None:
         """Close the connection unless any part of a request has come."""
+        if self._is_before_header() and not self._has_bytes():
+            self._connection.stream.close()
+
+    def close_if_rested_too_long(self) -> None:
+        """Close the connection if its caller may rest no longer, or takes too long for a header.
+
+        A caller goes by the limits that it knows: those at the beginning of its rest or the newest.
+        """
+        known = (self._first_limits, self._server.limits)
+        left_s = self._rests_from_s + max(each.idle_timeout_s for each in known)
+        if self._clock.now() < left_s:
+            return
+        self.close_if_resting()
+        left_s += max(each.header_timeout_s for each in known)
+        if self._clock.now() >= left_s and self._is_before_header() and not self._is_readable():
+            self._connection.stream.close()
+
+    def _is_before_header(self) -> bool:
+        """Tell whether no whole header has been read from the open connection.
+
+        A request whose header has been read, but whose reader has not run yet, is no rest: no read
+        is pending then.
+        """
         stream = self._connection.stream
         if self._start_line.method or stream is None or stream.closed():
-            return
-        # While a read is pending, nothing was taken from the socket: a request whose header has
-        # been read, but whose reader has not run yet, is no rest.
-        if stream.reading() and stream._read_buffer_size == 0:
-            stream.close()
+            return False
+        return bool(stream.reading())
+
+    def _has_bytes(self) -> bool:
+        return self._connection.stream._read_buffer_size > 0 or self._is_readable()
+
+    def _is_readable(self) -> bool:
+        """Tell whether bytes have come that have not been read yet."""
+        try:
+            return bool(self._connection.stream.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     @property
     def is_closed(self) -> bool:
--- a/indigoworks/gateway/front_server.py
+++ b/indigoworks/gateway/front_server.py
@@ -40,6 +40,7 @@
         self._exchanges: WeakKeyDictionary[object, FrontExchange] = WeakKeyDictionary()
         self.in_progress = InProgress()
         self.is_stopping = False
+        self.limits = CallerLimits()
 
     def start(self) -> None:
         """Listen.
@@ -52,11 +53,18 @@
         self._server.add_sockets(self._listeners)
 
     def set_limits(self, limits: CallerLimits) -> None:
-        """Put limits in force for connections that come from now on."""
-        parameters = self._server.conn_params
-        parameters.max_header_size = limits.max_header_bytes
-        parameters.max_body_size = limits.max_body_bytes
-        parameters.header_timeout = limits.idle_timeout_s
+        """Put limits in force; the size of headers for requests that are read from now on."""
+        self.limits = limits
+        self._server.conn_params.max_header_size = limits.max_header_bytes
+        self._server.conn_params.max_body_size = limits.max_body_bytes
+
+    def close_rested(self) -> None:
+        """Close connections that have rested for too long, or do not end a header.
+
+        The HTTP library's own time-out would close a connection whose request has just been read.
+        """
+        for exchange in list(self._exchanges.values()):
+            exchange.close_if_rested_too_long()
 
     def start_request(self, server_conn: object, request_conn: HTTPConnection) -> FrontExchange:
         """Begin to read a request; called by the HTTP library."""
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -114,6 +114,7 @@
 
     def tidy(self) -> None:
         """Close connections that rested too long, and forget servers that left."""
+        self.front.close_rested()
         self.sender.drop_old()
         self._servers.forget_old()
         for server_id in self.sender.known_servers():
