What signals do stands in a file of its own

Ruled out: a shorter text of the same (it hid why SIGHUP is unblocked there). After: they pass; scenarios of signals, reloads and stops pass. Conclusion: no behaviour changed.

--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -1,7 +1,6 @@
 """One gateway process."""
 
 import asyncio
-import signal
 import uuid
 from collections.abc import Coroutine
 from dataclasses import replace
@@ -26,6 +25,7 @@
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.process_signals import take_signals
 from indigoworks.gateway.relay_side import RelaySide
 from indigoworks.gateway.request_side import RequestSide
 from indigoworks.gateway.settings_in_force import SettingsInForce
@@ -154,11 +154,7 @@
     async def run(self) -> None:
         """Run until a stop signal, then finish what is in progress."""
         stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGINT, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._settings_in_force.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        take_signals(stop.set, self._settings_in_force.reload)
         await self._exchange.open()
         await self._requests.brokers.open()
         self._status.start()
