--- a/features/gateway_large_configuration.feature
+++ b/features/gateway_large_configuration.feature
@@ -29,6 +29,22 @@
     When 25 changes of that configuration come, one each 0.08 s
     Then each of those versions was in force at every gateway within 2.5 s of the store's having it
 
+  Scenario: Changes of a large configuration are in force in time though the store is slow
+    Given 16 gateways on links of 5 Mbit/s and 2 on links of 100 Mbit/s, in one zone of a large group
+    And requests take 0.27 MB/s of each of those links
+    And the store of those gateways answers after 0.24 s
+    And a configuration of 2533 routes is in force at all those gateways
+    When 6 changes of that configuration come, one each 1.73 s
+    Then each of those versions was in force at every gateway within 2.5 s of the store's having it
+
+  Scenario: Changes of a large configuration are in force in time though settings are read again
+    Given 16 gateways on links of 5 Mbit/s and 2 on links of 100 Mbit/s, in one zone of a large group
+    And requests take 0.27 MB/s of each of those links
+    And those gateways take new settings each 0.1 s
+    And a configuration of 2533 routes is in force at all those gateways
+    When 6 changes of that configuration come, one each 1.73 s
+    Then each of those versions was in force at every gateway within 2.5 s of the store's having it
+
   Scenario: Gateways that learn of each other after their first configuration hand on no gaps
     Given 16 gateways on links of 5 Mbit/s and 2 on links of 100 Mbit/s, in one zone of a large group
     And requests take 0.27 MB/s of each of those links
--- a/features/steps/gateway_large_configuration_steps.py
+++ b/features/steps/gateway_large_configuration_steps.py
@@ -61,6 +61,19 @@
     run(context, add())
 
 
+@given("the store of those gateways answers after {latency_s:g} s")
+def step_slow_store(context, latency_s):
+    context.links.store.latency_s = latency_s
+
+
+@given("those gateways take new settings each {period_s:g} s")
+def step_settings(context, period_s):
+    async def begin():
+        context.links.tasks.append(asyncio.ensure_future(context.links.reload(period_s)))
+
+    run(context, begin())
+
+
 @given("a configuration of {count:d} routes is in force at all those gateways")
 def step_first(context, count):
     async def put():
--- a/features/steps/gateway_slow_link_world.py
+++ b/features/steps/gateway_slow_link_world.py
@@ -53,6 +53,7 @@
 
     def __init__(self):
         self.version = 0
+        self.latency_s = LATENCY_S
         self.values = {}
         self.put_s = {}
         self.changed = asyncio.Event()
@@ -97,7 +98,7 @@
 
     async def answer(self, asked_s, rows):
         version, made_s = self.store.version, self.clock.now()
-        await asyncio.sleep(LATENCY_S)
+        await asyncio.sleep(self.store.latency_s)
         true_at_s = self.health.note_answer(asked_s, made_s)
         await self.link.carry(sum(len(base64.b64encode(each.value)) for each in rows))
         return Ok(Rows(rows, version, true_at_s))
@@ -156,7 +157,7 @@
             store=StorePort(world.store, self.link, health, clock),
             read_configuration=self.read,
         )
-        settings = make_settings(
+        settings = self.settings = make_settings(
             node=self.node,
             zone=zone,
             peer_address=self.address,
@@ -251,6 +252,13 @@
                 for node, version in known:
                     gateway.lag.note(node, version)
 
+    async def reload(self, period_s):
+        """Let every gateway take settings again and again, as after SIGHUP."""
+        while True:
+            await asyncio.sleep(period_s)
+            for gateway in self.gateways:
+                gateway.platform.use_settings(gateway.settings)
+
     def add_traffic(self, bytes_per_s):
         for gateway in self.gateways:
             self.tasks.append(asyncio.ensure_future(other_traffic(gateway.link, bytes_per_s)))
