Scenario: a server that left one renewal unanswered loses its lease after it answers again

Cause: the first renewal after a failed one says an end from a reading taken before the failure. The next one comes 0.4 s later, when that end has passed: the server answers all the while and refuses every request with 421. Ruled out: a lapse while the server is frozen; looks begin 20 ms after its return, and exactly one renewal is shown to have failed. Before: the scenario did not exist.

--- a/features/simulation_regressions.feature
+++ b/features/simulation_regressions.feature
@@ -14,3 +14,15 @@
     When the leading controller is frozen until another one leads, and 1 s more
     Then no look finds it leading under its old epoch after its return
     And no look finds two controllers leading
+
+  Scenario Outline: A server that left one renewal unanswered keeps its lease once it answers again
+    Given a simulated deployment that serves
+    When one of its servers is frozen for 0.6 s from <offset> s after a renewal on
+    Then exactly one renewal of the frozen server went without an answer
+    And no look within 2 s of its return finds the server without its lease
+
+    Examples:
+      | offset |
+      | 0.25   |
+      | 0.3    |
+      | 0.35   |
