A server that answers again after a failed renewal is renewed at once

Ruled out: a longer lease (keys of a lost server would wait longer); a fixed beat of renewals, without the pause of 0.4 s after one that timed out (it alone leaves the gap where two fail, and changes when a server counts as lost). The rule of the end is untouched: it still comes from a reading of the server's own clock, and a leader counts from its receipt. Conclusion: one renewal without an answer costs no request any more. Two in a row still let the lease lapse. Each return after a failure costs one renewal more.

--- a/indigoworks/controller/server_lease_task.py
+++ b/indigoworks/controller/server_lease_task.py
@@ -167,6 +167,10 @@
             self._failures += 1
             self._changed.set()
             return
+        if self._failures:
+            # The renewal that was answered said an end from a reading before the failures: the
+            # lease would lapse before the next turn.
+            self._wake.set()
         self._failures = 0
         self._lease.record_reading(status.clock_s, self._ports.clock.now())
         self._take_grants(status)
