The newest limit of bodies holds also on connections that rested

Cause: the HTTP library takes its limit of bodies when it prepares to read the next request, which on a kept connection is before the rest. A body within a limit that has become larger meanwhile got 400. The limit is now set when the header is there: the larger one of that at the beginning of the rest and the newest. Ruled out: leaving the library no limit (a body would be read whole before it is turned down). Conclusion: the limit of headers is still that at the beginning of the rest: the pending read has it.

--- a/indigoworks/gateway/front_exchange.py
+++ b/indigoworks/gateway/front_exchange.py
@@ -69,6 +69,9 @@
         assert isinstance(start_line, RequestStartLine)
         self._start_line = start_line
         self._headers = headers
+        # The library took its limit before the rest of this connection.
+        most_bytes = max(each.max_body_bytes for each in self._known_limits())
+        self._connection.set_max_body_size(most_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body."""
@@ -86,11 +89,8 @@
             self._connection.stream.close()
 
     def close_if_rested_too_long(self) -> None:
-        """Close the connection if its caller may rest no longer, or takes too long for a header.
-
-        A caller goes by the limits that it knows: those at the beginning of its rest or the newest.
-        """
-        known = (self._first_limits, self._server.limits)
+        """Close the connection if its caller may rest no longer, or takes too long for a header."""
+        known = self._known_limits()
         left_s = self._rests_from_s + max(each.idle_timeout_s for each in known)
         if self._clock.now() < left_s:
             return
@@ -99,6 +99,10 @@
         if self._clock.now() >= left_s and self._is_before_header() and not self._is_readable():
             self._connection.stream.close()
 
+    def _known_limits(self) -> tuple[CallerLimits, CallerLimits]:
+        """Return what a caller may go by: the limits as its rest began, and the newest."""
+        return self._first_limits, self._server.limits
+
     def _is_before_header(self) -> bool:
         """Tell whether no whole header has been read from the open connection.
 
--- a/indigoworks/gateway/front_server.py
+++ b/indigoworks/gateway/front_server.py
@@ -53,10 +53,9 @@
         self._server.add_sockets(self._listeners)
 
     def set_limits(self, limits: CallerLimits) -> None:
-        """Put limits in force; the size of headers for requests that are read from now on."""
+        """Put limits in force; that of headers only for connections that do not rest already."""
         self.limits = limits
         self._server.conn_params.max_header_size = limits.max_header_bytes
-        self._server.conn_params.max_body_size = limits.max_body_bytes
 
     def close_rested(self) -> None:
         """Close connections that have rested for too long, or do not end a header.
