--- a/features/gateway_changed_routes.feature
+++ b/features/gateway_changed_routes.feature
@@ -40,6 +40,16 @@
     And there is room at the gateway again
     Then the waiting gateway request was answered by server "a"
 
+  Scenario: A request that is routed again counts once for the budget of repeats
+    Given a gateway
+    And gateway server "a" that answers
+    When a request waits at the gateway for room
+    And the gateway's route leads to "shop" now
+    And the gateway's route is split between "shop" and "other" now
+    And there is room at the gateway again
+    Then the waiting gateway request was answered by server "a"
+    And the gateway counted 1 request for its retry budget
+
   Scenario: A request that ran nowhere is repeated where its route leads by then
     Given a gateway
     And gateway server "a" that holds and says not run
@@ -58,3 +68,11 @@
     When that newer configuration is in force at the gateway
     And a gateway caller asks for a route that is not there
     Then the waiting gateway request was answered 404
+
+  Scenario: A newer configuration that does not come is not waited for
+    Given a gateway
+    And gateway server "a" that answers
+    When a peer of the gateway has a newer configuration in force
+    And that newer configuration does not come to the gateway for 6 s
+    And a gateway caller asks for a route that is not there
+    Then the waiting gateway request was answered 404
--- a/features/gateway_large_configuration.feature
+++ b/features/gateway_large_configuration.feature
@@ -3,14 +3,15 @@
   change was acknowledged, and for ten seconds a third of all requests was late or refused.
 
   Order of events: the configuration grew from 693 to 2,533 routes; then one change came each 1.73 s. Each
-  of 63 gateways read each version whole from the store. 55 of them have links of 5 Mbit/s, of which
-  requests took 0.27 MB/s: one version needed 1.7 s there. Whoever heard that peers were ahead read the
-  whole table beside its feed, on the same link; the feed brought every version since the last one.
+  of 63 gateways read each version whole from the store. 55 of them have links of 5 Mbit/s, which
+  requests share. Whoever heard that peers were ahead read the whole table beside its feed, on the same
+  link, and gave that reading up after 1 s; the feed brought every version since the last one.
 
   Cause: what a change costs a gateway grew with the configuration, not with the change, and each gateway
   paid it on its own link.
 
-  Evidence: the slow links were full from the first large version on (450 to 750 KB/s received, 270 before),
+  Evidence: the slow links were full from the first large version on (450 to 750 KB/s received, 130 before
+  the changes), 30 whole readings were given up within 3.5 s,
   gateways on links of 100 Mbit/s had each version 0.1 s after it was sent, the others 4.55 s after its
   acknowledgement in the median; versions 13 and 15 came into force 0.04 s after each other, so neither
   reading them nor the pauses between questions were what took long.
@@ -69,3 +70,37 @@
     When both strong gateways of the first zone freeze
     And 3 changes of that configuration come, one each 1.73 s
     Then each of those versions was in force at every gateway within 2.5 s of the store's having it
+
+  Scenario: A leader on a slow link has changes in time, too
+    Given 16 gateways on links of 5 Mbit/s and 2 on links of 100 Mbit/s, in one zone of a large group
+    And requests take 0.27 MB/s of each of those links
+    And the first of those gateways leads
+    And a configuration of 2533 routes is in force at all those gateways
+    When 6 changes of that configuration come, one each 1.73 s
+    Then each of those versions was in force at every gateway within 2.5 s of the store's having it
+
+  Scenario: A small group has changes in quick succession of a large configuration in time
+    Given 12 gateways on links of 5 Mbit/s and 2 on links of 100 Mbit/s, in one zone of a large group
+    And requests take 0.27 MB/s of each of those links
+    And a configuration of 2533 routes is in force at all those gateways
+    When 12 changes of that configuration come, one each 0.9 s
+    Then each of those versions was in force at every gateway within 2.5 s of the store's having it
+
+  Scenario Outline: Slow links on which packets queue
+    Given 16 gateways on links of 5 Mbit/s, where packets queue, and 2 on links of 100 Mbit/s
+    And a configuration of 2533 routes is in force at all those gateways
+    When requests keep packets waiting for <queued> s on each slow link
+    And 4 changes of that configuration come, one each 1.73 s
+    Then each of those versions was in force at every gateway within 2.5 s of the store's having it
+
+    Examples:
+      | queued |
+      | 0.2    |
+      | 0.35   |
+      | 0.45   |
+
+  Scenario: An answer of the store with a change is lost at all who ask it
+    Given 16 gateways on links of 5 Mbit/s, where packets queue, and 2 on links of 100 Mbit/s
+    And a configuration of 2533 routes is in force at all those gateways
+    When the store's answers with a change of that configuration are lost for 0.2 s
+    Then each of those versions was in force at every gateway within 2.5 s of the store's having it
--- a/features/steps/gateway_changed_route_steps.py
+++ b/features/steps/gateway_changed_route_steps.py
@@ -14,14 +14,19 @@
 
 from indigoworks.gateway.server_room import in_flight_limit
 
-SERVICES = (make_service(), make_service("other"))
+
+def counted_requests(world):
+    """Return the requests for the service that the budget of repeats has counted."""
+    return len(world.side.allowance._requests["shop"])
 
 
 def put_in_force(world, *services):
     """Put a newer configuration in force; without services the route is gone."""
     known = world.platform.configurations.current()
     routes = (make_route(services=services),) if services else ()
-    newer = make_configuration(known.version + 1, *routes, services=SERVICES)
+    # As its reader does, each configuration has service objects of its own.
+    known_services = (make_service(), make_service("other"))
+    newer = make_configuration(known.version + 1, *routes, services=known_services)
     world.platform.configurations.put_in_force(newer)
 
 
@@ -103,7 +108,17 @@
 @when("a peer of the gateway has a newer configuration in force")
 def step_peer_ahead(context):
     configurations = context.gateway.platform.configurations
-    configurations.note_newer(configurations.current().version + 1)
+
+    async def tell():
+        newer = configurations.current().version + 1
+        configurations.note_newer(newer, context.gateway.clock.now())
+
+    context.run_async(tell())
+
+
+@when("that newer configuration does not come to the gateway for {duration_s:g} s")
+def step_does_not_come(context, duration_s):
+    context.gateway.clock.shift_s += duration_s
 
 
 @when("that newer configuration is in force at the gateway")
@@ -130,6 +145,11 @@
     assert len(context.gateway.servers[server_id].requests) == 1, context.gateway.servers
 
 
+@then("the gateway counted {count:d} request for its retry budget")
+def step_counted(context, count):
+    assert counted_requests(context.gateway) == count, counted_requests(context.gateway)
+
+
 @then("the waiting gateway request was answered {status:d}")
 def step_answered(context, status):
     assert context.waiting_answer.status == status, context.waiting_answer
--- a/features/steps/gateway_large_configuration_steps.py
+++ b/features/steps/gateway_large_configuration_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from detangle._config import SimConfig
+from gateway_choked_link_world import ChokedLinkWorld
 from gateway_slow_link_world import SlowLinkWorld
 
 from indigoworks_lab.simulation.core.disposal import dispose, silent_disposal
@@ -24,6 +25,18 @@
     " Mbit/s, in one zone of a large group"
 )
 def step_gateways(context, slow, slow_mbit, fast, fast_mbit):
+    make_gateways(context, slow, slow_mbit, fast, fast_mbit, SlowLinkWorld)
+
+
+@given(
+    "{slow:d} gateways on links of {slow_mbit:g} Mbit/s, where packets queue, and {fast:d} on links"
+    " of {fast_mbit:g} Mbit/s"
+)
+def step_queued(context, slow, slow_mbit, fast, fast_mbit):
+    make_gateways(context, slow, slow_mbit, fast, fast_mbit, ChokedLinkWorld)
+
+
+def make_gateways(context, slow, slow_mbit, fast, fast_mbit, make_world):
     loop = context.link_loop = FaultyLoop(SimConfig(reorder=False, max_steps=MAX_STEPS))
 
     def end():
@@ -33,7 +46,7 @@
     context.add_cleanup(end)
 
     async def make():
-        context.links = SlowLinkWorld()
+        context.links = make_world()
         context.links.add(slow, slow_mbit)
         context.links.add(fast, fast_mbit)
 
@@ -61,6 +74,34 @@
     run(context, add())
 
 
+@given("the first of those gateways leads")
+def step_leads(context):
+    context.links.leader = context.links.gateways[0].node
+
+
+@when("requests keep packets waiting for {queued_s:g} s on each slow link")
+def step_choke(context, queued_s):
+    async def begin():
+        # More than the links carry: the queue is as long as the step says.
+        work = context.links.choke(queued_s, 0.7e6)
+        context.links.tasks.append(asyncio.ensure_future(work))
+        await asyncio.sleep(SETTLE_S / 2)
+
+    run(context, begin())
+
+
+@when("the store's answers with a change of that configuration are lost for {duration_s:g} s")
+def step_lost(context, duration_s):
+    async def lose():
+        context.links.store.loses_answers = True
+        context.links.put(context.random, context.route_count)
+        await asyncio.sleep(duration_s)
+        context.links.store.loses_answers = False
+        await asyncio.sleep(SETTLE_S)
+
+    run(context, lose())
+
+
 @given("the store of those gateways answers after {latency_s:g} s")
 def step_slow_store(context, latency_s):
     context.links.store.latency_s = latency_s
--- a/features/steps/gateway_slow_link_world.py
+++ b/features/steps/gateway_slow_link_world.py
@@ -7,6 +7,7 @@
 from random import Random
 from unittest.mock import patch
 
+from gateway_drawn_routes import route
 from gateway_world import HOST, ZONE, make_configuration, make_ports, make_settings
 from result import Err, Ok
 
@@ -28,7 +29,6 @@
 LATENCY_S = 0.001
 REPORT_PERIOD_S = 0.1
 OTHER_TRAFFIC_PERIOD_S = 0.02
-LETTERS = "abcdefghijklmnopqrstuvwxyz23456789"
 
 
 class Link:
@@ -54,6 +54,7 @@
     def __init__(self):
         self.version = 0
         self.latency_s = LATENCY_S
+        self.loses_answers = False
         self.values = {}
         self.put_s = {}
         self.changed = asyncio.Event()
@@ -147,14 +148,14 @@
         self.frozen_s = float("inf")
         self.node = f"g{number:02}"
         self.address = Address(HOST, 1 + number)
-        self.link = Link(link_mbit * BYTES_PER_MBIT)
+        self.link = world.make_link(link_mbit * BYTES_PER_MBIT)
         self.directory = PeerDirectory(self.node)
         self.in_force_s = {}
         clock = LoopClock()
         health = StoreHealth(clock)
         ports = make_ports(
             health,
-            store=StorePort(world.store, self.link, health, clock),
+            store=world.make_port(world.store, self.link, health, clock),
             read_configuration=self.read,
         )
         settings = self.settings = make_settings(
@@ -164,14 +165,14 @@
             link_mbit=link_mbit,
             configuration_apply_s=2.5,
         )
-        sender = RelaySender(world, self.link)
+        sender = world.make_sender(world, self.link)
         with patch("indigoworks.gateway.relay_side.HttpSender", lambda *_: sender):
             self.relay = RelaySide(
                 settings,
                 ports,
                 HeardPeers(world),
                 self.directory,
-                lambda: "",
+                lambda: world.leader,
                 clock,
                 Random(number),
             )
@@ -183,6 +184,7 @@
             self.relay.choice.probe_wait_s,
             self.directory.has_many,
             self.relay.choice.is_relayed,
+            self.relay.choice.is_acting,
         )
         self.platform.configurations.on_change(self.note_in_force)
         follower = self.platform.followers[0]
@@ -213,7 +215,10 @@
 class SlowLinkWorld:
     """A store, and gateways that hear each other."""
 
+    make_link, make_port, make_sender = Link, StorePort, RelaySender
+
     def __init__(self):
+        self.leader = ""
         self.store = OperatorRows()
         self.routes = []
         self.gateways = []
@@ -277,22 +282,3 @@
         await asyncio.gather(
             link.carry(bytes_per_s * OTHER_TRAFFIC_PERIOD_S), asyncio.sleep(OTHER_TRAFFIC_PERIOD_S)
         )
-
-
-def route(random):
-    """Return a route as large as the operator's, with names that nothing foretells."""
-
-    def word(length):
-        return "".join(random.choice(LETTERS) for _ in range(length))
-
-    return {
-        "name": f"r-{word(7)}",
-        "host": f"{random.choice('abcdefgh') * 4}.example",
-        "path_prefix": f"/{word(8)}/",
-        "kind": "safe",
-        "timeout_ms": 1500,
-        "aim_ms": 1000,
-        "priority": 2,
-        "service": "shop",
-        "max_attempts": 2,
-    }
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -129,7 +129,8 @@
         """Take a report of a peer."""
         self.leadership.signs.note(report)
         self._lags[0].note(report.node, report.operator_row_version)
-        self._platform.configurations.note_newer(report.configuration_version)
+        configurations = self._platform.configurations
+        configurations.note_newer(report.configuration_version, self._clock.now())
         self._lags[1].note(report.node, report.group_version)
         if report.leader is not None and report.leader.epoch >= self.leadership.row.epoch:
             self.tables.note_beat(report.leader)
--- a/indigoworks/gateway/platform_side.py
+++ b/indigoworks/gateway/platform_side.py
@@ -21,8 +21,14 @@
 when a peer is ahead."""
 
 LARGE_GROUP_FEED_WAIT_S = 25.0
-"""The same of the configuration's feed in a large group, where each gateway follows it at the
-store: computed, 195 gateways make 8 calls a second that way, and 20 with the shorter wait."""
+"""The same of the configuration's feed in a large group, for who asks a relay, where a question
+that waits costs nothing and ends when the relay has failed, and for who has none to ask: computed,
+195 gateways make 8 calls a second that way, and 20 with the shorter wait."""
+
+RELAY_FEED_WAIT_S = 1.0
+"""The same at a relay. An answer of the store that is lost leaves all who ask the relay without the
+change, so that no peer is ahead of them: 22 s with the longest wait (simulated zone, one answer
+lost), and 2 s at most with this one, of the 2 s and more in which it must be in force."""
 
 CONFIGURATION_PACE_SHARE = 0.3
 """Shortest time from a configuration to the next question for one in a large group, as a share of
@@ -51,6 +57,7 @@
     :param is_large_group: tells whether there are so many gateways that calls to the store are to
         be spared.
     :param is_relayed: tells whether this gateway is a relay or asks one.
+    :param is_relay: tells whether others ask this gateway.
     """
 
     def __init__(
@@ -61,6 +68,7 @@
         probe_wait_s: Callable[[], float] = lambda: PROBE_WAIT_S,
         is_large_group: Callable[[], bool] = lambda: False,
         is_relayed: Callable[[], bool] = lambda: False,
+        is_relay: Callable[[], bool] = lambda: False,
     ) -> None:
         self._ports = ports
         self.configurations = ConfigurationHolder()
@@ -71,6 +79,8 @@
         self._configuration_apply_s = settings.configuration_apply_s
         self._is_large_group = is_large_group
         self._is_relayed = is_relayed
+        self._is_relay = is_relay
+        self._configuration_row_version = 0
         self._has_read_servers = False
         self.operator_row_version = 0
         self._unreadable: dict[str, str] = {}
@@ -158,10 +168,13 @@
         """
         written = [each for each in rows if each.key == self._ports.configuration_key]
         for row in sorted(written, key=lambda each: each.version, reverse=True):
+            if row.version <= self._configuration_row_version:
+                return
             if row.is_removed:
                 continue
             result = self._ports.read_configuration(row.value)
             if isinstance(result, Ok):
+                self._configuration_row_version = row.version
                 self.configurations.put_in_force(result.unwrap())
                 return
             log_message(
@@ -216,6 +229,8 @@
         )
 
     def _configuration_wait_s(self) -> float:
+        if self._is_relay():
+            return RELAY_FEED_WAIT_S
         return LARGE_GROUP_FEED_WAIT_S if self._is_large_group() else FEED_WAIT_S
 
     def _configuration_pace_s(self) -> float:
--- a/indigoworks/gateway/relay_side.py
+++ b/indigoworks/gateway/relay_side.py
@@ -15,8 +15,9 @@
 from indigoworks.relay.relayed_store import RelayedStore
 from indigoworks.rowstore.probing_store import ProbingStore
 
-RELAY_CONNECTIONS = 4
-"""Connections to a relay: one for each table that is followed, and two to spare."""
+RELAY_CONNECTIONS = 5
+"""Connections to a relay: one for each table that is followed, one for a whole reading, and one to
+spare."""
 
 
 class RelaySide:
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -96,6 +96,8 @@
                 # While it waited a newer configuration came into force that leads elsewhere.
                 self._give_back(state, placement)
                 continue
+            # It keeps its place; its time and its limits are those in force.
+            self._route_again(state)
             answer = await self._send(state, placement)
             if answer.result is ExchangeResult.ANSWERED and not answer.is_not_run:
                 self._log.answered(state, answer)
@@ -105,11 +107,13 @@
 
     def _route_again(self, state: FlowState) -> FinalAnswer | None:
         """Route by the configuration in force; returns the final answer where it has no route."""
-        service = state.service
+        if state.may_have_run and not self._routing.has_route(state):
+            return self._lost(state, "no_route")
+        service_name = state.service.name
         unrouted = self._routing.route_again(state)
         if unrouted is not None:
-            return self._lost(state, "no_route") if state.may_have_run else unrouted
-        if state.service is not service:
+            return unrouted
+        if state.service.name != service_name:
             self._count(state)
         return None
 
--- a/indigoworks/gateway/request_routing.py
+++ b/indigoworks/gateway/request_routing.py
@@ -36,6 +36,7 @@
         self._configurations = configurations
         self._answers = answers
         self._log = log
+        self._clock = clock
         self._split = WeightedSplit()
         self._first_tries = FirstTries(clock)
 
@@ -59,6 +60,12 @@
         route = configuration.find_route(state.request.host, state.request.path)
         return route is not None and _leads_to(route, state.service.name)
 
+    def has_route(self, state: FlowState) -> bool:
+        """Tell whether the configuration in force has a route for the request."""
+        configuration = self._configurations.current()
+        request = state.request
+        return configuration is None or bool(configuration.find_route(request.host, request.path))
+
     def route_again(self, state: FlowState) -> FinalAnswer | None:
         """Give a request the route that is in force; returns its final answer where it has none.
 
@@ -96,7 +103,7 @@
         return FlowState(request, route, service, configuration.version, share, first_try_age_s)
 
     def _no_route(self, request: ClientRequest, configuration: Configuration) -> FinalAnswer:
-        if self._configurations.is_behind():
+        if self._configurations.is_behind(self._clock.now()):
             return self._refused(request, RefusalReason.CONFIGURATION_BEHIND)
         self._log.no_route(request, configuration.version)
         return self._answers.no_route(request)
@@ -108,4 +115,4 @@
 
 
 def _leads_to(route: Route, service_name: str) -> bool:
-    return any(each.service == service_name for each in route.services)
+    return any(each.service == service_name and each.weight > 0 for each in route.services)
--- a/indigoworks/relay/relay_choice.py
+++ b/indigoworks/relay/relay_choice.py
@@ -1,6 +1,6 @@
 """Which gateway of the zone a process asks for changed rows, if any."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_address import PeerAddress, strength_rank
@@ -86,13 +86,43 @@
 
     def relay(self) -> PeerAddress | None:
         """Return the gateway to ask; None: ask the store."""
-        if self._leader_node() == self._node:
+        if self.is_leading():
             return None
         relay = self._zone_relay()
         if relay is None and (self._is_cut_off() or self._leaves_store_to_stronger()):
             return self._stand_in()
         return relay
 
+    def relay_for_large_rows(self, asked: Collection[str]) -> PeerAddress | None:
+        """Return the gateway to ask for a table of large rows; None: ask the store.
+
+        On a slow link the store is the last resort, since its answer is ten times as large. There a
+        relay that failed lately is asked again after the others, as long as it is heard: perhaps
+        our own link was full. A leader asks relays, too; what they say proves nothing for it.
+
+        :param asked: gateways that have been asked for this already.
+        """
+        if not self.has_slow_link():
+            relay = self.relay()
+            return None if relay is None or relay.node in asked else relay
+        candidates = (
+            each
+            for each in self._directory.others()
+            if self._is_candidate(each) and each.node not in asked
+        )
+        return min(candidates, key=self._rank_for_large_rows, default=None)
+
+    def _rank_for_large_rows(self, peer: PeerAddress) -> tuple[bool, bool, tuple[float, str]]:
+        return self._has_failed(peer), peer.zone != self._zone, peer.rank()
+
+    def has_slow_link(self) -> bool:
+        """Tell whether the link of this machine is too slow for a relay."""
+        return self._capacity == 0
+
+    def is_leading(self) -> bool:
+        """Tell whether this process leads."""
+        return self._leader_node() == self._node
+
     def _is_cut_off(self) -> bool:
         """Tell whether the store leaves this process without answers."""
         return self._lost_for_s() > CUT_OFF_S
@@ -104,7 +134,7 @@
         zone would else ask the store itself: 50 of 78 gateways made 1,660 calls in 8 s, counted by
         a log line for each call.
         """
-        return self._directory.has_many() and self._capacity == 0
+        return self._directory.has_many() and self.has_slow_link()
 
     def _zone_relay(self) -> PeerAddress | None:
         """Return the relay of the own zone, if it has one and that did not fail lately.
@@ -143,10 +173,6 @@
         """Return the number of gateways that are known, this one included."""
         return 1 + self._directory.count_others()
 
-    def is_in_large_group(self) -> bool:
-        """Tell whether there are so many gateways that each zone has a relay."""
-        return self._directory.has_many()
-
     def note_failure(self, node: str) -> None:
         """Leave a relay alone for a while."""
         self._failed_until_s[node] = self._clock.now() + FAILED_S
--- a/indigoworks/relay/relay_questions.py
+++ b/indigoworks/relay/relay_questions.py
@@ -12,10 +12,11 @@
 from indigoworks.backend.transfer_limits import TransferLimits
 from indigoworks.exchange.peer_address import PeerAddress
 
-TRANSFER_LIMITS = TransferLimits(silence_s=0.5, whole_s=5.0)
-"""Of an answer whose headers have come. A relay that is lost in the middle of one is noticed nearly
-as soon as before it; computed, 0.06 MB, a compressed configuration of 2,533 routes, come within the
-whole over a fiftieth of a link of 5 Mbit/s."""
+TRANSFER_LIMITS = TransferLimits(silence_s=1.0, whole_s=5.0)
+"""Of an answer whose headers have come. A relay that is lost in the middle of one is noticed as
+soon as a store is, and packets that queue on a full link for some tenths of a second end none;
+computed, 0.06 MB, a compressed configuration of 2,533 routes, come within the whole over a fiftieth
+of a link of 5 Mbit/s."""
 
 
 class RelayQuestions:
@@ -30,11 +31,17 @@
         self._failures: dict[str, asyncio.Event] = {}
 
     async def ask(
-        self, relay: PeerAddress, build: Callable[[], HttpMessage], timeout_s: float
+        self,
+        relay: PeerAddress,
+        build: Callable[[], HttpMessage],
+        timeout_s: float,
+        grace_s: float = 0.0,
     ) -> Result[HttpAnswer, BackendError]:
         """Return the answer of `relay`; an error also where `note_failure` names it meanwhile.
 
         :param timeout_s: seconds until the answer's headers have come.
+        :param grace_s: seconds that this question still has after such a failure: where packets
+            queue on a slow link the other question failed by that, and this answer is on its way.
         """
         failure = self._failures.setdefault(relay.node, asyncio.Event())
         sending = self._sender.send(relay.address, build, timeout_s, TRANSFER_LIMITS)
@@ -42,6 +49,8 @@
         failing = asyncio.ensure_future(failure.wait())
         try:
             await asyncio.wait({asking, failing}, return_when=asyncio.FIRST_COMPLETED)
+            if not asking.done() and grace_s > 0:
+                await asyncio.wait({asking}, timeout=grace_s)
             return asking.result() if asking.done() else Err(_given_up(relay))
         finally:
             asking.cancel()
--- a/indigoworks/relay/relayed_store.py
+++ b/indigoworks/relay/relayed_store.py
@@ -1,5 +1,6 @@
 """The row store, followed through a relay where there is one."""
 
+from collections.abc import Collection
 from dataclasses import replace
 from urllib.parse import urlencode
 
@@ -30,6 +31,12 @@
 ANSWER_MARGIN_S = 0.3
 """Longest wait for the headers of a relay's answer beyond the time it was asked to wait."""
 
+LARGE_ANSWER_MARGIN_S = 1.0
+"""The same for tables of large rows, as long as the store is waited for: where requests fill a slow
+link, packets queue there for 0.3 s and more, and the store's answer would fill it for seconds. In a
+simulated zone whose slow links have 0.35 s of packets waiting, versions were in force after 3.35 to
+6.81 s with the shorter one and 0.81 to 1.38 s with this one."""
+
 MAX_RELAYS_ASKED = 3
 """Relays asked one after the other before the store: computed, where a third of all gateways are
 turned away at the same moment, one of three answers 96 times of 100."""
@@ -49,7 +56,7 @@
 
 
 class RelayedStore:
-    """Implements `RowStore`; reads and writes always go to the store itself.
+    """Implements `RowStore`; writes, and reads of tables of small rows, always go to the store.
 
     What is followed through a relay is as true as the relay's own newest answer: the rows, the
     version to go on from and the moment up to which they are certainly the newest come from it.
@@ -57,11 +64,11 @@
     :param store: the store itself.
     :param sender: for questions to relays.
     :param relayed_tables: tables that are followed through relays; the others always at the store.
-    :param large_tables: tables of few large rows, which a large group follows through relays, and
-        reads whole through them as well. A configuration of 2,533 routes is 0.58 MB as the store
-        sends it, on each gateway's own link, and 0.05 MB as a relay does. On links of 5 Mbit/s that
-        requests fill to a half, changes that come one each 1.73 s were in force after up to 3.65 s
-        without this (features/gateway_large_configuration.feature); they have to be after 2.5 s.
+    :param large_tables: tables of few large rows, which are read whole through relays as well. A
+        configuration of 2,533 routes is 0.58 MB as the store sends it, on each gateway's own link,
+        and 0.05 MB as a relay does. On links of 5 Mbit/s of which requests take 0.27 MB/s, changes
+        that come one each 1.73 s are in force after up to 3.65 s without this and 0.83 s with it
+        (simulated zone of 18 gateways); they have to be after 2.5 s.
     """
 
     def __init__(
@@ -89,7 +96,7 @@
 
     async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
         """Read one part of a table whole; of a table of large rows at a relay, if there is one."""
-        if table in self._large_tables and self._is_relayed(table):
+        if table in self._large_tables:
             rows = await self._read_at_relay(table)
             if rows is not None:
                 self._keep(table, rows)
@@ -101,7 +108,7 @@
 
     async def follow(self, table: str, after: int, wait_s: float) -> Result[Rows, StoreError]:
         """Wait for changed rows, at a relay or at the store."""
-        if self._is_relayed(table):
+        if self._is_kept(table):
             rows = await self._follow_relays(table, after, wait_s)
             if rows is not None:
                 self._keep(table, rows)
@@ -129,18 +136,16 @@
 
     # ---- parts ----
 
-    def _is_relayed(self, table: str) -> bool:
-        return table in self._relayed_tables or (
-            table in self._large_tables and self._choice.is_in_large_group()
-        )
+    def _is_kept(self, table: str) -> bool:
+        return table in self._relayed_tables or table in self._large_tables
 
     def _keep(self, table: str, rows: Rows) -> None:
         """Keep what has come for those who ask this process.
 
-        Also before the group is known to be large: a history that began later would not know what
-        it has missed.
+        Also before any other gateway is known: a history that began later would not know what it
+        has missed.
         """
-        if table not in self._relayed_tables | self._large_tables:
+        if not self._is_kept(table):
             return
         if rows.is_whole:
             all_rows = rows.rows if table in self._large_tables else None
@@ -161,7 +166,7 @@
     async def _follow_store(
         self, table: str, after: int, wait_s: float
     ) -> Result[Rows, StoreError]:
-        if self._is_relayed(table):
+        if table in self._relayed_tables:
             self._note_used("")
         await self._pace(table)
         result = await self._store.follow(table, after, wait_s)
@@ -188,7 +193,7 @@
         """
         asked: set[str] = set()
         while len(asked) < MAX_RELAYS_ASKED:
-            relay = self._choice.relay()
+            relay = self._relay_for(table, asked)
             if relay is None or relay.node in asked:
                 return None
             asked.add(relay.node)
@@ -197,6 +202,11 @@
                 return rows
         return None
 
+    def _relay_for(self, table: str, asked: Collection[str]) -> PeerAddress | None:
+        if table in self._large_tables:
+            return self._choice.relay_for_large_rows(asked)
+        return self._choice.relay()
+
     async def _follow_relay(
         self, relay: PeerAddress, table: str, after: int, wait_s: float
     ) -> Rows | None:
@@ -204,7 +214,10 @@
         query = {"table": table, "after": after, "wait_ms": int(wait_s * MS_PER_S)}
         message = HttpMessage("GET", f"{FEED_PATH}?{urlencode(query)}")
         sent_s = self._clock.now()
-        result = await self._questions.ask(relay, lambda: message, wait_s + ANSWER_MARGIN_S)
+        is_large = table in self._large_tables
+        margin_s = LARGE_ANSWER_MARGIN_S if is_large else ANSWER_MARGIN_S
+        grace_s = LARGE_ANSWER_MARGIN_S if is_large and self._choice.has_slow_link() else 0.0
+        result = await self._questions.ask(relay, lambda: message, wait_s + margin_s, grace_s)
         if isinstance(result, Err):
             self._failed(relay, result.unwrap_err().kind)
             return None
@@ -221,12 +234,15 @@
             return None
         if answer.is_gone:
             return None
-        self._note_used(relay.node)
+        if not is_large:
+            self._note_used(relay.node)
         return self._rows(answer, sent_s, result.unwrap().headers_s)
 
     def _rows(self, answer: FeedAnswer, sent_s: float, headers_s: float) -> Rows:
         # The relay gave the ages before the headers came; the last byte may come much later.
-        self._health.note_relayed(headers_s - answer.proof_age_s, headers_s - answer.trouble_age_s)
+        if not self._choice.is_leading():
+            proof_s = headers_s - answer.proof_age_s
+            self._health.note_relayed(proof_s, headers_s - answer.trouble_age_s)
         # The relay may have answered right after it was asked: no later moment is certain.
         true_at_s = sent_s - answer.proof_age_s
         return Rows(answer.rows, answer.version, true_at_s, answer.is_whole)
--- a/indigoworks/routes/configuration_holder.py
+++ b/indigoworks/routes/configuration_holder.py
@@ -6,6 +6,10 @@
 
 from indigoworks.routes.configuration import Configuration
 
+BEHIND_S = 5.0
+"""A newer version that has not come for so long will not: it cannot be read here, or its holder was
+out of step. Twice the longest time of today's deployments in which a change must be in force."""
+
 
 class ConfigurationHolder:
     """Holds the newest configuration; a version never goes back within a process's life."""
@@ -13,19 +17,26 @@
     def __init__(self) -> None:
         self._current: Configuration | None = None
         self._newest_version = 0
+        self._newest_heard_s = float("-inf")
         self._listeners: list[Callable[[Configuration], None]] = []
 
     def current(self) -> Configuration | None:
         """Return what is in force; None until a configuration was read."""
         return self._current
 
-    def note_newer(self, version: int) -> None:
-        """Take note that another process has this version in force."""
-        self._newest_version = max(self._newest_version, version)
+    def note_newer(self, version: int, at_s: float) -> None:
+        """Take note that another process has this version in force.
+
+        :param at_s: clock reading of the moment at which it said so.
+        """
+        if version > self._newest_version:
+            self._newest_version = version
+            self._newest_heard_s = at_s
 
-    def is_behind(self) -> bool:
-        """Tell whether another process is known to have a newer configuration in force."""
-        return self._current is not None and self._current.version < self._newest_version
+    def is_behind(self, now_s: float) -> bool:
+        """Tell whether another process has just put a newer configuration in force."""
+        is_older = self._current is not None and self._current.version < self._newest_version
+        return is_older and now_s - self._newest_heard_s <= BEHIND_S
 
     def on_change(self, listener: Callable[[Configuration], None]) -> None:
         """Call `listener` after each change."""
