The soak holds its ports, tells how late it was itself, and keeps logs of earlier failures

Cause: in seed 133 of 56, seven at a time, another seed's process took the port of a gateway that was being started again: two processes ended with exit code 1 (address in use) and 421 requests went to a stranger and got 400. In seed 102 a process outlived its grace time; a later run of that seed deleted its logs, and nothing told whether the soak or the process stood still. The short soak passed on the code before the mends. Ruled out: drawing ports again for each start (callers would have to follow). The state of a process that outlives its grace time is kept. Conclusion: seed 102 is open: SIGTERM 2.1 s after the start, SIGKILL 6.0 s later, the end seen 0.9 s after that. The other two processes of the seed ended 5.7 s after their SIGTERM at the same moment.

--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -33,6 +33,6 @@
     Then soak plans of 20 seeds are drawn alike twice and hold every kind of event
 
   Scenario: Real gateways under overlapping planned work keep every rule
-    When a short gateway soak of seed 1 runs
+    When a short gateway soak of seed 7 runs
     Then the soak checkers find just nothing
     And every gateway of the soak served requests
--- a/features/steps/gateway_signals_steps.py
+++ b/features/steps/gateway_signals_steps.py
@@ -11,11 +11,11 @@
 from behave import given, then, when
 from gateway_soak_documents import configuration, settings
 from gateway_soak_gateway import GRACE_S, SoakGateway
+from gateway_soak_ports import HeldPorts
 from gateway_soak_store import SoakStore
 from gateway_soak_world import is_ready
 
 from indigoworks_lab.client.polling import becomes_true
-from indigoworks_lab.launcher.free_ports import FreePorts
 
 START_TIMEOUT_S = 40.0
 POLL_S = 0.01
@@ -31,7 +31,8 @@
         context.store = SoakStore(Random(1))
         context.store_address = context.store.start()
         context.store.put("op", "", "config", configuration(1, [1], 0, 10.0, 10_000))
-        ports = FreePorts(Random())
+        ports = HeldPorts()
+        context.add_cleanup(ports.close)
         return SoakGateway("g0", ports, context.store_address, folder, [])
 
     context.program = context.run_async(build())
--- a/features/steps/gateway_soak_command.py
+++ b/features/steps/gateway_soak_command.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from dataclasses import astuple
 from functools import partial
+from itertools import count
 from pathlib import Path
 from random import Random
 
@@ -40,15 +41,16 @@
 
 def run_seed(seed, seconds, gateways) -> bool:
     """Run one seed, print its line, and return whether anything broke."""
-    folder = LOGS / str(seed)
-    shutil.rmtree(folder, ignore_errors=True)
-    history, violations = asyncio.run(soak(seed, folder, seconds, gateways))
+    folder = _free_folder(seed)
+    world, violations = asyncio.run(soak(seed, folder, seconds, gateways))
+    history = world.history
     statuses = Counter(each.status for each in history.requests)
     counts = " ".join(f"{status}:{count}" for status, count in sorted(statuses.items()))
     kinds = Counter(each.checker for each in violations)
     verdict = ", ".join(f"{count} {kind}" for kind, count in kinds.items()) or "nothing broke"
     lives = len(history.lives)
-    lines = [f"seed {seed}: {verdict}; {lives} processes, answers {counts}"]
+    late = f"soak late by {world.most_lag_s:.2f} s at most"
+    lines = [f"seed {seed}: {verdict}; {lives} processes, answers {counts}, {late}"]
     lines += [f"  {each}" for each in violations[:MAX_SHOWN]]
     print("\n".join(lines), flush=True)
     if not violations:
@@ -62,11 +64,17 @@
     return True
 
 
+def _free_folder(seed) -> Path:
+    """Return a folder that holds no logs of an earlier run of this seed, which broke something."""
+    numbers = (str(seed) if number == 1 else f"{seed}-{number}" for number in count(1))
+    return next(LOGS / name for name in numbers if not (LOGS / name).exists())
+
+
 async def soak(seed, folder, seconds, gateways):
-    """Run one seed; returns its history and what the checkers find."""
+    """Run one seed; returns its world and what the checkers find."""
     world = SoakWorld(seed, folder, gateways)
     await world.run(draw_plan(Random(seed), seconds, gateways, SERVERS), seconds)
-    return world.history, check_soak(world.history)
+    return world, check_soak(world.history)
 
 
 if __name__ == "__main__":
--- a/features/steps/gateway_soak_gateway.py
+++ b/features/steps/gateway_soak_gateway.py
@@ -81,9 +81,16 @@
         try:
             await asyncio.wait_for(asyncio.shield(self._watch), GRACE_S)
         except TimeoutError:
+            self._note_state()
             self.kill()
         await self._watch
 
+    def _note_state(self) -> None:
+        """Keep what the kernel says of the process that has outlived its grace time."""
+        parts = ("status", "stat", "wchan", "schedstat", "stack")
+        found = [_read(Path(f"/proc/{self.process.pid}/{part}")) for part in parts]
+        (self._folder / f"{self.name}.{self.life}.state").write_text("\n".join(found))
+
     async def ended(self) -> None:
         await self._watch
 
@@ -97,3 +104,10 @@
             await asyncio.sleep(POLL_S)
         record.exit_code = process.exit_code()
         record.ended_s = asyncio.get_running_loop().time()
+
+
+def _read(path) -> str:
+    try:
+        return path.read_text()
+    except OSError as error:
+        return f"{path.name}: {error}"
