Failing scenario: a stopped gateway program takes its modules apart before it ends

Ruled out: a request or task that holds the stop up (the last line was written). Before: no scenario looks at what comes after the last line. After: the scenario fails: Python clears its modules.

--- a/features/steps/gateway_signals_steps.py
+++ b/features/steps/gateway_signals_steps.py
@@ -21,6 +21,7 @@
 POLL_S = 0.01
 BETWEEN_SIGNALS_S = 0.0005
 NEW_SLACK = 33
+CLEAN_UP = ("# clear sys", "# destroy", "# cleanup")
 
 
 def make_gateway(context):
@@ -76,6 +77,18 @@
     becomes_ready(context)
 
 
+@given("a gateway program that is ready, whose Python tells what it does")
+def talkative_program(context):
+    make_gateway(context)
+
+    async def start():
+        context.program.write_settings()
+        context.program.spawn("PYTHONVERBOSE=1")
+
+    context.run_async(start())
+    becomes_ready(context)
+
+
 @then("the gateway program becomes ready")
 def becomes_ready(context):
     program = context.program
@@ -120,3 +133,22 @@
     # A SIGHUP that came before the loop ended may be carried out, and told, after this line.
     types = [each["message_type"] for each in messages(context)]
     assert types.count("process:stopped") == 1, types
+
+
+@when("a SIGTERM comes to the gateway program and it ends")
+def terminate_and_end(context):
+    async def stop():
+        context.program.terminate()
+        await context.program.ended()
+
+    context.run_async(stop())
+
+
+@then("the gateway program wrote that it has stopped, and nothing of Python's own clean-up")
+def no_clean_up(context):
+    assert context.program.process.exit_code() == 0
+    text = context.program.process.log_text()
+    assert "import 'asyncio'" in text, "Python does not tell what it does"
+    assert text.count('"process:stopped"') == 1
+    found = [line for line in text.splitlines() if line.startswith(CLEAN_UP)]
+    assert not found, found[:3]
--- a/features/steps/gateway_soak_gateway.py
+++ b/features/steps/gateway_soak_gateway.py
@@ -44,10 +44,10 @@
         self.write_settings()
         self.spawn()
 
-    def spawn(self) -> None:
-        """Start a process with the settings file as it is."""
+    def spawn(self, *variables) -> None:
+        """Start a process with the settings file as it is, and more variables (NAME=VALUE)."""
         self.life += 1
-        command = ("env", f"INDIGOWORKS_SETTINGS={self.path}", f"PYTHONPATH={ROOT}")
+        command = ("env", f"INDIGOWORKS_SETTINGS={self.path}", f"PYTHONPATH={ROOT}", *variables)
         program = (sys.executable, str(ROOT / "platform" / "gateway.py"))
         log_path = self._folder / f"{self.name}.{self.life}.log"
         self.process = ManagedProcess(self.name, (*command, *program), log_path)
