Failing scenarios: a request under which servers end comes again and again

Ruled out: the budget of repeats. A try of a caller is no repeat for it; the keyed case has one send a try. Before: no test brought such requests about, and no stand-in server could end under one. New in the lab: crash_simulation, the request side of gateways and their reports on virtual time. The only change of the product: connections to servers are made by a factory, so that the simulation has its own.

--- a/indigoworks/gateway/connection_pool.py
+++ b/indigoworks/gateway/connection_pool.py
@@ -5,7 +5,7 @@
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
-from indigoworks.gateway.server_connection import ServerConnection
+from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 
 DEFAULT_KEEP_S = 4.0
 """How long an idle connection is used again where the server does not say how long it keeps it."""
@@ -24,9 +24,16 @@
 class ConnectionPool:
     """Idle connections to one server, the one used last first."""
 
-    def __init__(self, address: Address, id_header: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: Address,
+        id_header: str,
+        clock: Clock,
+        open_connection: OpenConnection = ServerConnection,
+    ) -> None:
         self._address = address
         self._id_header = id_header
+        self._open_connection = open_connection
         self._clock = clock
         self._idle: deque[_Idle] = deque()
 
@@ -42,7 +49,7 @@
 
     def new(self) -> ServerConnection:
         """Return a connection that is not yet connected."""
-        return ServerConnection(self._address, self._id_header)
+        return self._open_connection(self._address, self._id_header)
 
     def give_back(self, connection: ServerConnection, keep_alive_s: float | None) -> None:
         """Keep a connection for the next request, if it can take one."""
--- a/indigoworks/gateway/reach_watch.py
+++ b/indigoworks/gateway/reach_watch.py
@@ -6,7 +6,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.server_board import ServerBoard
-from indigoworks.gateway.server_connection import ServerConnection
+from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
@@ -31,7 +31,14 @@
     until one does or it has left the list.
     """
 
-    def __init__(self, board: ServerBoard, servers: ServerSource, clock: Clock) -> None:
+    def __init__(
+        self,
+        board: ServerBoard,
+        servers: ServerSource,
+        clock: Clock,
+        open_connection: OpenConnection = ServerConnection,
+    ) -> None:
+        self._open_connection = open_connection
         self._board = board
         self._servers = servers
         self._clock = clock
@@ -80,7 +87,7 @@
         return False
 
     async def _can_connect(self, server: ServerRecord) -> bool:
-        connection = ServerConnection(server.address, "")
+        connection = self._open_connection(server.address, "")
         is_connected = await connection.connect(CONNECT_TIMEOUT_S)
         connection.abort()
         return is_connected
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -27,6 +27,7 @@
 from indigoworks.gateway.retry_allowance import RetryAllowance
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
+from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 from indigoworks.gateway.server_room import ServerRoom
 from indigoworks.gateway.server_sender import ServerSender
 from indigoworks.ownership.ownership_tables import OwnershipTables
@@ -48,12 +49,13 @@
         clock: Clock,
         random: Random,
         own: PeerAddress,
+        open_connection: OpenConnection = ServerConnection,
     ) -> None:
         self.board = ServerBoard(peers, clock)
         self.sampler = KeySampler()
         self._servers = platform.servers
-        self._watch = ReachWatch(self.board, platform.servers, clock)
-        self.sender = ServerSender(ports.names, clock, ports.read_server_word)
+        self._watch = ReachWatch(self.board, platform.servers, clock, open_connection)
+        self.sender = ServerSender(ports.names, clock, ports.read_server_word, open_connection)
         cold_budget = ColdBudget(
             settings.node, directory, platform.servers.cold, platform.is_keyed, clock
         )
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -19,6 +20,10 @@
 SURPLUS_LIMIT = 3
 """Answers to other requests that are passed over before a connection is given up."""
 
+OpenConnection = Callable[[Address, str], "ServerConnection"]
+"""Makes a connection to an address that is not yet connected, as `ServerConnection` does itself;
+the simulation has its own."""
+
 _LINGER_ABORT = struct.pack("ii", 1, 0)
 
 
--- a/indigoworks/gateway/server_sender.py
+++ b/indigoworks/gateway/server_sender.py
@@ -12,7 +12,7 @@
 from indigoworks.gateway.header_names import HeaderNames
 from indigoworks.gateway.hop_headers import travelling
 from indigoworks.gateway.server_answer import ExchangeResult, ServerAnswer
-from indigoworks.gateway.server_connection import ServerConnection
+from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_word import ServerWord
 
@@ -41,7 +41,9 @@
         names: HeaderNames,
         clock: Clock,
         read_word: Callable[[str], ServerWord | None] = lambda text: None,
+        open_connection: OpenConnection = ServerConnection,
     ) -> None:
+        self._open_connection = open_connection
         self._names = names
         self._read_word = read_word
         self._clock = clock
@@ -137,6 +139,8 @@
     def _pool(self, server: ServerRecord) -> ConnectionPool:
         pool = self._pools.get(server.server_id)
         if pool is None:
-            pool = ConnectionPool(server.address, self._names.request_id, self._clock)
+            pool = ConnectionPool(
+                server.address, self._names.request_id, self._clock, self._open_connection
+            )
             self._pools[server.server_id] = pool
         return pool
--- /dev/null
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -0,0 +1,113 @@
+"""One life of a gateway in a crash simulation."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+
+from indigoworks.common.address import Address
+from indigoworks.common.clock import LoopClock
+from indigoworks.common.logging.line_rates import LineRates
+from indigoworks.common.metrics import Metrics
+from indigoworks.exchange.hub_choice import HubChoice
+from indigoworks.exchange.peer_address import PeerAddress
+from indigoworks.exchange.peer_directory import PeerDirectory
+from indigoworks.exchange.peer_report import PeerReport
+from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.exchange.report_sender import ReportSender, ReportSource
+from indigoworks.gateway.gateway_settings import GatewaySettings
+from indigoworks.gateway.platform_ports import PlatformPorts
+from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.request_side import RequestSide
+from indigoworks.gateway.server_connection import ServerConnection
+from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.rowstore.row import Row
+
+NO_LEADER = ""
+
+Send = Callable[["CrashGateway", bytes, Address], None]
+OpenConnection = Callable[[Address, str], ServerConnection]
+
+
+class CrashGateway:
+    """The parts of a gateway that serve requests and exchange reports; the product's own."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        ports: PlatformPorts,
+        address: PeerAddress,
+        tables: OwnershipTables,
+        open_connection: OpenConnection,
+        send: Send,
+    ) -> None:
+        clock = LoopClock()
+        self.node = settings.node
+        self.address = address
+        self.is_up = True
+        self.peers = PeerTable(clock, self.node)
+        self.directory = PeerDirectory(self.node)
+        self.metrics = Metrics()
+        self.platform = PlatformSide(ports, settings, clock)
+        self.side = RequestSide(
+            settings,
+            ports,
+            self.platform,
+            tables,
+            self.peers,
+            self.directory,
+            self.metrics,
+            LineRates(clock),
+            clock,
+            Random(address.boot),
+            address,
+            open_connection,
+        )
+        self.platform.on_servers_changed(self.side.servers_changed)
+        choice = HubChoice(
+            self.node,
+            address.zone,
+            address.capacity,
+            self.directory,
+            self.peers,
+            lambda: NO_LEADER,
+            clock,
+        )
+        self.sender = ReportSender(
+            address.zone,
+            self.directory,
+            self.peers,
+            choice,
+            ReportSource(self._make_report, self._has_news, self._take, lambda: NO_LEADER),
+            lambda datagram, to: send(self, datagram, to),
+        )
+        self._sequence = 0
+
+    def take_rows(self, rows: Sequence[Row]) -> None:
+        """Take rows of the group."""
+        self.directory.apply(rows)
+
+    async def run(self) -> None:
+        """Exchange reports until the process ends."""
+        while self.is_up:
+            await asyncio.sleep(self.sender.period_s())
+            self.sender.send_if_due()
+
+    def _has_news(self) -> bool:
+        return bool(self.side.board.loads())
+
+    def _make_report(self) -> PeerReport:
+        self._sequence += 1
+        return PeerReport(
+            node=self.node,
+            boot=self.address.boot,
+            sequence=self._sequence,
+            epoch=0,
+            beat_age_s=float("inf"),
+            leader=None,
+            loads=self.side.board.loads(),
+            samples=(),
+            retry_count=0,
+        )
+
+    def _take(self, report: PeerReport) -> None:
+        self.side.queue.capacity_changed()
--- /dev/null
+++ b/indigoworks_lab/crash_simulation/no_orders.py
@@ -0,0 +1,20 @@
+"""Orders to simulated machines."""
+
+from indigoworks.ownership.key_grant import KeyGrant
+from indigoworks.ownership.key_release import KeyRelease
+from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.servers.server_record import ServerRecord
+
+
+class NoOrders:
+    """Implements `ServerOrders` and sends nothing: `OwnerMoves` decides who owns what."""
+
+    async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
+        """Grant nothing."""
+        return OrderOutcome(OrderResult.NOT_SENT)
+
+    async def release(
+        self, server: ServerRecord, release: KeyRelease, timeout_s: float
+    ) -> OrderOutcome:
+        """Release nothing."""
+        return OrderOutcome(OrderResult.NOT_SENT)
