Requests under which servers end are remembered by all gateways, and refused after the third

Cause: every try of such a request was new to the gateway that got it, and each gateway repeated a lost answer at further servers. Ruled out: counting the ends without asking who is served (a page that is in hand at many servers is refused for good with them); a threshold of two (neighbours of the harmful request meet two ends); trials of a refused request (each costs a server). A gateway tells by a new connection whether a server ended; one that is back within milliseconds is not seen. Gateway's reports moved to a file of their own.

--- /dev/null
+++ b/features/gateway_quarantine.feature
@@ -0,0 +1,78 @@
+Feature: What gateways remember of requests under which servers ended
+
+  Scenario: Three servers that three gateways saw end are enough
+    Given gateway quarantines a, b, c
+    When gateway quarantine a sees 1 servers end under a request
+    And gateway quarantine b sees 1 servers end under a request
+    And gateway quarantine c sees 1 servers end under a request
+    And gateway quarantine a tells c
+    Then gateway quarantine c refuses the request: no
+    When gateway quarantine b tells c
+    Then gateway quarantine c refuses the request: yes
+    And gateway quarantine c refuses no request of another caller
+    And gateway quarantine c refuses no request of another path
+    And gateway quarantine c refuses no request of another body
+    And gateway quarantine a refuses the request: no
+
+  Scenario: Word that comes twice counts once
+    Given gateway quarantines a, b
+    When gateway quarantine a sees 2 servers end under a request
+    And gateway quarantine a tells b
+    And gateway quarantine a tells b
+    And gateway quarantine b tells a
+    Then gateway quarantine a refuses the request: no
+    And gateway quarantine b refuses the request: no
+
+  Scenario: A run that ends well clears a request everywhere, and what was refused is counted
+    Given gateway quarantines a, b
+    When gateway quarantine a sees 3 servers end under a request
+    And gateway quarantine a tells b
+    Then gateway quarantine b refuses the request: yes
+    And gateway quarantine b counts 0 refused innocents
+    When 0.1 s pass for gateway quarantines
+    And gateway quarantine a sees the request served
+    And gateway quarantine a tells b
+    Then gateway quarantine a refuses the request: no
+    And gateway quarantine b refuses the request: no
+    And gateway quarantine b counts 1 refused innocents
+    When gateway quarantine a sees 2 servers end under a request
+    Then gateway quarantine a refuses the request: no
+
+  Scenario: Word of crashes that comes after the run that clears them
+    Given gateway quarantines a, b
+    When gateway quarantine a sees 3 servers end under a request
+    And 0.1 s pass for gateway quarantines
+    And gateway quarantine b sees the request served
+    And 0.1 s pass for gateway quarantines
+    And gateway quarantine a tells b
+    Then gateway quarantine b refuses the request: no
+    When gateway quarantine b tells a
+    Then gateway quarantine a refuses the request: no
+
+  Scenario: A run that ended well before the crashes clears nothing
+    Given gateway quarantines a
+    When gateway quarantine a sees the request served
+    And 0.1 s pass for gateway quarantines
+    And gateway quarantine a sees 3 servers end under a request
+    Then gateway quarantine a refuses the request: yes
+
+  Scenario: Who comes back when the refusal says is served, who comes earlier waits again
+    Given gateway quarantines a
+    When gateway quarantine a sees 3 servers end under a request
+    And 500 s pass for gateway quarantines
+    Then gateway quarantine a refuses the request: yes
+    When 590 s pass for gateway quarantines
+    Then gateway quarantine a refuses the request: yes
+    When 601 s pass for gateway quarantines
+    Then gateway quarantine a refuses the request: no
+
+  Scenario: Bounds of memory and messages, also when every request differs
+    Given gateway quarantines a
+    When gateway quarantine a sees 3 servers end under a request
+    And 5000 servers end at gateway quarantine a under requests that all differ
+    Then gateway quarantine a remembers 1000 requests in less than 2 MB
+    And a report of gateway quarantine a names 16 requests at most, of 64 bytes
+    And gateway quarantine a refuses the request: yes
+
+  Scenario: Gateways agree
+    Then gateway quarantines end with the same whatever they hear in which order
--- a/features/steps/gateway_crash_steps.py
+++ b/features/steps/gateway_crash_steps.py
@@ -1,6 +1,7 @@
 """Steps on requests under which servers end, at many gateways."""
 
 import asyncio
+from dataclasses import replace
 
 import detangle
 from behave import given, then, when
@@ -9,7 +10,7 @@
 from indigoworks_lab.crash_simulation.crash_shape import CrashShape
 from indigoworks_lab.crash_simulation.crash_simulation import CrashSimulation
 
-MAX_STEPS = 50_000_000
+MAX_STEPS = 5_000_000
 SETTLE_S = 1.0
 HARMFUL_CALLER = "10.9.0.1"
 
@@ -24,6 +25,27 @@
     context.crash_scripts = []
 
 
+@given("servers that {how}")
+def step_servers(context, how):
+    changes = {
+        "end as they do": {},
+        "say nothing more when they end": {"is_dark": True},
+        "start again under their id": {"keeps_id": True},
+        "are back at once": {"down_s": 0.4, "lapse_s": 0.5, "move_s": 0.3},
+    }
+    context.crash_shape = replace(context.crash_shape, **changes[how])
+
+
+@given("{share:g} of the {what} are lost")
+def step_lost(context, share, what):
+    names = {"datagrams": "lost_datagrams", "answers of servers": "lost_answers"}
+
+    async def lose(simulation, callers):
+        setattr(simulation, names[what], share)
+
+    context.crash_scripts.append(lose)
+
+
 @given("requests beside them at {per_s:d} a second for {duration_s:g} s")
 def step_beside(context, per_s, duration_s):
     async def beside(simulation, callers):
@@ -35,6 +57,72 @@
     context.crash_scripts.append(beside)
 
 
+@given("a page of {service} that one caller reads {per_s:d} times a second for {duration_s:g} s")
+def step_page(context, service, per_s, duration_s):
+    async def read(simulation, callers):
+        count = int(per_s * duration_s)
+        await callers.repeat(f"/{service}/page", "10.9.0.2", count, 1 / per_s)
+
+    context.crash_scripts.append(read)
+
+
+@given("{bursts:d} bursts, one each {gap_s:g} s, in which {count:d} servers of each service end")
+def step_bursts(context, bursts, gap_s, count):
+    async def end_some(simulation, callers):
+        for _ in range(bursts):
+            await asyncio.sleep(gap_s)
+            for service, _ in simulation.shape.services:
+                living = simulation.living_machines(service)
+                for machine in simulation.random.sample(living, min(count, len(living) - 1)):
+                    machine.end()
+
+    context.crash_scripts.append(end_some)
+
+
+@given("after {at_s:g} s {what}")
+def step_at(context, at_s, what):
+    async def script(simulation, callers):
+        await asyncio.sleep(at_s)
+        EVENTS[what](simulation)
+
+    context.crash_scripts.append(script)
+
+
+def restart_all(simulation):
+    for node in list(simulation.gateways):
+        simulation.restart_gateway(node)
+
+
+def restart_all_but_one(simulation):
+    for node in list(simulation.gateways)[1:]:
+        simulation.restart_gateway(node)
+
+
+def lose_store(simulation):
+    simulation.store.is_down = True
+    simulation.is_without_store = lambda node: True
+
+
+def cut_peers(simulation):
+    """No gateway hears another; all reach the store."""
+    simulation.is_cut = lambda sender, receiver: True
+
+
+def cut_one(simulation):
+    """One gateway hears no other and none hears it; it reaches the store."""
+    alone = next(iter(simulation.gateways))
+    simulation.is_cut = lambda sender, receiver: alone in (sender, receiver)
+
+
+EVENTS = {
+    "all gateways start again": restart_all,
+    "all gateways but one start again": restart_all_but_one,
+    "the store is down": lose_store,
+    "no gateway hears another": cut_peers,
+    "one gateway is cut from the others": cut_one,
+}
+
+
 @when("a request to {service} that ends its servers comes {count:d} times, one each {gap_s:g} s")
 def step_repeats(context, service, count, gap_s):
     async def repeats(simulation, callers):
@@ -48,6 +136,31 @@
     play(context)
 
 
+@when("calls of servers of {caller} to {service} end it, {count:d} of them, one each {gap_s:g} s")
+def step_calls(context, caller, service, count, gap_s):
+    """Each call comes from another server: the one that made the last call ended with it."""
+
+    async def calls(simulation, callers):
+        await asyncio.sleep(SETTLE_S)
+        target = harmful_target(service)
+        simulation.harmful.add(target)
+        hosts = [each.address.host for each in simulation.living_machines(caller)]
+        for number in range(count):
+            await callers.repeat(target, hosts[number % len(hosts)], 1, gap_s, body=b"call")
+
+    context.crash_scripts.append(calls)
+    play(context)
+
+
+@when("the requests beside them have ended")
+def step_beside_only(context):
+    async def wait(simulation, callers):
+        await asyncio.sleep(2 * SETTLE_S)
+
+    context.crash_scripts.append(wait)
+    play(context)
+
+
 def play(context):
     """Run all scripts side by side on a simulation of their own."""
 
@@ -88,3 +201,34 @@
 def step_beside_answered(context, share):
     unserved, count = unserved_beside(context)
     assert len(unserved) <= share * count, (len(unserved), count, unserved[:5])
+
+
+@then("at most {count:d} tries of requests that do no harm were refused for it")
+@then("at most {count:d} try of requests that do no harm were refused for it")
+def step_innocents(context, count):
+    refused = [
+        each
+        for each in context.crash.answers
+        if each.target not in context.crash.harmful and "quarantined" in each.text
+    ]
+    context.crash_refused = refused
+    assert len(refused) <= count, (len(refused), len(context.crash.answers), refused[:5])
+
+
+@then("the caller was told that it has not run, and to come back in {after_s:g} s")
+def step_told(context, after_s):
+    told = [each for each in context.crash.answers if "quarantined" in each.text]
+    assert told, "nothing was refused"
+    for each in told:
+        assert (each.status, each.retry_after_s) == (503, after_s), each
+
+
+@then("none of them was sent by a caller that reads no page again and again")
+def step_only_page(context):
+    assert all(each.target.endswith("/page") for each in context.crash_refused)
+
+
+@then("the page was served after its last refusal")
+def step_page_served(context):
+    answers = [each for each in context.crash.answers if each.target.endswith("/page")]
+    assert [each.status for each in answers[-10:]] == [200] * 10, answers[-10:]
--- a/indigoworks/exchange/peer_report.py
+++ b/indigoworks/exchange/peer_report.py
@@ -7,6 +7,7 @@
 from indigoworks.exchange.key_sample import KeySample
 from indigoworks.exchange.leader_beat import LeaderBeat
 from indigoworks.exchange.server_load import ServerLoad
+from indigoworks.exchange.suspect_note import SuspectNote
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,7 @@
     :ivar group_version: version of the newest row of the group that it has applied.
     :ivar hub: the gateway that sums this report up; empty: none.
     :ivar is_joining: the hub is to list this process, and to leave its loads out of the sums yet.
+    :ivar suspects: requests under which servers ended, of those that the sender knows.
     :ivar members: checksum of each gateway that is summed up here, and the sequence of its report.
     """
 
@@ -43,6 +45,7 @@
     is_joining: bool = False
     members: tuple[tuple[int, int], ...] = ()
     operator_row_version: int = 0
+    suspects: tuple[SuspectNote, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/indigoworks/exchange/peer_table.py
+++ b/indigoworks/exchange/peer_table.py
@@ -1,6 +1,6 @@
 """Newest reports of the peers."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
@@ -21,6 +21,7 @@
     """Implements `PeerView` from the datagrams that arrived.
 
     :param own_node: of this process; empty: it is never summed up by a hub.
+    :ivar on_heard: called when a peer is heard that was not, or no more.
     """
 
     def __init__(self, clock: Clock, own_node: str = "") -> None:
@@ -34,6 +35,7 @@
         self._samples: list[KeySample] = []
         self._member_samples: list[KeySample] = []
         self._list = MemberList(own_node, clock, LIVE_S)
+        self.on_heard: Callable[[], None] = _nothing
 
     def note(self, report: PeerReport, age_s: float = 0.0) -> bool:
         """Take a report; False where a newer one of the same boot is known.
@@ -47,6 +49,7 @@
             return False
         if not self._is_known_live(report.node):
             log_message(message_type="peer:heard", peer=report.node, boot=report.boot)
+            self.on_heard()
         self._drop_counts(report.node)
         own_loads = self._list.note(report, age_s)
         self._reports[report.node] = report
@@ -184,3 +187,7 @@
                 self._in_flight[server] = left
             else:
                 self._in_flight.pop(server, None)
+
+
+def _nothing() -> None:
+    """Stand in until somebody wants to know."""
--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -10,6 +10,7 @@
 from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
 from indigoworks.exchange.peer_report import AgedReport, PeerReport
 from indigoworks.exchange.server_load import ServerLoad
+from indigoworks.exchange.suspect_codec import from_message, to_message
 
 MS_PER_S = 1000.0
 MAX_AGE_MS = 2**32 - 1
@@ -30,6 +31,7 @@
         is_joining=report.is_joining,
         members=[member for member, _ in report.members],
         member_sequences=[sequence for _, sequence in report.members],
+        suspects=[to_message(each) for each in report.suspects],
         load_servers=[each.server for each in report.loads],
         load_in_flight=[each.in_flight for each in report.loads],
         load_service_ms=[_milliseconds(each.service_s) for each in report.loads],
@@ -49,7 +51,8 @@
     message = PeerReportMessage()
     for each in reports:
         # A beat that is handed on would look younger than it is; a leader sends to everyone itself.
-        report = encode_report(replace(each.report, leader=None, samples=()))
+        # What a hub tells of suspect requests is in the forwarding hub's own report as well.
+        report = encode_report(replace(each.report, leader=None, samples=(), suspects=()))
         added = message.forwarded.add(age_ms=_milliseconds(each.age_s))
         added.report.ParseFromString(report)
     return message.SerializeToString()
@@ -104,6 +107,7 @@
         operator_row_version=message.operator_row_version,
         hub=message.hub,
         is_joining=message.is_joining,
+        suspects=tuple(from_message(each) for each in message.suspects),
         members=tuple(zip(message.members, message.member_sequences, strict=True)),
     )
 
--- /dev/null
+++ b/indigoworks/exchange/suspect_codec.py
@@ -0,0 +1,55 @@
+"""Notes of suspect requests as messages, and as values of rows."""
+
+from google.protobuf.message import DecodeError
+
+from indigoworks.exchange.exchange_pb2 import StoredSuspectMessage, SuspectMessage
+from indigoworks.exchange.stored_suspect import StoredSuspect
+from indigoworks.exchange.suspect_note import SuspectNote
+
+MS_PER_S = 1000.0
+NO_CRASH_MS = 2**32 - 1
+
+
+def to_message(note: SuspectNote) -> SuspectMessage:
+    """Return the message of a note."""
+    return SuspectMessage(
+        head=note.head,
+        body=note.body,
+        generation=note.generation,
+        crashes=note.crashes,
+        crashed_age_ms=_milliseconds(note.crashed_age_s),
+        seen_age_ms=_milliseconds(note.seen_age_s),
+    )
+
+
+def from_message(message: SuspectMessage) -> SuspectNote:
+    """Return the note of a message."""
+    has_crash = message.crashed_age_ms != NO_CRASH_MS
+    return SuspectNote(
+        head=message.head,
+        body=message.body,
+        generation=message.generation,
+        crashes=tuple(message.crashes),
+        crashed_age_s=message.crashed_age_ms / MS_PER_S if has_crash else float("inf"),
+        seen_age_s=message.seen_age_ms / MS_PER_S,
+    )
+
+
+def encode_stored(stored: StoredSuspect) -> bytes:
+    """Return the value of a row."""
+    message = StoredSuspectMessage(suspect=to_message(stored.note), store_ms=stored.store_ms)
+    return message.SerializeToString()
+
+
+def decode_stored(value: bytes) -> StoredSuspect | None:
+    """Return what the value of a row says; None where it says nothing that can be read."""
+    message = StoredSuspectMessage()
+    try:
+        message.ParseFromString(value)
+    except DecodeError:
+        return None
+    return StoredSuspect(from_message(message.suspect), message.store_ms)
+
+
+def _milliseconds(age_s: float) -> int:
+    return round(max(0.0, min(age_s * MS_PER_S, NO_CRASH_MS)))
--- /dev/null
+++ b/indigoworks/exchange/suspect_note.py
@@ -0,0 +1,19 @@
+"""What gateways tell each other of a request under which servers ended."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectNote:
+    """One request, by the digests of its content; see `indigoworks.quarantine.suspect`.
+
+    :ivar crashed_age_s: seconds since the latest of `crashes`; infinity: there is none.
+    :ivar seen_age_s: seconds since the request was seen last.
+    """
+
+    head: int
+    body: int
+    generation: int
+    crashes: tuple[int, ...]
+    crashed_age_s: float
+    seen_age_s: float
--- a/indigoworks/gateway/client_request.py
+++ b/indigoworks/gateway/client_request.py
@@ -12,6 +12,7 @@
     :ivar wait_s: seconds that the caller will wait; None where it does not say.
     :ivar key: number of the key; None where the request has none.
     :ivar arrived_s: clock reading at which it was read.
+    :ivar caller: address of the machine that sent it, without the port.
     """
 
     request_id: str
@@ -23,6 +24,7 @@
     wait_s: float | None
     key: int | None
     arrived_s: float
+    caller: str = ""
 
     @property
     def path(self) -> str:
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -83,6 +83,7 @@
         self._board: ServerBoard | None = None
         self.send_report_now: Callable[[], None] = _nothing
         self.owners_changed: Callable[[], None] = _nothing
+        self.on_rows: Callable[[Sequence[Row]], None] = _ignore_rows
         self.member = GroupMember(self.leadership, self._make_leader, clock)
         self.follower = TableFollower(
             ports.store,
@@ -149,6 +150,7 @@
         self.group_version = max(self.group_version, *(each.version for each in rows), 0)
         self.leadership.apply(rows)
         self._directory.apply(rows)
+        self.on_rows(rows)
         if self.tables.apply(rows):
             self.owners_changed()
 
@@ -214,5 +216,9 @@
         return self._board.service_s_by_id(server_id)
 
 
+def _ignore_rows(rows: Sequence[Row]) -> None:
+    """Stand in until the gateway has said what to call."""
+
+
 def _nothing() -> None:
     """Stand in until the gateway has said what to call."""
--- a/indigoworks/gateway/flow_state.py
+++ b/indigoworks/gateway/flow_state.py
@@ -1,5 +1,7 @@
 """What is known of a request on its way."""
 
+import asyncio
+
 from indigoworks.gateway.client_request import ClientRequest
 from indigoworks.gateway.waiting_request import WaitingRequest
 from indigoworks.routes.route import Route
@@ -17,6 +19,8 @@
     :ivar waiting: its place, or the queue's entry in which it last waited for one.
     :ivar waited_s: seconds that it waited here for a server with room or an owner.
     :ivar may_have_run: an attempt ended without word on whether it ran.
+    :ivar servers_ended: servers that ended while they had it in hand.
+    :ivar judgement: finds out whether the server of the last attempt ended; None: it answered.
     """
 
     def __init__(
@@ -40,6 +44,8 @@
         self.may_have_run = False
         self.waiting: WaitingRequest | None = None
         self.misdirected = 0
+        self.servers_ended = 0
+        self.judgement: asyncio.Task[None] | None = None
         self._not_sent = 0
 
     def follow(self, routed: "FlowState") -> None:
--- a/indigoworks/gateway/front_exchange.py
+++ b/indigoworks/gateway/front_exchange.py
@@ -184,6 +184,7 @@
             wait_s=_milliseconds(headers.get(self._names.deadline_ms)),
             key=_whole_number(headers.get(self._names.key)),
             arrived_s=self._clock.now(),
+            caller=self._connection.context.remote_ip,
         )
 
 
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -11,17 +11,17 @@
 from result import Err
 
 from indigoworks.common.clock import LoopClock
+from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rates import LineRates
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PEER_PREFIX, PeerDirectory, encode_peer
-from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.exchange.peer_table import PeerTable
-from indigoworks.exchange.report_sender import ReportSource
 from indigoworks.gateway.control_side import ControlSide
 from indigoworks.gateway.counted_orders import CountedOrders
 from indigoworks.gateway.counted_store import CountedStore
 from indigoworks.gateway.exchange_side import make_exchange
+from indigoworks.gateway.gateway_reports import GatewayReports
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_side import PlatformSide
@@ -113,16 +113,17 @@
             self._clock,
             random,
         )
+        self._reports = GatewayReports(
+            settings.node, self._boot, self._platform, self._requests, self._control, self._peers
+        )
         self._exchange = make_exchange(
             settings,
             self._relay.capacity,
             self._directory,
             self._peers,
-            ReportSource(self._make_report, self._has_news, self._take_report, self._leader_node),
+            self._reports.source(self._leader_node),
             self._clock,
         )
-        self._sequence = 0
-        self._reported_loads: object = ()
         self._status = StatusSide(
             settings_in_force,
             self._boot,
@@ -168,6 +169,7 @@
             self._register(),
             self._exchange.run(),
             self._requests.brokers.broker.run(),
+            self._requests.run(),
             self._relay.server.run(),
             self._control.member.run(),
             self._tidy(),
@@ -248,46 +250,20 @@
 
     # ---- exchange ----
 
+    def _leader_node(self) -> str:
+        return self._control.leadership.row.node
+
     def _connect_parts(self) -> None:
         self._control.use_board(self._requests.board)
         self._control.send_report_now = self._exchange.sender.send_soon
+        telling = CoalescedCall(self._exchange.sender.send_soon)
+        self._requests.quarantine.on_news = telling.ask
+        self._control.on_rows = self._requests.take_rows
         self._control.owners_changed = self._requests.queue.capacity_changed
         for part in (self._platform, self._requests, self._control):
             self._settings_in_force.on_change(part.use_settings)
         self._platform.on_servers_changed(self._requests.servers_changed)
 
-    def _has_news(self) -> bool:
-        is_changed = self._requests.board.loads() != self._reported_loads
-        return is_changed or self._requests.sampler.has_samples()
-
-    def _make_report(self) -> PeerReport:
-        self._sequence += 1
-        loads = self._requests.board.loads()
-        self._reported_loads = loads
-        samples = self._requests.sampler.drain()
-        self._peers.add_samples(samples)
-        row = self._control.leadership.row
-        return PeerReport(
-            node=self._settings.node,
-            boot=self._boot,
-            sequence=self._sequence,
-            epoch=row.epoch,
-            beat_age_s=self._control.leadership.signs.beat_age_s(row.epoch),
-            leader=self._control.beat(),
-            loads=loads,
-            samples=samples,
-            retry_count=0,
-            configuration_version=self._control.configuration_version(),
-            group_version=self._control.group_version,
-            operator_row_version=self._platform.operator_row_version,
-        )
-
-    def _leader_node(self) -> str:
-        return self._control.leadership.row.node
-
-    def _take_report(self, report: PeerReport) -> None:
-        self._control.take_report(report)
-
     # ---- parts ----
 
     def _counted(self, ports: PlatformPorts) -> PlatformPorts:
--- /dev/null
+++ b/indigoworks/gateway/gateway_reports.py
@@ -0,0 +1,71 @@
+"""What a gateway tells its peers, and what it does with what they tell."""
+
+from collections.abc import Callable
+
+from indigoworks.exchange.peer_report import PeerReport
+from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.exchange.report_sender import ReportSource
+from indigoworks.gateway.control_side import ControlSide
+from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.request_side import RequestSide
+
+
+class GatewayReports:
+    """Makes the reports of one process, and hands on those of its peers."""
+
+    def __init__(
+        self,
+        node: str,
+        boot: str,
+        platform: PlatformSide,
+        requests: RequestSide,
+        control: ControlSide,
+        peers: PeerTable,
+    ) -> None:
+        self._node = node
+        self._boot = boot
+        self._platform = platform
+        self._requests = requests
+        self._control = control
+        self._peers = peers
+        self._sequence = 0
+        self._reported_loads: object = ()
+
+    def source(self, leader_node: Callable[[], str]) -> ReportSource:
+        """Return what the exchange asks for.
+
+        :param leader_node: returns the node that leads the control group.
+        """
+        return ReportSource(self._make, self._has_news, self._take, leader_node)
+
+    def _has_news(self) -> bool:
+        is_changed = self._requests.board.loads() != self._reported_loads
+        has_suspects = self._requests.quarantine.has_news()
+        return is_changed or has_suspects or self._requests.sampler.has_samples()
+
+    def _make(self) -> PeerReport:
+        self._sequence += 1
+        loads = self._requests.board.loads()
+        self._reported_loads = loads
+        samples = self._requests.sampler.drain()
+        self._peers.add_samples(samples)
+        row = self._control.leadership.row
+        return PeerReport(
+            node=self._node,
+            boot=self._boot,
+            sequence=self._sequence,
+            epoch=row.epoch,
+            beat_age_s=self._control.leadership.signs.beat_age_s(row.epoch),
+            leader=self._control.beat(),
+            loads=loads,
+            samples=samples,
+            retry_count=0,
+            configuration_version=self._control.configuration_version(),
+            group_version=self._control.group_version,
+            operator_row_version=self._platform.operator_row_version,
+            suspects=self._requests.quarantine.take_news(),
+        )
+
+    def _take(self, report: PeerReport) -> None:
+        self._requests.quarantine.take_notes(report.suspects)
+        self._control.take_report(report)
--- a/indigoworks/gateway/reach_watch.py
+++ b/indigoworks/gateway/reach_watch.py
@@ -55,17 +55,34 @@
         if not self._board.is_down(server.server_id):
             self._set_down(server)
 
+    async def is_reached_since(self, server: ServerRecord, since_s: float) -> bool:
+        """Tell whether a server has answered or taken a connection after `since_s`, or does now.
+
+        What it did before says nothing: this is asked of a server that may just have ended.
+        """
+        while not self._board.is_down(server.server_id):
+            if self._last_sign_s(server) >= since_s:
+                return True
+            await self._check_now(server)
+        return False
+
     async def check(self, server: ServerRecord) -> bool:
         """Tell whether a server that has been silent can be reached."""
-        now_s = self._clock.now()
-        known_s = max(
-            self._board.last_answer_s(server.server_id),
-            self._reached_s.get(server.server_id, float("-inf")),
-        )
-        if now_s - known_s < FRESH_S:
+        if self._clock.now() - self._last_sign_s(server) < FRESH_S:
             return True
         if self._board.is_down(server.server_id):
             return False
+        return await self._check_now(server)
+
+    def _last_sign_s(self, server: ServerRecord) -> float:
+        """Return when a server last answered or took a connection."""
+        return max(
+            self._board.last_answer_s(server.server_id),
+            self._reached_s.get(server.server_id, float("-inf")),
+        )
+
+    async def _check_now(self, server: ServerRecord) -> bool:
+        """Check a server, together with whoever asks meanwhile."""
         check = self._checks.get(server.server_id)
         if check is None:
             check = asyncio.ensure_future(self._check(server))
--- a/indigoworks/gateway/refusal.py
+++ b/indigoworks/gateway/refusal.py
@@ -16,6 +16,8 @@
     SERVER_REFUSED = "server_refused"
     NOT_SENT = "not_sent"
     NO_TIME = "no_time"
+    QUARANTINED = "quarantined"
+    """Servers ended under it, one after the other."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -7,6 +7,7 @@
 from indigoworks.gateway.final_answer import FinalAnswer
 from indigoworks.gateway.flow_state import FlowState
 from indigoworks.gateway.gateway_answers import GatewayAnswers
+from indigoworks.gateway.harm_watch import HarmWatch
 from indigoworks.gateway.key_sampler import KeySampler
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.placer import Placer
@@ -53,6 +54,7 @@
         board: ServerBoard,
         servers: ServerSource,
         watch: ReachWatch,
+        harm: HarmWatch,
         allowance: RetryAllowance,
         sampler: KeySampler,
         answers: GatewayAnswers,
@@ -66,6 +68,7 @@
         self._board = board
         self._servers = servers
         self._watch = watch
+        self._harm = harm
         self._allowance = allowance
         self._sampler = sampler
         self._answers = answers
@@ -89,7 +92,7 @@
             unrouted = self._route_again(state)
             if unrouted is not None:
                 return unrouted
-            placement = await self._place(state)
+            placement = await self._place_harmless(state)
             if isinstance(placement, Refusal):
                 return self._give_up(state, placement)
             if not self._routing.is_current(state):
@@ -130,6 +133,20 @@
         if state.waiting is not None:
             self._placer.release(state.waiting, started, None)
 
+    async def _place_harmless(self, state: FlowState) -> ServerRecord | Refusal:
+        """Find a place, unless servers ended under the request before or while it waited."""
+        refusal = self._harm.refusal(state.request)
+        if refusal is not None:
+            return refusal
+        placement = await self._place(state)
+        if isinstance(placement, Refusal):
+            return placement
+        refusal = self._harm.refusal(state.request)
+        if refusal is None:
+            return placement
+        self._give_back(state, placement)
+        return refusal
+
     async def _place(self, state: FlowState) -> ServerRecord | Refusal:
         now_s = self._clock.now()
         if now_s >= state.deadline_s:
@@ -163,6 +180,7 @@
         try:
             answer = await self._exchange(state, server)
             self._log.attempted(state, answer, started.at_s)
+            self._harm.note(state, server, answer)
             is_served = answer.result is ExchangeResult.ANSWERED and not answer.is_not_run
             if answer.word is not None:
                 self._board.note_word(server.server_id, answer.word)
@@ -219,6 +237,8 @@
             return False
         if has_run_perhaps and not state.route.is_repeatable:
             return False
+        if has_run_perhaps and not await self._harm.may_repeat(state):
+            return False
         if state.service.is_keyed:
             return await self._may_repeat_keyed(state, answer)
         was_sent = answer.result is not ExchangeResult.NOT_SENT
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -1,5 +1,6 @@
 """The parts of a gateway that serve requests."""
 
+from collections.abc import Sequence
 from random import Random
 
 from indigoworks.broker.broker_side import BrokerSide
@@ -15,6 +16,7 @@
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_answers import GatewayAnswers
 from indigoworks.gateway.gateway_settings import GatewaySettings
+from indigoworks.gateway.harm_watch import HarmWatch
 from indigoworks.gateway.key_sampler import KeySampler
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.platform_ports import PlatformPorts
@@ -30,7 +32,11 @@
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 from indigoworks.gateway.server_room import ServerRoom
 from indigoworks.gateway.server_sender import ServerSender
+from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.quarantine.quarantine import Quarantine
+from indigoworks.quarantine.quarantine_rows import QuarantineRows
+from indigoworks.rowstore.row import Row
 
 
 class RequestSide:
@@ -87,6 +93,14 @@
         )
         answers = GatewayAnswers(ports.names)
         log = RequestLog(self.board, RequestMetrics(metrics), line_rates, clock)
+        self.quarantine = Quarantine(clock, random)
+        self._quarantine_rows = QuarantineRows(
+            self.quarantine, ports.store, ports.health, CONTROL_TABLE, ControlGroup().part, clock
+        )
+        peers.on_heard = self.quarantine.tell_again
+        self.quarantine.on_verdict = self._quarantine_rows.want
+        self.quarantine.on_refusal = self._quarantine_rows.note_refusal
+        self._harm = HarmWatch(self.quarantine, self._watch, platform.servers, clock)
         flow = RequestFlow(
             RequestRouting(platform.configurations, answers, log, clock),
             placer,
@@ -95,6 +109,7 @@
             self.board,
             platform.servers,
             self._watch,
+            self._harm,
             self.allowance,
             self.sampler,
             answers,
@@ -111,6 +126,14 @@
         self.queue.capacity_changed()
         self.brokers.broker.servers_changed()
 
+    async def run(self) -> None:
+        """Write to the store which requests are refused, until cancelled."""
+        await self._quarantine_rows.run()
+
+    def take_rows(self, rows: Sequence[Row]) -> None:
+        """Take rows of the group."""
+        self._quarantine_rows.take_rows(rows)
+
     def use_settings(self, settings: GatewaySettings) -> None:
         """Go by what of `settings` can change in a running process."""
         self.allowance.set_budget(
@@ -120,6 +143,7 @@
     def tidy(self) -> None:
         """Close connections that rested too long, and forget servers that left."""
         self.front.close_rested()
+        self.quarantine.tidy()
         self.sender.drop_old()
         self._servers.forget_old()
         for server_id in self.sender.known_servers():
@@ -129,4 +153,5 @@
 
     def close(self) -> None:
         """End all checks of servers."""
+        self._harm.close()
         self._watch.close()
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -56,6 +56,7 @@
             ("service", "kind"),
             self._repeat_budget,
         )
+        self._add_quarantine(metrics)
         metrics.gauge("gateway_grants", "Ranges that we grant", ("state",), self._grants)
         metrics.gauge("gateway_is_leader", "1: we lead", NO_LABELS, self._is_leader)
         metrics.gauge("gateway_epoch", "Epoch of the leader's row", NO_LABELS, self._epoch)
@@ -89,6 +90,27 @@
             "gateway_log_lines_dropped", "Lines not written", ("type",), self._lines_dropped
         )
 
+    def _add_quarantine(self, metrics: Metrics) -> None:
+        quarantine = self._requests.quarantine
+        metrics.gauge(
+            "gateway_suspect_requests",
+            "Requests under which servers ended",
+            ("state",),
+            lambda: {
+                ("watched",): quarantine.count_watched(),
+                ("refused",): quarantine.count_refused(),
+            },
+        )
+        metrics.read_counter(
+            "gateway_quarantine_refusals",
+            "Tries refused since servers ended under their request",
+            ("kind",),
+            lambda: {
+                ("all",): quarantine.refused,
+                ("innocent",): quarantine.refused_innocents,
+            },
+        )
+
     # ---- requests ----
 
     def _waiting(self) -> Values:
--- /dev/null
+++ b/indigoworks/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Memory of requests under which servers ended, shared by all gateways."""
--- /dev/null
+++ b/indigoworks/quarantine/quarantine.py
@@ -0,0 +1,233 @@
+"""Refuses requests under which servers ended, one after the other."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from random import Random
+
+from eliot import log_message
+
+from indigoworks.common.clock import Clock
+from indigoworks.exchange.suspect_note import SuspectNote
+from indigoworks.quarantine.request_content import RequestContent
+from indigoworks.quarantine.request_mark import RequestMark, mark_of
+from indigoworks.quarantine.served_requests import ServedRequests
+from indigoworks.quarantine.suspect import Suspect
+from indigoworks.quarantine.suspect_news import SuspectNews
+from indigoworks.quarantine.suspect_table import MAX_SUSPECTS, MEMORY_S, SuspectTable
+
+CRASH_ID_BITS = 64
+
+
+class Quarantine:
+    """What all gateways together know of requests under which servers ended.
+
+    A try of a request has a new id, and comes to any gateway: only its content tells that it is the
+    same, and only all gateways together see how many servers ended under it. Each tells the others
+    of every crash. What was in hand beside the one that is to blame is cleared by its next run that
+    ends well; the one to blame has none.
+
+    :ivar refused: refusals so far.
+    :ivar refused_innocents: those of requests that a later run cleared.
+    :ivar on_news: called when peers are to learn of something soon.
+    :ivar on_verdict: called with a request that is refused from now on or no more, where this
+        process saw a server end under it, or the run that clears it.
+    :ivar on_refusal: called with each request that is refused.
+    """
+
+    def __init__(self, clock: Clock, random: Random) -> None:
+        self._clock = clock
+        self._random = random
+        self._table = SuspectTable(clock)
+        self._served = ServedRequests()
+        self._news = SuspectNews(self._table, clock)
+        self._refusals: dict[RequestMark, int] = {}
+        self._own_crashes: deque[int] = deque(maxlen=MAX_SUSPECTS)
+        self.refused = 0
+        self.refused_innocents = 0
+        self.on_news: Callable[[], None] = _nothing
+        self.on_verdict: Callable[[Suspect], None] = _ignore
+        self.on_refusal: Callable[[Suspect], None] = _ignore
+
+    # ---- requests ----
+
+    def has_suspects(self) -> bool:
+        """Tell whether there is anything to compare requests with."""
+        return len(self._table) > 0
+
+    def is_refused(self, content: RequestContent) -> bool:
+        """Tell whether a request must reach no server; counts it if so."""
+        known = self._table.find(content)
+        if known is None or not known.is_refused:
+            return False
+        self.refused += 1
+        self._refusals[known.mark] = self._refusals.get(known.mark, 0) + 1
+        self._table.put(known.seen(self._clock.now()))
+        self.on_refusal(known)
+        return True
+
+    def note_served(self, content: RequestContent) -> None:
+        """Note that a server ran a request and lives."""
+        now_s = self._clock.now()
+        self._served.add(content, now_s)
+        known = self._table.find(content)
+        if known is not None and known.crashes:
+            self._clear(known)
+
+    def note_crash(
+        self, content: RequestContent, request_id: str, server_id: str, at_s: float
+    ) -> None:
+        """Note that a server ended at `at_s` on the clock while it had a request in hand."""
+        mark = mark_of(content)
+        known = self._table.get(mark) or _unknown(mark)
+        if known.is_cleared_since(at_s):
+            return
+        crash = self._random.getrandbits(CRASH_ID_BITS)
+        self._own_crashes.append(crash)
+        changed = known.crashed(crash, at_s)
+        log_message(
+            message_type="quarantine:crash",
+            level="WARNING",
+            request_id=request_id,
+            server=server_id,
+            mark=str(mark),
+            method=content.method,
+            host=content.host,
+            target=content.target[:80],
+            caller=content.caller,
+            crashes=len(changed.crashes),
+        )
+        self._take(known, changed)
+        self.on_news()
+
+    def tidy(self) -> None:
+        """Forget what was not seen for long."""
+        for each in self._table.forget_old():
+            self._forget(each)
+
+    # ---- peers and store ----
+
+    def take_notes(self, notes: Iterable[SuspectNote]) -> None:
+        """Take what a peer or the store says."""
+        for note in notes:
+            if note.seen_age_s < MEMORY_S:
+                self._take_note(note)
+
+    def take_news(self) -> tuple[SuspectNote, ...]:
+        """Return what the next report names; each call counts as one telling."""
+        return tuple(self.note_of(each) for each in self._news.take())
+
+    def tell_again(self) -> None:
+        """Have all suspects told once more: a peer is heard that may know none of them."""
+        for each in self._table.all():
+            if each.crashes:
+                self._news.changed(each.mark)
+
+    def has_news(self) -> bool:
+        """Tell whether peers may not know something yet."""
+        return self._news.is_due()
+
+    def get(self, mark: RequestMark) -> Suspect | None:
+        """Return what is known of the request of a mark."""
+        return self._table.get(mark)
+
+    def note_of(self, suspect: Suspect) -> SuspectNote:
+        """Return what to tell of a suspect now."""
+        now_s = self._clock.now()
+        return SuspectNote(
+            head=suspect.mark.head,
+            body=suspect.mark.body,
+            generation=suspect.generation,
+            crashes=tuple(sorted(suspect.crashes)),
+            crashed_age_s=now_s - suspect.crashed_s,
+            seen_age_s=now_s - suspect.seen_s,
+        )
+
+    # ---- questions ----
+
+    def count_refused(self) -> int:
+        """Return the requests that are refused."""
+        return sum(each.is_refused for each in self._table.all())
+
+    def count_watched(self) -> int:
+        """Return the requests under which a server ended, and that are not refused."""
+        return sum(bool(each.crashes) and not each.is_refused for each in self._table.all())
+
+    # ---- parts ----
+
+    def _take_note(self, note: SuspectNote) -> None:
+        now_s = self._clock.now()
+        mark = RequestMark(note.head, note.body)
+        told = Suspect(
+            mark,
+            note.generation,
+            frozenset(note.crashes),
+            now_s - note.crashed_age_s,
+            now_s - note.seen_age_s,
+        )
+        known = self._table.get(mark)
+        merged = told if known is None else known.merged(told)
+        if known is not None and _is_same(known, merged):
+            self._table.put(merged)
+            return
+        self._take(known or _unknown(mark), merged)
+
+    def _take(self, before: Suspect, after: Suspect) -> None:
+        """Remember what has changed, and have it told."""
+        for dropped in self._table.put(after):
+            self._forget(dropped)
+        self._news.changed(after.mark)
+        self._note_verdict(before, after)
+        # Word of a crash may come after the run that clears the request: on its way it was served.
+        if after.crashes and self._served.served_s(after.mark) > after.crashed_s:
+            self._clear(after)
+
+    def _clear(self, known: Suspect) -> None:
+        cleared = known.cleared(self._clock.now())
+        self._take(known, cleared)
+        if known.is_refused:
+            self.on_verdict(cleared)
+        self.on_news()
+
+    def _note_verdict(self, before: Suspect, after: Suspect) -> None:
+        if before.is_refused == after.is_refused:
+            return
+        if after.is_refused:
+            log_message(
+                message_type="quarantine:begun",
+                level="WARNING",
+                mark=str(after.mark),
+                crashes=len(after.crashes),
+            )
+            if not after.crashes.isdisjoint(self._own_crashes):
+                self.on_verdict(after)
+        else:
+            innocents = self._refusals.pop(after.mark, 0)
+            self.refused_innocents += innocents
+            log_message(
+                message_type="quarantine:lifted",
+                level="WARNING",
+                mark=str(after.mark),
+                refused=innocents,
+            )
+
+    def _forget(self, suspect: Suspect) -> None:
+        self._news.forget(suspect.mark)
+        self._refusals.pop(suspect.mark, None)
+        if suspect.is_refused:
+            log_message(message_type="quarantine:forgotten", mark=str(suspect.mark))
+
+
+def _unknown(mark: RequestMark) -> Suspect:
+    return Suspect(mark, 0, frozenset(), float("-inf"), float("-inf"))
+
+
+def _is_same(one: Suspect, other: Suspect) -> bool:
+    return (one.generation, one.crashes) == (other.generation, other.crashes)
+
+
+def _nothing() -> None:
+    """Stand in until somebody wants to know."""
+
+
+def _ignore(suspect: Suspect) -> None:
+    """Stand in until somebody wants to know."""
--- /dev/null
+++ b/indigoworks/quarantine/quarantine_rows.py
@@ -0,0 +1,138 @@
+"""Refused requests in rows of the store."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import replace
+
+from result import Err
+
+from indigoworks.common.clock import Clock
+from indigoworks.exchange.stored_suspect import StoredSuspect
+from indigoworks.exchange.suspect_codec import decode_stored, encode_stored
+from indigoworks.exchange.suspect_note import SuspectNote
+from indigoworks.quarantine.quarantine import Quarantine
+from indigoworks.quarantine.request_mark import RequestMark
+from indigoworks.quarantine.suspect import Suspect
+from indigoworks.quarantine.suspect_table import MEMORY_S
+from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.row_store import RowStore
+from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.transaction import RowPut, Transaction
+
+ROW_PREFIX = "quarantine/"
+"""Keys of these rows, before the number of the row."""
+
+ROWS = 64
+"""Rows that there may be. Requests whose marks fall on the same one replace each other there, and
+are still known to all gateways that live; rows need not be removed that way."""
+
+RETRY_S = 1.0
+"""Pause after a write that failed; the peers know it already."""
+
+MAX_WANTED = ROWS
+"""Writes that wait at most; what comes beyond that is told to the peers alone."""
+
+REFRESH_S = MEMORY_S / 2
+"""The row of a request that still comes is written again after so long, so that a restart of all
+gateways finds it young enough."""
+
+MS_PER_S = 1000.0
+
+
+class QuarantineRows:
+    """Writes verdicts to the store, and takes those that others wrote.
+
+    Peers that tell each other forget all when all are started again at once, and who is cut off
+    from its peers hears nothing: a row reaches both. There is one write for a verdict, of the
+    gateways that saw a crash, and one for the end of it.
+
+    Ages are told in the time of the store's steady clock, so that a row that is read after a
+    restart is as old as it is.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        store: RowStore,
+        health: StoreHealth,
+        table: str,
+        part: str,
+        clock: Clock,
+    ) -> None:
+        self._quarantine = quarantine
+        self._store = store
+        self._health = health
+        self._table = table
+        self._part = part
+        self._clock = clock
+        self._wanted: dict[RequestMark, None] = {}
+        self._written_s: dict[int, float] = {}
+        self._has_work = asyncio.Event()
+
+    def want(self, suspect: Suspect) -> None:
+        """Have written what is known of a request."""
+        if len(self._wanted) < MAX_WANTED:
+            self._wanted[suspect.mark] = None
+            self._has_work.set()
+
+    def note_refusal(self, suspect: Suspect) -> None:
+        """Have the row of a request written again that is refused and that is old."""
+        written_s = self._written_s.get(_number(suspect.mark), float("-inf"))
+        if self._clock.now() - written_s > REFRESH_S:
+            self.want(suspect)
+
+    def take_rows(self, rows: Iterable[Row]) -> None:
+        """Take rows; those of other kinds are passed over."""
+        notes = [self._note_of(row) for row in rows if row.key.startswith(ROW_PREFIX)]
+        self._quarantine.take_notes(each for each in notes if each is not None)
+
+    async def run(self) -> None:
+        """Write what is wanted until cancelled."""
+        while True:
+            await self._has_work.wait()
+            self._has_work.clear()
+            while self._wanted:
+                if not await self._write(next(iter(self._wanted))):
+                    await self._clock.sleep(RETRY_S)
+
+    async def _write(self, mark: RequestMark) -> bool:
+        """Write the row of a request as it is known now; False where the store did not take it."""
+        suspect = self._quarantine.get(mark)
+        if suspect is None:
+            del self._wanted[mark]
+            return True
+        stored = StoredSuspect(
+            self._quarantine.note_of(suspect), self._health.to_store_ms(self._clock.now())
+        )
+        put = RowPut(self._table, _key(mark), encode_stored(stored))
+        if isinstance(await self._store.commit(Transaction(self._part, (), (put,))), Err):
+            return False
+        self._written_s[_number(mark)] = self._clock.now()
+        written = self._quarantine.get(mark)
+        if written is None or written.crashes == suspect.crashes:
+            # Otherwise it has changed meanwhile, and is written once more.
+            del self._wanted[mark]
+        return True
+
+    def _note_of(self, row: Row) -> SuspectNote | None:
+        """Return what a row says, with its ages as of now."""
+        stored = decode_stored(row.value)
+        if row.is_removed or stored is None:
+            return None
+        now_ms = self._health.to_store_ms(self._clock.now())
+        age_s = max(0, now_ms - stored.store_ms) / MS_PER_S if now_ms and stored.store_ms else 0.0
+        note = stored.note
+        self._written_s[_number(RequestMark(note.head, note.body))] = self._clock.now() - age_s
+        return replace(
+            note,
+            crashed_age_s=note.crashed_age_s + age_s,
+            seen_age_s=note.seen_age_s + age_s,
+        )
+
+
+def _number(mark: RequestMark) -> int:
+    return mark.head % ROWS
+
+
+def _key(mark: RequestMark) -> str:
+    return f"{ROW_PREFIX}{_number(mark)}"
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -53,6 +53,7 @@
         self._replaced: dict[str, float] = {}
         self._first_versions: dict[str, int] = {}
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
+        self._services_at: dict[str, str] = {}
 
     # ---- changes ----
 
@@ -71,6 +72,7 @@
         self.cold.note_told(record.server_id, record.warm_up_left_s)
         self._first_versions.setdefault(record.server_id, record.version)
         self._by_service.setdefault(record.service, {})[record.server_id] = record
+        self._services_at[record.address.host] = record.service
         if known is None or known.is_draining != record.is_draining:
             self._log("server:listed", record, is_draining=record.is_draining)
 
@@ -164,6 +166,10 @@
         ]
         return max(later, key=lambda each: each.version, default=None)
 
+    def service_at(self, host: str) -> str | None:
+        """Return the service of the server that was listed last at an address; None: none was."""
+        return self._services_at.get(host)
+
     def is_empty(self) -> bool:
         """Tell whether no server was ever listed."""
         return not self._listed and not self._vanished
@@ -178,6 +184,8 @@
                 self._first_versions.pop(server_id, None)
                 self.cold.forget(server_id)
                 self._by_service.get(record.service, {}).pop(server_id, None)
+                if self.holder_of_address(record) is None:
+                    self._services_at.pop(record.address.host, None)
 
     def _is_in_service(self, server_id: str) -> bool:
         if server_id in self._replaced:
--- a/indigoworks_lab/crash_simulation/callers.py
+++ b/indigoworks_lab/crash_simulation/callers.py
@@ -45,6 +45,7 @@
             wait_s=TIMEOUT_S,
             key=zlib.crc32(target.encode()) % KEY_COUNT,
             arrived_s=asyncio.get_running_loop().time(),
+            caller=caller,
         )
         answer = await chosen.side.front.answer(request)
         retry_after = dict(answer.headers).get("Retry-After")
--- a/indigoworks_lab/crash_simulation/crash_gateway.py
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -6,6 +6,7 @@
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
+from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rates import LineRates
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.hub_choice import HubChoice
@@ -80,11 +81,13 @@
             ReportSource(self._make_report, self._has_news, self._take, lambda: NO_LEADER),
             lambda datagram, to: send(self, datagram, to),
         )
+        self.side.quarantine.on_news = CoalescedCall(self.sender.send_soon).ask
         self._sequence = 0
 
     def take_rows(self, rows: Sequence[Row]) -> None:
         """Take rows of the group."""
         self.directory.apply(rows)
+        self.side.take_rows(rows)
 
     async def run(self) -> None:
         """Exchange reports until the process ends."""
@@ -93,7 +96,7 @@
             self.sender.send_if_due()
 
     def _has_news(self) -> bool:
-        return bool(self.side.board.loads())
+        return bool(self.side.board.loads()) or self.side.quarantine.has_news()
 
     def _make_report(self) -> PeerReport:
         self._sequence += 1
@@ -107,7 +110,9 @@
             loads=self.side.board.loads(),
             samples=(),
             retry_count=0,
+            suspects=self.side.quarantine.take_news(),
         )
 
     def _take(self, report: PeerReport) -> None:
+        self.side.quarantine.take_notes(report.suspects)
         self.side.queue.capacity_changed()
--- a/indigoworks_lab/crash_simulation/crash_simulation.py
+++ b/indigoworks_lab/crash_simulation/crash_simulation.py
@@ -112,6 +112,7 @@
             if machine.is_up:
                 gateway.platform.servers.put(self._record(machine))
         self.spawn(gateway.run())
+        self.spawn(gateway.side.run())
 
     def _take_row(self, row: Row) -> None:
         """Every gateway that reaches the store learns of a new row."""
@@ -124,10 +125,9 @@
         self.datagram_bytes += len(datagram)
         is_lost = self.random.random() < self.lost_datagrams or self.is_cut(sender.node, to.host)
         if sender.is_up and not is_lost:
-            self.spawn(self._deliver(datagram, to.host))
+            asyncio.get_running_loop().call_later(DATAGRAM_S, self._deliver, datagram, to.host)
 
-    async def _deliver(self, datagram: bytes, node: str) -> None:
-        await asyncio.sleep(DATAGRAM_S)
+    def _deliver(self, datagram: bytes, node: str) -> None:
         receiver = self.gateways.get(node)
         if receiver is not None and receiver.is_up:
             receiver.sender.take(datagram)
