--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -74,5 +74,22 @@
     And a report of gateway quarantine a names 16 requests at most, of 64 bytes
     And gateway quarantine a refuses the request: yes
 
+  Scenario: A harmful request that comes with another query each time
+    Given gateway quarantines a
+    When gateway quarantine a sees servers end under the queries "?q=1, ?q=2, ?q=3"
+    Then gateway quarantine a refuses the request with "?q=4": yes
+    And gateway quarantine a refuses the request with "?q=1": yes
+    And gateway quarantine a refuses no request of another path
+
+  Scenario: One harmful query of a path whose other queries are served
+    Given gateway quarantines a
+    When gateway quarantine a sees servers end under the queries "?q=1"
+    And 0.1 s pass for gateway quarantines
+    And gateway quarantine a sees the request with "?q=2" served
+    And 0.1 s pass for gateway quarantines
+    And gateway quarantine a sees servers end under the queries "?q=1, ?q=1"
+    Then gateway quarantine a refuses the request with "?q=1": yes
+    And gateway quarantine a refuses the request with "?q=2": no
+
   Scenario: Gateways agree
     Then gateway quarantines end with the same whatever they hear in which order
--- a/features/gateway_repeats.feature
+++ b/features/gateway_repeats.feature
@@ -94,3 +94,28 @@
 
   Scenario: The budget over its window and among gateways
     Then gateway budget: whatever is asked, no window holds more repeats than its share
+
+  Scenario: A request under which servers end is refused after the third, to its caller alone
+    Given a gateway
+    And 5 gateway servers that each ends
+    When a gateway caller at 127.0.0.1 sends the same request 4 times
+    Then the gateway answers have the statuses 502, 502, 503, 503
+    And the gateway servers got 3 requests, each server one at most
+    When a gateway caller at 127.0.0.2 sends the same request 1 times
+    Then the gateway answers have the statuses 502, 502, 503, 503, 502
+    And the gateway servers got 5 requests, each server one at most
+
+  Scenario: An unsafe request under which servers end is refused as well
+    Given a gateway
+    And 5 gateway servers that each ends
+    And the gateway route is not repeatable
+    When a gateway caller at 127.0.0.1 sends the same request 5 times
+    Then the gateway answers have the statuses 502, 502, 502, 503, 503
+    And the gateway servers got 3 requests, each server one at most
+
+  Scenario: Answers that are lost by servers that live refuse nothing
+    Given a gateway
+    And 5 gateway servers that each loses the answer
+    And the gateway route is not repeatable
+    When a gateway caller at 127.0.0.1 sends the same request 5 times
+    Then the gateway answers have the statuses 502, 502, 502, 502, 502
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -20,8 +20,8 @@
 WORST = 30
 
 
-def content(number=0, caller="10.0.0.1", body=b""):
-    return RequestContent(caller, "POST", "shop.example", f"/a/{number}", body)
+def content(number=0, caller="10.0.0.1", body=b"", query=""):
+    return RequestContent(caller, "POST", "shop.example", f"/a/{number}{query}", body)
 
 
 @given("gateway quarantines {names}")
@@ -43,6 +43,23 @@
         crash(context, name, content())
 
 
+@when('gateway quarantine {name} sees servers end under the queries "{queries}"')
+def step_query_crashes(context, name, queries):
+    for query in queries.split(", "):
+        crash(context, name, content(query=query))
+
+
+@when('gateway quarantine {name} sees the request with "{query}" served')
+def step_query_served(context, name, query):
+    context.quarantines[name].note_served(content(query=query))
+
+
+@then('gateway quarantine {name} refuses the request with "{query}": {is_refused}')
+def step_query_refuses(context, name, query, is_refused):
+    is_query_refused = context.quarantines[name].is_refused(content(query=query))
+    assert is_query_refused == (is_refused == "yes")
+
+
 @when("gateway quarantine {name} sees the request served")
 def step_served(context, name):
     context.quarantines[name].note_served(content())
--- a/features/steps/gateway_repeat_steps.py
+++ b/features/steps/gateway_repeat_steps.py
@@ -4,11 +4,12 @@
 from random import Random
 
 from backend_manual_clock import ManualClock
-from behave import given, then
+from behave import given, then, when
 from gateway_request_steps import add, make_world
 from gateway_scripted_server import BEHAVIOURS
 from gateway_world import (
     HOST,
+    ask,
     free_port,
     make_record,
 )
@@ -77,6 +78,14 @@
     context.run_async(context.gateway.put_server(record))
 
 
+@when("a gateway caller at {host} sends the same request {count:d} times")
+def send_same(context, host, count):
+    async def run():
+        return [await ask(context.gateway, from_host=host) for _ in range(count)]
+
+    context.gateway_answers.extend(context.run_async(run()))
+
+
 @then("the gateway servers got {count:d} requests, each server one")
 @then("the gateway servers got {count:d} requests, each server one at most")
 def one_each(context, count):
--- a/features/steps/gateway_scripted_server.py
+++ b/features/steps/gateway_scripted_server.py
@@ -154,6 +154,14 @@
     return True
 
 
+async def end(server, request, writer):
+    """The process ends: nobody listens any more, and all connections are reset."""
+    await server.stop()
+    for each in list(server.writers):
+        each.transport.abort()
+    return False
+
+
 async def slow_then_not_run(server, request, writer):
     server.pass_time(server.slow_s)
     return await not_run(server, request, writer)
@@ -184,6 +192,7 @@
     "is silent": silent,
     "says not run later": slow_then_not_run,
     "answers slowly": slow,
+    "ends": end,
 }
 
 
@@ -202,6 +211,7 @@
         self.connections = 0
         self.most_at_work = 0
         self.working: set[SeenRequest] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
         self.turns = asyncio.Semaphore(0)
         self.slow_s = 1.0
         self.gone = asyncio.Event()
@@ -223,11 +233,13 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.writers.add(writer)
         number = self.connections
         closing = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*closing):
             while await self._one(reader, writer, number):
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
     async def _one(self, reader, writer, number: int) -> bool:
--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -192,9 +192,11 @@
     def __init__(self, world: GatewayWorld) -> None:
         self._world = world
 
-    async def open(self) -> "Caller":
+    async def open(self, from_host=HOST) -> "Caller":
         address = self._world.address
-        self.reader, self.writer = await asyncio.open_connection(address.host, address.port)
+        self.reader, self.writer = await asyncio.open_connection(
+            address.host, address.port, local_addr=(from_host, 0)
+        )
         return self
 
     def send(self, method="GET", target="/a/x", headers=(), body=b"", host="shop.example") -> str:
@@ -242,8 +244,8 @@
         return f"{self.status} {self.headers} {self.body[:80]!r}"
 
 
-async def ask(world: GatewayWorld, **fields) -> Received:
-    caller = await Caller(world).open()
+async def ask(world: GatewayWorld, from_host=HOST, **fields) -> Received:
+    caller = await Caller(world).open(from_host)
     try:
         return await caller.ask(**fields)
     finally:
--- a/indigoworks/quarantine/quarantine.py
+++ b/indigoworks/quarantine/quarantine.py
@@ -17,6 +17,9 @@
 
 CRASH_ID_BITS = 64
 
+MAX_LOGGED_TARGET = 80
+"""Characters of a path and query that a line names."""
+
 
 class Quarantine:
     """What all gateways together know of requests under which servers ended.
@@ -56,47 +59,49 @@
 
     def is_refused(self, content: RequestContent) -> bool:
         """Tell whether a request must reach no server; counts it if so."""
-        known = self._table.find(content)
-        if known is None or not known.is_refused:
-            return False
-        self.refused += 1
-        self._refusals[known.mark] = self._refusals.get(known.mark, 0) + 1
-        self._table.put(known.seen(self._clock.now()))
-        self.on_refusal(known)
-        return True
+        for scope in content.scopes():
+            known = self._table.find(scope)
+            if known is not None and known.is_refused:
+                self._note_refusal(known)
+                return True
+        return False
 
     def note_served(self, content: RequestContent) -> None:
         """Note that a server ran a request and lives."""
         now_s = self._clock.now()
         self._served.add(content, now_s)
-        known = self._table.find(content)
-        if known is not None and known.crashes:
-            self._clear(known)
+        if not self._table:
+            return
+        for scope in content.scopes():
+            known = self._table.find(scope)
+            if known is not None and known.crashes:
+                self._clear(known)
 
     def note_crash(
         self, content: RequestContent, request_id: str, server_id: str, at_s: float
     ) -> None:
         """Note that a server ended at `at_s` on the clock while it had a request in hand."""
-        mark = mark_of(content)
-        known = self._table.get(mark) or _unknown(mark)
-        if known.is_cleared_since(at_s):
-            return
         crash = self._random.getrandbits(CRASH_ID_BITS)
         self._own_crashes.append(crash)
-        changed = known.crashed(crash, at_s)
-        log_message(
-            message_type="quarantine:crash",
-            level="WARNING",
-            request_id=request_id,
-            server=server_id,
-            mark=str(mark),
-            method=content.method,
-            host=content.host,
-            target=content.target[:80],
-            caller=content.caller,
-            crashes=len(changed.crashes),
-        )
-        self._take(known, changed)
+        for scope in content.scopes():
+            mark = mark_of(scope)
+            known = self._table.get(mark) or _unknown(mark)
+            if known.is_cleared_since(at_s):
+                continue
+            changed = known.crashed(crash, at_s)
+            log_message(
+                message_type="quarantine:crash",
+                level="WARNING",
+                request_id=request_id,
+                server=server_id,
+                mark=str(mark),
+                method=scope.method,
+                host=scope.host,
+                target=scope.target[:MAX_LOGGED_TARGET],
+                caller=scope.caller,
+                crashes=len(changed.crashes),
+            )
+            self._take(known, changed)
         self.on_news()
 
     def tidy(self) -> None:
@@ -120,7 +125,7 @@
         """Have all suspects told once more: a peer is heard that may know none of them."""
         for each in self._table.all():
             if each.crashes:
-                self._news.changed(each.mark)
+                self._news.changed(each)
 
     def has_news(self) -> bool:
         """Tell whether peers may not know something yet."""
@@ -154,6 +159,12 @@
 
     # ---- parts ----
 
+    def _note_refusal(self, known: Suspect) -> None:
+        self.refused += 1
+        self._refusals[known.mark] = self._refusals.get(known.mark, 0) + 1
+        self._table.put(known.seen(self._clock.now()))
+        self.on_refusal(known)
+
     def _take_note(self, note: SuspectNote) -> None:
         now_s = self._clock.now()
         mark = RequestMark(note.head, note.body)
@@ -175,7 +186,7 @@
         """Remember what has changed, and have it told."""
         for dropped in self._table.put(after):
             self._forget(dropped)
-        self._news.changed(after.mark)
+        self._news.changed(after)
         self._note_verdict(before, after)
         # Word of a crash may come after the run that clears the request: on its way it was served.
         if after.crashes and self._served.served_s(after.mark) > after.crashed_s:
--- a/indigoworks/quarantine/request_content.py
+++ b/indigoworks/quarantine/request_content.py
@@ -1,6 +1,6 @@
 """What makes two tries the same request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,3 +20,13 @@
     host: str
     target: str
     body: bytes
+
+    def scopes(self) -> tuple["RequestContent", ...]:
+        """Return what a crash is put down to, and what a run that ends well clears: the request,
+        and all requests for its path where it has a query.
+
+        A harmful request may come with another query each time. Only while no request for the path
+        is served, whatever its query, crashes of several queries add up.
+        """
+        path, mark, _ = self.target.partition("?")
+        return (self, replace(self, target=path)) if mark else (self,)
--- a/indigoworks/quarantine/served_requests.py
+++ b/indigoworks/quarantine/served_requests.py
@@ -35,7 +35,8 @@
         """Return when a request was served last; minus infinity: not among those that are kept."""
         while self._fresh:
             at_s, content = self._fresh.popleft()
-            self._mark(at_s, mark_of(content))
+            for scope in content.scopes():
+                self._mark(at_s, mark_of(scope))
         return self._served_s.get(mark, float("-inf"))
 
     def _mark(self, at_s: float, mark: RequestMark) -> None:
--- a/indigoworks/quarantine/suspect_news.py
+++ b/indigoworks/quarantine/suspect_news.py
@@ -1,7 +1,7 @@
 """Which suspect requests the next report to the peers names."""
 
-from collections import deque
-from heapq import nlargest
+from collections import OrderedDict, deque
+from itertools import islice
 
 from indigoworks.common.clock import Clock
 from indigoworks.quarantine.request_mark import RequestMark
@@ -22,44 +22,49 @@
 
 
 class SuspectNews:
-    """Keeps what is still to be told, the worst first."""
+    """Keeps what is still to be told: first those close to a refusal, then those of one crash and
+    those that are cleared. A report costs the same however many there are."""
 
     def __init__(self, table: SuspectTable, clock: Clock) -> None:
         self._table = table
         self._clock = clock
-        self._left: dict[RequestMark, int] = {}
+        self._urgent: OrderedDict[RequestMark, int] = OrderedDict()
+        self._others: OrderedDict[RequestMark, int] = OrderedDict()
         self._to_repeat: deque[RequestMark] = deque()
         self._repeated_s = float("-inf")
 
-    def changed(self, mark: RequestMark) -> None:
+    def changed(self, suspect: Suspect) -> None:
         """Note that peers are to learn of a suspect."""
-        self._left[mark] = TELL_TIMES
+        self.forget(suspect.mark)
+        waiting = self._urgent if len(suspect.crashes) > 1 else self._others
+        waiting[suspect.mark] = TELL_TIMES
 
     def forget(self, mark: RequestMark) -> None:
         """Tell no more of a request."""
-        self._left.pop(mark, None)
+        self._urgent.pop(mark, None)
+        self._others.pop(mark, None)
 
     def is_due(self) -> bool:
         """Tell whether a report would say something that peers may not know."""
-        return bool(self._left)
+        return bool(self._urgent or self._others)
 
     def take(self) -> list[Suspect]:
         """Return what the next report names; each call counts as one telling."""
-        told = nlargest(MAX_TOLD, self._changed(), key=lambda each: len(each.crashes))
-        for each in told:
-            self._note_told(each.mark)
+        told = self._tell(self._urgent, MAX_TOLD)
+        told += self._tell(self._others, MAX_TOLD - len(told))
         return told + self._repeated(MAX_TOLD - len(told))
 
-    def _changed(self) -> list[Suspect]:
-        known = (self._table.get(mark) for mark in self._left)
-        return [each for each in known if each is not None]
-
-    def _note_told(self, mark: RequestMark) -> None:
-        left = self._left[mark] - 1
-        if left:
-            self._left[mark] = left
-        else:
-            del self._left[mark]
+    def _tell(self, waiting: OrderedDict[RequestMark, int], most: int) -> list[Suspect]:
+        found: list[Suspect] = []
+        for mark in list(islice(waiting, most)):
+            left = waiting.pop(mark) - 1
+            if left:
+                # The others have their turn before it is told again.
+                waiting[mark] = left
+            suspect = self._table.get(mark)
+            if suspect is not None:
+                found.append(suspect)
+        return found
 
     def _repeated(self, most: int) -> list[Suspect]:
         """Return up to so many suspects that are named again without a change."""
