--- a/features/steps/gateway_scripted_server.py
+++ b/features/steps/gateway_scripted_server.py
@@ -8,18 +8,8 @@
 from dataclasses import dataclass
 
 from indigoworks.common.address import Address
-from indigoworks.gateway.header_names import HeaderNames
-
-NAMES = HeaderNames(
-    request_id="Try-Id",
-    deadline_ms="Left-Ms",
-    server_id="Meant-Server",
-    answering_server_id="Answering-Server",
-    not_run="Not-Run",
-    key="Key-Number",
-    handover="Handover",
-    signature="Signature",
-)
+from indigoworks_lab.crash_simulation.simulated_names import NAMES
+
 RESET = struct.pack("ii", 1, 0)
 CHUNK_BYTES = 2**16
 BODY = b"the server's bytes"
