--- a/features/steps/gateway_log_bound_steps.py
+++ b/features/steps/gateway_log_bound_steps.py
@@ -212,6 +212,7 @@
     "servers",
     "routes",
     "common/logging",
+    "quarantine",
 )
 MESSAGE_TYPE = re.compile(r'"([a-z]+:[a-z_]+)"')
 
--- a/indigoworks/common/logging/line_rates.py
+++ b/indigoworks/common/logging/line_rates.py
@@ -26,6 +26,9 @@
     "hub:",
     "broker:acting",
     "zone:",
+    "quarantine:begun",
+    "quarantine:lifted",
+    "quarantine:forgotten",
     "log:",
 )
 """Types without a bound: they tell of changes, of which there are few, never of single requests."""
