--- a/indigoworks_lab/crash_simulation/crash_machine.py
+++ b/indigoworks_lab/crash_simulation/crash_machine.py
@@ -45,7 +45,7 @@
         self._is_harmful = is_harmful
         self._loses_answer = loses_answer
         self._on_end = on_end
-        self._in_hand: set[asyncio.Future[int | None]] = set()
+        self._in_hand: dict[asyncio.Future[int | None], None] = {}
         self._free = asyncio.Semaphore(shape.slots)
 
     @property
@@ -57,7 +57,7 @@
         """Start a new life."""
         self.life += 1
         self.is_up = True
-        self._in_hand = set()
+        self._in_hand = {}
         self._free = asyncio.Semaphore(self.slots)
 
     def end(self, is_dark: bool = False) -> None:
@@ -78,12 +78,12 @@
         if meant_id != self.server_id:
             return MISDIRECTED
         answer: asyncio.Future[int | None] = asyncio.get_running_loop().create_future()
-        self._in_hand.add(answer)
+        self._in_hand[answer] = None
         work = asyncio.ensure_future(self._work(target, caller, gateway, answer))
         try:
             return await answer
         finally:
-            self._in_hand.discard(answer)
+            self._in_hand.pop(answer, None)
             work.cancel()
 
     async def _work(
