--- a/indigoworks/quarantine/suspect.py
+++ b/indigoworks/quarantine/suspect.py
@@ -8,8 +8,8 @@
 """Servers that end one after the other under a request, none of whose runs ends well in between,
 before it is refused. A server that ends has up to ten requests in hand, and one of those may meet a
 second such server by chance. Beside 60 servers that ended for other reasons, ten of 40 at a time,
-two tries of 7,200, once three, were refused for a moment: of a page that one caller read 40 times a second
-(simulated, scenario of bursts)."""
+two tries of 7,200, once three, were refused for a moment: of a page that one caller read 40 times a
+second (simulated, scenario of bursts)."""
 
 MAX_CRASHES = 8
 """Runs that are kept of one request; more than HARM_LIMIT tell nothing new."""
