--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -4,8 +4,12 @@
 from random import Random
 
 from gateway_scripted_server import NAMES, ScriptedServer
+from platform_folder_store_stand_in import FOLDER  # noqa: F401
 from tornado.testing import bind_unused_port
 
+# isort: split
+from server_notice_reader import read_server_notice
+
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
 from indigoworks.common.logging.line_rates import LineRates
@@ -118,6 +122,7 @@
         "read_server": None,
         "read_evacuated_zone": lambda key: None,
         "read_server_word": lambda text: None,
+        "read_server_notice": read_server_notice,
         **fields,
     }
     return PlatformPorts(**values)
--- a/indigoworks/gateway/answer_collector.py
+++ b/indigoworks/gateway/answer_collector.py
@@ -1,20 +1,30 @@
 """Collects one answer of a server."""
 
 import asyncio
+from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 
 INFORMATIONAL_LIMIT = 200
 """Statuses below this announce a later answer."""
 
+TakeHead = Callable[[int, HTTPHeaders], None]
+"""Takes status and headers of an answer as soon as they have arrived."""
+
+
+def ignore_head(status: int, headers: HTTPHeaders) -> None:
+    """Serve where nobody wants to know heads."""
+
 
 class AnswerCollector(HTTPMessageDelegate):
     """Receives the parts of one answer from the HTTP library.
 
+    :param on_head: is told of the head also where the rest of the answer never comes.
     :ivar finished: done when the whole answer was seen.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_head: TakeHead = ignore_head) -> None:
+        self._on_head = on_head
         self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.status = 0
         self.headers = HTTPHeaders()
@@ -31,6 +41,7 @@
         self.status = start_line.code
         self.headers = headers
         self._version = start_line.version
+        self._on_head(start_line.code, headers)
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body."""
--- a/indigoworks/gateway/connection_pool.py
+++ b/indigoworks/gateway/connection_pool.py
@@ -5,6 +5,7 @@
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
+from indigoworks.gateway.answer_collector import TakeHead, ignore_head
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 
 DEFAULT_KEEP_S = 4.0
@@ -22,7 +23,10 @@
 
 
 class ConnectionPool:
-    """Idle connections to one server, the one used last first."""
+    """Idle connections to one server, the one used last first.
+
+    :param on_head: takes the head of each answer of the server.
+    """
 
     def __init__(
         self,
@@ -30,7 +34,9 @@
         id_header: str,
         clock: Clock,
         open_connection: OpenConnection = ServerConnection,
+        on_head: TakeHead = ignore_head,
     ) -> None:
+        self._on_head = on_head
         self._address = address
         self._id_header = id_header
         self._open_connection = open_connection
@@ -49,7 +55,9 @@
 
     def new(self) -> ServerConnection:
         """Return a connection that is not yet connected."""
-        return self._open_connection(self._address, self._id_header)
+        connection = self._open_connection(self._address, self._id_header)
+        connection.on_head = self._on_head
+        return connection
 
     def give_back(self, connection: ServerConnection, keep_alive_s: float | None) -> None:
         """Keep a connection for the next request, if it can take one."""
--- a/indigoworks/gateway/platform_ports.py
+++ b/indigoworks/gateway/platform_ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from result import Result
+from tornado.httputil import HTTPHeaders
 
 from indigoworks.gateway.header_names import HeaderNames
 from indigoworks.ownership.server_orders import ServerOrders
@@ -13,6 +14,7 @@
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers.errors import ServerEntryUnreadable
+from indigoworks.servers.server_notice import ServerNotice
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_word import ServerWord
 
@@ -25,6 +27,7 @@
     :ivar read_evacuated_zone: the zone that a row of that table evacuates, by the row's key; None:
         another row. The zone is in use again once the row is removed.
     :ivar read_server_word: reads the header in which a server tells its load; None: unreadable.
+    :ivar read_server_notice: reads what a server asks for from status and headers of an answer.
     :ivar servers_table: table in which servers record themselves (empty part).
     """
 
@@ -40,3 +43,4 @@
     read_server: Callable[[Row], Result[ServerRecord, ServerEntryUnreadable]]
     read_evacuated_zone: Callable[[str], str | None]
     read_server_word: Callable[[str], ServerWord | None]
+    read_server_notice: Callable[[int, HTTPHeaders], ServerNotice]
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -61,7 +61,10 @@
         self.sampler = KeySampler()
         self._servers = platform.servers
         self._watch = ReachWatch(self.board, platform.servers, clock, open_connection)
-        self.sender = ServerSender(ports.names, clock, ports.read_server_word, open_connection)
+        self.sender = ServerSender(
+            ports.names, clock, ports.read_server_word, open_connection, ports.read_server_notice
+        )
+        self.sender.on_notice = platform.servers.take_notice
         cold_budget = ColdBudget(
             settings.node, directory, platform.servers.cold, platform.is_keyed, clock
         )
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -12,7 +12,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from indigoworks.common.address import Address
-from indigoworks.gateway.answer_collector import AnswerCollector
+from indigoworks.gateway.answer_collector import AnswerCollector, TakeHead, ignore_head
 
 MAX_HEADER_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -34,8 +34,11 @@
     late is passed over.
 
     :param id_header: header in which request and answer name the id.
+    :ivar on_head: takes the head of each answer, also of one that is cut short or comes late.
     """
 
+    on_head: TakeHead = staticmethod(ignore_head)
+
     def __init__(self, address: Address, id_header: str) -> None:
         self._address = address
         self._id_header = id_header
@@ -128,7 +131,7 @@
         self, connection: HTTP1Connection
     ) -> tuple[AnswerCollector | None, bool]:
         """Read one answer; the second value tells that nothing of the exchange is left to do."""
-        collector = AnswerCollector()
+        collector = AnswerCollector(self.on_head)
         reading: asyncio.Future[bool] = asyncio.ensure_future(connection.read_response(collector))
         reading.add_done_callback(_retrieve)
         try:
--- a/indigoworks/gateway/server_sender.py
+++ b/indigoworks/gateway/server_sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from tornado.httputil import HTTPHeaders
 
@@ -13,6 +14,7 @@
 from indigoworks.gateway.hop_headers import travelling
 from indigoworks.gateway.server_answer import ExchangeResult, ServerAnswer
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
+from indigoworks.servers.server_notice import NOTHING_ASKED, ServerNotice
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_word import ServerWord
 
@@ -29,10 +31,25 @@
 """Status by which a server says that another one was meant, and that it did not run the request."""
 
 
+ReadNotice = Callable[[int, HTTPHeaders], ServerNotice]
+"""Reads what a server asks for from status and headers of an answer."""
+
+
+def read_nothing(status: int, headers: HTTPHeaders) -> ServerNotice:
+    """Serve where servers ask for nothing."""
+    return NOTHING_ASKED
+
+
+def _ignore_notice(server_id: str, notice: ServerNotice) -> None:
+    """Stand in until somebody wants to know."""
+
+
 class ServerSender:
     """Sends each request once, over a kept or a new connection.
 
     :param read_word: returns what a server says of its load in its header; None: unreadable.
+    :param read_notice: returns what a server asks for in the head of an answer.
+    :ivar on_notice: called with the id of the server that asks for something, and with that.
     :ivar opened: connections opened so far.
     """
 
@@ -42,7 +59,10 @@
         clock: Clock,
         read_word: Callable[[str], ServerWord | None] = lambda text: None,
         open_connection: OpenConnection = ServerConnection,
+        read_notice: ReadNotice = read_nothing,
     ) -> None:
+        self._read_notice = read_notice
+        self.on_notice: Callable[[str, ServerNotice], None] = _ignore_notice
         self._open_connection = open_connection
         self._names = names
         self._read_word = read_word
@@ -118,6 +138,12 @@
             word=self._word(answer),
         )
 
+    def _take_head(self, server_id: str, status: int, headers: HTTPHeaders) -> None:
+        notice = self._read_notice(status, headers)
+        if notice is not NOTHING_ASKED:
+            # Another server may have taken the address of the one that is gone.
+            self.on_notice(headers.get(self._names.answering_server_id) or server_id, notice)
+
     def _word(self, answer: AnswerCollector) -> ServerWord | None:
         text = answer.headers.get(self._names.load)
         return None if text is None else self._read_word(text)
@@ -140,7 +166,11 @@
         pool = self._pools.get(server.server_id)
         if pool is None:
             pool = ConnectionPool(
-                server.address, self._names.request_id, self._clock, self._open_connection
+                server.address,
+                self._names.request_id,
+                self._clock,
+                self._open_connection,
+                partial(self._take_head, server.server_id),
             )
             self._pools[server.server_id] = pool
         return pool
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -18,6 +18,7 @@
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_side import PlatformSide
 from indigoworks.gateway.server_board import ServerBoard
+from indigoworks.gateway.server_sender import read_nothing
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.rowstore.store_health import StoreHealth
@@ -171,6 +172,7 @@
             read_server=read_server,
             read_evacuated_zone=read_evacuated_zone,
             read_server_word=lambda text: None,
+            read_server_notice=read_nothing,
         )
 
     async def _register(self) -> None:
--- a/indigoworks_lab/crash_simulation/build_gateway.py
+++ b/indigoworks_lab/crash_simulation/build_gateway.py
@@ -23,7 +23,7 @@
 from indigoworks_lab.crash_simulation.crash_shape import CrashShape
 from indigoworks_lab.crash_simulation.group_store import GroupStore
 from indigoworks_lab.crash_simulation.no_orders import NoOrders
-from indigoworks_lab.crash_simulation.simulated_names import NAMES
+from indigoworks_lab.crash_simulation.simulated_names import NAMES, read_simulated_notice
 
 ZONES = ("z1", "z2", "z3")
 HOST = "shop.example"
@@ -88,6 +88,7 @@
         read_server=read_server,
         read_evacuated_zone=read_evacuated_zone,
         read_server_word=lambda text: None,
+        read_server_notice=read_simulated_notice,
     )
 
 
--- a/indigoworks_lab/crash_simulation/simulated_names.py
+++ b/indigoworks_lab/crash_simulation/simulated_names.py
@@ -1,6 +1,9 @@
 """Headers between simulated callers, gateways and machines."""
 
+from collections.abc import Mapping
+
 from indigoworks.gateway.header_names import HeaderNames
+from indigoworks.servers.server_notice import NOTHING_ASKED, ServerNotice
 
 NAMES = HeaderNames(
     request_id="Try-Id",
@@ -15,3 +18,14 @@
 
 CALLER_HEADER = "Simulated-Caller"
 """Tells a machine whose request it runs, for the record of the run."""
+
+REST_HEADER = "Rest-Seconds"
+LEAVING_HEADER = "Leaving"
+"""In which a machine asks for rest, and says that it leaves."""
+
+
+def read_simulated_notice(status: int, headers: Mapping[str, str]) -> ServerNotice:
+    """Read what a machine asks for in the head of an answer."""
+    if REST_HEADER not in headers and LEAVING_HEADER not in headers:
+        return NOTHING_ASKED
+    return ServerNotice(float(headers.get(REST_HEADER, "0")), LEAVING_HEADER in headers)
