A server that says in an answer that it leaves gets no new work, whatever its entry says

Cause: only the list of servers told of leaving; its answers may tell it earlier, or alone. Ruled out: ending at once for an owner of keys: they would be unserved until the leader has moved them; it serves them for 1 s more, as in an evacuation, of the 2 s that the platform gives. A time after which the word counts no more: a server that leaves stays one; a new life of its id is told apart by its start. Conclusion: heeded by the gateway that was told; others learn it from the entry as before.

--- a/features/gateway_rest_sockets.feature
+++ b/features/gateway_rest_sockets.feature
@@ -122,3 +122,49 @@
     And gateway server "a" starts again under its id
     And a gateway caller sends 1 request one after the other
     Then the gateway answers have the statuses 503, 200
+
+  Scenario Outline: A server says in an answer that it leaves, and its entry does not
+    Given a gateway
+    And gateway server "a" that <behaviour>
+    When a gateway caller sends 1 request one after the other
+    And 3 gateway callers send a request each in turn
+    Then the gateway servers got <requests> requests
+    And the gateway <believes> that server "a" may get new work
+
+    Examples:
+      | behaviour                           | requests | believes      |
+      | says that it leaves                 | 1        | does not hold |
+      | says that it leaves with 500        | 1        | does not hold |
+      | says that it leaves and turns away  | 1        | does not hold |
+      | says that it leaves in a cut answer | 1        | does not hold |
+      | says that it stays                  | 4        | holds         |
+
+  Scenario: The others serve while one server leaves
+    Given a gateway
+    And 2 gateway servers, of which the first to be asked says that it leaves
+    When a gateway caller sends 6 requests one after the other
+    Then every gateway answer is the server's, whole
+    And one of them got 1 request alone
+
+  Scenario: An owner that says that it leaves serves its keys for a moment while they move
+    Given a gateway
+    And the gateway's service has keys
+    And the gateway route's time-out is 1 s
+    And gateway server "a" that says that it leaves
+    And gateway server "b" that answers
+    And gateway server "a" owns the lower half of the keys and "b" the upper
+    When a gateway caller asks for key 7 and key 7
+    And 1.1 s pass at the gateway
+    And a gateway caller asks for key 7
+    Then the gateway answers have the statuses 200, 200, 503
+    When gateway server "b" owns all keys
+    And a gateway caller asks for key 7
+    Then the last gateway answer is the server's, whole
+
+  Scenario: A new life of a server has not said that it leaves
+    Given a gateway
+    And gateway server "a" that says that it leaves, then answers
+    When a gateway caller sends 1 request one after the other
+    And gateway server "a" starts again under its id
+    And a gateway caller sends 1 request one after the other
+    Then the gateway answers have the statuses 200, 200
--- a/features/steps/gateway_rest_behaviours.py
+++ b/features/steps/gateway_rest_behaviours.py
@@ -34,8 +34,34 @@
     return await turns_away("3")(server, request, writer)
 
 
+def says_leaving(status: int) -> Behaviour:
+    """Answer with `status`, and that the server leaves."""
+
+    async def behaviour(server, request, writer):
+        headers = ["Server-Leaving: 1"] + ([f"{NAMES.not_run}: shed"] if status == 503 else [])
+        writer.write(answer(request, status, headers=headers))
+        return True
+
+    return behaviour
+
+
+async def says_leaving_in_cut_answer(server, request, writer):
+    writer.write(answer(request, 500, headers=("Server-Leaving: 1",), length=1000))
+    return False
+
+
+async def says_staying(server, request, writer):
+    writer.write(answer(request, headers=("Server-Leaving: 0",)))
+    return True
+
+
 BEHAVIOURS.update(
     {
+        "says that it leaves": says_leaving(200),
+        "says that it leaves with 500": says_leaving(500),
+        "says that it leaves and turns away": says_leaving(503),
+        "says that it leaves in a cut answer": says_leaving_in_cut_answer,
+        "says that it stays": says_staying,
         "asks for 3 s of rest": turns_away("3"),
         "asks for 1 s of rest": turns_away("1"),
         "asks for a year of rest": turns_away("31536000"),
--- a/features/steps/gateway_rest_socket_steps.py
+++ b/features/steps/gateway_rest_socket_steps.py
@@ -133,3 +133,17 @@
     known = context.gateway.platform.servers.get(server_id)
     record = make_record(server_id, known.address, version=2, started_ms=2_000)
     context.run_async(context.gateway.put_server(record))
+
+
+@when("{count:d} gateway callers send a request each in turn")
+def step_in_turn(context, count):
+    async def run():
+        return [await ask(context.gateway) for _ in range(count)]
+
+    context.gateway_answers.extend(context.run_async(run()))
+
+
+@then('the gateway {believes} that server "{server_id}" may get new work')
+def step_new_work(context, believes, server_id):
+    expected = {"holds": True, "does not hold": False}[believes]
+    assert context.gateway.platform.servers.is_usable(server_id) is expected
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -68,6 +68,7 @@
         self.sender.on_notice = platform.servers.take_notice
         self.sender.is_held_back = platform.servers.is_held_back
         platform.servers.notices.rests.on_change = self.servers_changed
+        platform.servers.notices.on_leaving = self.servers_changed
         cold_budget = ColdBudget(
             settings.node, directory, platform.servers.cold, platform.is_keyed, clock
         )
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -32,8 +32,10 @@
 
 MOVE_AWAY_S = 1.0
 """After this process has learnt of an evacuation, owners in the zone serve their keys for so long
-while these move. An evacuation must be in force everywhere 5 s after it was accepted (the
-platform's `evacuate`); processes that read it last do so about 1 s after it was accepted."""
+while these move, and so does an owner whose answer says that it leaves while its entry does not:
+2 s after it (the platform's `drain`) nothing may be sent there any more. An evacuation must be in
+force everywhere 5 s after it was accepted (the platform's `evacuate`); processes that read it last
+do so about 1 s after it was accepted."""
 
 
 class ServerList:
@@ -138,6 +140,8 @@
         record = self.get(server_id)
         if record is None or self.evacuations.is_evacuated(record.zone):
             return False
+        if self.notices.says_leaving(server_id):
+            return False
         return self._is_in_service(server_id)
 
     def is_cold(self, server_id: str) -> bool:
@@ -156,20 +160,26 @@
 
     def is_held_back(self, server_id: str) -> bool:
         """Tell whether what a server asked for in its answers forbids a request to it now."""
-        return self.has_resting() and self.rest_left_s(server_id) > 0
+        if not self.notices.has_any():
+            return False
+        if self.rest_left_s(server_id) > 0:
+            return True
+        return self.notices.says_leaving(server_id) and not self.may_serve_own_keys(server_id)
 
     def may_serve_own_keys(self, server_id: str) -> bool:
         """Tell whether an owner may get requests for its keys until these have moved.
 
-        In an evacuation a zone's owners all leave at once; cutting them off before their keys are
-        granted elsewhere would leave a third of all keys unserved for the time of the moves.
+        In an evacuation a zone's owners all leave at once, and a server may say in an answer that
+        it leaves before the list does; cutting them off before their keys are granted elsewhere
+        would leave these unserved for the time of the moves.
         """
         if self.is_usable(server_id):
             return True
         record = self.get(server_id)
         if record is None or not self._is_in_service(server_id):
             return False
-        return self.evacuations.evacuated_for_s(record.zone) < MOVE_AWAY_S
+        evacuated_for_s = self.evacuations.evacuated_for_s(record.zone)
+        return max(evacuated_for_s, self.notices.leaving_for_s(server_id)) < MOVE_AWAY_S
 
     def get(self, server_id: str) -> ServerRecord | None:
         """Return a server that is listed or was so a short time ago, leaving ones included."""
--- a/indigoworks/servers/server_notices.py
+++ b/indigoworks/servers/server_notices.py
@@ -1,5 +1,7 @@
 """What servers said of themselves in their answers."""
 
+from collections.abc import Callable
+
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
@@ -15,6 +17,7 @@
     """Takes the notices of all answers, of whatever kind, and remembers them by server.
 
     :ivar rests: servers that asked this process for rest.
+    :ivar on_leaving: called when a server has said that it leaves.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -22,6 +25,7 @@
         self.rests = ServerRests(clock)
         self._leaving_s: dict[str, float] = {}
         self._unreadable: dict[str, str] = {}
+        self.on_leaving: Callable[[], None] = _nothing
 
     def take(self, server: ServerRecord, notice: ServerNotice) -> None:
         """Take what a server asks for in an answer."""
@@ -32,6 +36,19 @@
         if notice.unreadable:
             self._note_unreadable(server, notice.unreadable)
 
+    def has_any(self) -> bool:
+        """Tell whether any server asked for anything that holds: a quick look."""
+        return bool(self._leaving_s) or self.rests.has_any()
+
+    def says_leaving(self, server_id: str) -> bool:
+        """Tell whether a server said in an answer that it leaves; it stays so until its end."""
+        return server_id in self._leaving_s
+
+    def leaving_for_s(self, server_id: str) -> float:
+        """Return the time since it first said so; 0: it did not."""
+        told_s = self._leaving_s.get(server_id)
+        return 0.0 if told_s is None else self._clock.now() - told_s
+
     def forget(self, server_id: str) -> None:
         """Forget a server that left, or an earlier life of one."""
         self.rests.forget(server_id)
@@ -49,6 +66,7 @@
             service=server.service,
             is_draining=server.is_draining,
         )
+        self.on_leaving()
 
     def _note_unreadable(self, server: ServerRecord, text: str) -> None:
         """Log a wish that cannot be read, once for each cause."""
@@ -62,3 +80,7 @@
             service=server.service,
             reason=text[:MAX_LOGGED_TEXT],
         )
+
+
+def _nothing() -> None:
+    """Stand in until somebody wants to know."""
