Gateways tell each other what servers ask for; the leader takes keys from a server that rests or says that it leaves

Ruled out: peers bound by each other's word: all might believe that a whole service rests and nobody would learn that it does not; it only says whom to spare and whose keys to move, and only where two gateways were asked. Moving keys whatever the room: an overloaded server would hand its load to the next. Counting tellings instead of tellers: a hub's sum comes back to its members. Answers to orders are heard as well. 8, 20 and 195 simulated gateways, restarts, cuts, lost datagrams, no store: no wish unheeded. Conclusion: the checker counted a rest for answers of requests that ran; only those that are turned away ask now.

--- a/features/gateway_rests.feature
+++ b/features/gateway_rests.feature
@@ -28,3 +28,38 @@
     And from 2 s on 3 servers of each service say in all answers that they leave
     When the requests beside them have ended
     Then servers said that they leave and got no request that was sent 2 s later
+
+  Scenario Outline: The same in other groups, beside other troubles
+    Given <gateways> crash gateways before 14 servers of each service
+    And <lost> of the datagrams are lost
+    And requests beside them at <per_s> a second for 11 s
+    And after <at_s> s <what>
+    And from 2 s on 3 servers of each service turn all away for 6 s and ask for 3 s of rest
+    And from 4 s on 2 servers more of each service say in all answers that they leave
+    When the requests beside them have ended
+    Then servers asked for rest and got no more than 2 requests of a gateway within it
+    And servers said that they leave and got no request that was sent 2 s later
+
+    Examples:
+      | gateways | lost | per_s | at_s | what                               |
+      | 8        | 0.1  | 200   | 3    | all gateways start again           |
+      | 8        | 0    | 200   | 3    | one gateway is cut from the others |
+      | 20       | 0    | 200   | 3    | all gateways but one start again   |
+      | 20       | 0.03 | 200   | 3    | no gateway hears another           |
+      | 195      | 0    | 60    | 3    | the store is down                  |
+
+  Scenario: Every server of a service asks every gateway for rest
+    Given 8 crash gateways before 6 servers of each service
+    And requests beside them at 60 a second for 14 s
+    And from 2 s on 6 servers of each service turn all away for 5 s and ask for 2 s of rest
+    When the requests beside them have ended
+    Then servers asked for rest and got no more than 2 requests of a gateway within it
+    And nothing waits for the end of a rest, and who comes back in time is served
+
+  Scenario: A server that asks some gateways for rest serves the others
+    Given 8 crash gateways before 6 servers of each service
+    And requests beside them at 120 a second for 10 s
+    And from 2 s on 1 servers of each service turn one gateway away for 6 s and ask for 3 s of rest
+    When the requests beside them have ended
+    Then servers asked for rest and got no more than 2 requests of a gateway within it
+    And these servers ran requests of the others meanwhile
--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -94,6 +94,9 @@
         self.gate = asyncio.Event()
         self.gate.set()
 
+    def hear(self, listener):
+        self.listener = listener
+
     async def grant(self, server, grant, timeout_s):
         self.waiting += 1
         await self.gate.wait()
--- a/features/steps/gateway_group_world.py
+++ b/features/steps/gateway_group_world.py
@@ -51,6 +51,9 @@
     def rest_left_s(self, server_id):
         return 0.0
 
+    def rest_left_s_for_many(self, server_id):
+        return 0.0
+
 
 @dataclass
 class Asked:
--- a/indigoworks/broker/zone_servers.py
+++ b/indigoworks/broker/zone_servers.py
@@ -51,14 +51,18 @@
         return self._servers.may_serve_own_keys(server_id)
 
     def has_resting(self) -> bool:
-        """Tell that none rests: a wish for rest is told to one gateway, and each that asks for a
-        slot names the servers that it must not get."""
-        return False
+        """Tell whether any server may rest: a quick look that spares the one at each server."""
+        return self._servers.has_resting()
 
     def rest_left_s(self, server_id: str) -> float:
-        """Return 0: see `has_resting`."""
+        """Return 0: a wish for rest is told to one gateway, and each that asks for a slot names the
+        servers that it must not get."""
         return 0.0
 
+    def rest_left_s_for_many(self, server_id: str) -> float:
+        """Return for how much longer several gateways are asked for rest by a server."""
+        return self._servers.rest_left_s_for_many(server_id)
+
     def is_gone(self, server_id: str) -> bool:
         """Tell whether the server's process is known to have ended."""
         return self._servers.is_gone(server_id)
--- a/indigoworks/exchange/hub_sums.py
+++ b/indigoworks/exchange/hub_sums.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
+from indigoworks.exchange.notice_note import merge_notes
 from indigoworks.exchange.peer_report import AgedReport, PeerReport, node_checksum
 from indigoworks.exchange.server_load import ServerLoad
 
@@ -25,6 +26,7 @@
         configuration_version=max(each.configuration_version for each in reports),
         group_version=max(each.group_version for each in reports),
         operator_row_version=max(each.operator_row_version for each in reports),
+        notices=merge_notes(note for each in reports for note in each.notices),
         members=tuple((node_checksum(each.report.node), each.report.sequence) for each in members),
     )
 
--- /dev/null
+++ b/indigoworks/exchange/notice_note.py
@@ -0,0 +1,47 @@
+"""What gateways tell each other of what a server asked for in its answers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+MAX_TELLERS = 4
+"""Gateways that a note names: whether more than that were asked makes no difference to anybody."""
+
+MAX_NOTES = 32
+"""Notes in a report, of up to 36 bytes each (computed), so that it stays below the 1.5 KB of a
+packet."""
+
+
+@dataclass(frozen=True, slots=True)
+class NoticeNote:
+    """A server's wish, as it was told to the sender and to those whom the sender sums up.
+
+    :ivar server: checksum of the server's id.
+    :ivar rest_left_s: seconds for which it still wants no request from the tellers; 0: it asked
+        none of them for rest.
+    :ivar tellers: checksums of the gateways that were asked for rest.
+    """
+
+    server: int
+    rest_left_s: float
+    tellers: tuple[int, ...]
+    is_leaving: bool
+
+
+def merge_notes(notes: Iterable[NoticeNote]) -> tuple[NoticeNote, ...]:
+    """Return one note for each server, leaving ones first; the same whatever the order."""
+    merged: dict[int, NoticeNote] = {}
+    for note in notes:
+        known = merged.get(note.server)
+        merged[note.server] = note if known is None else _merge(known, note)
+    ordered = sorted(merged.values(), key=lambda each: (not each.is_leaving, -each.rest_left_s))
+    return tuple(ordered[:MAX_NOTES])
+
+
+def _merge(one: NoticeNote, other: NoticeNote) -> NoticeNote:
+    tellers = sorted({*one.tellers, *other.tellers})
+    return NoticeNote(
+        one.server,
+        max(one.rest_left_s, other.rest_left_s),
+        tuple(tellers[:MAX_TELLERS]),
+        one.is_leaving or other.is_leaving,
+    )
--- a/indigoworks/exchange/peer_report.py
+++ b/indigoworks/exchange/peer_report.py
@@ -6,6 +6,7 @@
 
 from indigoworks.exchange.key_sample import KeySample
 from indigoworks.exchange.leader_beat import LeaderBeat
+from indigoworks.exchange.notice_note import NoticeNote
 from indigoworks.exchange.server_load import ServerLoad
 from indigoworks.exchange.suspect_note import SuspectNote
 
@@ -27,6 +28,7 @@
     :ivar hub: the gateway that sums this report up; empty: none.
     :ivar is_joining: the hub is to list this process, and to leave its loads out of the sums yet.
     :ivar suspects: requests under which servers ended, of those that the sender knows.
+    :ivar notices: what servers asked the sender for, or those whom it sums up.
     :ivar members: checksum of each gateway that is summed up here, and the sequence of its report.
     """
 
@@ -46,6 +48,7 @@
     members: tuple[tuple[int, int], ...] = ()
     operator_row_version: int = 0
     suspects: tuple[SuspectNote, ...] = ()
+    notices: tuple[NoticeNote, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -8,6 +8,8 @@
 from indigoworks.exchange.exchange_pb2 import PeerReportMessage
 from indigoworks.exchange.key_sample import KeySample
 from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
+from indigoworks.exchange.notice_codec import from_message as notice_of
+from indigoworks.exchange.notice_codec import to_message as notice_message
 from indigoworks.exchange.peer_report import AgedReport, PeerReport
 from indigoworks.exchange.server_load import ServerLoad
 from indigoworks.exchange.suspect_codec import from_message, to_message
@@ -32,6 +34,7 @@
         members=[member for member, _ in report.members],
         member_sequences=[sequence for _, sequence in report.members],
         suspects=[to_message(each) for each in report.suspects],
+        notices=[notice_message(each) for each in report.notices],
         load_servers=[each.server for each in report.loads],
         load_in_flight=[each.in_flight for each in report.loads],
         load_service_ms=[_milliseconds(each.service_s) for each in report.loads],
@@ -108,6 +111,7 @@
         hub=message.hub,
         is_joining=message.is_joining,
         suspects=tuple(from_message(each) for each in message.suspects),
+        notices=tuple(notice_of(each) for each in message.notices),
         members=tuple(zip(message.members, message.member_sequences, strict=True)),
     )
 
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -76,6 +76,7 @@
                 random,
             ),
         )
+        ports.orders.hear(platform.servers.take_notice)
         self._bounds = HoldBounds(clock)
         self._policy = HoldPolicy(ports.health, settings.hold_max_s)
         self._reach = ServerReach(clock)
--- a/indigoworks/gateway/counted_orders.py
+++ b/indigoworks/gateway/counted_orders.py
@@ -6,7 +6,7 @@
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderOutcome
-from indigoworks.ownership.server_orders import ServerOrders
+from indigoworks.ownership.server_orders import ServerOrders, TakeNotice
 from indigoworks.servers.server_record import ServerRecord
 
 
@@ -20,6 +20,10 @@
         self._orders = orders
         self._calls = CallMetrics(metrics, clock, "gateway_order", "Orders to servers", "order")
 
+    def hear(self, listener: TakeNotice) -> None:
+        """Tell `listener` what servers ask for in their answers to orders."""
+        self._orders.hear(listener)
+
     async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
         """Grant keys, or renew the same grant."""
         answer = self._orders.grant(server, grant, timeout_s)
--- a/indigoworks/gateway/gateway_reports.py
+++ b/indigoworks/gateway/gateway_reports.py
@@ -40,8 +40,8 @@
 
     def _has_news(self) -> bool:
         is_changed = self._requests.board.loads() != self._reported_loads
-        has_suspects = self._requests.quarantine.has_news()
-        return is_changed or has_suspects or self._requests.sampler.has_samples()
+        has_notes = self._requests.quarantine.has_news() or self._requests.notices.has_any()
+        return is_changed or has_notes or self._requests.sampler.has_samples()
 
     def _make(self) -> PeerReport:
         self._sequence += 1
@@ -64,8 +64,10 @@
             group_version=self._control.group_version,
             operator_row_version=self._platform.operator_row_version,
             suspects=self._requests.quarantine.take_news(),
+            notices=self._requests.notices.notes(),
         )
 
     def _take(self, report: PeerReport) -> None:
         self._requests.quarantine.take_notes(report.suspects)
+        self._requests.notices.take(report.notices)
         self._control.take_report(report)
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -1,6 +1,6 @@
 """The parts of a gateway that serve requests."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from indigoworks.broker.broker_side import BrokerSide
@@ -18,6 +18,7 @@
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.harm_watch import HarmWatch
 from indigoworks.gateway.key_sampler import KeySampler
+from indigoworks.gateway.notice_reports import NoticeReports
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_side import PlatformSide
@@ -41,7 +42,10 @@
 
 
 class RequestSide:
-    """Builds the way of a request; `front` listens for callers."""
+    """Builds the way of a request; `front` listens for callers.
+
+    :ivar on_notice: called when a server asked for something of which peers are to learn soon.
+    """
 
     def __init__(
         self,
@@ -67,8 +71,10 @@
         )
         self.sender.on_notice = platform.servers.take_notice
         self.sender.is_held_back = platform.servers.is_held_back
-        platform.servers.notices.rests.on_change = self.servers_changed
-        platform.servers.notices.on_leaving = self.servers_changed
+        self.notices = NoticeReports(settings.node, platform.servers)
+        self.on_notice: Callable[[], None] = _nothing
+        platform.servers.notices.rests.on_change = self._take_wish
+        platform.servers.notices.on_leaving = self._take_wish
         cold_budget = ColdBudget(
             settings.node, directory, platform.servers.cold, platform.is_keyed, clock
         )
@@ -146,6 +152,11 @@
         self.queue.capacity_changed()
         self.brokers.broker.servers_changed()
 
+    def _take_wish(self) -> None:
+        """A server asked for rest, or leaves: what waits for it looks elsewhere."""
+        self.servers_changed()
+        self.on_notice()
+
     async def run(self) -> None:
         """Write to the store which requests are refused, until cancelled."""
         await self._quarantine_rows.run()
@@ -166,6 +177,7 @@
         self.quarantine.tidy()
         self.sender.drop_old()
         self._servers.forget_old()
+        self._servers.notices.rests.drop_ended()
         for server_id in self.sender.known_servers():
             if self._servers.get(server_id) is None:
                 self.sender.forget(server_id)
@@ -175,3 +187,7 @@
         """End all checks of servers."""
         self._harm.close()
         self._watch.close()
+
+
+def _nothing() -> None:
+    """Stand in until somebody wants to know."""
--- a/indigoworks/gateway/server_choice.py
+++ b/indigoworks/gateway/server_choice.py
@@ -44,7 +44,7 @@
         asked for rest."""
         usable = list(self._servers.usable(service))
         if self._servers.has_resting():
-            usable = [each for each in usable if not self._servers.rest_left_s(each.server_id)]
+            usable = self._without_resting(usable)
         if not self._board.has_down() and not self._cold_budget.excludes_any():
             return usable
         return [each for each in usable if self._is_usable(each)]
@@ -57,6 +57,13 @@
         usable = self._servers.usable(service)
         return min((self._servers.rest_left_s(each.server_id) for each in usable), default=0.0)
 
+    def _without_resting(self, usable: list[ServerRecord]) -> list[ServerRecord]:
+        """Return those that have not asked this process for rest, nor several others if any other
+        is left: a server that turns a request away costs it a repeat, of which there are few."""
+        awake = [each for each in usable if not self._servers.rest_left_s(each.server_id)]
+        spared = self._servers.rest_left_s_for_many
+        return [each for each in awake if not spared(each.server_id)] or awake
+
     def _is_usable(self, server: ServerRecord) -> bool:
         if self._board.is_down(server.server_id):
             return False
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -16,6 +16,7 @@
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.predecessor_bound import PredecessorBound
+from indigoworks.ownership.resting_owners import RestingOwners
 from indigoworks.ownership.server_capacity import ServerCapacity
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_editor import (
@@ -89,6 +90,7 @@
         self._speed_of = speed_of
         self._clock = clock
         self._load = GroupLoad(peers, clock)
+        self._resting = RestingOwners(servers, peers)
         self._balanced_s = float("-inf")
         self._evened_s = float("-inf")
         self._cleaned_s = float("-inf")
@@ -186,7 +188,10 @@
     ) -> tuple[OwnershipTable, str] | None:
         leavers = self._leavers(service, table)
         stayers = self._capacities(service, leavers)
-        balancer = LoadBalancer(table, self._load.slow(service))
+        window = self._load.slow(service)
+        resting = self._resting.to_relieve(table, window, stayers)
+        leavers.update({each: "resting" for each in resting if each not in leavers})
+        balancer = LoadBalancer(table, window)
         moves = balancer.moves_of_leavers(leavers, stayers)
         if moves:
             return with_moves(table, moves), moves[0].reason
@@ -203,14 +208,18 @@
         return leavers
 
     def _capacities(self, service: str, leavers: dict[str, str]) -> list[ServerCapacity]:
-        """Return the servers that may be given keys: not cold ones, unless all are.
+        """Return the servers that may be given keys: not cold ones, unless all are, and none that
+        asked for rest.
 
-        A cold server falls over at little more than half of its usual load.
+        A cold server falls over at little more than half of its usual load, and one that turns all
+        away has no load and looks idle.
         """
         stayers = [
             each
             for each in self._servers.usable(service)
-            if each.server_id not in leavers and not self._reach.is_suspect(each.server_id)
+            if each.server_id not in leavers
+            and not self._reach.is_suspect(each.server_id)
+            and not self._resting.is_resting(each.server_id)
         ]
         warm = [each for each in stayers if not self._servers.is_cold(each.server_id)]
         return [
--- a/indigoworks/ownership/server_orders.py
+++ b/indigoworks/ownership/server_orders.py
@@ -1,16 +1,25 @@
 """The port through which grants and releases reach servers."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderOutcome
+from indigoworks.servers.server_notice import ServerNotice
 from indigoworks.servers.server_record import ServerRecord
 
+TakeNotice = Callable[[str, ServerNotice], None]
+"""Takes the id of a server and what it asked for in an answer."""
+
 
 class ServerOrders(Protocol):
     """Sends orders, each over a connection of its own, each at most once."""
 
+    def hear(self, listener: TakeNotice) -> None:
+        """Tell `listener` what servers ask for in their answers to orders."""
+        ...
+
     async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
         """Grant keys, or renew the same grant."""
         ...
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -158,6 +158,11 @@
         them."""
         return self.notices.rests.left_s(server_id)
 
+    def rest_left_s_for_many(self, server_id: str) -> float:
+        """Return for how much longer several gateways are asked for rest by a server; 0: none or
+        one is."""
+        return self.notices.rests.left_s_for_many(server_id)
+
     def is_held_back(self, server_id: str) -> bool:
         """Tell whether what a server asked for in its answers forbids a request to it now."""
         if not self.notices.has_any():
--- a/indigoworks/servers/server_notices.py
+++ b/indigoworks/servers/server_notices.py
@@ -24,15 +24,19 @@
         self._clock = clock
         self.rests = ServerRests(clock)
         self._leaving_s: dict[str, float] = {}
+        self._heard_leaving: set[str] = set()
         self._unreadable: dict[str, str] = {}
         self.on_leaving: Callable[[], None] = _nothing
 
-    def take(self, server: ServerRecord, notice: ServerNotice) -> None:
-        """Take what a server asks for in an answer."""
+    def take(self, server: ServerRecord, notice: ServerNotice, is_own: bool = True) -> None:
+        """Take what a server asks for in an answer.
+
+        :param is_own: False: a peer tells of it.
+        """
         if notice.rest_s > 0:
             self.rests.note(server, notice.rest_s)
         if notice.is_leaving:
-            self._note_leaving(server)
+            self._note_leaving(server, is_own)
         if notice.unreadable:
             self._note_unreadable(server, notice.unreadable)
 
@@ -49,14 +53,21 @@
         told_s = self._leaving_s.get(server_id)
         return 0.0 if told_s is None else self._clock.now() - told_s
 
+    def told_leaving_within(self, duration_s: float) -> list[str]:
+        """Return the servers that told this process itself so short a time ago."""
+        return [each for each in self._heard_leaving if self.leaving_for_s(each) < duration_s]
+
     def forget(self, server_id: str) -> None:
         """Forget a server that left, or an earlier life of one."""
         self.rests.forget(server_id)
         self._leaving_s.pop(server_id, None)
+        self._heard_leaving.discard(server_id)
         self._unreadable.pop(server_id, None)
 
-    def _note_leaving(self, server: ServerRecord) -> None:
+    def _note_leaving(self, server: ServerRecord, is_own: bool) -> None:
         """Take note that a server said in an answer that it leaves."""
+        if is_own:
+            self._heard_leaving.add(server.server_id)
         if server.server_id in self._leaving_s:
             return
         self._leaving_s[server.server_id] = self._clock.now()
@@ -65,6 +76,7 @@
             server=server.server_id,
             service=server.service,
             is_draining=server.is_draining,
+            is_told_by_peer=not is_own,
         )
         self.on_leaving()
 
--- a/indigoworks/servers/server_source.py
+++ b/indigoworks/servers/server_source.py
@@ -42,6 +42,11 @@
         them."""
         ...
 
+    def rest_left_s_for_many(self, server_id: str) -> float:
+        """Return for how much longer several gateways are asked for rest by a server; 0: none or
+        one is."""
+        ...
+
     def is_gone(self, server_id: str) -> bool:
         """Tell whether the server's process is known to have ended."""
         ...
--- a/indigoworks_lab/control_simulation/node_orders.py
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -7,6 +7,7 @@
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.ownership.server_orders import TakeNotice
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks_lab.control_simulation.order_carrier import OrderCarrier, OrderTransit
 from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
@@ -35,6 +36,9 @@
         self._run_outside = run_outside
         self._lines: dict[str, asyncio.Lock] = {}
 
+    def hear(self, listener: TakeNotice) -> None:
+        """Tell nothing: these servers ask for nothing."""
+
     async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
         """Grant keys, or renew the same grant."""
 
--- a/indigoworks_lab/crash_simulation/crash_gateway.py
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -81,7 +81,9 @@
             ReportSource(self._make_report, self._has_news, self._take, lambda: NO_LEADER),
             lambda datagram, to: send(self, datagram, to),
         )
-        self.side.quarantine.on_news = CoalescedCall(self.sender.send_soon).ask
+        telling = CoalescedCall(self.sender.send_soon)
+        self.side.quarantine.on_news = telling.ask
+        self.side.on_notice = telling.ask
         self._sequence = 0
 
     def take_rows(self, rows: Sequence[Row]) -> None:
@@ -96,7 +98,8 @@
             self.sender.send_if_due()
 
     def _has_news(self) -> bool:
-        return bool(self.side.board.loads()) or self.side.quarantine.has_news()
+        has_notes = self.side.quarantine.has_news() or self.side.notices.has_any()
+        return bool(self.side.board.loads()) or has_notes
 
     def _make_report(self) -> PeerReport:
         self._sequence += 1
@@ -111,8 +114,10 @@
             samples=(),
             retry_count=0,
             suspects=self.side.quarantine.take_news(),
+            notices=self.side.notices.notes(),
         )
 
     def _take(self, report: PeerReport) -> None:
         self.side.quarantine.take_notes(report.suspects)
+        self.side.notices.take(report.notices)
         self.side.queue.capacity_changed()
--- a/indigoworks_lab/crash_simulation/machine_connection.py
+++ b/indigoworks_lab/crash_simulation/machine_connection.py
@@ -98,13 +98,13 @@
     def _answer(self, machine: CrashMachine, status: int) -> AnswerCollector:
         """Return an answer with what the machine asks for at this moment."""
         wishes = machine.wishes
-        wishes.note_answer(
-            asyncio.get_running_loop().time(), self._life_of_gateway, machine.server_id
-        )
+        now_s = asyncio.get_running_loop().time()
+        turns_away = status == TURNED_AWAY
+        wishes.note_answer(now_s, self._life_of_gateway, machine.server_id, turns_away)
         answer = AnswerCollector()
         answer.status = status
         answer.headers = HTTPHeaders({NAMES.answering_server_id: machine.server_id})
-        if status == TURNED_AWAY:
+        if turns_away:
             answer.headers[NAMES.not_run] = "1"
             answer.headers[REST_HEADER] = str(wishes.rest_s)
         if wishes.is_leaving:
--- a/indigoworks_lab/crash_simulation/machine_wishes.py
+++ b/indigoworks_lab/crash_simulation/machine_wishes.py
@@ -51,8 +51,8 @@
         """Tell whether a request of a gateway is turned away."""
         return self.rest_s > 0 and self.turns_away(gateway)
 
-    def note_answer(self, at_s: float, gateway: str, server_id: str) -> None:
-        """Note an answer that goes to a gateway now."""
-        rest_s = self.rest_s if self.asks_rest(gateway) else 0.0
+    def note_answer(self, at_s: float, gateway: str, server_id: str, turns_away: bool) -> None:
+        """Note an answer that goes to a gateway now; only one that turns away asks for rest."""
+        rest_s = self.rest_s if turns_away else 0.0
         if rest_s > 0 or self.is_leaving:
             self.asked.append(Wish(at_s, gateway, server_id, rest_s, self.is_leaving))
--- a/indigoworks_lab/crash_simulation/no_orders.py
+++ b/indigoworks_lab/crash_simulation/no_orders.py
@@ -3,12 +3,16 @@
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.ownership.server_orders import TakeNotice
 from indigoworks.servers.server_record import ServerRecord
 
 
 class NoOrders:
     """Implements `ServerOrders` and sends nothing: `OwnerMoves` decides who owns what."""
 
+    def hear(self, listener: TakeNotice) -> None:
+        """Tell nothing: these servers ask for nothing."""
+
     async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
         """Grant nothing."""
         return OrderOutcome(OrderResult.NOT_SENT)
