Gauges on servers' wishes; a life of an id is told by two known starts only

Cause: nothing told how many servers rest here, nor what was held back at the last moment. An entry without a start after one with it would have passed for a new life, and ended what the server asked for. Before: log lines alone.

--- a/features/steps/gateway_rest_socket_steps.py
+++ b/features/steps/gateway_rest_socket_steps.py
@@ -131,8 +131,9 @@
 @when('gateway server "{server_id}" starts again under its id')
 def step_starts_again(context, server_id):
     known = context.gateway.platform.servers.get(server_id)
-    record = make_record(server_id, known.address, version=2, started_ms=2_000)
-    context.run_async(context.gateway.put_server(record))
+    for version, started_ms in ((2, 1_000), (3, 2_000)):
+        record = make_record(server_id, known.address, version=version, started_ms=started_ms)
+        context.run_async(context.gateway.put_server(record))
 
 
 @when("{count:d} gateway callers send a request each in turn")
--- a/indigoworks/gateway/server_sender.py
+++ b/indigoworks/gateway/server_sender.py
@@ -52,6 +52,8 @@
     :ivar on_notice: called with the id of the server that asks for something, and with that.
     :ivar is_held_back: tells of a server whether it asked for no further request by now.
     :ivar opened: connections opened so far.
+    :ivar held_back: requests that had a server and a connection, and were not sent for what the
+        server had asked for meanwhile.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self._clock = clock
         self._pools: dict[str, ConnectionPool] = {}
         self.opened = 0
+        self.held_back = 0
 
     async def send(
         self, request: ClientRequest, server: ServerRecord, deadline_s: float
@@ -88,6 +91,7 @@
         # may have asked for rest in its answer to another one.
         if self.is_held_back(server.server_id):
             connection.abort()
+            self.held_back += 1
             return ServerAnswer(ExchangeResult.HELD_BACK, detail="held_back")
         answer = await self._exchange(connection, request, server, deadline_s)
         if answer is None:
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -57,6 +57,7 @@
             self._repeat_budget,
         )
         self._add_quarantine(metrics)
+        self._add_notices(metrics)
         metrics.gauge("gateway_grants", "Ranges that we grant", ("state",), self._grants)
         metrics.gauge("gateway_is_leader", "1: we lead", NO_LABELS, self._is_leader)
         metrics.gauge("gateway_epoch", "Epoch of the leader's row", NO_LABELS, self._epoch)
@@ -111,6 +112,24 @@
             },
         )
 
+    def _add_notices(self, metrics: Metrics) -> None:
+        notices = self._platform.servers.notices
+        metrics.gauge(
+            "gateway_server_notices",
+            "Servers that asked this gateway for rest, or said that they leave",
+            ("state",),
+            lambda: {
+                ("resting",): len(list(notices.rests.resting())),
+                ("leaving",): notices.leaving_count(),
+            },
+        )
+        metrics.read_counter(
+            "gateway_held_back",
+            "Requests not sent for what their server asked for after it was chosen",
+            NO_LABELS,
+            lambda: {NO_LABELS: self._requests.sender.held_back},
+        )
+
     # ---- requests ----
 
     def _waiting(self) -> Values:
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -74,7 +74,7 @@
         if known is not None and known.version >= record.version:
             return
         earlier = self.get(record.server_id)
-        if earlier is not None and earlier.started_ms != record.started_ms:
+        if earlier is not None and 0 < earlier.started_ms < record.started_ms:
             # What another life asked for concerns this one no more.
             self.notices.forget(record.server_id)
         self._listed[record.server_id] = record
--- a/indigoworks/servers/server_notices.py
+++ b/indigoworks/servers/server_notices.py
@@ -53,6 +53,10 @@
         told_s = self._leaving_s.get(server_id)
         return 0.0 if told_s is None else self._clock.now() - told_s
 
+    def leaving_count(self) -> int:
+        """Return how many servers are known to have said that they leave."""
+        return len(self._leaving_s)
+
     def told_leaving_within(self, duration_s: float) -> list[str]:
         """Return the servers that told this process itself so short a time ago."""
         return [each for each in self._heard_leaving if self.leaving_for_s(each) < duration_s]
