--- a/features/gateway_rests.feature
+++ b/features/gateway_rests.feature
@@ -63,3 +63,12 @@
     When the requests beside them have ended
     Then servers asked for rest and got no more than 2 requests of a gateway within it
     And these servers ran requests of the others meanwhile
+
+  Scenario Outline: Drawn rests and leavings beside restarts, cuts, outages and ends
+    When the drawn run <seed> of servers' wishes is played
+    Then no wish of a server was left unheeded
+
+    Examples:
+      | seed |
+      | 2    |
+      | 12   |
--- a/features/steps/gateway_rest_steps.py
+++ b/features/steps/gateway_rest_steps.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from behave import given, then
+from behave import given, then, when
 
+from indigoworks_lab.crash_simulation.explore_wishes import run_wishes
 from indigoworks_lab.crash_simulation.wish_checker import check_wishes
 
 
@@ -117,3 +118,15 @@
 def step_leaving_heeded(context):
     report = report_of(context)
     assert report.leavings > 0 and report.after_leaving == 0, report
+
+
+@when("the drawn run {seed:d} of servers' wishes is played")
+def step_drawn_wishes(context, seed):
+    context.wish_run = run_wishes(seed)
+
+
+@then("no wish of a server was left unheeded")
+def step_all_heeded(context):
+    run = context.wish_run
+    assert run.report.rests > 0 and run.report.leavings > 0, run
+    assert not run.is_broken(), run
