Soak: servers of the real processes' soak ask for rest, and say that they leave

Cause: the soak's servers turned nobody away and told of their leaving by their entries alone. Rests are drawn apart. Before: no such wish in any soak.

--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -18,6 +18,8 @@
       | a route is not found by a process that had served it    | configurations |
       | a process ended by itself                               | exits         |
       | a process outlived its grace time                       | exits         |
+      | a server got three requests in its rest                 | wishes_kept   |
+      | a request reached a server long after it said that it leaves | wishes_kept |
 
     Examples: kept rules
       | rule                                                    | finding       |
@@ -28,6 +30,8 @@
       | a safe request ran twice                                | nothing       |
       | a route is not found right after its write              | nothing       |
       | a route is not found while the store is down            | nothing       |
+      | a server got two requests in its rest, and some before and after | nothing |
+      | a request reached a server soon after it said that it leaves | nothing |
 
   Scenario Outline: Where times are not judged a soak history in which <rule> breaks <finding>
     Given a soak history in which <rule>
--- a/features/steps/gateway_soak_command.py
+++ b/features/steps/gateway_soak_command.py
@@ -15,6 +15,7 @@
 
 from indigoworks_lab.gateway_soak.check_soak import check_soak
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
+from indigoworks_lab.gateway_soak.draw_rests import draw_rests
 from indigoworks_lab.simulation.worker_processes import worker_processes
 
 ROOT = Path(__file__).parents[2]
@@ -52,6 +53,8 @@
     late = f"soak late by {world.most_lag_s:.2f} s at most"
     lines = [f"seed {seed}: {verdict}; {lives} processes, answers {counts}, {late}"]
     lines += [f"  {each}" for each in violations[:MAX_SHOWN]]
+    rests = sum(each.rest_s > 0 for each in history.wishes)
+    lines[0] += f", {rests} rests asked for, {len(history.wishes) - rests} times leaving told"
     print("\n".join(lines), flush=True)
     if not violations:
         shutil.rmtree(folder)
@@ -60,6 +63,8 @@
     (folder / "requests").write_text(
         "\n".join(str(astuple(each)) for each in history.requests) + "\n"
     )
+    (folder / "arrivals").write_text("\n".join(map(str, history.arrivals)) + "\n")
+    (folder / "wishes").write_text("\n".join(map(str, history.wishes)) + "\n")
     (folder / "lives").write_text("\n".join(map(str, history.lives)) + "\n")
     return True
 
@@ -73,7 +78,9 @@
 async def soak(seed, folder, seconds, gateways):
     """Run one seed; returns its world and what the checkers find."""
     world = SoakWorld(seed, folder, gateways)
-    await world.run(draw_plan(Random(seed), seconds, gateways, SERVERS), seconds)
+    plan = draw_plan(Random(seed), seconds, gateways, SERVERS)
+    rests = draw_rests(Random(f"rests {seed}"), seconds, SERVERS)
+    await world.run(plan, seconds, rests)
     return world, check_soak(world.history)
 
 
--- a/features/steps/gateway_soak_server.py
+++ b/features/steps/gateway_soak_server.py
@@ -8,19 +8,25 @@
 from header_names import HEADER_NAMES  # isort: skip
 
 from indigoworks_lab.gateway_soak.server_run import ServerRun
+from indigoworks_lab.gateway_soak.server_wish import ServerArrival, ServerWish
 
 MISDIRECTED = 421
+TURNED_AWAY = 503
 MS_PER_S = 1000.0
 
 
 class SoakServer(ScriptedServer):
-    """:param runs: gets each request that it begins to work on."""
+    """Notes in `history` what arrives, what it begins to work on and what it asks for.
 
-    def __init__(self, server_id, runs) -> None:
+    :ivar rests: rests that it asks for now, in seconds; it turns all away while there are any.
+    """
+
+    def __init__(self, server_id, history) -> None:
         super().__init__([])
+        self.rests = []
+        self._history = history
         self.server_id = server_id
         self.is_leaving = False
-        self._runs = runs
 
     def _behaviour(self):
         return SoakServer._work_on
@@ -33,12 +39,17 @@
         if request.header(HEADER_NAMES.server_id) not in (None, self.server_id):
             self._answer(writer, request_id, MISDIRECTED)
             return True
-        self._runs.append(ServerRun(request_id, self.server_id, asyncio.get_running_loop().time()))
+        now_s = asyncio.get_running_loop().time()
+        self._history.arrivals.append(ServerArrival(request_id, self.server_id, now_s))
+        if self.rests:
+            self._answer(writer, request_id, TURNED_AWAY, max(self.rests))
+            return True
+        self._history.runs.append(ServerRun(request_id, self.server_id, now_s))
         await asyncio.sleep(float(request.target.rpartition("/")[2]) / MS_PER_S)
         self._answer(writer, request_id, 200)
         return not self.is_leaving
 
-    def _answer(self, writer, request_id, status) -> None:
+    def _answer(self, writer, request_id, status, rest_s=0.0) -> None:
         body = b"work done"
         lines = [
             f"HTTP/1.1 {status} X",
@@ -48,6 +59,12 @@
         ]
         if request_id is not None:
             lines.append(f"{HEADER_NAMES.request_id}: {request_id}")
+        if rest_s:
+            lines += [f"{HEADER_NAMES.not_run}: shed", f"Retry-After: {rest_s}"]
         if self.is_leaving:
-            lines.append("Connection: close")
+            lines += ["Connection: close", "Server-Leaving: 1"]
+        if request_id is not None and (rest_s or self.is_leaving):
+            now_s = asyncio.get_running_loop().time()
+            wish = ServerWish(request_id, self.server_id, now_s, rest_s, self.is_leaving)
+            self._history.wishes.append(wish)
         writer.write("\r\n".join((*lines, "", "")).encode() + body)
--- a/features/steps/gateway_soak_steps.py
+++ b/features/steps/gateway_soak_steps.py
@@ -11,9 +11,11 @@
 
 from indigoworks_lab.gateway_soak.check_soak import check_soak
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
+from indigoworks_lab.gateway_soak.draw_rests import draw_rests
 from indigoworks_lab.gateway_soak.event_kind import EventKind
 from indigoworks_lab.gateway_soak.process_life import ProcessLife
 from indigoworks_lab.gateway_soak.server_run import ServerRun
+from indigoworks_lab.gateway_soak.server_wish import ServerArrival, ServerWish
 from indigoworks_lab.gateway_soak.soak_history import SoakHistory
 from indigoworks_lab.gateway_soak.soak_request import SoakRequest
 from indigoworks_lab.gateway_soak.time_span import TimeSpan
@@ -34,7 +36,28 @@
     return SoakHistory([*more, request], list(runs), [life], {5: acknowledged_s}, list(troubles))
 
 
+def wish_history(arrivals_s, sent_s=20.0, **asked):
+    """Return what a server asked for at 20 s, and when requests of that gateway arrived there."""
+    made = history()
+    made.wishes = [ServerWish("r1", "s1", 20.0, **asked)]
+    for number, at_s in enumerate(arrivals_s):
+        name = f"a{number}"
+        made.requests.append(replace(SERVED, request_id=name, sent_s=sent_s, is_safe=True))
+        made.arrivals.append(ServerArrival(name, "s1", at_s))
+    return made
+
+
 HISTORIES = {
+    "a server got three requests in its rest": lambda: wish_history((21.0, 21.5, 22.9), rest_s=3.0),
+    "a server got two requests in its rest, and some before and after": lambda: wish_history(
+        (20.1, 20.4, 20.4, 21.0, 21.5, 23.1, 23.2), rest_s=3.0
+    ),
+    "a request reached a server long after it said that it leaves": lambda: wish_history(
+        (22.2,), sent_s=22.1, is_leaving=True
+    ),
+    "a request reached a server soon after it said that it leaves": lambda: wish_history(
+        (22.2,), sent_s=21.9, is_leaving=True
+    ),
     "every request is answered": lambda: history(),
     "a request that was read got no answer": lambda: history(replace(CUT, was_read=True), ()),
     "a request that ran crossed a close and got no answer": lambda: history(CUT),
@@ -104,7 +127,7 @@
     async def run():
         world = SoakWorld(seed, folder, SHORT_GATEWAYS)
         plan = draw_plan(Random(seed), SHORT_S, SHORT_GATEWAYS, SERVERS)
-        await world.run(plan, SHORT_S)
+        await world.run(plan, SHORT_S, draw_rests(Random(f"rests {seed}"), SHORT_S, SERVERS))
         world.history.is_timed = False
         return world.history
 
--- a/features/steps/gateway_soak_world.py
+++ b/features/steps/gateway_soak_world.py
@@ -70,11 +70,12 @@
         self._callers = []
         self._tasks = []
 
-    async def run(self, plan, seconds) -> None:
-        """Play `plan`; ends every process that it started."""
+    async def run(self, plan, seconds, rests=()) -> None:
+        """Play `plan` and `rests`; ends every process that it started."""
         try:
             await self._start()
-            await asyncio.gather(self._play(plan), asyncio.sleep(seconds))
+            resting = (self._rest(each) for each in rests)
+            await asyncio.gather(self._play(plan), asyncio.sleep(seconds), *resting)
             await self._finish()
         finally:
             for gateway in self.gateways:
@@ -214,7 +215,7 @@
 
     async def _add_server(self) -> str:
         server_id = f"s{len(self._servers)}-{self._random.randrange(10**6)}"
-        server = SoakServer(server_id, self.history.runs)
+        server = SoakServer(server_id, self.history)
         address = await server.start()
         self._servers[server_id] = (server, address, [0])
         self._list(server_id)
@@ -240,6 +241,14 @@
                 if not server.is_leaving:
                     self._list(server_id)
 
+    async def _rest(self, rest) -> None:
+        """Let a server turn all away for a while, whichever is at the place when it begins."""
+        await asyncio.sleep(rest.at_s)
+        server = self._servers[self._places[rest.place]][0]
+        server.rests.append(rest.rest_s)
+        await asyncio.sleep(rest.for_s)
+        server.rests.remove(rest.rest_s)
+
     async def _leave(self, place) -> None:
         server_id = self._places[place]
         self._places[place] = await self._add_server()
--- a/indigoworks_lab/gateway_soak/check_soak.py
+++ b/indigoworks_lab/gateway_soak/check_soak.py
@@ -9,6 +9,7 @@
 from indigoworks_lab.gateway_soak.check_no_denials import check_no_denials
 from indigoworks_lab.gateway_soak.check_refusals_kept import check_refusals_kept
 from indigoworks_lab.gateway_soak.check_single_runs import check_single_runs
+from indigoworks_lab.gateway_soak.check_wishes_kept import check_wishes_kept
 from indigoworks_lab.gateway_soak.soak_history import SoakHistory
 
 SOAK_CHECKERS: tuple[Callable[[SoakHistory], Sequence[Violation]], ...] = (
@@ -18,6 +19,7 @@
     check_no_denials,
     check_configurations,
     check_exits,
+    check_wishes_kept,
 )
 
 
--- a/indigoworks_lab/gateway_soak/soak_history.py
+++ b/indigoworks_lab/gateway_soak/soak_history.py
@@ -5,6 +5,7 @@
 
 from indigoworks_lab.gateway_soak.process_life import ProcessLife
 from indigoworks_lab.gateway_soak.server_run import ServerRun
+from indigoworks_lab.gateway_soak.server_wish import ServerArrival, ServerWish
 from indigoworks_lab.gateway_soak.soak_request import SoakRequest
 from indigoworks_lab.gateway_soak.time_span import TimeSpan
 
@@ -24,6 +25,8 @@
     acknowledged_s: dict[int, float] = field(default_factory=dict)
     troubles: list[TimeSpan] = field(default_factory=list)
     is_timed: bool = True
+    arrivals: list[ServerArrival] = field(default_factory=list)
+    wishes: list[ServerWish] = field(default_factory=list)
 
     def life(self, request: SoakRequest) -> ProcessLife:
         """Return the process to which a request was sent."""
