--- a/features/gateway_rests.feature
+++ b/features/gateway_rests.feature
@@ -72,3 +72,12 @@
       | seed |
       | 2    |
       | 12   |
+
+  Scenario: Calls that other servers make
+    Given 8 crash gateways before 14 servers of each service
+    And calls of servers of scheduler to catalogue at 150 a second for 12 s
+    And from 2 s on 3 servers of each service turn all away for 6 s and ask for 3 s of rest
+    And from 4 s on 2 servers more of each service say in all answers that they leave
+    When the requests beside them have ended
+    Then servers asked for rest and got no more than 2 requests of a gateway within it
+    And servers said that they leave and got no request that was sent 2 s later
--- a/features/steps/gateway_rest_steps.py
+++ b/features/steps/gateway_rest_steps.py
@@ -104,6 +104,20 @@
     context.crash_scripts.append(script)
 
 
+@given("calls of servers of {caller} to {service} at {per_s:d} a second for {duration_s:g} s")
+def step_calls_beside(context, caller, service, per_s, duration_s):
+    """Servers' calls come to any gateway, from the servers' own addresses, and are not repeated."""
+
+    async def calls(simulation, callers):
+        hosts = [each.address.host for each in simulation.living_machines(caller)]
+        for number in range(int(per_s * duration_s)):
+            host = hosts[number % len(hosts)]
+            simulation.spawn(callers.ask(f"/{service}/call/{number}", host, method="POST"))
+            await asyncio.sleep(1 / per_s)
+
+    context.crash_scripts.append(calls)
+
+
 def report_of(context):
     return check_wishes(each.wishes for each in context.crash.machines.values())
 
