--- a/features/gateway_harmful_callers.feature
+++ b/features/gateway_harmful_callers.feature
@@ -22,6 +22,12 @@
       | catalogue |
       | scheduler |
 
+  Scenario: Many callers at the same time
+    Given 11 crash gateways before 20 servers of each service
+    And servers of 4 slots, whose keys move after 3.1 s
+    When a request to catalogue that ends its servers comes 1000 times, one each 0.01 s, from as many callers
+    Then at most 3 runs of it began later than 3 s after the third run that ended its server
+
   Scenario Outline: Servers that start again under their id and keep their keys
     Given 8 crash gateways before <servers> servers of each service
     And servers that start again under their id
--- a/features/steps/gateway_harm_caller_steps.py
+++ b/features/steps/gateway_harm_caller_steps.py
@@ -1,6 +1,7 @@
 """Steps on harmful requests of many callers, and on pages that many read."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
 from gateway_crash_steps import SETTLE_S, harmful_target, play
@@ -10,6 +11,7 @@
 from indigoworks_lab.crash_simulation.outages import Outages
 
 READERS = 30
+ROOMY = {"slots": 4, "move_s": 3.1}
 ASKED_AGAIN_S = 0.5
 SERVED = 200
 
@@ -88,6 +90,20 @@
     assert 0 < len(harmful) <= count, harmful
 
 
+@given("servers of 4 slots, whose keys move after 3.1 s")
+def step_roomy(context):
+    context.crash_shape = replace(context.crash_shape, **ROOMY)
+
+
+@then("at most {count:d} runs of it began later than 3 s after the third run that ended its server")
+def step_runs_after_third(context, count):
+    """As the users count: a server that ends with three runs in hand has ended three runs."""
+    runs = [each for each in context.crash.runs() if "harmful" in each.target]
+    assert len(runs) >= 3, runs
+    later = [each for each in runs if each.began_s > runs[2].began_s + 3.05]
+    assert len(later) <= count, (len(later), [round(each.began_s, 2) for each in runs])
+
+
 @when("the drawn run {seed:d} of harmful requests of many callers is played")
 def step_drawn_of_many(context, seed):
     context.harm_report = run_seed(seed, is_of_many=True)
