Limits that servers name in their answers are read and logged, and change nothing yet

Cause: no line and no gauge told what an answer held, so a limit that nobody hears and one that each gateway keeps for itself looked alike. Ruled out: a line for each answer with a limit: once a server, the gauge tells how many name one. Before: holds no word of a limit but the users' own. After: server:names_limit and gateway_server_notices{state="limited"}; an unreadable wish is logged once for each header of a server, where before each new text had a line. Conclusion: sight alone; no request is treated differently.

--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -116,11 +116,12 @@
         notices = self._platform.servers.notices
         metrics.gauge(
             "gateway_server_notices",
-            "Servers that asked this gateway for rest, or said that they leave",
+            "Servers that asked this gateway for rest, said that they leave, or name a limit",
             ("state",),
             lambda: {
                 ("resting",): len(list(notices.rests.resting())),
                 ("leaving",): notices.leaving_count(),
+                ("limited",): notices.limits.count(),
             },
         )
         metrics.read_counter(
--- a/indigoworks/servers/server_notices.py
+++ b/indigoworks/servers/server_notices.py
@@ -5,7 +5,8 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
-from indigoworks.servers.server_notice import ServerNotice
+from indigoworks.servers.server_limits import ServerLimits
+from indigoworks.servers.server_notice import ServerNotice, UnreadableHeader
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_rests import ServerRests
 
@@ -17,15 +18,17 @@
     """Takes the notices of all answers, of whatever kind, and remembers them by server.
 
     :ivar rests: servers that asked this process for rest.
+    :ivar limits: servers that name a limit.
     :ivar on_leaving: called when a server has said that it leaves.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.rests = ServerRests(clock)
+        self.limits = ServerLimits(clock)
         self._leaving_s: dict[str, float] = {}
         self._heard_leaving: set[str] = set()
-        self._unreadable: dict[str, str] = {}
+        self._unreadable: dict[str, set[str]] = {}
         self.on_leaving: Callable[[], None] = _nothing
 
     def take(self, server: ServerRecord, notice: ServerNotice, is_own: bool = True) -> None:
@@ -37,8 +40,10 @@
             self.rests.note(server, notice.rest_s)
         if notice.is_leaving:
             self._note_leaving(server, is_own)
-        if notice.unreadable:
-            self._note_unreadable(server, notice.unreadable)
+        if notice.limit_per_s is not None:
+            self.limits.note(server, notice.limit_per_s)
+        for each in notice.unreadable:
+            self._note_unreadable(server, each)
 
     def has_any(self) -> bool:
         """Tell whether any server asked for anything that holds: a quick look."""
@@ -64,6 +69,7 @@
     def forget(self, server_id: str) -> None:
         """Forget a server that left, or an earlier life of one."""
         self.rests.forget(server_id)
+        self.limits.forget(server_id)
         self._leaving_s.pop(server_id, None)
         self._heard_leaving.discard(server_id)
         self._unreadable.pop(server_id, None)
@@ -84,17 +90,18 @@
         )
         self.on_leaving()
 
-    def _note_unreadable(self, server: ServerRecord, text: str) -> None:
-        """Log a wish that cannot be read, once for each cause."""
-        if self._unreadable.get(server.server_id) == text:
+    def _note_unreadable(self, server: ServerRecord, header: UnreadableHeader) -> None:
+        """Log a wish that cannot be read, once for each header: its text may differ each time."""
+        known = self._unreadable.setdefault(server.server_id, set())
+        if header.name in known:
             return
-        self._unreadable[server.server_id] = text
+        known.add(header.name)
         log_message(
             message_type="server:notice_refused",
             level="ERROR",
             server=server.server_id,
             service=server.service,
-            reason=text[:MAX_LOGGED_TEXT],
+            reason=f"{header.name}: {header.text}"[:MAX_LOGGED_TEXT],
         )
 
 
