Failing scenario: servers that name a limit get more than that from gateways that they told

Ruled out: that each gateway keeps to the limit for itself: it sends as before it was told. Before: no test knew of limits. The simulation's gateways could not reach each other's brokers; they can now where a scenario says so (off elsewhere: no scenario that stood is played differently), machines name limits, gateways can stand still.

--- a/indigoworks/broker/broker_side.py
+++ b/indigoworks/broker/broker_side.py
@@ -15,7 +15,7 @@
 from indigoworks.broker.slot_request import SlotRequest
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
-from indigoworks.exchange.datagram_port import DatagramPort
+from indigoworks.exchange.datagram_port import DatagramPort, OpenDatagrams
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
@@ -47,6 +47,7 @@
         board: ServerBoard,
         clock: Clock,
         random: Random,
+        open_datagrams: OpenDatagrams = DatagramPort,
     ) -> None:
         self._own = own
         self._platform = platform
@@ -56,7 +57,7 @@
         self._board = board
         self._clock = clock
         self._random = random
-        self._port = DatagramPort(_broker_address(own.address), self._take)
+        self._port = open_datagrams(_broker_address(own.address), self._take)
         self.broker = SlotBroker(self._make_queue, clock)
         self.client = BrokerClient(self._send_to, clock)
         self.choice = BrokerChoice(
--- a/indigoworks/exchange/datagram_port.py
+++ b/indigoworks/exchange/datagram_port.py
@@ -48,3 +48,7 @@
 
     def error_received(self, exc: Exception) -> None:
         """Pass over errors of single datagrams: peers come and go."""
+
+
+OpenDatagrams = Callable[[Address, Callable[[bytes, Address], None]], DatagramPort]
+"""Makes a socket that is not yet bound, as `DatagramPort` does; the simulation has its own."""
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -8,6 +8,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.common.logging.line_rates import LineRates
 from indigoworks.common.metrics import Metrics
+from indigoworks.exchange.datagram_port import DatagramPort, OpenDatagrams
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
@@ -61,6 +62,7 @@
         random: Random,
         own: PeerAddress,
         open_connection: OpenConnection = ServerConnection,
+        open_datagrams: OpenDatagrams = DatagramPort,
     ) -> None:
         self.board = ServerBoard(peers, clock)
         self.sampler = KeySampler()
@@ -86,7 +88,7 @@
             self.choice, owners, self.board, ServerRoom(self.board, cold_budget), clock
         )
         self.brokers = BrokerSide(
-            own, platform, tables, peers, directory, self.board, clock, random
+            own, platform, tables, peers, directory, self.board, clock, random, open_datagrams
         )
         placer = BrokeredQueue(
             settings.zone,
--- a/indigoworks_lab/crash_simulation/build_gateway.py
+++ b/indigoworks_lab/crash_simulation/build_gateway.py
@@ -19,7 +19,12 @@
     read_evacuated_zone,
     read_server,
 )
-from indigoworks_lab.crash_simulation.crash_gateway import CrashGateway, OpenConnection, Send
+from indigoworks_lab.crash_simulation.crash_gateway import (
+    CrashGateway,
+    OpenConnection,
+    Send,
+    SendToBroker,
+)
 from indigoworks_lab.crash_simulation.crash_shape import CrashShape
 from indigoworks_lab.crash_simulation.group_store import GroupStore
 from indigoworks_lab.crash_simulation.no_orders import NoOrders
@@ -45,11 +50,13 @@
     tables: OwnershipTables,
     open_connection: OpenConnection,
     send: Send,
+    send_to_broker: SendToBroker,
 ) -> CrashGateway:
     """Return a gateway that knows its configuration, and no server yet."""
     settings = _settings(address.node, address.zone)
     ports = _ports(store)
-    gateway = CrashGateway(settings, ports, address, tables, open_connection, send)
+    to_broker = send_to_broker if shape.has_brokers else None
+    gateway = CrashGateway(settings, ports, address, tables, open_connection, send, to_broker)
     gateway.platform.configurations.put_in_force(_configuration(shape))
     return gateway
 
--- a/indigoworks_lab/crash_simulation/callers.py
+++ b/indigoworks_lab/crash_simulation/callers.py
@@ -76,6 +76,20 @@
             self._simulation.spawn(self._until_served(target, f"10.8.0.{number % CALLERS}"))
             await asyncio.sleep(1 / per_s)
 
+    async def send_patient(self, service: str, per_s: float, duration_s: float) -> None:
+        """As `send_different`; who is refused comes back when it is told to."""
+        for number in range(int(per_s * duration_s)):
+            target = f"/{service}/patient/{number}"
+            self._simulation.spawn(self._when_told(target, f"10.8.1.{number % CALLERS}"))
+            await asyncio.sleep(1 / per_s)
+
+    async def _when_told(self, target: str, caller: str) -> None:
+        for _ in range(TRIES):
+            got = await self.ask(target, caller)
+            if got.status == SERVED or got.retry_after_s is None:
+                return
+            await asyncio.sleep(got.retry_after_s)
+
     async def _until_served(self, target: str, caller: str) -> None:
         for _ in range(TRIES):
             got = await self.ask(target, caller)
--- a/indigoworks_lab/crash_simulation/crash_gateway.py
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from functools import partial
 from random import Random
 
 from indigoworks.common.address import Address
@@ -9,6 +10,7 @@
 from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rates import LineRates
 from indigoworks.common.metrics import Metrics
+from indigoworks.exchange.datagram_port import DatagramPort
 from indigoworks.exchange.hub_choice import HubChoice
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
@@ -22,10 +24,14 @@
 from indigoworks.gateway.server_connection import ServerConnection
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.rowstore.row import Row
+from indigoworks_lab.crash_simulation.broker_port import BrokerPort, TakeDatagram
 
 NO_LEADER = ""
 
 Send = Callable[["CrashGateway", bytes, Address], None]
+SendToBroker = Callable[["CrashGateway", bytes, Address, Address], None]
+"""Carries a datagram of a gateway from one address of a broker's socket to another."""
+
 OpenConnection = Callable[[Address, str], ServerConnection]
 
 
@@ -40,6 +46,7 @@
         tables: OwnershipTables,
         open_connection: OpenConnection,
         send: Send,
+        send_to_broker: SendToBroker | None = None,
     ) -> None:
         clock = LoopClock()
         self.node = settings.node
@@ -49,6 +56,14 @@
         self.directory = PeerDirectory(self.node)
         self.metrics = Metrics()
         self.platform = PlatformSide(ports, settings, clock)
+        self.broker_port: BrokerPort | None = None
+
+        def open_datagrams(own: Address, take: TakeDatagram) -> DatagramPort:
+            if send_to_broker is None:
+                return DatagramPort(own, take)
+            self.broker_port = BrokerPort(own, take, partial(send_to_broker, self))
+            return self.broker_port
+
         self.side = RequestSide(
             settings,
             ports,
@@ -62,6 +77,7 @@
             Random(address.boot),
             address,
             open_connection,
+            open_datagrams,
         )
         self.platform.on_servers_changed(self.side.servers_changed)
         choice = HubChoice(
--- a/indigoworks_lab/crash_simulation/crash_simulation.py
+++ b/indigoworks_lab/crash_simulation/crash_simulation.py
@@ -16,6 +16,7 @@
 from indigoworks_lab.crash_simulation.crash_gateway import CrashGateway
 from indigoworks_lab.crash_simulation.crash_machine import CrashMachine
 from indigoworks_lab.crash_simulation.crash_shape import CrashShape
+from indigoworks_lab.crash_simulation.frozen_nodes import FrozenNodes
 from indigoworks_lab.crash_simulation.group_store import GroupStore
 from indigoworks_lab.crash_simulation.machine_connection import MachineConnection
 from indigoworks_lab.crash_simulation.machine_run import MachineRun
@@ -35,6 +36,7 @@
     :ivar lost_datagrams: share of the datagrams that are lost.
     :ivar is_cut: tells whether datagrams from one node to another are lost.
     :ivar is_without_store: tells whether a node learns of no new row.
+    :ivar frozen: gateways that stand still.
     :ivar answers: what callers got.
     """
 
@@ -46,6 +48,7 @@
         self.lost_datagrams = 0.0
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self.is_without_store: Callable[[str], bool] = lambda node: False
+        self.frozen = FrozenNodes()
         self.answers: list[CallerAnswer] = []
         self.datagrams = 0
         self.datagram_bytes = 0
@@ -86,7 +89,11 @@
 
     def living_gateways(self) -> list[CrashGateway]:
         """Return the gateways whose process runs."""
-        return [each for each in self.gateways.values() if each.is_up]
+        return [
+            each
+            for each in self.gateways.values()
+            if each.is_up and not self.frozen.is_frozen(each.node)
+        ]
 
     def restart_gateway(self, node: str) -> None:
         """End the process of a gateway with all that it knows, and start the next one."""
@@ -102,8 +109,11 @@
             self.store,
             address,
             self._owners.tables,
-            lambda to, _: MachineConnection(to, node, address.boot, self._machine_at),
+            lambda to, _: MachineConnection(
+                to, node, address.boot, self._machine_at, self.frozen.thawed
+            ),
             self._carry,
+            self._carry_to_broker,
         )
         self.gateways[node] = gateway
         self.store.put(CONTROL_TABLE, "", PEER_PREFIX + node, encode_peer(address))
@@ -114,6 +124,8 @@
                 gateway.platform.servers.put(self._record(machine))
         self.spawn(gateway.run())
         self.spawn(gateway.side.run())
+        if self.shape.has_brokers:
+            self.spawn(gateway.side.brokers.broker.run())
 
     def lose_store(self) -> None:
         """From now on no gateway reaches the store."""
@@ -134,17 +146,40 @@
                 gateway.take_rows([row])
 
     def _carry(self, sender: CrashGateway, datagram: bytes, to: Address) -> None:
+        if self._arrives(sender, datagram, to):
+            asyncio.get_running_loop().call_later(DATAGRAM_S, self._deliver, datagram, to.host)
+
+    def _arrives(self, sender: CrashGateway, datagram: bytes, to: Address) -> bool:
+        """Count a datagram, and tell whether it gets through."""
         self.datagrams += 1
         self.datagram_bytes += len(datagram)
         is_lost = self.random.random() < self.lost_datagrams or self.is_cut(sender.node, to.host)
-        if sender.is_up and not is_lost:
-            asyncio.get_running_loop().call_later(DATAGRAM_S, self._deliver, datagram, to.host)
+        return sender.is_up and not is_lost
 
     def _deliver(self, datagram: bytes, node: str) -> None:
         receiver = self.gateways.get(node)
-        if receiver is not None and receiver.is_up:
+        if receiver is None or not receiver.is_up:
+            return
+        if not self.frozen.holds(node, lambda: self._deliver(datagram, node)):
             receiver.sender.take(datagram)
 
+    def _carry_to_broker(
+        self, sender: CrashGateway, datagram: bytes, own: Address, to: Address
+    ) -> None:
+        if self.frozen.holds(sender.node, lambda: self._carry_to_broker(sender, datagram, own, to)):
+            return
+        if self._arrives(sender, datagram, to):
+            asyncio.get_running_loop().call_later(
+                DATAGRAM_S, self._deliver_to_broker, datagram, own, to.host
+            )
+
+    def _deliver_to_broker(self, datagram: bytes, sender: Address, node: str) -> None:
+        receiver = self.gateways.get(node)
+        if receiver is None or not receiver.is_up or receiver.broker_port is None:
+            return
+        if not self.frozen.holds(node, lambda: self._deliver_to_broker(datagram, sender, node)):
+            receiver.broker_port.receive(datagram, sender)
+
     # ---- machines ----
 
     def living_machines(self, service: str) -> list[CrashMachine]:
--- a/indigoworks_lab/crash_simulation/machine_connection.py
+++ b/indigoworks_lab/crash_simulation/machine_connection.py
@@ -1,7 +1,7 @@
 """A connection to a simulated machine."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tornado.httputil import HTTPHeaders
 
@@ -13,6 +13,7 @@
 from indigoworks_lab.crash_simulation.simulated_names import (
     CALLER_HEADER,
     LEAVING_HEADER,
+    LIMIT_HEADER,
     NAMES,
     REST_HEADER,
     SENT_HEADER,
@@ -31,11 +32,13 @@
         gateway: str,
         boot: str,
         machine_at: Callable[[Address], CrashMachine | None],
+        thawed: Callable[[str], Awaitable[None]],
     ) -> None:
         self._address = address
         self._gateway = gateway
         self._life_of_gateway = f"{gateway}/{boot}"
         self._machine_at = machine_at
+        self._thawed = thawed
         self._machine: CrashMachine | None = None
         self._life = 0
 
@@ -66,6 +69,7 @@
         """Let the machine run a request."""
         machine, life = self._machine, self._life
         assert machine is not None
+        await self._thawed(self._gateway)
         await asyncio.sleep(LINK_S)
         if not machine.is_up or machine.life != life:
             return None
@@ -75,6 +79,7 @@
             return None
         answer = self._answer(machine, status)
         await asyncio.sleep(LINK_S)
+        await self._thawed(self._gateway)
         self.on_head(answer.status, answer.headers)
         return answer
 
@@ -109,5 +114,8 @@
             answer.headers[REST_HEADER] = str(wishes.rest_s)
         if wishes.is_leaving:
             answer.headers[LEAVING_HEADER] = "1"
+        if wishes.limit_per_s is not None:
+            wishes.note_limit(now_s, self._life_of_gateway, machine.server_id)
+            answer.headers[LIMIT_HEADER] = str(wishes.limit_per_s)
         answer.data_received(b"done")
         return answer
--- a/indigoworks_lab/crash_simulation/machine_wishes.py
+++ b/indigoworks_lab/crash_simulation/machine_wishes.py
@@ -32,6 +32,14 @@
     is_leaving: bool
 
 
+@dataclass(frozen=True)
+class LimitChange:
+    """From `at_s` on a machine takes `per_s` requests a second; None: it names no limit."""
+
+    at_s: float
+    per_s: float | None
+
+
 @dataclass
 class MachineWishes:
     """What a machine asks for now; all that arrived and all that it asked for so far.
@@ -39,6 +47,9 @@
     :ivar rest_s: turns each request away and asks for so much rest; 0: it runs them.
     :ivar is_leaving: says in each answer that it leaves.
     :ivar turns_away: tells which gateways are turned away.
+    :ivar limit_per_s: names this limit in each answer; None: none.
+    :ivar limits: every change of that.
+    :ivar told_s: when each gateway was told of a limit first, by its life and the server's id.
     """
 
     rest_s: float = 0.0
@@ -46,6 +57,18 @@
     turns_away: Callable[[str], bool] = lambda gateway: True
     arrivals: list[Arrival] = field(default_factory=list)
     asked: list[Wish] = field(default_factory=list)
+    limit_per_s: float | None = None
+    limits: list[LimitChange] = field(default_factory=list)
+    told_s: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def set_limit(self, at_s: float, per_s: float | None) -> None:
+        """Name another limit from now on."""
+        self.limit_per_s = per_s
+        self.limits.append(LimitChange(at_s, per_s))
+
+    def note_limit(self, at_s: float, gateway: str, server_id: str) -> None:
+        """Note that an answer tells a gateway of the limit."""
+        self.told_s.setdefault((gateway, server_id), at_s)
 
     def asks_rest(self, gateway: str) -> bool:
         """Tell whether a request of a gateway is turned away."""
--- a/indigoworks_lab/crash_simulation/simulated_names.py
+++ b/indigoworks_lab/crash_simulation/simulated_names.py
@@ -24,11 +24,17 @@
 
 REST_HEADER = "Rest-Seconds"
 LEAVING_HEADER = "Leaving"
-"""In which a machine asks for rest, and says that it leaves."""
+LIMIT_HEADER = "Limit"
+"""In which a machine asks for rest, says that it leaves, and names a limit."""
 
 
 def read_simulated_notice(status: int, headers: Mapping[str, str]) -> ServerNotice:
     """Read what a machine asks for in the head of an answer."""
-    if REST_HEADER not in headers and LEAVING_HEADER not in headers:
+    if not any(each in headers for each in (REST_HEADER, LEAVING_HEADER, LIMIT_HEADER)):
         return NOTHING_ASKED
-    return ServerNotice(float(headers.get(REST_HEADER, "0")), LEAVING_HEADER in headers)
+    limit = headers.get(LIMIT_HEADER)
+    return ServerNotice(
+        rest_s=float(headers.get(REST_HEADER, "0")),
+        is_leaving=LEAVING_HEADER in headers,
+        limit_per_s=None if limit is None else float(limit),
+    )
