What waits for places is kept by an object of its own

Ruled out: a second queue for servers with a limit: who waits, in which order and when it is refused is one matter. Features of groups, brokers, outages, rests and room pass. Conclusion: no behaviour changed.

--- a/features/steps/gateway_group_world.py
+++ b/features/steps/gateway_group_world.py
@@ -174,5 +174,5 @@
         """Nothing waits, and nothing is remembered of those that are gone."""
         assert sum(self.queue.waiting_by_service().values()) == 0, self.queue.waiting_by_service()
         assert not self.board.own_in_flight(), self.board.own_in_flight()
-        assert not self.queue._lines and not self.queue._room.reserved_count(), vars(self.queue)
-        assert not any(self.queue._ownerless.values()), self.queue._ownerless
+        assert self.queue._lines.is_empty(), vars(self.queue._lines)
+        assert not self.queue._room.reserved_count(), vars(self.queue._room)
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -8,6 +8,7 @@
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.owner_outages import OWNER_LOOK_S, OwnerOutages
 from indigoworks.gateway.place_line import JUDGED_PER_CHANGE, PlaceLine
+from indigoworks.gateway.place_lines import PlaceLines
 from indigoworks.gateway.placer import Placement
 from indigoworks.gateway.refusal import Refusal
 from indigoworks.gateway.server_board import Measurement, ServerBoard
@@ -44,8 +45,7 @@
         self._expectation = AnswerExpectation(choice, owners, self._outages, board, room, clock)
         self._board = board
         self._clock = clock
-        self._lines: dict[tuple[str, str | None], PlaceLine] = {}
-        self._ownerless: dict[str, dict[WaitingRequest, None]] = {}
+        self._lines = PlaceLines()
         self._waiting: dict[str, int] = {}
         self._room = room
         self._counts_all = counts_all
@@ -101,12 +101,11 @@
         """Place or refuse what waits: owners or servers changed."""
         self._expectation.servers_changed()
         self._outages.note_ended()
-        for line in list(self._lines.values()):
+        for line in self._lines.all():
             self._serve(line)
             self._judge(line)
-        for entries in list(self._ownerless.values()):
-            for entry in list(entries):
-                self._look_again(entry)
+        for entry in self._lines.all_ownerless():
+            self._look_again(entry)
 
     def waiting_by_service(self) -> dict[str, int]:
         """Return how many requests wait, for each service that ever had one waiting."""
@@ -127,7 +126,7 @@
     # ---- where a request waits ----
 
     def _arrive(self, entry: WaitingRequest) -> None:
-        self._file(entry)
+        self._lines.file(entry, self._expectation.owner(entry))
         line = self._serve_line_of(entry)
         if line is not None:
             cost_s = self._board.service_s_of(line.service)
@@ -142,26 +141,14 @@
         self._serve(line)
         return None if entry.placed.done() else entry.line
 
-    def _file(self, entry: WaitingRequest) -> None:
-        """Put a request into the line of its key's owner or of its service."""
-        owner = self._expectation.owner(entry)
-        if entry.key is not None and owner is None:
-            self._ownerless.setdefault(entry.service, {})[entry] = None
-            return
-        name = (entry.service, None if owner is None else owner.server_id)
-        line = self._lines.get(name)
-        if line is None:
-            line = self._lines[name] = PlaceLine(*name)
-        line.push(entry)
-
     def _look_again(self, entry: WaitingRequest) -> None:
         """Place or refuse a request that waits where its owner perhaps no longer is."""
         if entry.placed.done():
             return
         is_moved = not self._is_at_owner(entry)
         if is_moved:
-            self._take_out(entry)
-            self._file(entry)
+            self._lines.take_out(entry)
+            self._lines.file(entry, self._expectation.owner(entry))
         line = self._serve_line_of(entry)
         if is_moved and line is not None:
             self._judge(line)
@@ -173,22 +160,10 @@
 
     def _move(self, entry: WaitingRequest) -> None:
         """Its owner is another one, or none: it goes there, and is looked at after this turn."""
-        self._take_out(entry)
-        self._file(entry)
+        self._lines.take_out(entry)
+        self._lines.file(entry, self._expectation.owner(entry))
         asyncio.get_running_loop().call_soon(self._look_again, entry)
 
-    def _take_out(self, entry: WaitingRequest) -> None:
-        line = entry.line
-        if line is None:
-            del self._ownerless[entry.service][entry]
-            return
-        line.remove(entry)
-        self._forget_idle(line)
-
-    def _forget_idle(self, line: PlaceLine) -> None:
-        if line.is_idle():
-            self._lines.pop((line.service, line.server_id), None)
-
     # ---- places ----
 
     def _serve(self, line: PlaceLine) -> None:
@@ -234,7 +209,7 @@
                 self._look_at(line)
             else:
                 self._look_around(line.service)
-        self._forget_idle(line)
+        self._lines.forget_idle(line)
 
     def _look_at(self, line: PlaceLine) -> None:
         """Give free places to what waits in a line, and now and then refuse what will be late."""
@@ -249,21 +224,18 @@
 
         The work grows with the lines, not with what waits in them.
         """
-        for line in list(self._lines.values()):
-            if line.service == service:
-                self._look_at(line)
-        ownerless = self._ownerless.get(service, {})
-        for entry in list(islice(ownerless, JUDGED_PER_CHANGE)):
+        for line in self._lines.of_service(service):
+            self._look_at(line)
+        for entry in list(islice(self._lines.ownerless(service), JUDGED_PER_CHANGE)):
             self._look_again(entry)
-            if entry in ownerless:
-                # The others have their turn with the next change.
-                ownerless[entry] = ownerless.pop(entry)
+            # The others have their turn with the next change.
+            self._lines.put_last(entry)
 
     def _withdraw(self, entry: WaitingRequest) -> None:
         """Its caller has left: what it waited for, or has got meanwhile, is for others."""
         if not entry.placed.done():
             entry.placed.cancel()
-            self._take_out(entry)
+            self._lines.take_out(entry)
             return
         placement = entry.placed.result()
         if isinstance(placement, ServerRecord):
@@ -289,6 +261,6 @@
     def _end_if(self, entry: WaitingRequest, refusal: Refusal | None) -> bool:
         if refusal is None:
             return False
-        self._take_out(entry)
+        self._lines.take_out(entry)
         entry.placed.set_result(refusal)
         return True
