--- a/features/gateway_cold_servers.feature
+++ b/features/gateway_cold_servers.feature
@@ -1,35 +1,46 @@
 Feature: Cold servers get no more than they bear
 
-  Scenario: All gateways together keep to the rate of a cold server
-    Given 79 gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
+  Scenario Outline: Gateways that are no broker send a cold server nothing of their own accord
+    Given <count> gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
+    When each gateway has a request for it all the time, for 5 s
+    Then no second brought the cold server more than 0 requests
+
+    Examples:
+      | count |
+      | 11    |
+      | 79    |
+
+  Scenario Outline: A broker has most of the rate of a cold server
+    Given <count> gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
+    And 1 of these gateways act as its broker
     When each gateway has a request for it all the time, for 5 s
-    Then no second brought the cold server more than 4 requests
-    And the last 3 s brought the cold server 0.6 to 1.4 requests a second
+    Then these gateways ask 1 to 1 brokers for it
+    And no second brought the cold server more than 8 requests
+    And the last 3 s brought the cold server 4.5 to 5.6 requests a second
 
-  Scenario: A broker keeps to the rate of a cold server, beside those who ask none
+    Examples:
+      | count |
+      | 11    |
+      | 79    |
+
+  Scenario: Two brokers keep to one and a half times the rate of a cold server
     Given 79 gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
     And 2 of these gateways act as its broker
     When each gateway has a request for it all the time, for 5 s
     Then no second brought the cold server more than 17 requests
-    And the last 3 s brought the cold server 8.5 to 10 requests a second
-
-  Scenario: In a small group the holders have most of the rate
-    Given 11 gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
-    When each gateway has a request for it all the time, for 5 s
-    Then no second brought the cold server more than 8 requests
-    And the last 3 s brought the cold server 4.5 to 5.6 requests a second
+    And the last 3 s brought the cold server 8.5 to 10.4 requests a second
 
-  Scenario: While half of the gateways know other members the bound of the rules still holds
+  Scenario: While half of the gateways know other members they ask two brokers at most
     Given 79 gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
     And half of these gateways do not know of the 40 that came last
-    When each gateway has a request for it all the time, for 5 s
-    Then no second brought the cold server more than 18 requests
+    Then these gateways ask 1 to 2 brokers for it
 
-  Scenario: A gateway that has read no members yet sends nothing to a cold server
+  Scenario: A gateway that has read no members yet asks no broker for a cold server
     Given 79 gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
     And none of these gateways has read the rows of the group
     When each gateway has a request for it all the time, for 5 s
-    Then no second brought the cold server more than 0 requests
+    Then these gateways ask 0 to 0 brokers for it
+    And no second brought the cold server more than 0 requests
 
   Scenario: A server that is warm again gets as much as it has room for
     Given 79 gateways in 3 zones and a server that bears 6.7 requests a second while it is cold
--- a/features/steps/gateway_broker_world.py
+++ b/features/steps/gateway_broker_world.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from gateway_world import make_cold_budget, make_record
+from gateway_world import make_rate_budget, make_record
 
 from indigoworks.broker.asker import Asker
 from indigoworks.broker.broker_choice import BrokerChoice
@@ -54,6 +54,9 @@
     def has_many(self):
         return True
 
+    def has_any(self):
+        return True
+
 
 class Heard:
     """What a gateway hears: everyone who lives."""
@@ -90,7 +93,7 @@
                 tables,
                 heard,
                 lambda server_id: world.reported[server_id],
-                make_cold_budget(clock),
+                make_rate_budget(clock, zone=zone),
                 clock,
                 Random(1),
             )
@@ -101,7 +104,7 @@
             address, lambda: not self.broker.is_stopping, directory, heard, clock
         )
         owners = OwnerLookup(tables, servers, self.board, clock)
-        budget = make_cold_budget(clock)
+        budget = make_rate_budget(clock)
         local = DispatchQueue(
             ServerChoice(servers, self.board, budget, ZONE, Random(address.node), lambda: True),
             owners,
@@ -109,7 +112,9 @@
             ServerRoom(self.board, budget),
             clock,
         )
-        self.queue = BrokeredQueue(ZONE, local, self.choice, self.client, servers, clock)
+        self.queue = BrokeredQueue(
+            ZONE, local, self.choice, self.client, servers, owners, directory, budget, clock
+        )
 
     def send(self, peer, content):
         self.world.carry(self, self.world.gateways[peer.node], content)
--- a/features/steps/gateway_cold_server_steps.py
+++ b/features/steps/gateway_cold_server_steps.py
@@ -7,9 +7,11 @@
 from behave import given, then, when
 from gateway_control_steps import until
 from gateway_control_world import SERVICE
-from gateway_world import HOST, make_cold_budget, make_record
+from gateway_world import HOST, make_rate_budget, make_record
 
+from indigoworks.broker.broker_choice import BrokerChoice
 from indigoworks.common.address import Address
+from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PEER_PREFIX, PeerDirectory
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.rowstore.row import Row
@@ -40,52 +42,57 @@
     context.cold.set_limits({"shop": ColdLimit(COLD_S, rate)})
     context.cold_server = make_record("s1", Address(HOST, 1))
     context.cold.note_told("s1", COLD_S)
-    context.cold_directories = [PeerDirectory(f"n{number}") for number in range(count)]
-    context.cold_budgets = [
-        make_cold_budget(clock, context.cold, directory, f"n{number}")
-        for number, directory in enumerate(context.cold_directories)
-    ]
-    read_members(context, lambda number: range(count))
-
-
-def read_members(context, members_of):
-    for number, directory in enumerate(context.cold_directories):
-        directory.apply(peer_rows(members_of(number)))
+    context.cold_budgets = [make_rate_budget(clock, context.cold) for _ in range(count)]
+    context.cold_members = [range(count)] * count
 
 
 @given("half of these gateways do not know of the {count:d} that came last")
 def step_half(context, count):
-    all_count = len(context.cold_directories)
-    known = range(all_count - count)
+    all_count = len(context.cold_members)
     for number in range(0, all_count, 2):
-        directory = PeerDirectory(f"n{number}")
-        directory.apply(peer_rows(known))
-        context.cold_budgets[number] = make_cold_budget(
-            context.cold_clock, context.cold, directory, f"n{number}"
-        )
+        context.cold_members[number] = range(all_count - count)
 
 
 @given("{count:d} of these gateways act as its broker")
 def step_brokers(context, count):
-    for number in range(count):
-        budget = make_cold_budget(
-            context.cold_clock,
-            context.cold,
-            context.cold_directories[number],
-            f"n{number}",
-            is_broker=True,
-        )
-        context.cold_budgets.append(budget)
+    zone = context.cold_server.zone
+    context.cold_budgets += [
+        make_rate_budget(context.cold_clock, context.cold, zone) for _ in range(count)
+    ]
 
 
 @given("none of these gateways has read the rows of the group")
 def step_none(context):
-    context.cold_budgets = [
-        make_cold_budget(
-            context.cold_clock, context.cold, PeerDirectory(f"n{number}"), f"n{number}"
-        )
-        for number in range(len(context.cold_directories))
-    ]
+    context.cold_members = [()] * len(context.cold_members)
+
+
+class Heard:
+    """What a gateway hears: everyone."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def heard_time_s(self, node):
+        return self._clock.now()
+
+
+def broker_of(context, number, members):
+    """Return the node that a gateway which knows these members asks; None: it asks nobody."""
+    directory = PeerDirectory(f"n{number}")
+    directory.apply(peer_rows(members))
+    own = PeerAddress(f"n{number}", "b", ZONES[number % len(ZONES)], Address(HOST, 1))
+    clock = context.cold_clock
+    choice = BrokerChoice(own, lambda: True, directory, Heard(clock), clock)
+    broker = choice.broker("shop", context.cold_server.zone)
+    return None if broker is None else broker.node
+
+
+@then("these gateways ask {least:d} to {most:d} brokers for it")
+def step_asked(context, least, most):
+    brokers = {
+        broker_of(context, number, members) for number, members in enumerate(context.cold_members)
+    } - {None}
+    assert least <= len(brokers) <= most, brokers
 
 
 @when("each gateway has a request for it all the time, for {duration_s:g} s")
--- a/features/steps/gateway_drawn_server_steps.py
+++ b/features/steps/gateway_drawn_server_steps.py
@@ -5,7 +5,7 @@
 
 from backend_manual_clock import ManualClock
 from behave import given, then, when
-from gateway_world import HOST, ZONE, make_cold_budget, make_record
+from gateway_world import HOST, ZONE, make_rate_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_report import PeerReport
@@ -83,7 +83,7 @@
         board = ServerBoard(peers, clock)
         random = Random(f"{context.seed} {number}")
         choice = ServerChoice(
-            None, board, make_cold_budget(clock), ZONE, random, lambda: size == "large"
+            None, board, make_rate_budget(clock), ZONE, random, lambda: size == "large"
         )
         context.drawn[choice.best(context.drawn_servers).server_id] += 1
 
--- a/features/steps/gateway_group_world.py
+++ b/features/steps/gateway_group_world.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from gateway_world import make_cold_budget, make_record
+from gateway_world import make_rate_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
@@ -78,12 +78,12 @@
         self.peers = PeerTable(self.clock)
         self.board = ServerBoard(self.peers, self.clock)
         self.tables = OwnershipTables()
-        cold_budget = make_cold_budget(self.clock)
+        rate_budget = make_rate_budget(self.clock)
         self.queue = DispatchQueue(
-            ServerChoice(self.servers, self.board, cold_budget, "z1", Random(1)),
+            ServerChoice(self.servers, self.board, rate_budget, "z1", Random(1)),
             OwnerLookup(self.tables, self.servers, self.board, self.clock),
             self.board,
-            ServerRoom(self.board, cold_budget),
+            ServerRoom(self.board, rate_budget),
             self.clock,
         )
         self.service_s, self.weights, self.times_s = service_s, weights, times_s
--- a/features/steps/gateway_limit_steps.py
+++ b/features/steps/gateway_limit_steps.py
@@ -172,9 +172,8 @@
     refused = [each for each in context.crash.answers if LIMITED in each.text]
     assert refused, "nothing was refused for a limit"
     assert all(each.retry_after_s > 0 for each in refused), refused[:3]
-    sent_s = context.crash.sent_s
-    late = [each for each in refused if each.at_s - sent_s[each.try_id] > most_s]
-    assert len(late) <= 0.02 * len(refused), (len(late), len(refused), late[:3])
+    late = [each for each in refused if each.at_s - each.sent_s > most_s]
+    assert not late, (len(late), len(refused), late[:3])
 
 
 @then("{service} servers have {share:g} of their usual work again {after_s:g} s after the limit")
--- a/features/steps/gateway_owner_outage_steps.py
+++ b/features/steps/gateway_owner_outage_steps.py
@@ -6,7 +6,7 @@
 from backend_manual_clock import ManualClock, settle
 from behave import given, then, when
 from gateway_group_world import FixedServers
-from gateway_world import make_cold_budget, make_record
+from gateway_world import make_rate_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
@@ -34,12 +34,12 @@
         self.board = ServerBoard(PeerTable(self.clock), self.clock)
         self.servers = FixedServers([make_record(each, Address("h", 1)) for each in "ab"])
         self.tables = OwnershipTables()
-        cold_budget = make_cold_budget(self.clock)
+        rate_budget = make_rate_budget(self.clock)
         self.queue = DispatchQueue(
-            ServerChoice(self.servers, self.board, cold_budget, "z1", Random(1)),
+            ServerChoice(self.servers, self.board, rate_budget, "z1", Random(1)),
             OwnerLookup(self.tables, self.servers, self.board, self.clock),
             self.board,
-            ServerRoom(self.board, cold_budget),
+            ServerRoom(self.board, rate_budget),
             self.clock,
         )
         self.epoch = 0
--- a/features/steps/gateway_rest_control_steps.py
+++ b/features/steps/gateway_rest_control_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from gateway_control_steps import until
 from gateway_control_world import SERVICE
-from gateway_world import make_cold_budget, make_record
+from gateway_world import make_rate_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.hub_sums import sum_up
@@ -135,7 +135,7 @@
         self.notices = NoticeReports(node, self.servers)
         board = ServerBoard(PeerTable(self.clock), self.clock)
         self._choice = ServerChoice(
-            self.servers, board, make_cold_budget(self.clock), "z1", Random(1)
+            self.servers, board, make_rate_budget(self.clock), "z1", Random(1)
         )
 
     def usable(self):
--- a/features/steps/gateway_speeds_steps.py
+++ b/features/steps/gateway_speeds_steps.py
@@ -3,7 +3,7 @@
 from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_exchange_steps import loads_of
-from gateway_world import HOST, ZONE, make_cold_budget, make_record
+from gateway_world import HOST, ZONE, make_rate_budget, make_record
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_report import PeerReport
@@ -45,7 +45,7 @@
 @then('the gateway board gives every request to "{server_id}" while both have room')
 def chosen(context, server_id):
     choice = ServerChoice(
-        None, context.board, make_cold_budget(context.board_clock), ZONE, context.random
+        None, context.board, make_rate_budget(context.board_clock), ZONE, context.random
     )
     records = [record("slow"), record("fast")]
     chosen_ids = {choice.best(records).server_id for _ in range(CHOICES)}
--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -17,10 +17,10 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
-from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.rate_budget import RateBudget
 from indigoworks.gateway.request_side import RequestSide
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.routes.caller_limits import CallerLimits
@@ -29,6 +29,7 @@
 from indigoworks.routes.service import Service
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers.cold_servers import ColdServers
+from indigoworks.servers.server_limits import ServerLimits
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.zone_evacuations import ZoneEvacuations
 
@@ -128,12 +129,10 @@
     return PlatformPorts(**values)
 
 
-def make_cold_budget(
-    clock, cold=None, directory=None, node="n1", is_keyed=False, is_broker=False
-) -> ColdBudget:
+def make_rate_budget(clock, cold=None, zone=None, is_keyed=False, limits=None) -> RateBudget:
+    """Make the budget of a broker of a zone's servers, or of a gateway that is none."""
     known = cold or ColdServers(ZoneEvacuations(clock), clock)
-    members = directory or PeerDirectory(node)
-    return ColdBudget(node, members, known, lambda _: is_keyed, clock, is_broker)
+    return RateBudget(known, limits or ServerLimits(clock), lambda _: is_keyed, clock, zone)
 
 
 class GatewayWorld:
--- a/indigoworks/broker/broker_choice.py
+++ b/indigoworks/broker/broker_choice.py
@@ -30,7 +30,8 @@
 
 class BrokerChoice:
     """The same gateway for all who hear the same ones: the first by rendezvous hashing among the
-    strong machines of the servers' zone, or of all zones where that one has none.
+    strong machines of the servers' zone, or of all zones where that one has none; among the weak
+    ones where all are weak.
 
     Nobody appoints a broker: whoever is asked acts. While two act for the same servers, as long as
     gateways hear different peers, these may get more requests than they have slots; what they do
@@ -58,8 +59,11 @@
         self._chosen: dict[tuple[str, str], tuple[float, PeerAddress | None]] = {}
 
     def broker(self, service: str, zone: str) -> PeerAddress | None:
-        """Return the gateway to ask for slots; None: there is none, each decides for itself."""
-        if not self._directory.has_many():
+        """Return the gateway to ask for slots; None: there is none.
+
+        A gateway that has read no member of the group yet does not know whom others ask.
+        """
+        if not self._directory.has_any():
             return None
         now_s = self._clock.now()
         known = self._chosen.get((service, zone))
@@ -89,10 +93,11 @@
 
     def _choose(self, service: str, zone: str) -> PeerAddress | None:
         able = [each for each in self._directory.others() if self._is_able(each)]
-        if self._own.capacity > 0 and self._may_act():
+        if self._may_act():
             able.append(self._own)
         if not able:
             return None
+        able = [each for each in able if each.capacity > 0] or able
         near = [each for each in able if each.zone == zone] or able
         strongest = max(each.capacity for each in near)
         strong = [each for each in near if each.capacity >= STRONG_SHARE * strongest]
@@ -100,7 +105,7 @@
 
     def _is_able(self, peer: PeerAddress) -> bool:
         now_s = self._clock.now()
-        if peer.capacity == 0 or now_s < self._left_until_s.get(peer.node, 0.0):
+        if now_s < self._left_until_s.get(peer.node, 0.0):
             return False
         heard_s = self._peers.heard_time_s(peer.node)
         return heard_s is not None and now_s - heard_s <= HEARD_S
--- a/indigoworks/broker/broker_codec.py
+++ b/indigoworks/broker/broker_codec.py
@@ -72,6 +72,8 @@
     message.lease_ms = _milliseconds(request.lease_s)
     message.may_wait = request.may_wait
     message.tried.extend(request.tried)
+    if request.key is not None:
+        message.key = request.key
 
 
 def _decode_request(message: pb.SlotRequestMessage) -> SlotRequest:
@@ -86,6 +88,7 @@
         lease_s=message.lease_ms / MS_PER_S,
         may_wait=message.may_wait,
         tried=tuple(message.tried),
+        key=message.key if message.HasField("key") else None,
     )
 
 
--- a/indigoworks/broker/broker_queue.py
+++ b/indigoworks/broker/broker_queue.py
@@ -10,10 +10,10 @@
 from indigoworks.broker.zone_servers import ZoneServers
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.load_view import LoadView
-from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.place_load import PlaceLoad
+from indigoworks.gateway.rate_budget import RateBudget
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
 from indigoworks.gateway.server_room import ServerRoom
@@ -41,17 +41,18 @@
         tables: OwnershipTables,
         peers: LoadView,
         reported: Callable[[str], int],
-        cold_budget: ColdBudget,
+        rate_budget: RateBudget,
         clock: Clock,
         random: Random,
     ) -> None:
         self._servers = servers
+        self._rates = rate_budget
         self.load = ReportedLoad(reported, peers, self._given, clock)
         self.board = ServerBoard(self.load, clock)
         self.unreached = UnreachedServers(self.board, clock)
         self._zone_servers = ZoneServers(zone, servers, clock)
-        self._choice = ServerChoice(self._zone_servers, self.board, cold_budget, zone, random)
-        self._room = ServerRoom(self.board, cold_budget, _limit)
+        self._choice = ServerChoice(self._zone_servers, self.board, rate_budget, zone, random)
+        self._room = ServerRoom(self.board, rate_budget, _limit)
         owners = OwnerLookup(tables, self._zone_servers, self.board, clock)
         self.queue = DispatchQueue(
             self._choice, owners, self.board, self._room, clock, counts_all=True
@@ -96,6 +97,7 @@
             if self._servers.get(server_id) is None:
                 self.board.forget(server_id)
                 self.load.forget(server_id)
+                self._rates.forget(server_id)
 
     def _given(self, server_id: str) -> int:
         return self.board.own_in_flight_at(server_id)
--- a/indigoworks/broker/broker_side.py
+++ b/indigoworks/broker/broker_side.py
@@ -19,8 +19,8 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
-from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.rate_budget import RateBudget
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.ownership.ownership_tables import OwnershipTables
 
@@ -79,21 +79,17 @@
     # ---- parts ----
 
     def _make_queue(self, zone: str) -> BrokerQueue:
-        cold_budget = ColdBudget(
-            self._own.node,
-            self._directory,
-            self._platform.servers.cold,
-            self._platform.is_keyed,
-            self._clock,
-            is_broker=True,
+        servers = self._platform.servers
+        rate_budget = RateBudget(
+            servers.cold, servers.notices.limits, self._platform.is_keyed, self._clock, zone
         )
         return BrokerQueue(
             zone,
-            self._platform.servers,
+            servers,
             self._tables,
             self._peers,
             self._board.in_flight,
-            cold_budget,
+            rate_budget,
             self._clock,
             self._random,
         )
--- a/indigoworks/broker/brokered_queue.py
+++ b/indigoworks/broker/brokered_queue.py
@@ -12,11 +12,16 @@
 from indigoworks.broker.slot_request import SlotRequest
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_address import PeerAddress
+from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.gateway.dispatch_queue import DispatchQueue
+from indigoworks.gateway.owner_lookup import OwnerLookup, OwnerState
 from indigoworks.gateway.placer import Placement
+from indigoworks.gateway.rate_budget import RateBudget
+from indigoworks.gateway.refusal import Refusal, RefusalReason
 from indigoworks.gateway.server_answer import ExchangeResult, ServerAnswer
 from indigoworks.gateway.server_board import Measurement
 from indigoworks.gateway.waiting_request import WaitingRequest
+from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
 FULL_S = 0.05
@@ -50,13 +55,18 @@
 
     A request without a key goes to the servers of the own zone, to those of another zone where
     these have no free slot but others have, and else waits where a slot is likely to be free
-    first. Where no broker answers, this gateway decides by what it knows itself; so it does for
-    requests by key, which only one server can answer: brokers granted their slots on five days,
-    gained nothing for them (worth 0.555 for 0.549, 0.626 for 0.631, 0.592 for 0.635 on three), and
-    took up to 0.7 of a core each.
+    first. Where no broker answers, and in a small group, this gateway decides by what it knows
+    itself; so it does for requests by key, which only one server can answer: brokers granted their
+    slots on five days, gained nothing for them (worth 0.555 for 0.549, 0.626 for 0.631, 0.592 for
+    0.635 on three), and took up to 0.7 of a core each.
+
+    What is bound to a rate is the broker's in any group and with any key: only who counts all
+    requests to a server keeps to a sum.
 
     :param zone: of this process.
     :param local: decides by this gateway's own knowledge.
+    :param directory: the group, which is small or large.
+    :param rates: tells which servers are bound to a rate.
     """
 
     def __init__(
@@ -66,6 +76,9 @@
         choice: BrokerChoice,
         client: BrokerClient,
         servers: ServerSource,
+        owners: OwnerLookup,
+        directory: PeerDirectory,
+        rates: RateBudget,
         clock: Clock,
     ) -> None:
         self._zone = zone
@@ -73,6 +86,9 @@
         self._choice = choice
         self._client = client
         self._servers = servers
+        self._owners = owners
+        self._directory = directory
+        self._rates = rates
         self._clock = clock
         self._grants: dict[WaitingRequest, _Grant] = {}
         self._full: dict[tuple[str, str], _Full] = {}
@@ -82,15 +98,14 @@
     async def place(self, entry: WaitingRequest) -> Placement:
         """Return a server with room, or why there is none."""
         zones = self._zones(entry)
-        placement: Placement | None = None
-        if len(zones) > 1:
-            placement = await self._free_slot(entry, zones)
-        if placement is None and zones:
-            zone = min(zones, key=lambda each: self._wait_s(entry.service, each))
-            placement = await self._ask_in(entry, zone, may_wait=True)
-        if placement is None:
-            return await self._local.place(entry)
-        return placement
+        if zones:
+            return await self._place_in(entry, zones)
+        placement = await self._local.place(entry)
+        if not _is_for_broker(placement):
+            return placement
+        # Its server has become bound to a rate while it waited here.
+        entry.renew()
+        return await self._place_in(entry, self._zones(entry))
 
     def release(
         self, entry: WaitingRequest, started: Measurement, answer: ServerAnswer | None
@@ -104,18 +119,39 @@
 
     # ---- where to ask ----
 
+    async def _place_in(self, entry: WaitingRequest, zones: Sequence[str]) -> Placement:
+        """Return what the brokers of these zones say, or this gateway's own queue."""
+        placement: Placement | None = None
+        if len(zones) > 1:
+            placement = await self._free_slot(entry, zones)
+        if placement is None and zones:
+            zone = min(zones, key=lambda each: self._wait_s(entry.service, each))
+            placement = await self._ask_in(entry, zone, may_wait=True)
+        return await self._local.place(entry) if placement is None else placement
+
     def _zones(self, entry: WaitingRequest) -> Sequence[str]:
         """Return the zones whose brokers may be asked, the first choice first; empty: none."""
         if entry.key is not None:
+            return self._zone_of_owner(entry.service, entry.key)
+        if not self._directory.has_many() and not self._rates.has_bound():
             return ()
-        zones = {
-            each.zone
-            for each in self._servers.usable(entry.service)
-            if not self._servers.rest_left_s(each.server_id)
-        }
+        usable = self._servers.usable(entry.service)
+        if not self._directory.has_many() and not self._rates.excludes_any(usable):
+            return ()
+        zones = {each.zone for each in usable if not self._servers.rest_left_s(each.server_id)}
         others = sorted(zones - {self._zone})
         return (self._zone, *others) if self._zone in zones else tuple(others)
 
+    def _zone_of_owner(self, service: str, key: int) -> Sequence[str]:
+        """Return the zone of a key's owner where that is bound to a rate; empty: it is not."""
+        if not self._rates.has_bound():
+            return ()
+        owner = self._owners.find(service, key)
+        server = owner.server
+        if owner.state is not OwnerState.READY or server is None:
+            return ()
+        return (server.zone,) if self._rates.excludes(server) else ()
+
     async def _free_slot(self, entry: WaitingRequest, zones: Sequence[str]) -> Placement | None:
         """Return a server with a free slot in any of the zones; None: there is none."""
         for zone in zones:
@@ -171,6 +207,7 @@
             lease_s=entry.deadline_s - now_s,
             may_wait=may_wait,
             tried=(*entry.tried, *self._resting(entry)),
+            key=entry.key,
         )
 
     def _resting(self, entry: WaitingRequest) -> Sequence[str]:
@@ -184,13 +221,20 @@
     def _take(self, entry: WaitingRequest, grant: _Grant, server_id: str) -> Placement | None:
         """Take a slot, unless this gateway knows that its server must get no new work."""
         server = self._servers.get(server_id)
-        is_resting = self._servers.rest_left_s(server_id) > 0
-        if server is None or is_resting or not self._servers.is_usable(server_id):
+        if server is None or not self._may_take(entry, server):
             self._client.release(grant.broker, SlotRelease(grant.number))
             return None
         self._grants[entry] = grant
         return server
 
+    def _may_take(self, entry: WaitingRequest, server: ServerRecord) -> bool:
+        if self._servers.rest_left_s(server.server_id) > 0:
+            return False
+        if entry.key is None:
+            return self._servers.is_usable(server.server_id)
+        owner = self._owners.find(entry.service, entry.key)
+        return owner.state is OwnerState.READY and owner.server == server
+
     def _note(self, broker: PeerAddress, entry: WaitingRequest, reply: SlotReply | None) -> None:
         if reply is None:
             is_left = self._choice.note_silence(broker.node)
@@ -210,6 +254,10 @@
         )
 
 
+def _is_for_broker(placement: Placement) -> bool:
+    return isinstance(placement, Refusal) and placement.reason is RefusalReason.SERVER_LIMITED
+
+
 def _release_of(grant: _Grant, answer: ServerAnswer | None) -> SlotRelease:
     if answer is None:
         return SlotRelease(grant.number)
--- a/indigoworks/broker/slot_broker.py
+++ b/indigoworks/broker/slot_broker.py
@@ -119,7 +119,7 @@
             group=request.group,
             weight=request.weight,
             service=request.service,
-            key=None,
+            key=request.key,
             priority=request.priority,
             tried=frozenset(request.tried),
             limit_s=now_s + request.limit_s,
--- a/indigoworks/broker/slot_request.py
+++ b/indigoworks/broker/slot_request.py
@@ -1,4 +1,4 @@
-"""A request for a slot at any server of a service in a zone."""
+"""A request for a slot at a server of a service in a zone."""
 
 from dataclasses import dataclass
 
@@ -13,6 +13,7 @@
     :ivar lease_s: time after which the slot is free again in any case.
     :ivar may_wait: wait for a slot; else only a free one is wanted.
     :ivar tried: servers that the caller's request must not go to again.
+    :ivar key: number of the key where only its owner can answer; None: any server can.
     """
 
     number: int
@@ -25,3 +26,4 @@
     lease_s: float
     may_wait: bool
     tried: tuple[str, ...] = ()
+    key: int | None = None
--- a/indigoworks/exchange/hub_sums.py
+++ b/indigoworks/exchange/hub_sums.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
-from indigoworks.exchange.notice_note import merge_notes
+from indigoworks.exchange.notice_note import NoticeNote, merge_notes
 from indigoworks.exchange.peer_report import AgedReport, PeerReport, node_checksum
 from indigoworks.exchange.server_load import ServerLoad
 
@@ -26,11 +26,15 @@
         configuration_version=max(each.configuration_version for each in reports),
         group_version=max(each.group_version for each in reports),
         operator_row_version=max(each.operator_row_version for each in reports),
-        notices=merge_notes(note for each in reports for note in each.notices),
+        notices=merge_notes((*own.notices, *_aged_notes(members))),
         members=tuple((node_checksum(each.report.node), each.report.sequence) for each in members),
     )
 
 
+def _aged_notes(members: Sequence[AgedReport]) -> Iterable[NoticeNote]:
+    return (note.aged(each.age_s) for each in members for note in each.report.notices)
+
+
 def _sum_loads(reports: Iterable[PeerReport]) -> tuple[ServerLoad, ...]:
     """Return the sum of requests in flight and the mean of the measured times of each server."""
     in_flight: dict[int, int] = {}
--- a/indigoworks/exchange/notice_note.py
+++ b/indigoworks/exchange/notice_note.py
@@ -1,13 +1,15 @@
 """What gateways tell each other of what a server asked for in its answers."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from indigoworks.common.limit_word import LimitWord
 
 MAX_TELLERS = 4
 """Gateways that a note names: whether more than that were asked makes no difference to anybody."""
 
-MAX_NOTES = 32
-"""Notes in a report, of up to 36 bytes each (computed), so that it stays below the 1.5 KB of a
+MAX_NOTES = 28
+"""Notes in a report, of up to 49 bytes each (computed), so that it stays below the 1.5 KB of a
 packet."""
 
 
@@ -19,12 +21,20 @@
     :ivar rest_left_s: seconds for which it still wants no request from the tellers; 0: it asked
         none of them for rest.
     :ivar tellers: checksums of the gateways that were asked for rest.
+    :ivar limit: the newest word on a limit that any of them knows; None: none knows one.
     """
 
     server: int
     rest_left_s: float
     tellers: tuple[int, ...]
     is_leaving: bool
+    limit: LimitWord | None = None
+
+    def aged(self, age_s: float) -> "NoticeNote":
+        """Return the same as of `age_s` later, as far as ages go."""
+        if self.limit is None:
+            return self
+        return replace(self, limit=replace(self.limit, age_s=self.limit.age_s + age_s))
 
 
 def merge_notes(notes: Iterable[NoticeNote]) -> tuple[NoticeNote, ...]:
@@ -44,4 +54,11 @@
         max(one.rest_left_s, other.rest_left_s),
         tuple(tellers[:MAX_TELLERS]),
         one.is_leaving or other.is_leaving,
+        _newer(one.limit, other.limit),
     )
+
+
+def _newer(one: LimitWord | None, other: LimitWord | None) -> LimitWord | None:
+    if one is None or other is None:
+        return one or other
+    return one if one.age_s <= other.age_s else other
--- a/indigoworks/exchange/peer_directory.py
+++ b/indigoworks/exchange/peer_directory.py
@@ -21,7 +21,6 @@
         self._own_node = own_node
         self._peers: dict[str, PeerAddress] = {}
         self._versions: dict[str, int] = {}
-        self._nodes_near: dict[str, tuple[str, ...]] = {}
 
     def apply(self, rows: Sequence[Row]) -> None:
         """Take rows; those of other kinds are passed over."""
@@ -33,7 +32,6 @@
                 continue
             self._versions[node] = row.version
             self._apply_row(node, row)
-            self._nodes_near.clear()
 
     def others(self) -> Iterable[PeerAddress]:
         """Return all gateways but this one."""
@@ -47,6 +45,10 @@
         """Tell whether there are so many gateways that each zone acts through a hub and a relay."""
         return 1 + self.count_others() > DIRECT_GATEWAYS
 
+    def has_any(self) -> bool:
+        """Tell whether any gateway is known, this one included."""
+        return bool(self._peers)
+
     def get(self, node: str) -> PeerAddress | None:
         """Return a gateway; None: it is not known."""
         return self._peers.get(node)
@@ -61,15 +63,6 @@
         peer = self._peers.get(node)
         return None if peer is None else peer.zone
 
-    def nodes_near(self, zone: str) -> tuple[str, ...]:
-        """Return the names of all gateways of a zone, this one included once its row was read; of
-        all zones where the zone has none."""
-        known = self._nodes_near.get(zone)
-        if known is None:
-            in_zone = sorted(each.node for each in self._peers.values() if each.zone == zone)
-            known = self._nodes_near[zone] = tuple(in_zone or sorted(self._peers))
-        return known
-
     def _apply_row(self, node: str, row: Row) -> None:
         if row.is_removed:
             self._peers.pop(node, None)
--- a/indigoworks/gateway/answer_expectation.py
+++ b/indigoworks/gateway/answer_expectation.py
@@ -92,6 +92,8 @@
         return queue_refusals.overload(entry.owner_id, load, ahead)
 
     def _refusal_without_server(self, entry: WaitingRequest) -> Refusal:
+        if self._choice.has_paced_elsewhere(entry.service):
+            return queue_refusals.for_broker("")
         left_s = self._choice.rest_left_s(entry.service)
         return queue_refusals.resting("", left_s) if left_s else queue_refusals.no_server()
 
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -4,6 +4,7 @@
 from itertools import islice
 
 from indigoworks.common.clock import Clock
+from indigoworks.gateway import queue_refusals
 from indigoworks.gateway.answer_expectation import AnswerExpectation, KnownLoads
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.owner_outages import OWNER_LOOK_S, OwnerOutages
@@ -14,6 +15,7 @@
 from indigoworks.gateway.server_board import Measurement, ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
 from indigoworks.gateway.server_room import ServerRoom
+from indigoworks.gateway.turn_timers import TurnTimers
 from indigoworks.gateway.waiting_request import WaitingRequest
 from indigoworks.servers.server_record import ServerRecord
 
@@ -49,6 +51,7 @@
         self._waiting: dict[str, int] = {}
         self._room = room
         self._counts_all = counts_all
+        self._turns = TurnTimers(self._serve)
         self._sequence = 0
 
     async def place(self, entry: WaitingRequest) -> Placement:
@@ -170,10 +173,13 @@
         """Give free places to those whose turn it is."""
         if line.server_id is not None:
             self._serve_owned(line)
-            return
-        if not line:
-            return
-        free = self._room.with_room(self._choice.usable(line.service))
+        elif line:
+            usable = self._choice.usable(line.service)
+            self._serve_any(line, usable)
+            self._await_turn(line, usable)
+
+    def _serve_any(self, line: PlaceLine, usable: list[ServerRecord]) -> None:
+        free = self._room.with_room(usable)
         while free and (entry := line.head()) is not None:
             servers = [each for each in free if each.server_id not in entry.tried]
             if not servers:
@@ -188,11 +194,21 @@
             owner = self._expectation.owner(entry)
             if owner is None or owner.server_id != line.server_id:
                 self._move(entry)
+            elif self._room.is_for_broker(owner):
+                self._end(entry, queue_refusals.for_broker(owner.server_id))
             elif self._room.has_room(owner):
                 self._grant(line, entry, owner)
             else:
+                self._await_turn(line, [owner])
                 return
 
+    def _await_turn(self, line: PlaceLine, servers: list[ServerRecord]) -> None:
+        """Look at a line again when one of its servers may get its next request by its rate: no
+        other request need end by then."""
+        turn_s = self._room.turn_in_s(servers) if line else 0.0
+        if turn_s > 0:
+            self._turns.look_in(line, turn_s)
+
     def _grant(self, line: PlaceLine, entry: WaitingRequest, server: ServerRecord) -> None:
         line.grant(entry, self._board.service_s(server))
         entry.placed.set_result(server)
@@ -261,6 +277,9 @@
     def _end_if(self, entry: WaitingRequest, refusal: Refusal | None) -> bool:
         if refusal is None:
             return False
+        self._end(entry, refusal)
+        return True
+
+    def _end(self, entry: WaitingRequest, refusal: Refusal) -> None:
         self._lines.take_out(entry)
         entry.placed.set_result(refusal)
-        return True
--- a/indigoworks/gateway/place_load.py
+++ b/indigoworks/gateway/place_load.py
@@ -12,15 +12,19 @@
 class PlaceLoad:
     """Slots and requests in flight of all these servers; seconds of one request there.
 
-    :ivar slots: of a cold server only what its rate allows.
+    :ivar slots: of a server with a rate only what that allows, unless all have one.
     :ivar service_s: mean over the servers.
     :ivar least_s: at the fastest of them.
+    :ivar rate_per_s: requests a second that go to all these servers; None: one is not bound.
+    :ivar turn_s: time until the next of these may go, where all are bound.
     """
 
     slots: float
     in_flight: int
     service_s: float
     least_s: float
+    rate_per_s: float | None = None
+    turn_s: float = 0.0
 
     @classmethod
     def of(
@@ -28,13 +32,22 @@
     ) -> "PlaceLoad":
         """Return the load of `servers`, which are not none."""
         times_s = [board.service_s(each) for each in servers]
+        rate_per_s = room.common_rate_per_s(servers)
+        is_mixed = rate_per_s is None
         return cls(
-            sum(map(room.slots_of, servers, times_s)),
+            sum(map(room.slots_of, servers, times_s))
+            if is_mixed
+            else sum(each.slots for each in servers),
             sum(board.in_flight(each.server_id) for each in servers),
             sum(times_s) / len(times_s),
             min(times_s),
+            rate_per_s,
+            0.0 if is_mixed else room.turn_in_s(servers),
         )
 
     def wait_s(self, ahead: int) -> float:
         """Return how long it takes until `ahead` requests and one more have a place."""
-        return max(0, self.in_flight - self.slots + ahead + 1) / self.slots * self.service_s
+        by_slots_s = max(0, self.in_flight - self.slots + ahead + 1) / self.slots * self.service_s
+        if self.rate_per_s is None:
+            return by_slots_s
+        return max(by_slots_s, self.turn_s + ahead / self.rate_per_s)
--- a/indigoworks/gateway/queue_refusals.py
+++ b/indigoworks/gateway/queue_refusals.py
@@ -10,6 +10,9 @@
 
 MIN_RETRY_AFTER_S = 0.05
 
+BROKER_BACK_S = 0.5
+"""Assumed time until a broker answers where none does: another one is asked after so long."""
+
 
 def no_server() -> Refusal:
     """Refuse a request to a service without a server that it may go to."""
@@ -46,14 +49,23 @@
     )
 
 
+def for_broker(server_id: str) -> Refusal:
+    """Refuse a request that only the broker of its server may let go there.
+
+    :param server_id: the owner of its key; empty: any server may have run it.
+    """
+    return Refusal(RefusalReason.SERVER_LIMITED, BROKER_BACK_S, server_id, expected_s=BROKER_BACK_S)
+
+
 def overload(server_id: str, load: PlaceLoad, ahead: int) -> Refusal:
     """Refuse a request before which `ahead` others go.
 
     :param server_id: the owner of its key; empty: any server may have run it.
     """
     wait_s = load.wait_s(ahead)
+    is_limited = load.rate_per_s is not None
     return Refusal(
-        RefusalReason.OVERLOAD,
+        RefusalReason.SERVER_LIMITED if is_limited else RefusalReason.OVERLOAD,
         max(MIN_RETRY_AFTER_S, wait_s),
         server_id,
         load.in_flight,
--- a/indigoworks/gateway/refusal.py
+++ b/indigoworks/gateway/refusal.py
@@ -18,6 +18,8 @@
     NO_TIME = "no_time"
     SERVER_RESTS = "server_rests"
     """The server that it is for, or each that may run it, asked for no request for a while."""
+    SERVER_LIMITED = "server_limited"
+    """The server that it is for, or each that may run it, takes only so many requests a second."""
     QUARANTINED = "quarantined"
     """Servers ended under it, one after the other."""
 
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -12,7 +12,6 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
-from indigoworks.gateway.cold_budget import ColdBudget
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_answers import GatewayAnswers
@@ -23,6 +22,7 @@
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_side import PlatformSide
+from indigoworks.gateway.rate_budget import RateBudget
 from indigoworks.gateway.reach_watch import ReachWatch
 from indigoworks.gateway.repeat_rules import RepeatRules
 from indigoworks.gateway.request_flow import RequestFlow
@@ -77,15 +77,17 @@
         self.on_notice: Callable[[], None] = _nothing
         platform.servers.notices.rests.on_change = self._take_wish
         platform.servers.notices.on_leaving = self._take_wish
-        cold_budget = ColdBudget(
-            settings.node, directory, platform.servers.cold, platform.is_keyed, clock
-        )
+        limits = platform.servers.notices.limits
+        limits.on_change = self._take_wish
+        self.sender.is_limit_known = limits.is_known
+        self.sender.on_no_limit = platform.servers.take_no_limit
+        rates = RateBudget(platform.servers.cold, limits, platform.is_keyed, clock)
         self.choice = ServerChoice(
-            platform.servers, self.board, cold_budget, settings.zone, random, directory.has_many
+            platform.servers, self.board, rates, settings.zone, random, directory.has_many
         )
         owners = OwnerLookup(tables, platform.servers, self.board, clock)
         self.queue = DispatchQueue(
-            self.choice, owners, self.board, ServerRoom(self.board, cold_budget), clock
+            self.choice, owners, self.board, ServerRoom(self.board, rates), clock
         )
         self.brokers = BrokerSide(
             own, platform, tables, peers, directory, self.board, clock, random, open_datagrams
@@ -96,6 +98,9 @@
             self.brokers.choice,
             self.brokers.client,
             platform.servers,
+            owners,
+            directory,
+            rates,
             clock,
         )
         self.allowance = RetryAllowance(
@@ -180,6 +185,7 @@
         self.sender.drop_old()
         self._servers.forget_old()
         self._servers.notices.rests.drop_ended()
+        self._servers.notices.limits.drop_ended()
         for server_id in self.sender.known_servers():
             if self._servers.get(server_id) is None:
                 self.sender.forget(server_id)
--- a/indigoworks/gateway/server_choice.py
+++ b/indigoworks/gateway/server_choice.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from indigoworks.gateway.cold_budget import ColdBudget
+from indigoworks.gateway.rate_budget import RateBudget
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
@@ -27,25 +27,25 @@
         self,
         servers: ServerSource,
         board: ServerBoard,
-        cold_budget: ColdBudget,
+        rate_budget: RateBudget,
         zone: str,
         random: Random,
         is_large_group: Callable[[], bool] = lambda: False,
     ) -> None:
         self._servers = servers
         self._board = board
-        self._cold_budget = cold_budget
+        self._rates = rate_budget
         self._zone = zone
         self._random = random
         self._is_large_group = is_large_group
 
     def usable(self, service: str) -> list[ServerRecord]:
-        """Return the servers that may get new work from here, are not out of reach, and have not
-        asked for rest."""
+        """Return the servers that may get new work from here, are not out of reach, have not asked
+        for rest, and are not paced by another gateway."""
         usable = list(self._servers.usable(service))
         if self._servers.has_resting():
             usable = self._without_resting(usable)
-        if not self._board.has_down() and not self._cold_budget.excludes_any():
+        if not self._board.has_down() and not self._rates.has_bound():
             return usable
         return [each for each in usable if self._is_usable(each)]
 
@@ -57,6 +57,10 @@
         usable = self._servers.usable(service)
         return min((self._servers.rest_left_s(each.server_id) for each in usable), default=0.0)
 
+    def has_paced_elsewhere(self, service: str) -> bool:
+        """Tell whether only brokers let requests go to some server of the service."""
+        return self._rates.excludes_any(self._servers.usable(service))
+
     def _without_resting(self, usable: list[ServerRecord]) -> list[ServerRecord]:
         """Return those that have not asked this process for rest, nor several others if any other
         is left: a server that turns a request away costs it a repeat, of which there are few."""
@@ -67,7 +71,7 @@
     def _is_usable(self, server: ServerRecord) -> bool:
         if self._board.is_down(server.server_id):
             return False
-        return not self._cold_budget.is_bound(server) or self._cold_budget.is_holder(server)
+        return not self._rates.excludes(server)
 
     def best(self, servers: list[ServerRecord]) -> ServerRecord:
         """Return the server with the least expected time, or one drawn among those with a free
@@ -89,12 +93,8 @@
         return self._random.choices(candidates, weights)[0]
 
     def _weight(self, server: ServerRecord) -> float:
-        """Return requests a second that the server's free slots can take on; of a cold server, what
-        this gateway sends in place of the others that may send it nothing."""
-        weight = self._free_slots(server) / self._board.service_s(server)
-        if self._cold_budget.is_bound(server):
-            weight *= self._cold_budget.gateways_for_each_holder(server)
-        return weight
+        """Return requests a second that the server's free slots can take on."""
+        return self._free_slots(server) / self._board.service_s(server)
 
     def _free_slots(self, server: ServerRecord) -> int:
         return max(0, server.slots - self._board.in_flight(server.server_id))
--- a/indigoworks/gateway/server_room.py
+++ b/indigoworks/gateway/server_room.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from indigoworks.gateway.cold_budget import ColdBudget
+from indigoworks.gateway.rate_budget import RateBudget
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.servers.server_record import ServerRecord
 
@@ -27,11 +27,11 @@
     def __init__(
         self,
         board: ServerBoard,
-        cold_budget: ColdBudget,
+        rate_budget: RateBudget,
         limit: Callable[[ServerRecord], int] = in_flight_limit,
     ) -> None:
         self._board = board
-        self._cold_budget = cold_budget
+        self._rates = rate_budget
         self._limit = limit
         self._reserved: dict[str, int] = {}
 
@@ -40,7 +40,7 @@
         reserved = self._reserved.get(server.server_id, 0)
         if self._board.in_flight(server.server_id) + reserved >= self._limit(server):
             return False
-        return self._cold_budget.may_send(server)
+        return self._rates.may_send(server)
 
     def with_room(self, servers: Sequence[ServerRecord]) -> list[ServerRecord]:
         """Return the servers that may get one more request."""
@@ -50,19 +50,34 @@
             for each in servers
             if in_flight(each.server_id) + reserved.get(each.server_id, 0) < limit(each)
         ]
-        if not self._cold_budget.has_bound():
+        if not self._rates.has_bound():
             return with_room
-        return [each for each in with_room if self._cold_budget.may_send(each)]
+        return [each for each in with_room if self._rates.may_send(each)]
+
+    def turn_in_s(self, servers: Sequence[ServerRecord]) -> float:
+        """Return the time until one of the servers may get a request as far as its rate goes; 0:
+        one may now."""
+        if not self._rates.has_bound():
+            return 0.0
+        return min((self._rates.turn_in_s(each) for each in servers), default=0.0)
+
+    def common_rate_per_s(self, servers: Sequence[ServerRecord]) -> float | None:
+        """Return the requests a second that go to all these servers; None: one is not bound."""
+        return self._rates.common_rate_per_s(servers) if self._rates.has_bound() else None
+
+    def is_for_broker(self, server: ServerRecord) -> bool:
+        """Tell whether only the broker of a server lets requests go there."""
+        return self._rates.has_bound() and self._rates.excludes(server)
 
     def slots_of(self, server: ServerRecord, service_s: float) -> float:
         """Return how many requests, each of which takes `service_s`, the server can work on at a
         time for this gateway."""
-        return self._cold_budget.slots_of(server, service_s)
+        return self._rates.slots_of(server, service_s)
 
     def reserve(self, server: ServerRecord) -> None:
         """Keep a place at the server."""
         self._reserved[server.server_id] = self._reserved.get(server.server_id, 0) + 1
-        self._cold_budget.spend(server)
+        self._rates.spend(server)
 
     def unreserve(self, server: ServerRecord) -> None:
         """Give a kept place up: its request counts at the server from now on, or has left."""
--- a/indigoworks/gateway/server_sender.py
+++ b/indigoworks/gateway/server_sender.py
@@ -44,12 +44,18 @@
     """Stand in until somebody wants to know."""
 
 
+def _ignore_server(server_id: str) -> None:
+    """Stand in until somebody wants to know."""
+
+
 class ServerSender:
     """Sends each request once, over a kept or a new connection.
 
     :param read_word: returns what a server says of its load in its header; None: unreadable.
     :param read_notice: returns what a server asks for in the head of an answer.
     :ivar on_notice: called with the id of the server that asks for something, and with that.
+    :ivar on_no_limit: called with the id of a server whose answer names no limit, where
+        `is_limit_known` tells that this is news.
     :ivar is_held_back: tells of a server whether it asked for no further request by now.
     :ivar opened: connections opened so far.
     :ivar held_back: requests that had a server and a connection, and were not sent for what the
@@ -66,6 +72,8 @@
     ) -> None:
         self._read_notice = read_notice
         self.on_notice: Callable[[str, ServerNotice], None] = _ignore_notice
+        self.on_no_limit: Callable[[str], None] = _ignore_server
+        self.is_limit_known: Callable[[str], bool] = lambda server_id: False
         self.is_held_back: Callable[[str], bool] = lambda server_id: False
         self._open_connection = open_connection
         self._names = names
@@ -151,9 +159,15 @@
 
     def _take_head(self, server_id: str, status: int, headers: HTTPHeaders) -> None:
         notice = self._read_notice(status, headers)
+        if notice is NOTHING_ASKED and not self.is_limit_known(server_id):
+            return
+        # Another server may have taken the address of the one that is gone.
+        server_id = headers.get(self._names.answering_server_id) or server_id
         if notice is not NOTHING_ASKED:
-            # Another server may have taken the address of the one that is gone.
-            self.on_notice(headers.get(self._names.answering_server_id) or server_id, notice)
+            self.on_notice(server_id, notice)
+        is_run = self._names.not_run not in headers and status != MISDIRECTED
+        if is_run and notice.limit_per_s is None and not notice.unreadable:
+            self.on_no_limit(server_id)
 
     def _word(self, answer: AnswerCollector) -> ServerWord | None:
         text = answer.headers.get(self._names.load)
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -124,6 +124,12 @@
                 ("limited",): notices.limits.count(),
             },
         )
+        metrics.gauge(
+            "gateway_server_limit",
+            "Requests a second that a server takes from all gateways together",
+            ("server",),
+            lambda: {(each,): per_s for each, per_s in notices.limits.by_server().items()},
+        )
         metrics.read_counter(
             "gateway_held_back",
             "Requests not sent for what their server asked for after it was chosen",
--- /dev/null
+++ b/indigoworks/gateway/turn_timers.py
@@ -0,0 +1,31 @@
+"""Looks at lines again when a server's next turn comes."""
+
+import asyncio
+from collections.abc import Callable
+
+from indigoworks.gateway.place_line import PlaceLine
+
+
+class TurnTimers:
+    """Keeps one timer a line at most, for the earliest turn that was asked for.
+
+    :param look: looks at a line.
+    """
+
+    def __init__(self, look: Callable[[PlaceLine], None]) -> None:
+        self._look = look
+        self._timers: dict[PlaceLine, asyncio.TimerHandle] = {}
+
+    def look_in(self, line: PlaceLine, after_s: float) -> None:
+        """Look at a line in `after_s` seconds, unless that comes earlier in any case."""
+        loop = asyncio.get_running_loop()
+        known = self._timers.get(line)
+        if known is not None:
+            if known.when() <= loop.time() + after_s:
+                return
+            known.cancel()
+        self._timers[line] = loop.call_later(after_s, self._run, line)
+
+    def _run(self, line: PlaceLine) -> None:
+        del self._timers[line]
+        self._look(line)
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -36,6 +36,10 @@
     )
     line: "PlaceLine | None" = None
 
+    def renew(self) -> None:
+        """Let a request that was refused be placed anew."""
+        self.placed = asyncio.get_running_loop().create_future()
+
     @property
     def owner_id(self) -> str:
         """Return the server that it waits for; empty: any of its service, or an owner to come."""
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -117,6 +117,12 @@
         if record is not None:
             self.notices.take(record, notice)
 
+    def take_no_limit(self, server_id: str) -> None:
+        """Take note that an answer of a server names no limit."""
+        record = self.get(server_id)
+        if record is not None:
+            self.notices.limits.note_none(record)
+
     # ---- questions ----
 
     def is_gone(self, server_id: str) -> bool:
--- a/indigoworks_lab/crash_simulation/caller_answer.py
+++ b/indigoworks_lab/crash_simulation/caller_answer.py
@@ -5,8 +5,10 @@
 
 @dataclass(frozen=True)
 class CallerAnswer:
-    """Answer to one try of a caller at `at_s`; `retry_after_s` None: it does not say."""
+    """Answer to one try of a caller at `at_s`, sent at `sent_s`; `retry_after_s` None: it does not
+    say."""
 
+    sent_s: float
     at_s: float
     target: str
     caller: str
--- a/indigoworks_lab/crash_simulation/callers.py
+++ b/indigoworks_lab/crash_simulation/callers.py
@@ -51,6 +51,7 @@
         answer = await chosen.side.front.answer(request)
         retry_after = dict(answer.headers).get("Retry-After")
         got = CallerAnswer(
+            sent_s=now_s,
             at_s=asyncio.get_running_loop().time(),
             target=target,
             caller=caller,
