A renewal is never due again within the same instant

Cause: the pause until the next renewal is what a remainder leaves of its period; rounding may leave 1e-17 s, which no clock can count. On virtual time the leader renewed one range for ever at one instant. Ruled out: a wider period; the phase of a server stays. Conclusion: a pause of a millisecond at least.

--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -30,6 +30,9 @@
 """A release is sent again after so long without an answer: that may have been lost, and a release
 that is repeated does no more than the first."""
 
+MIN_PAUSE_S = 0.001
+"""Shortest pause between two renewals."""
+
 RETRY_S = 0.15
 """Pause before an order is sent again."""
 
@@ -229,7 +232,10 @@
     def _until_renewal_s(self) -> float:
         """Return the pause until the next renewal: the ranges of a server are renewed together."""
         phase_s = zlib.crc32(self.owned.server_id.encode()) % 1000 / 1000 * RENEWAL_S
-        return RENEWAL_S - (self._clock.now() - phase_s) % RENEWAL_S
+        left_s = RENEWAL_S - (self._clock.now() - phase_s) % RENEWAL_S
+        # Rounding may leave less than the clock can count: the same instant would come again and
+        # again where time passes only in sleeps.
+        return max(MIN_PAUSE_S, left_s)
 
     # ---- log ----
 
