The leader moves keys away from servers that are asked for more than they take

What callers saw: a server was given keys 3.4 s after it had named a limit of one request a second. Cause: a server's capacity was slots and speed. Evenness also never asked whether what it moves fits the target, only whether the target has room at all: with limits it brought everything back within a second. The mend: a limit (0.75 of it, what the broker passes on) is a capacity beside speed; a limited server that gets too much is relieved at one standard deviation, keeps 0.3 of what it takes, and is no slow one for its limit; evenness moves no more than the target has room for. A word that nobody has heard again for 10 s counts no more for placement. Ruled out: emptying it as one that rests: nobody would hear that its limit has ended.

--- a/indigoworks/broker/zone_servers.py
+++ b/indigoworks/broker/zone_servers.py
@@ -63,6 +63,10 @@
         """Return for how much longer several gateways are asked for rest by a server."""
         return self._servers.rest_left_s_for_many(server_id)
 
+    def limit_per_s(self, server_id: str) -> float | None:
+        """Return the requests a second that are passed on to a server; None: all."""
+        return self._servers.limit_per_s(server_id)
+
     def is_gone(self, server_id: str) -> bool:
         """Tell whether the server's process is known to have ended."""
         return self._servers.is_gone(server_id)
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -27,6 +27,7 @@
     without_former,
 )
 from indigoworks.ownership.table_writer import TableWriter
+from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
 TICK_S = 0.1
@@ -222,10 +223,18 @@
             and not self._resting.is_resting(each.server_id)
         ]
         warm = [each for each in stayers if not self._servers.is_cold(each.server_id)]
-        return [
-            ServerCapacity(each.server_id, each.slots, each.slots / self._speed_of(each.server_id))
-            for each in warm or stayers
-        ]
+        return [self._capacity(each) for each in warm or stayers]
+
+    def _capacity(self, server: ServerRecord) -> ServerCapacity:
+        """Return what a server can do; one that names a limit keeps the keys that it can serve, so
+        that its answers go on to tell of the limit."""
+        limit_per_s = self._servers.limit_per_s(server.server_id)
+        return ServerCapacity(
+            server.server_id,
+            server.slots,
+            server.slots / self._speed_of(server.server_id),
+            float("inf") if limit_per_s is None else limit_per_s,
+        )
 
     def _balanced_table(
         self, service: str, table: OwnershipTable, servers: list[ServerCapacity]
--- a/indigoworks/ownership/load_balancer.py
+++ b/indigoworks/ownership/load_balancer.py
@@ -6,7 +6,7 @@
 from indigoworks.ownership.load_window import LoadWindow
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
-from indigoworks.ownership.range_cutter import RangeCutter
+from indigoworks.ownership.range_cutter import EXCESS, RangeCutter
 from indigoworks.ownership.range_move import RangeMove
 from indigoworks.ownership.server_capacity import ServerCapacity
 from indigoworks.ownership.server_load_share import requests_of, utilisation
@@ -20,6 +20,13 @@
 BURST_SIGNIFICANCE = 4.0
 """The same over a very short time: chance shows more often in samples as short as that."""
 
+LIMITED_SIGNIFICANCE = 1.0
+"""The same for a server that names a limit: what it takes is known, and a server that gets three
+requests a second where it takes one has only four more in a sample of a second and a half."""
+
+KEPT_UTILISATION = 0.3
+"""A server that names a limit keeps keys for so much of it: its answers tell when that ends."""
+
 MIN_UTILISATION = 0.5
 """Below this share of its slots a server is never too busy for a single key."""
 
@@ -129,12 +136,13 @@
             idlest = _with_room(load, penalty, level)
             # A server that was found too busy is relieved until it no longer is.
             margin = 0.0 if busiest in relieved else significance
+            if capacity[busiest].is_limited:
+                margin = min(margin, LIMITED_SIGNIFICANCE)
             if not self._is_too_busy(load[busiest], mean, capacity[busiest], limit, margin):
                 break
             relieved.add(busiest)
             pair = (capacity[busiest], capacity[idlest])
-            wanted_hits = self._wanted_hits(*pair, load, level)
-            move = self._move_of(*pair, wanted_hits, load, left)
+            move = self._move_of(*pair, self._wanted_hits(*pair, load, level), load, left)
             if move is None:
                 break
             moves.append(move)
@@ -164,7 +172,8 @@
             surplus = (pressure[source] - pressure[target]) / 2
             if surplus < MIN_SURPLUS or load[target] > most_load:
                 break
-            wanted_hits = surplus / self._utilisation(1.0, capacity[source])
+            room = (most_load - load[target]) / self._utilisation(1.0, capacity[target])
+            wanted_hits = min(surplus / self._utilisation(1.0, capacity[source]), room)
             move = self._move_of(capacity[source], capacity[target], wanted_hits, load, left)
             if move is None:
                 break
@@ -205,7 +214,11 @@
         difference = load[busiest.server_id] - load[idlest.server_id]
         even = difference / (self._utilisation(1.0, busiest) + per_hit)
         room = (level - load[idlest.server_id]) / per_hit
-        return min(even, room) if room > 0 else even
+        wanted_hits = min(even, room) if room > 0 else even
+        if not busiest.is_limited:
+            return wanted_hits
+        spare = (load[busiest.server_id] - KEPT_UTILISATION) / self._utilisation(1.0, busiest)
+        return min(wanted_hits, spare / EXCESS)
 
     def _move_of(
         self,
@@ -246,9 +259,9 @@
             is_doubtful = hits < significance**2
             if is_doubtful or self._utilisation(hits, server) < HOT_KEY_UTILISATION:
                 continue
-            fastest = max(servers, key=lambda each: each.requests_per_s)
+            fastest = max(servers, key=lambda each: each.taken_per_s)
             ratio = AGAIN_FASTER_RATIO if owned.width == 1 else FASTER_RATIO
-            if fastest.requests_per_s > ratio * server.requests_per_s:
+            if fastest.taken_per_s > ratio * server.taken_per_s:
                 return RangeMove(key, key, owned.server_id, fastest.server_id, "hot_key")
         return None
 
@@ -276,7 +289,7 @@
 
 
 def _penalties(servers: Sequence[ServerCapacity]) -> dict[str, float]:
-    """Return the pressure that slowness adds, by server."""
+    """Return the pressure that slowness adds, by server; a limit makes none slow."""
     times = {each.server_id: each.slots / each.requests_per_s for each in servers}
     if not times:
         return {}
--- a/indigoworks/ownership/resting_owners.py
+++ b/indigoworks/ownership/resting_owners.py
@@ -65,5 +65,5 @@
             for server_id in resting
             for each in table.ranges_of(server_id)
         )
-        capacity_per_s = sum(each.requests_per_s for each in stayers)
+        capacity_per_s = sum(each.taken_per_s for each in stayers)
         return hits / window.covered_s <= HIGH_UTILISATION * capacity_per_s
--- a/indigoworks/ownership/server_load_share.py
+++ b/indigoworks/ownership/server_load_share.py
@@ -21,5 +21,5 @@
 
 
 def utilisation(requests: float, server: ServerCapacity, window: LoadWindow) -> float:
-    """Return the share of its slots that so many requests in the window keep busy."""
-    return requests / window.covered_s / server.requests_per_s
+    """Return the share of its slots, or of its limit, that so many requests in the window use."""
+    return requests / window.covered_s / server.taken_per_s
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -169,6 +169,14 @@
         one is."""
         return self.notices.rests.left_s_for_many(server_id)
 
+    def limit_per_s(self, server_id: str) -> float | None:
+        """Return the requests a second that are passed on to a server, by its word of late; None:
+        it names no limit, or nobody has heard from it for long."""
+        limits = self.notices.limits
+        if not limits.has_any() or not limits.is_confirmed(server_id):
+            return None
+        return limits.passed_per_s(server_id)
+
     def is_held_back(self, server_id: str) -> bool:
         """Tell whether what a server asked for in its answers forbids a request to it now."""
         if not self.notices.has_any():
--- a/indigoworks/servers/server_source.py
+++ b/indigoworks/servers/server_source.py
@@ -47,6 +47,11 @@
         one is."""
         ...
 
+    def limit_per_s(self, server_id: str) -> float | None:
+        """Return the requests a second that are passed on to a server, by its word of late; None:
+        it names no limit, or nobody has heard from it for long."""
+        ...
+
     def is_gone(self, server_id: str) -> bool:
         """Tell whether the server's process is known to have ended."""
         ...
