Callers who are refused for a limit are promised turns, and have them

What callers saw: who was refused for a server's limit and came back when told was refused again in 7 of 10 cases. Cause: all were told the next turn; one is served, and those who come for the first time take turns as well. The mend: the broker books a turn for each refused try, later ones later, for half of the rate; until a turn is over by 0.25 s nobody else gets it, and who comes at it (same caller, method, host and target) waits for nobody. Further ahead than 30 s nothing is promised. Ruled out: turns paid for in advance: those who wait would be overtaken, and who never comes back would cost a turn. What a caller does after a try that it gives up costs a turn 0.25 s at most.

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -87,3 +87,18 @@
       | 3        | 2     |
       | 8        | 2     |
       | 20       | 3     |
+
+  Scenario Outline: Those who are refused for a limit come back in time, at <gateways> gateways
+    Given <gateways> crash gateways before 6 servers of each service
+    And brokers that gateways reach
+    And patient requests beside them at <load> a second for 12 s
+    And from 1 s on 6 servers of each service name a limit of <per_s> a second for 20 s
+    When the requests beside them have ended
+    Then no server got more than it takes from gateways that it had told
+    And 0.9 of those who come back when a limit lets them are served
+
+    Examples:
+      | gateways | load | per_s |
+      | 8        | 12   | 2     |
+      | 8        | 30   | 4     |
+      | 20       | 30   | 4     |
--- a/indigoworks/broker/broker_codec.py
+++ b/indigoworks/broker/broker_codec.py
@@ -72,6 +72,7 @@
     message.lease_ms = _milliseconds(request.lease_s)
     message.may_wait = request.may_wait
     message.tried.extend(request.tried)
+    message.caller_mark = request.caller_mark
     if request.key is not None:
         message.key = request.key
 
@@ -88,6 +89,7 @@
         lease_s=message.lease_ms / MS_PER_S,
         may_wait=message.may_wait,
         tried=tuple(message.tried),
+        caller_mark=message.caller_mark,
         key=message.key if message.HasField("key") else None,
     )
 
--- a/indigoworks/broker/broker_queue.py
+++ b/indigoworks/broker/broker_queue.py
@@ -59,11 +59,17 @@
         )
 
     def has_free_slot(self, request: SlotRequest) -> bool:
-        """Tell whether any server that the request may go to has room, and nobody waits for it."""
+        """Tell whether any server that the request may go to has room, and nobody waits for it, or
+        whether the next turn was promised to its caller."""
+        if self.queue.has_turn(request.service, request.caller_mark):
+            return True
         if self.queue.waiting_by_service().get(request.service):
             return False
-        servers = self._room.with_room(self._choice.usable(request.service))
-        return any(each.server_id not in request.tried for each in servers)
+        usable = self._choice.usable(request.service)
+        servers = self._room.with_room(usable)
+        if all(each.server_id in request.tried for each in servers):
+            return False
+        return not self.queue.is_turn_kept(request.service, usable)
 
     def take_release(self, server: ServerRecord, teller: str, release: SlotRelease) -> None:
         """Take what came of a request at a server.
--- a/indigoworks/broker/brokered_queue.py
+++ b/indigoworks/broker/brokered_queue.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import xxhash
 from eliot import log_message
 
 from indigoworks.broker.broker_choice import BrokerChoice
@@ -154,8 +155,10 @@
 
     async def _free_slot(self, entry: WaitingRequest, zones: Sequence[str]) -> Placement | None:
         """Return a server with a free slot in any of the zones; None: there is none."""
+        # A full zone may have promised its next turn to this caller: then each is asked.
+        has_turns = self._rates.excludes_any(self._servers.usable(entry.service))
         for zone in zones:
-            if self._is_full(entry.service, zone):
+            if not has_turns and self._is_full(entry.service, zone):
                 continue
             placement = await self._ask_in(entry, zone, may_wait=False)
             if placement is not None:
@@ -208,8 +211,18 @@
             may_wait=may_wait,
             tried=(*entry.tried, *self._resting(entry)),
             key=entry.key,
+            caller_mark=self._caller_mark(entry),
         )
 
+    def _caller_mark(self, entry: WaitingRequest) -> int:
+        """Return what tells the tries of a request, where turns may be promised; 0: they are
+        not."""
+        content = entry.content
+        if content is None or not self._rates.has_bound():
+            return 0
+        parts = (content.caller, content.method, content.host, content.target)
+        return xxhash.xxh64_intdigest("\0".join(parts).encode("utf-8", "surrogateescape"))
+
     def _resting(self, entry: WaitingRequest) -> Sequence[str]:
         """Return the servers that this gateway must send nothing for a while: the broker was not
         told, and has others send there."""
--- a/indigoworks/broker/slot_broker.py
+++ b/indigoworks/broker/slot_broker.py
@@ -120,6 +120,7 @@
             weight=request.weight,
             service=request.service,
             key=request.key,
+            caller_mark=request.caller_mark,
             priority=request.priority,
             tried=frozenset(request.tried),
             limit_s=now_s + request.limit_s,
--- a/indigoworks/broker/slot_request.py
+++ b/indigoworks/broker/slot_request.py
@@ -13,6 +13,7 @@
     :ivar lease_s: time after which the slot is free again in any case.
     :ivar may_wait: wait for a slot; else only a free one is wanted.
     :ivar tried: servers that the caller's request must not go to again.
+    :ivar caller_mark: tells the tries of one request from others; 0: unknown.
     :ivar key: number of the key where only its owner can answer; None: any server can.
     """
 
@@ -27,3 +28,4 @@
     may_wait: bool
     tried: tuple[str, ...] = ()
     key: int | None = None
+    caller_mark: int = 0
--- a/indigoworks/gateway/answer_expectation.py
+++ b/indigoworks/gateway/answer_expectation.py
@@ -1,6 +1,6 @@
 """Whether a waiting request is expected to be answered in time."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from indigoworks.common.clock import Clock
 from indigoworks.gateway import queue_refusals
@@ -11,6 +11,7 @@
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
 from indigoworks.gateway.server_room import ServerRoom
+from indigoworks.gateway.turn_book import LineName, TurnBook
 from indigoworks.gateway.waiting_request import WaitingRequest
 from indigoworks.servers.server_record import ServerRecord
 
@@ -48,6 +49,7 @@
         self._room = room
         self._clock = clock
         self._kept: dict[tuple[str, frozenset[str]], _KeptLoad] = {}
+        self._turns = TurnBook(clock)
 
     def servers_changed(self) -> None:
         """Count all loads anew: the servers are others, or may not be used now."""
@@ -71,9 +73,10 @@
         if load is None:
             return self._refusal_without_server(entry)
         loads[entry.tried] = load
+        ahead += self._promised_before(entry, load, ahead)
         if self._clock.now() + load.wait_s(ahead) + load.least_s <= entry.limit_s:
             return None
-        return queue_refusals.overload(entry.owner_id, load, ahead)
+        return self._overload(entry, load, ahead)
 
     def refusal_without_owner(self, entry: WaitingRequest) -> Refusal | None:
         """Return a refusal where the key is not likely to be served again in time; None: it is."""
@@ -89,7 +92,41 @@
         cost_s = self._board.service_s_of(entry.service)
         ahead = entry.line.count_before_last(entry, cost_s)
         load = PlaceLoad.of(servers, self._board, self._room)
-        return queue_refusals.overload(entry.owner_id, load, ahead)
+        return self._overload(entry, load, ahead)
+
+    def claim_turn(self, entry: WaitingRequest) -> bool:
+        """Tell whether a request comes at a turn that its caller was promised."""
+        owner = self.owner(entry)
+        name = (entry.service, None if owner is None else owner.server_id)
+        return entry.caller_mark != 0 and self._turns.claim(name, entry.caller_mark)
+
+    def has_turn(self, service: str, caller_mark: int) -> bool:
+        """Tell whether it is the turn of a caller at servers without keys."""
+        return self._turns.is_due((service, None), caller_mark)
+
+    def turn_kept_for_s(self, name: LineName, servers: list[ServerRecord]) -> float:
+        """Return for how long the next turn at the servers of a line is kept for callers who were
+        promised it; 0: it is not, or their rate does not bind them all."""
+        rate_per_s = self._room.common_rate_per_s(servers)
+        if not rate_per_s:
+            return 0.0
+        return self._turns.kept_for_s(name, 1 / rate_per_s)
+
+    def _promised_before(self, entry: WaitingRequest, load: PlaceLoad, ahead: int) -> int:
+        """Return the promised turns that come before that of a request."""
+        if load.rate_per_s is None or entry.has_turn:
+            return 0
+        until_s = load.wait_s(ahead) + 1 / load.rate_per_s
+        return self._turns.count_within((entry.service, entry.owner_id or None), until_s)
+
+    def _overload(self, entry: WaitingRequest, load: PlaceLoad, ahead: int) -> Refusal:
+        refusal = queue_refusals.overload(entry.owner_id, load, ahead)
+        if load.rate_per_s is None or not entry.caller_mark:
+            return refusal
+        name = (entry.service, entry.owner_id or None)
+        earliest_s = refusal.retry_after_s
+        turn_s = self._turns.book(name, entry.caller_mark, load.rate_per_s, earliest_s)
+        return replace(refusal, retry_after_s=turn_s)
 
     def _refusal_without_server(self, entry: WaitingRequest) -> Refusal:
         if self._choice.has_paced_elsewhere(entry.service):
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -110,6 +110,14 @@
         for entry in self._lines.all_ownerless():
             self._look_again(entry)
 
+    def has_turn(self, service: str, caller_mark: int) -> bool:
+        """Tell whether a caller was promised the next turn at servers without keys."""
+        return self._expectation.has_turn(service, caller_mark)
+
+    def is_turn_kept(self, service: str, servers: list[ServerRecord]) -> bool:
+        """Tell whether the next turn at servers without keys was promised to some caller."""
+        return self._expectation.turn_kept_for_s((service, None), servers) > 0
+
     def waiting_by_service(self) -> dict[str, int]:
         """Return how many requests wait, for each service that ever had one waiting."""
         return dict(self._waiting)
@@ -129,6 +137,8 @@
     # ---- where a request waits ----
 
     def _arrive(self, entry: WaitingRequest) -> None:
+        if self._expectation.claim_turn(entry):
+            entry.put_first()
         self._lines.file(entry, self._expectation.owner(entry))
         line = self._serve_line_of(entry)
         if line is not None:
@@ -148,8 +158,7 @@
         """Place or refuse a request that waits where its owner perhaps no longer is."""
         if entry.placed.done():
             return
-        is_moved = not self._is_at_owner(entry)
-        if is_moved:
+        if is_moved := not self._is_at_owner(entry):
             self._lines.take_out(entry)
             self._lines.file(entry, self._expectation.owner(entry))
         line = self._serve_line_of(entry)
@@ -182,10 +191,9 @@
         free = self._room.with_room(usable)
         while free and (entry := line.head()) is not None:
             servers = [each for each in free if each.server_id not in entry.tried]
-            if not servers:
+            if not servers or self._is_kept(line, entry, usable):
                 return
-            chosen = self._choice.best(servers)
-            self._grant(line, entry, chosen)
+            self._grant(line, entry, chosen := self._choice.best(servers))
             if not self._room.has_room(chosen):
                 free.remove(chosen)
 
@@ -196,15 +204,23 @@
                 self._move(entry)
             elif self._room.is_for_broker(owner):
                 self._end(entry, queue_refusals.for_broker(owner.server_id))
-            elif self._room.has_room(owner):
+            elif self._room.has_room(owner) and not self._is_kept(line, entry, [owner]):
                 self._grant(line, entry, owner)
             else:
                 self._await_turn(line, [owner])
                 return
 
+    def _is_kept(self, line: PlaceLine, entry: WaitingRequest, servers: list[ServerRecord]) -> bool:
+        """Tell whether the next turn is another caller's; the line is looked at again after it."""
+        if entry.has_turn or not self._room.has_bound():
+            return False
+        kept_s = self._expectation.turn_kept_for_s(line.name, servers)
+        if kept_s > 0:
+            self._turns.look_in(line, kept_s)
+        return kept_s > 0
+
     def _await_turn(self, line: PlaceLine, servers: list[ServerRecord]) -> None:
-        """Look at a line again when one of its servers may get its next request by its rate: no
-        other request need end by then."""
+        """Look at a line again at the next turn of its servers: no request need end by then."""
         turn_s = self._room.turn_in_s(servers) if line else 0.0
         if turn_s > 0:
             self._turns.look_in(line, turn_s)
@@ -253,8 +269,7 @@
             entry.placed.cancel()
             self._lines.take_out(entry)
             return
-        placement = entry.placed.result()
-        if isinstance(placement, ServerRecord):
+        if isinstance(placement := entry.placed.result(), ServerRecord):
             self._room.unreserve(placement)
             self._release(entry, 0.0)
 
--- a/indigoworks/gateway/place_line.py
+++ b/indigoworks/gateway/place_line.py
@@ -22,6 +22,11 @@
         self._queues: dict[int, FairQueue[WaitingRequest]] = {}
         self._changes = 0
 
+    @property
+    def name(self) -> tuple[str, str | None]:
+        """Return what it waits for: its service, and the owner, if it is that of keys."""
+        return self.service, self.server_id
+
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
 
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -161,6 +161,7 @@
                 tried=frozenset() if state.service.is_keyed else frozenset(state.tried),
                 limit_s=min(limit_s, state.deadline_s),
                 deadline_s=state.deadline_s,
+                content=state.request,
             )
             return await self._placer.place(state.waiting)
         finally:
--- a/indigoworks/gateway/server_room.py
+++ b/indigoworks/gateway/server_room.py
@@ -54,6 +54,10 @@
             return with_room
         return [each for each in with_room if self._rates.may_send(each)]
 
+    def has_bound(self) -> bool:
+        """Tell whether any server may be bound to a rate: a quick look."""
+        return self._rates.has_bound()
+
     def turn_in_s(self, servers: Sequence[ServerRecord]) -> float:
         """Return the time until one of the servers may get a request as far as its rate goes; 0:
         one may now."""
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from indigoworks.common.fair_entry import FairEntry
+from indigoworks.gateway.client_request import ClientRequest
 from indigoworks.gateway.refusal import Refusal
 from indigoworks.servers.server_record import ServerRecord
 
@@ -12,6 +13,10 @@
     from indigoworks.gateway.place_line import PlaceLine
 
 
+TURN_RANK = -1
+"""Rank of a request that comes at the turn which its caller was promised: it waits for nobody."""
+
+
 @dataclass(eq=False, kw_only=True)
 class WaitingRequest(FairEntry):
     """One request on its way to a place at a server.
@@ -21,6 +26,9 @@
     :ivar tried: servers that it must not go to again.
     :ivar limit_s: clock reading by which its answer is worth waiting for.
     :ivar deadline_s: clock reading at which it has ended in any case.
+    :ivar content: what its caller sent; None: it came from another gateway.
+    :ivar caller_mark: tells its caller's tries of it from others; 0: unknown.
+    :ivar has_turn: it comes at a turn that its caller was promised.
     :ivar placed: the server that has room for it, or why there is none.
     :ivar line: where it waits, or holds a place; None: it waits for an owner.
     """
@@ -31,11 +39,19 @@
     tried: frozenset[str]
     limit_s: float
     deadline_s: float = float("inf")
+    content: ClientRequest | None = None
+    caller_mark: int = 0
+    has_turn: bool = False
     placed: asyncio.Future[ServerRecord | Refusal] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
     line: "PlaceLine | None" = None
 
+    def put_first(self) -> None:
+        """Take note that it comes at the turn which its caller was promised."""
+        self.has_turn = True
+        self.priority = TURN_RANK
+
     def renew(self) -> None:
         """Let a request that was refused be placed anew."""
         self.placed = asyncio.get_running_loop().create_future()
