Soak: servers of the real processes' soak name limits, which overlap; a checker of their sum over sockets

Cause: limits were shown on virtual time only. Ruled out: a script of its own: limits come beside rests, leavings, signals, restarts and configurations, drawn apart from their plan, so that the plans of known seeds stay.

--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -20,6 +20,7 @@
       | a process outlived its grace time                       | exits         |
       | a server got three requests in its rest                 | wishes_kept   |
       | a request reached a server long after it said that it leaves | wishes_kept |
+      | a server got 18 requests in 4 s where it takes 2 a second | limits_kept |
 
     Examples: kept rules
       | rule                                                    | finding       |
@@ -32,6 +33,7 @@
       | a route is not found while the store is down            | nothing       |
       | a server got two requests in its rest, and some before and after | nothing |
       | a request reached a server soon after it said that it leaves | nothing |
+      | a server got 17 requests in 4 s where it takes 2 a second | nothing |
 
   Scenario Outline: Where times are not judged a soak history in which <rule> breaks <finding>
     Given a soak history in which <rule>
--- a/features/steps/gateway_soak_command.py
+++ b/features/steps/gateway_soak_command.py
@@ -14,6 +14,7 @@
 from gateway_soak_world import GATEWAYS, SERVERS, SoakWorld
 
 from indigoworks_lab.gateway_soak.check_soak import check_soak
+from indigoworks_lab.gateway_soak.draw_limits import draw_limits
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
 from indigoworks_lab.gateway_soak.draw_rests import draw_rests
 from indigoworks_lab.simulation.worker_processes import worker_processes
@@ -54,7 +55,9 @@
     lines = [f"seed {seed}: {verdict}; {lives} processes, answers {counts}, {late}"]
     lines += [f"  {each}" for each in violations[:MAX_SHOWN]]
     rests = sum(each.rest_s > 0 for each in history.wishes)
-    lines[0] += f", {rests} rests asked for, {len(history.wishes) - rests} times leaving told"
+    leavings = sum(each.is_leaving for each in history.wishes)
+    limits = sum(each.limit_per_s is not None for each in history.wishes)
+    lines[0] += f", {rests} rests asked for, {leavings} times leaving told, {limits} limits named"
     print("\n".join(lines), flush=True)
     if not violations:
         shutil.rmtree(folder)
@@ -80,7 +83,8 @@
     world = SoakWorld(seed, folder, gateways)
     plan = draw_plan(Random(seed), seconds, gateways, SERVERS)
     rests = draw_rests(Random(f"rests {seed}"), seconds, SERVERS)
-    await world.run(plan, seconds, rests)
+    limits = draw_limits(Random(f"limits {seed}"), seconds, SERVERS)
+    await world.run(plan, seconds, rests, limits)
     return world, check_soak(world.history)
 
 
--- a/features/steps/gateway_soak_server.py
+++ b/features/steps/gateway_soak_server.py
@@ -7,6 +7,7 @@
 
 from header_names import HEADER_NAMES  # isort: skip
 
+from indigoworks_lab.crash_simulation.machine_wishes import LimitChange
 from indigoworks_lab.gateway_soak.server_run import ServerRun
 from indigoworks_lab.gateway_soak.server_wish import ServerArrival, ServerWish
 
@@ -18,16 +19,33 @@
 class SoakServer(ScriptedServer):
     """Notes in `history` what arrives, what it begins to work on and what it asks for.
 
+    :ivar limits: limits that it names now, of which the lowest holds.
     :ivar rests: rests that it asks for now, in seconds; it turns all away while there are any.
     """
 
     def __init__(self, server_id, history) -> None:
         super().__init__([])
         self.rests = []
+        self.limits = []
         self._history = history
         self.server_id = server_id
         self.is_leaving = False
 
+    def name_limit(self, per_s) -> None:
+        """Name one more limit from now on."""
+        self.limits.append(per_s)
+        self._note_limit()
+
+    def drop_limit(self, per_s) -> None:
+        """Name it no more."""
+        self.limits.remove(per_s)
+        self._note_limit()
+
+    def _note_limit(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        change = LimitChange(now_s, min(self.limits, default=None))
+        self._history.limits.setdefault(self.server_id, []).append(change)
+
     def _behaviour(self):
         return SoakServer._work_on
 
@@ -63,8 +81,13 @@
             lines += [f"{HEADER_NAMES.not_run}: shed", f"Retry-After: {rest_s}"]
         if self.is_leaving:
             lines += ["Connection: close", "Server-Leaving: 1"]
-        if request_id is not None and (rest_s or self.is_leaving):
+        limit_per_s = min(self.limits, default=None)
+        if limit_per_s is not None:
+            lines.append(f"Server-Limit: {limit_per_s}")
+        if request_id is not None and (rest_s or self.is_leaving or self.limits):
             now_s = asyncio.get_running_loop().time()
-            wish = ServerWish(request_id, self.server_id, now_s, rest_s, self.is_leaving)
+            wish = ServerWish(
+                request_id, self.server_id, now_s, rest_s, self.is_leaving, limit_per_s
+            )
             self._history.wishes.append(wish)
         writer.write("\r\n".join((*lines, "", "")).encode() + body)
--- a/features/steps/gateway_soak_steps.py
+++ b/features/steps/gateway_soak_steps.py
@@ -9,7 +9,9 @@
 from behave import given, then, when
 from gateway_soak_world import SERVERS, SoakWorld
 
+from indigoworks_lab.crash_simulation.machine_wishes import LimitChange
 from indigoworks_lab.gateway_soak.check_soak import check_soak
+from indigoworks_lab.gateway_soak.draw_limits import draw_limits
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
 from indigoworks_lab.gateway_soak.draw_rests import draw_rests
 from indigoworks_lab.gateway_soak.event_kind import EventKind
@@ -47,7 +49,17 @@
     return made
 
 
+def limit_history(arrivals, **more):
+    """Return what arrived within 3 s at a server that names a limit of 2 a second from 20 s on."""
+    made = wish_history([20.9 + 3 * number / arrivals for number in range(arrivals)], **more)
+    made.wishes = [ServerWish("r1", "s1", 20.0, limit_per_s=2.0)]
+    made.limits = {"s1": [LimitChange(19.9, 2.0)]}
+    return made
+
+
 HISTORIES = {
+    "a server got 18 requests in 4 s where it takes 2 a second": lambda: limit_history(18),
+    "a server got 17 requests in 4 s where it takes 2 a second": lambda: limit_history(17),
     "a server got three requests in its rest": lambda: wish_history((21.0, 21.5, 22.9), rest_s=3.0),
     "a server got two requests in its rest, and some before and after": lambda: wish_history(
         (20.1, 20.4, 20.4, 21.0, 21.5, 23.1, 23.2), rest_s=3.0
@@ -127,7 +139,9 @@
     async def run():
         world = SoakWorld(seed, folder, SHORT_GATEWAYS)
         plan = draw_plan(Random(seed), SHORT_S, SHORT_GATEWAYS, SERVERS)
-        await world.run(plan, SHORT_S, draw_rests(Random(f"rests {seed}"), SHORT_S, SERVERS))
+        rests = draw_rests(Random(f"rests {seed}"), SHORT_S, SERVERS)
+        limits = draw_limits(Random(f"limits {seed}"), SHORT_S, SERVERS)
+        await world.run(plan, SHORT_S, rests, limits)
         world.history.is_timed = False
         return world.history
 
--- a/features/steps/gateway_soak_world.py
+++ b/features/steps/gateway_soak_world.py
@@ -70,12 +70,13 @@
         self._callers = []
         self._tasks = []
 
-    async def run(self, plan, seconds, rests=()) -> None:
-        """Play `plan` and `rests`; ends every process that it started."""
+    async def run(self, plan, seconds, rests=(), limits=()) -> None:
+        """Play `plan`, `rests` and `limits`; ends every process that it started."""
         try:
             await self._start()
             resting = (self._rest(each) for each in rests)
-            await asyncio.gather(self._play(plan), asyncio.sleep(seconds), *resting)
+            naming = (self._name_limit(each) for each in limits)
+            await asyncio.gather(self._play(plan), asyncio.sleep(seconds), *resting, *naming)
             await self._finish()
         finally:
             for gateway in self.gateways:
@@ -249,6 +250,14 @@
         await asyncio.sleep(rest.for_s)
         server.rests.remove(rest.rest_s)
 
+    async def _name_limit(self, limit) -> None:
+        """Let a server name a limit for a while, whichever is at the place when it begins."""
+        await asyncio.sleep(limit.at_s)
+        server = self._servers[self._places[limit.place]][0]
+        server.name_limit(limit.per_s)
+        await asyncio.sleep(limit.for_s)
+        server.drop_limit(limit.per_s)
+
     async def _leave(self, place) -> None:
         server_id = self._places[place]
         self._places[place] = await self._add_server()
--- a/indigoworks_lab/crash_simulation/limit_checker.py
+++ b/indigoworks_lab/crash_simulation/limit_checker.py
@@ -63,7 +63,7 @@
         for server_id in sorted({each.server_id for each in wishes.arrivals}):
             times_s = _counted_s(wishes, server_id, is_excused)
             checked += len(times_s)
-            breaches += _breaches(server_id, times_s, wishes.limits, first_s + CONTACT_S)
+            breaches += find_breaches(server_id, times_s, wishes.limits, first_s + CONTACT_S)
     told = sum(len(each.told_s) for each in limited)
     return LimitReport(len(limited), told, checked, tuple(breaches))
 
@@ -80,7 +80,7 @@
     return times_s
 
 
-def _breaches(
+def find_breaches(
     server_id: str, times_s: Sequence[float], limits: Sequence[LimitChange], from_s: float
 ) -> Iterable[LimitBreach]:
     """Yield the windows that end at `from_s` or later and brought more than is allowed."""
--- a/indigoworks_lab/gateway_soak/check_soak.py
+++ b/indigoworks_lab/gateway_soak/check_soak.py
@@ -6,6 +6,7 @@
 from indigoworks_lab.gateway_soak.check_answers_come import check_answers_come
 from indigoworks_lab.gateway_soak.check_configurations import check_configurations
 from indigoworks_lab.gateway_soak.check_exits import check_exits
+from indigoworks_lab.gateway_soak.check_limits_kept import check_limits_kept
 from indigoworks_lab.gateway_soak.check_no_denials import check_no_denials
 from indigoworks_lab.gateway_soak.check_refusals_kept import check_refusals_kept
 from indigoworks_lab.gateway_soak.check_single_runs import check_single_runs
@@ -20,6 +21,7 @@
     check_configurations,
     check_exits,
     check_wishes_kept,
+    check_limits_kept,
 )
 
 
--- a/indigoworks_lab/gateway_soak/server_wish.py
+++ b/indigoworks_lab/gateway_soak/server_wish.py
@@ -17,6 +17,7 @@
     """The answer to a request asked for something at `at_s`, in seconds of the event loop.
 
     :ivar rest_s: 0: for no rest.
+    :ivar limit_per_s: requests a second that it takes from all gateways; None: it names no limit.
     """
 
     request_id: str
@@ -24,3 +25,4 @@
     at_s: float
     rest_s: float = 0.0
     is_leaving: bool = False
+    limit_per_s: float | None = None
--- a/indigoworks_lab/gateway_soak/soak_history.py
+++ b/indigoworks_lab/gateway_soak/soak_history.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from indigoworks_lab.crash_simulation.machine_wishes import LimitChange
 from indigoworks_lab.gateway_soak.process_life import ProcessLife
 from indigoworks_lab.gateway_soak.server_run import ServerRun
 from indigoworks_lab.gateway_soak.server_wish import ServerArrival, ServerWish
@@ -16,6 +17,7 @@
 
     :ivar acknowledged_s: by version, when the store acknowledged a configuration, in seconds.
     :ivar troubles: when the store was slow, down or lost answers.
+    :ivar limits: by server, every change of the limit that it names.
     :ivar is_timed: whether bounds of time are judged; not where the machine may stand still.
     """
 
@@ -27,6 +29,7 @@
     is_timed: bool = True
     arrivals: list[ServerArrival] = field(default_factory=list)
     wishes: list[ServerWish] = field(default_factory=list)
+    limits: dict[str, list[LimitChange]] = field(default_factory=dict)
 
     def life(self, request: SoakRequest) -> ProcessLife:
         """Return the process to which a request was sent."""
