--- a/features/steps/gateway_harm_caller_steps.py
+++ b/features/steps/gateway_harm_caller_steps.py
@@ -6,8 +6,10 @@
 from behave import given, then, when
 from gateway_crash_steps import SETTLE_S, harmful_target, play
 
+from indigoworks_lab.crash_simulation.crash_simulation import DATAGRAM_S
 from indigoworks_lab.crash_simulation.explore import run_seed
 from indigoworks_lab.crash_simulation.harm_checker import check_harm
+from indigoworks_lab.crash_simulation.machine_connection import LINK_S
 from indigoworks_lab.crash_simulation.outages import Outages
 
 READERS = 30
@@ -132,3 +134,18 @@
     refused = [each for each in pages if "suspect" in each.text]
     assert len(pages) > 400, len(pages)
     assert not refused, (len(refused), refused[:3])
+
+
+@then(
+    "at most two servers ended under it beside those that it reached before word of the first end"
+)
+def step_in_hand(context):
+    """Word of an end comes one run and one way after the first try; three ends refuse a request,
+    and those of tries that were sent before it are one."""
+    runs = [each for each in context.crash.runs() if "harmful" in each.target]
+    word_s = runs[0].began_s + context.crash_shape.crash_s + LINK_S + DATAGRAM_S
+    tries = [each for each in context.crash.answers if "harmful" in each.target]
+    unknowable = sum(each.sent_s <= word_s for each in tries)
+    ended = {each.server_id for each in runs}
+    began_s = [round(each.began_s, 3) for each in runs]
+    assert len(ended) <= unknowable + 2, (len(ended), unknowable, began_s)
