An end under a try that was sent after another end was known counts as a later one, whoever's try it is

What callers saw: a harmful request that many send ended one server more than it had to before it was refused. Cause: ends within one second of the clock count once, for servers also end together for other reasons. The first try after the first end, which lets an innocent request through at once, ended its server within that second; only a repeat within the same try was known to come later, and the next one, 1.1 s on, then fell into the second that this repeat had taken. The mend: a try keeps the last end that was known when it was sent; its own end counts in a later second, one ahead of the clock at most. Why it holds: whoever was sent after an end was known cannot have been in hand at it. Three ends still take over a second, so that servers that end one after the other within a second refuse no page to all. Ruled out: counting in a chain without that limit: three ends within milliseconds then refuse other callers (features/gateway_repeats.feature, "is refused after the third, to its caller alone", failed).

--- a/indigoworks/gateway/flow_state.py
+++ b/indigoworks/gateway/flow_state.py
@@ -4,6 +4,7 @@
 
 from indigoworks.gateway.client_request import ClientRequest
 from indigoworks.gateway.waiting_request import WaitingRequest
+from indigoworks.quarantine.counted_ends import NO_SLOT
 from indigoworks.routes.route import Route
 from indigoworks.routes.service import Service
 from indigoworks.routes.share import Share
@@ -20,6 +21,8 @@
     :ivar waited_s: seconds that it waited here for a server with room or an owner.
     :ivar may_have_run: an attempt ended without word on whether it ran.
     :ivar servers_ended: servers that ended while they had it in hand.
+    :ivar known_end_slot: slot of the last end of a server under the request that was known when it
+        was sent last.
     :ivar is_served: the server of the last attempt ran it and answered.
     :ivar judgement: finds out whether the server of the last attempt ended; None: it answered.
     """
@@ -46,6 +49,7 @@
         self.waiting: WaitingRequest | None = None
         self.misdirected = 0
         self.servers_ended = 0
+        self.known_end_slot = NO_SLOT
         self.is_served = False
         self.judgement: asyncio.Task[None] | None = None
         self._not_sent = 0
--- a/indigoworks/gateway/harm_watch.py
+++ b/indigoworks/gateway/harm_watch.py
@@ -8,6 +8,7 @@
 from indigoworks.gateway.reach_watch import ReachWatch
 from indigoworks.gateway.refusal import Refusal, RefusalReason
 from indigoworks.gateway.server_answer import ExchangeResult, ServerAnswer
+from indigoworks.quarantine.counted_ends import NO_SLOT
 from indigoworks.quarantine.quarantine import Quarantine
 from indigoworks.quarantine.request_content import RequestContent
 from indigoworks.servers.server_list import ServerList
@@ -50,13 +51,21 @@
         mark = self._quarantine.suspect_mark(self._content(request))
         return 0 if mark is None else mark.head ^ mark.body
 
+    def note_sending(self, state: FlowState) -> None:
+        """Take note that a request is about to be sent: what is known of it now came before."""
+        if self._quarantine.has_suspects():
+            state.known_end_slot = self._quarantine.last_end_slot(self._content(state.request))
+        else:
+            state.known_end_slot = NO_SLOT
+
     def note(self, state: FlowState, server: ServerRecord, answer: ServerAnswer) -> None:
         """Take how a request left a server; `may_repeat` knows what came of it."""
         if answer.result is ExchangeResult.ANSWERED:
             if not answer.is_not_run:
                 self._quarantine.note_served(self._content(state.request))
         elif answer.was_sent:
-            state.judgement = asyncio.ensure_future(self._judge(state, server, self._clock.now()))
+            judging = self._judge(state, server, self._clock.now(), state.known_end_slot)
+            state.judgement = asyncio.ensure_future(judging)
             self._judgements.add(state.judgement)
             state.judgement.add_done_callback(self._judgements.discard)
 
@@ -71,14 +80,15 @@
         for task in self._judgements:
             task.cancel()
 
-    async def _judge(self, state: FlowState, server: ServerRecord, lost_s: float) -> None:
+    async def _judge(
+        self, state: FlowState, server: ServerRecord, lost_s: float, known_slot: int
+    ) -> None:
         if not await self._has_ended(server, lost_s):
             return
         content = self._content(state.request)
         request_id = state.request.request_id
-        earlier = state.servers_ended
         state.servers_ended += 1
-        self._quarantine.note_crash(content, request_id, server.server_id, lost_s, earlier)
+        self._quarantine.note_crash(content, request_id, server.server_id, lost_s, known_slot)
 
     async def _has_ended(self, server: ServerRecord, lost_s: float) -> bool:
         """Tell whether a server ended by `lost_s`, as far as that shows by now."""
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -202,6 +202,7 @@
         is_served = False
         answer: ServerAnswer | None = None
         try:
+            self._harm.note_sending(state)
             answer = await self._exchange(state, server)
             self._log.attempted(state, answer, started.at_s)
             self._harm.note(state, server, answer)
--- a/indigoworks/quarantine/counted_ends.py
+++ b/indigoworks/quarantine/counted_ends.py
@@ -14,6 +14,9 @@
 """A server that falls silent is noticed here up to 1.3 s later than there (patience and two
 connections): ends of one id within so many slots are one, later ones are those of two lives."""
 
+NO_SLOT = -1
+"""Before all slots."""
+
 SERVER_BITS = 32
 MAX_SLOTS = 8
 """Slots that are kept of one request; more tell nothing new."""
@@ -25,6 +28,23 @@
     return slot << SERVER_BITS | server_checksum(server_id)
 
 
+def slot_after(at_s: float, known_slot: int) -> int:
+    """Return the slot of an end at `at_s` under a try that was sent when an end in `known_slot` was
+    known: a later one, for they have no common cause.
+
+    It is one ahead of the clock at most. Servers that end for other reasons may do so one after the
+    other within a second, and a page that many read may be sent to each of them in turn: three
+    slots still take more than a second.
+    """
+    slot = int(at_s / SLOT_S)
+    return max(slot, min(known_slot, slot) + 1) if known_slot != NO_SLOT else slot
+
+
+def last_slot(ends: Iterable[int]) -> int:
+    """Return the last slot in which a server ended; NO_SLOT: none did."""
+    return max((end >> SERVER_BITS for end in ends), default=NO_SLOT)
+
+
 def count_ends(ends: Iterable[int]) -> int:
     """Return in how many slots a server ended, each end counted in the first of its slots."""
     slots: set[int] = set()
--- a/indigoworks/quarantine/quarantine.py
+++ b/indigoworks/quarantine/quarantine.py
@@ -8,7 +8,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.suspect_note import SuspectNote
-from indigoworks.quarantine.counted_ends import SLOT_S, make_end
+from indigoworks.quarantine.counted_ends import NO_SLOT, last_slot, make_end, slot_after
 from indigoworks.quarantine.request_content import RequestContent
 from indigoworks.quarantine.request_mark import RequestMark, mark_of
 from indigoworks.quarantine.served_requests import ServedRequests
@@ -93,6 +93,12 @@
         known = self._table.find(content.scopes()[-1])
         return known.mark if known is not None and known.crashes else None
 
+    def last_end_slot(self, content: RequestContent) -> int:
+        """Return the slot of the last end that is known of a request, whoever sends it; NO_SLOT:
+        there is none since it was served last."""
+        known = self._table.find(content.scopes()[-1])
+        return NO_SLOT if known is None else last_slot(known.crashes)
+
     def note_served(self, content: RequestContent) -> None:
         """Note that a server ran a request and lives."""
         now_s = self._clock.now()
@@ -110,15 +116,15 @@
         request_id: str,
         server_id: str,
         at_s: float,
-        earlier: int = 0,
+        known_slot: int = NO_SLOT,
     ) -> None:
         """Note that a server ended at `at_s` on the clock while it had a request in hand.
 
-        :param earlier: servers that had ended before under the same try: it was sent to this one
-            after their end, so that theirs and this one do not count as one.
+        :param known_slot: slot of the last end that was known when the request was sent. It was
+            sent after that end, so that the two do not count as one.
         """
         run = self._random.getrandbits(CRASH_ID_BITS)
-        end = make_end(int(self._common_s(at_s) / SLOT_S) + earlier, server_id)
+        end = make_end(slot_after(self._common_s(at_s), known_slot), server_id)
         self._own_crashes.extend((run, end))
         for scope in content.scopes():
             mark = mark_of(scope)
