A try waits for its lock when a reply is lost, and a lost release no longer holds the others up

Replies also never took back that a broker was silent, so that the third loss in any time left it. The mend: the broker, or the next one, is asked until the caller's time is over, then the try is refused with `suspect`; each reply counts as one; a release is sent three times, for nobody answers it and the others would wait for its lease. Why it holds: only a gateway that knows no member of its group sends a suspect without its lock. Ruled out: asking more often before giving up (the share that is lost is smaller, and still ends a server each). Locks in a cut are given out by each part, as before.

--- a/indigoworks/broker/broker_client.py
+++ b/indigoworks/broker/broker_client.py
@@ -21,6 +21,9 @@
 """A request that waits is sent again so often: lost replies, and brokers that ended, show by it.
 Each 0.1 s a third of all requests that a broker read were such repeats (profile of 24 s)."""
 
+RELEASED_AGAIN_S = (0.02, 0.04)
+"""Pauses before a release that others wait for is sent once more, and once more."""
+
 Send = Callable[[PeerAddress, SlotRequest | SlotRelease], None]
 
 
@@ -41,6 +44,7 @@
         self._clock = clock
         self._open: dict[int, _OpenRequest] = {}
         self._number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def next_number(self) -> int:
         """Return a number for a new request."""
@@ -67,6 +71,23 @@
         """Give a slot back."""
         self._send(broker, release)
 
+    def release_repeatedly(self, broker: PeerAddress, release: SlotRelease) -> None:
+        """Give back what others wait for, and say it again: nobody answers a release."""
+        self._send(broker, release)
+        task = asyncio.ensure_future(self._release_again(broker, release))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Say nothing more."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _release_again(self, broker: PeerAddress, release: SlotRelease) -> None:
+        for pause_s in RELEASED_AGAIN_S:
+            await self._clock.sleep(pause_s)
+            self._send(broker, release)
+
     def take_reply(self, reply: SlotReply) -> None:
         """Take a reply; one that nobody waits for any more is passed over."""
         opened = self._open.get(reply.number)
--- a/indigoworks/broker/broker_side.py
+++ b/indigoworks/broker/broker_side.py
@@ -82,6 +82,7 @@
     def close(self) -> None:
         """Close the socket."""
         self._doubts.close()
+        self.client.close()
         self._port.close()
 
     # ---- parts ----
--- a/indigoworks/broker/suspect_locks.py
+++ b/indigoworks/broker/suspect_locks.py
@@ -10,7 +10,7 @@
 from indigoworks.broker.slot_request import SlotRequest
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_address import PeerAddress
-from indigoworks.gateway.refusal import Refusal
+from indigoworks.gateway.refusal import Refusal, RefusalReason
 
 BUCKETS = 16
 """Suspect requests are shared out among so many brokers at most."""
@@ -18,6 +18,10 @@
 ANY_ZONE = ""
 """A suspect request may go to servers of any zone."""
 
+NOBODY_BACK_S = 0.5
+"""Time after which a caller comes back where nobody has given the lock out: a broker that is lost
+is left within so long."""
+
 
 @dataclass(frozen=True, slots=True)
 class SuspectLock:
@@ -30,7 +34,8 @@
     def release(self, is_served: bool, has_ended_server: Callable[[], bool]) -> None:
         """Give the right back, and tell what came of the try."""
         release = SlotRelease(self.number, is_served, has_ended_server=has_ended_server())
-        self.client.release(self.broker, release)
+        # Where it is lost the other tries would wait for the end of the lease.
+        self.client.release_repeatedly(self.broker, release)
 
 
 class SuspectLocks:
@@ -44,11 +49,41 @@
     async def acquire(
         self, mark: int, limit_s: float, lease_s: float
     ) -> SuspectLock | Refusal | None:
-        """Return the lock of a request, why it is not to be had, or None: nobody gives it out."""
-        broker = self._choice.broker(f"suspects-{mark % BUCKETS}", ANY_ZONE)
-        if broker is None:
+        """Return the lock of a request, why it is not to be had, or None: this process knows no
+        member of the group, itself included.
+
+        Where a broker does not answer it is asked again, or the next one. A try that went without
+        the lock would end a server whenever a reply is lost.
+        """
+        while True:
+            broker = self._choice.broker(f"suspects-{mark % BUCKETS}", ANY_ZONE)
+            if broker is None:
+                return None
+            found = await self._ask(broker, mark, limit_s, lease_s)
+            if found is not None:
+                return found
+            if self._clock.now() >= limit_s:
+                return Refusal(RefusalReason.SUSPECT, NOBODY_BACK_S, expected_s=NOBODY_BACK_S)
+
+    async def _ask(
+        self, broker: PeerAddress, mark: int, limit_s: float, lease_s: float
+    ) -> SuspectLock | Refusal | None:
+        """Return what a broker replies; None: it does not answer, or is about to end."""
+        request = self._request(mark, limit_s, lease_s)
+        reply = await self._client.ask(broker, request)
+        if reply is None:
+            self._choice.note_silence(broker.node)
             return None
-        request = SlotRequest(
+        self._choice.note_reply(broker.node)
+        if reply.outcome is SlotOutcome.REFUSED:
+            return reply.refusal
+        if reply.outcome is SlotOutcome.GRANTED:
+            return SuspectLock(self._client, broker, request.number)
+        self._choice.leave(broker.node)
+        return None
+
+    def _request(self, mark: int, limit_s: float, lease_s: float) -> SlotRequest:
+        return SlotRequest(
             number=self._client.next_number(),
             service="",
             zone=ANY_ZONE,
@@ -60,13 +95,3 @@
             may_wait=True,
             suspect_mark=mark,
         )
-        reply = await self._client.ask(broker, request)
-        if reply is None:
-            self._choice.note_silence(broker.node)
-            return None
-        if reply.outcome is SlotOutcome.REFUSED:
-            return reply.refusal
-        if reply.outcome is SlotOutcome.GRANTED:
-            return SuspectLock(self._client, broker, request.number)
-        self._choice.leave(broker.node)
-        return None
