--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -176,7 +176,8 @@
 
     def _open_lock(self, mark: RequestMark) -> None:
         """The doubts about a request are lifted: its lock, if it is given out here, is open."""
-        if not self.quarantine.is_suspect(mark):
+        known = self.quarantine.get(mark)
+        if known is None or not known.crashes:
             self.brokers.broker.open_lock(mark.short)
 
     def servers_changed(self) -> None:
--- a/indigoworks/quarantine/quarantine.py
+++ b/indigoworks/quarantine/quarantine.py
@@ -93,11 +93,6 @@
         known = self._table.find(content.scopes()[-1])
         return known.mark if known is not None and known.crashes else None
 
-    def is_suspect(self, mark: RequestMark) -> bool:
-        """Tell whether a server ended under the request of a mark since it was served last."""
-        known = self._table.get(mark)
-        return known is not None and bool(known.crashes)
-
     def slot_of(self, at_s: float) -> int:
         """Return the slot of a reading of the clock."""
         return slot_of(self._common_s(at_s))
