Peers hear of a doubt only where its server does not take a connection within 4 ms

What callers saw: nothing yet. Cause: the doubt was told before the server was judged, which takes 2 ms where it lives. The mend: the doubt holds here at once; peers are told when the server has ended, or is not judged after 4 ms. Why it holds: the word is 2 ms later, a tenth of a try at 50 a second; the bound of tries in hand is unchanged. Ruled out: telling the lock's gateway alone; a limit on words a second, which fails where many servers end. Conclusion: raised and told doubts are counted in gateway_doubts.

--- a/features/gateway_doubts.feature
+++ b/features/gateway_doubts.feature
@@ -9,6 +9,16 @@
     Then "/page" of caller 10.0.0.2 is in no doubt
     And the request was said to be free
 
+  Scenario: Peers hear that a doubt is lifted where they heard of it
+    Given a table of doubts
+    When a doubt about "/page" of caller 10.0.0.1 is raised
+    And that doubt is lifted
+    Then peers heard 0 words of doubts
+    When a doubt about "/page" of caller 10.0.0.1 is raised
+    And peers are told of that doubt
+    And that doubt is lifted
+    Then peers heard 2 words of doubts
+
   Scenario: Of two doubts one is lifted
     Given a table of doubts
     When a doubt about "/page" of caller 10.0.0.1 is raised
@@ -48,5 +58,17 @@
       | 195      | 0    | 194  | 28   |
       | 195      | 0.1  | 190  | 28   |
 
+  Scenario Outline: Servers that reset connections and live cost peers no word
+    Given <gateways> crash gateways before 14 servers of each service
+    And 0.3 of the answers of servers are lost
+    And a page of scheduler that 30 callers read 40 times a second for 5 s
+    When the requests beside them have ended
+    Then no gateway told another of a doubt
+
+    Examples:
+      | gateways |
+      | 8        |
+      | 20       |
+
   Scenario: A notice keeps its contents on its way
     Then a notice of doubts is the same after it was sent
--- a/features/steps/gateway_doubt_steps.py
+++ b/features/steps/gateway_doubt_steps.py
@@ -44,6 +44,8 @@
     context.doubts = DoubtTable(context.doubt_clock, context.random)
     context.freed = []
     context.doubts.on_free = context.freed.append
+    context.doubt_words = []
+    context.doubts.on_doubt = context.doubt_words.append
 
 
 @when('a doubt about "{target}" of caller {caller} is raised')
@@ -51,6 +53,25 @@
     context.doubt = context.doubts.raise_for(content_of(target, caller))
 
 
+@when("peers are told of that doubt")
+def step_tell(context):
+    context.doubts.tell(context.doubt)
+
+
+@then("peers heard {count:d} words of doubts")
+def step_words(context, count):
+    assert len(context.doubt_words) == count, context.doubt_words
+
+
+@then("no gateway told another of a doubt")
+def step_nothing_told(context):
+    answers = context.crash.answers
+    assert any(each.status != 200 for each in answers), "no answer was lost"
+    doubts = [each.side.doubts for each in context.crash.gateways.values()]
+    assert sum(each.raised for each in doubts) > 0
+    assert sum(each.told for each in doubts) == 0
+
+
 @when("that doubt is lifted")
 def step_lift(context):
     context.doubts.lift(context.doubt)
--- a/indigoworks/gateway/harm_watch.py
+++ b/indigoworks/gateway/harm_watch.py
@@ -9,6 +9,7 @@
 from indigoworks.gateway.refusal import Refusal, RefusalReason
 from indigoworks.gateway.server_answer import ExchangeResult, ServerAnswer
 from indigoworks.quarantine.counted_ends import NO_SLOT
+from indigoworks.quarantine.doubt import Doubt
 from indigoworks.quarantine.doubt_table import DoubtTable
 from indigoworks.quarantine.quarantine import Quarantine
 from indigoworks.quarantine.request_content import RequestContent
@@ -20,6 +21,10 @@
 have ended for any reason, and the repeat serves the request; after the second the caller is told. A
 harmful request that comes once ends two servers, and three without this bound (simulated)."""
 
+TELL_AFTER_S = 0.004
+"""A server that lives takes a new connection within this time, so that peers need not hear of the
+connection that broke off: full servers reset many."""
+
 
 class HarmWatch:
     """Tells the quarantine how requests left their servers, and stops those that it refuses.
@@ -105,7 +110,14 @@
         # A server that is slow to answer gives no sign: under load there are many of these.
         is_broken = answer.result is ExchangeResult.LOST
         doubt = self._doubts.raise_for(content) if is_broken else None
-        if not await self._has_ended(server, lost_s):
+        judging = asyncio.ensure_future(self._has_ended(server, lost_s))
+        try:
+            if doubt is not None:
+                await self._tell_unless_lives(doubt, judging)
+            has_ended = await judging
+        finally:
+            judging.cancel()
+        if not has_ended:
             if doubt is not None:
                 self._doubts.lift(doubt)
             return
@@ -116,6 +128,13 @@
             known_slots = self._with_doubted(content, known_slots, state.doubted_slot)
         self._quarantine.note_crash(content, request_id, server.server_id, lost_s, known_slots)
 
+    async def _tell_unless_lives(self, doubt: Doubt, judging: "asyncio.Future[bool]") -> None:
+        """Tell the peers of a doubt as soon as the server has ended, or does not take a connection
+        at once."""
+        done, _ = await asyncio.wait({judging}, timeout=TELL_AFTER_S)
+        if not done or judging.result():
+            self._doubts.tell(doubt)
+
     def _with_doubted(
         self, content: RequestContent, known_slots: tuple[int, ...], doubted_slot: int
     ) -> tuple[int, ...]:
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -49,6 +49,7 @@
 class RequestSide:
     """Builds the way of a request; `front` listens for callers.
 
+    :ivar doubts: requests under which servers may have ended, here and at peers.
     :ivar on_notice: called when a server asked for something of which peers are to learn soon.
     """
 
@@ -93,7 +94,7 @@
         self.queue = DispatchQueue(
             self.choice, owners, self.board, ServerRoom(self.board, rates), clock
         )
-        self._doubts = DoubtTable(clock, random)
+        self.doubts = DoubtTable(clock, random)
         self.brokers = BrokerSide(
             own,
             platform,
@@ -103,7 +104,7 @@
             self.board,
             clock,
             random,
-            self._doubts,
+            self.doubts,
             open_datagrams,
         )
         placer = BrokeredQueue(
@@ -146,8 +147,8 @@
         self.quarantine.on_verdict = self._quarantine_rows.want
         self.quarantine.on_refusal = self._quarantine_rows.note_refusal
         self.quarantine.on_crash = self._quarantine_rows.note_crash
-        self._harm = HarmWatch(self.quarantine, self._doubts, self._watch, platform.servers, clock)
-        self._doubts.on_free = self._open_lock
+        self._harm = HarmWatch(self.quarantine, self.doubts, self._watch, platform.servers, clock)
+        self.doubts.on_free = self._open_lock
         flow = RequestFlow(
             RequestRouting(platform.configurations, answers, log, clock),
             placer,
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -111,6 +111,13 @@
                 ("innocent",): quarantine.refused_innocents,
             },
         )
+        doubts = self._requests.doubts
+        metrics.read_counter(
+            "gateway_doubts",
+            "Connections that broke off under a request here",
+            ("state",),
+            lambda: {("raised",): doubts.raised, ("told",): doubts.told},
+        )
 
     def _add_notices(self, metrics: Metrics) -> None:
         notices = self._platform.servers.notices
--- a/indigoworks/quarantine/doubt_table.py
+++ b/indigoworks/quarantine/doubt_table.py
@@ -26,7 +26,9 @@
     after the end, and each try that is sent meanwhile ends another server. A doubt holds nothing
     against a request: it only makes its tries wait for one another.
 
-    :ivar on_doubt: called with each doubt that is raised or lifted here, for the peers.
+    :ivar on_doubt: called with each doubt of this gateway that its peers are to know or to forget.
+    :ivar raised: doubts that were raised here so far.
+    :ivar told: doubts of these that peers were told of.
     :ivar on_free: called with the mark of a request of which the last doubt was lifted.
     """
 
@@ -35,6 +37,9 @@
         self._random = random
         self._until_s: deque[tuple[float, int]] = deque()
         self._doubts: dict[int, Doubt] = {}
+        self._told: set[int] = set()
+        self.raised = 0
+        self.told = 0
         self._open: dict[RequestMark, set[int]] = {}
         self._heads: dict[int, int] = {}
         self.on_doubt: Callable[[Doubt], None] = _ignore_doubt
@@ -71,15 +76,23 @@
     def raise_for(self, content: RequestContent) -> Doubt:
         """Doubt a request under which a connection broke off here."""
         doubt = Doubt(self._random.getrandbits(NUMBER_BITS), mark_of(content.scopes()[-1]))
+        self.raised += 1
         self.take(doubt)
-        self.on_doubt(doubt)
         return doubt
 
+    def tell(self, doubt: Doubt) -> None:
+        """Let the peers know of a doubt of this gateway."""
+        if doubt.number in self._doubts:
+            self._told.add(doubt.number)
+            self.told += 1
+            self.on_doubt(doubt)
+
     def lift(self, doubt: Doubt) -> None:
         """Take a doubt of this gateway back: the server lives."""
         lifted = Doubt(doubt.number, doubt.mark, is_lifted=True)
         self.take(lifted)
-        self.on_doubt(lifted)
+        if doubt.number in self._told:
+            self.on_doubt(lifted)
 
     def take(self, doubt: Doubt) -> None:
         """Take a doubt, or word that it is lifted: these come in any order, any number of times."""
@@ -122,6 +135,7 @@
         while self._until_s and self._until_s[0][0] <= now_s:
             _, number = self._until_s.popleft()
             doubt = self._doubts.pop(number)
+            self._told.discard(number)
             if not doubt.is_lifted:
                 self._end(doubt)
 
