Without a lock, too, a try of a request in doubt waits until the ends here are judged

Cause: the answer 502 goes out before the server is judged, and the next try arrived within the millisecond that the judgement takes. Ends that were not known when a try was sent count as one since. The mend: where nobody gives the lock out, the judgements that are under way here are waited for. With a lock the one before is judged before it is free. Why it holds: whoever sends a request in doubt knows by then whether the servers before have ended. Ruled out: the moment at which a doubt is told: the doubt holds here at once, before and after.

--- a/indigoworks/gateway/harm_watch.py
+++ b/indigoworks/gateway/harm_watch.py
@@ -93,6 +93,15 @@
             await asyncio.shield(state.judgement)
         return state.servers_ended < MAX_ENDED_IN_A_TRY
 
+    async def wait_until_judged(self, limit_s: float) -> None:
+        """Wait until it is known of all servers that may have ended here whether they did.
+
+        :param limit_s: clock reading until which to wait.
+        """
+        if self._judgements:
+            left_s = max(0.0, limit_s - self._clock.now())
+            await asyncio.wait(set(self._judgements), timeout=left_s)
+
     def close(self) -> None:
         """End what is under way."""
         for task in self._judgements:
--- a/indigoworks/gateway/try_gate.py
+++ b/indigoworks/gateway/try_gate.py
@@ -39,7 +39,11 @@
         """
         mark = self._harm.suspect_mark(state.request)
         lease_s = state.deadline_s - self._clock.now() + JUDGEMENT_S
-        return await self._locks.acquire(mark, limit_s, lease_s)
+        lock = await self._locks.acquire(mark, limit_s, lease_s)
+        if lock is None:
+            # A lock is free again once its try is judged; so much holds without one, too.
+            await self._harm.wait_until_judged(limit_s)
+        return lock
 
     def unlock(self, state: FlowState, lock: TryLock | None, ended_before: int) -> None:
         """Let the next try go on, once it is known whether a server ended under this one.
