--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -104,8 +104,8 @@
       | 20       | 30   | 4     |
 
   Scenario: Those who are refused for a limit come back in time, at many times what the limit lets through
-    What users saw: none has reported it. Callers who come back when they were told are refused again,
-    and told a later time: one at 4.11 s came at 5.50 s as told, was told 8.0 s, came at 13.50 s and
+    What users saw: none has reported it. Callers who come back when they were told are refused again
+    with a later time: one who was refused at 4.11 s came at 5.50 s as told, was told 8.0 s, came at 13.50 s and
     was told 29.3 s. Most are told 30 s, beyond which no turn is promised, and come back as fast as
     they came.
 
