--- a/features/frame_verdict.feature
+++ b/features/frame_verdict.feature
@@ -36,11 +36,11 @@
       | failed | a.feature: one  |
     And the frame list of known failures
       """
-      a.feature: one | the cause | issue 4
+      a.feature: one | scripts/test a.feature | what was seen | issue 4
       """
     When the frame verdict is printed
     Then the frame verdict is accepted
-    And the frame lines contain "known red: a.feature: one | the cause | issue 4"
+    And the frame lines contain "known red: a.feature: one | scripts/test a.feature | what was seen | issue 4"
     And the last frame line is "1 passed, 1 failed"
 
   Scenario: A failure beside a listed one is not passed over
@@ -51,7 +51,7 @@
       | failed | a.feature: two  |
     And the frame list of known failures
       """
-      a.feature: one | the cause | issue 4
+      a.feature: one | scripts/test a.feature | what was seen | issue 4
       """
     When the frame verdict is printed
     Then the frame verdict is not accepted
@@ -63,7 +63,7 @@
       | passed | a.feature: one  |
     And the frame list of known failures
       """
-      a.feature: one | the cause | issue 4
+      a.feature: one | scripts/test a.feature | what was seen | issue 4
       """
     When the frame verdict is printed
     Then the frame verdict is accepted
@@ -75,22 +75,27 @@
       | passed | a.feature: one  |
     And the frame list of known failures
       """
-      a.feature: gone | the cause | issue 4
+      a.feature: gone | scripts/test a.feature | what was seen | issue 4
       """
     When the frame verdict is printed
     Then the frame verdict is not accepted
 
-  Scenario: A list of four lines fails the run and excuses nothing
+  Scenario: A list of nine lines fails the run and excuses nothing
     Given the frame results
       | status | name            |
       | passed | mypy            |
       | failed | a.feature: one  |
     And the frame list of known failures
       """
-      a.feature: one | the cause | issue 4
-      a.feature: two | the cause | issue 4
-      a.feature: three | the cause | issue 4
-      a.feature: four | the cause | issue 4
+      a.feature: one | scripts/test a.feature | what was seen | issue 4
+      a.feature: two | scripts/test a.feature | what was seen | issue 4
+      a.feature: three | scripts/test a.feature | what was seen | issue 4
+      a.feature: four | scripts/test a.feature | what was seen | issue 4
+      a.feature: five | scripts/test a.feature | what was seen | issue 4
+      a.feature: six | scripts/test a.feature | what was seen | issue 4
+      a.feature: seven | scripts/test a.feature | what was seen | issue 4
+      a.feature: eight | scripts/test a.feature | what was seen | issue 4
+      a.feature: nine | scripts/test a.feature | what was seen | issue 4
       """
     When the frame verdict is printed
     Then the frame verdict is not accepted
--- a/indigoworks_lab/test_report/__main__.py
+++ b/indigoworks_lab/test_report/__main__.py
@@ -41,7 +41,7 @@
     for name in verdict.unexpected:
         print(f"FAILED {name}")
     for known in verdict.known:
-        print(f"known red: {known.test} | {known.cause} | {known.issue}")
+        print(f"known red: {known.test} | {known.command} | {known.seen} | {known.issue}")
     for known in verdict.repaired:
         print(f"passes, to be taken off KNOWN-RED.txt: {known.test}")
     for known in verdict.stale:
