Failing scenarios: the store comes back from a copy, in the control simulation and behind a relay

The store of the control simulation learns the fault: all rows, the counter and the history as they were some seconds before, away for 0.2 to 3 s, a feed from a version that it does not have gets HistoryGone, a call whose connection crossed the return is lost, servers and the operator write again; writes and orders of before may be carried out afterwards. The checker of acknowledged rows leaves out what the store lost; no other check changes. 'A server whose leaving was in the span that is lost' passes: the old word comes under a lower version and is dropped.

--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -183,3 +183,8 @@
     Then gateway exchange: with few peers reports go out each 50 ms, each 200 ms without news
     And gateway exchange: with any number of peers a report goes out well within the live time
     And gateway exchange: what one process receives a second grows much less than its peers
+
+  Scenario: A member of a relay hears of a row that was written after the store came back from a copy
+    Given a gateway relay "r" with members "a" and "b" over a store at version 40
+    When the store changes 13 rows, comes back at version 43 and changes a row
+    Then member "a" has the row
--- a/features/steps/gateway_relay_world.py
+++ b/features/steps/gateway_relay_world.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from gateway_world import HOST, LONG_S, ShiftedClock, free_port
-from result import Ok
+from result import Err, Ok
 
 from indigoworks.backend.http_sender import HttpSender
 from indigoworks.common.address import Address
@@ -12,6 +12,7 @@
 from indigoworks.relay.feed_server import FeedServer
 from indigoworks.relay.relay_choice import RelayChoice
 from indigoworks.relay.relayed_store import RelayedStore
+from indigoworks.rowstore.errors import HistoryGone
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
@@ -45,6 +46,11 @@
         self.rows.append(Row(TABLE, "", key, b"v", self.version))
         self.changed.set()
 
+    def come_back(self, version):
+        """Lose what was written after `version`; its versions are given out again."""
+        self.version = version
+        self.rows = [row for row in self.rows if row.version <= version]
+
     async def note_asker(self, node):
         async with self.asked:
             self.askers.append(node)
@@ -70,6 +76,8 @@
 
     async def follow(self, table, after, wait_s):
         await self.store.note_asker(self.node)
+        if after > self.store.version:
+            return Err(HistoryGone("No such version.", "Read the table whole."))
         while not self.store.after(after) or self.is_silent:
             await self.store.changed.wait()
             await asyncio.sleep(0.001)
@@ -155,7 +163,10 @@
     async def _follow(self, gateway):
         version = self.store.version
         while True:
-            version = (await gateway.relayed.follow(TABLE, version, LONG_S)).unwrap().version
+            answer = await gateway.relayed.follow(TABLE, version, LONG_S)
+            if isinstance(answer, Err):
+                answer = await gateway.relayed.read(TABLE, "")
+            version = answer.unwrap().version
 
     async def let_serve(self, member):
         """Let a member follow the store itself, as after its relay failed, and serve others."""
@@ -166,6 +177,11 @@
         self.member_following = asyncio.ensure_future(self._follow(member))
         await self.store.asked_by(member.node)
 
+    def restart_following(self):
+        """Let the relay follow from the version that the store has now."""
+        self.following.cancel()
+        self.following = asyncio.ensure_future(self._follow(self.relay))
+
     def member_asks(self, name, version, wait_s):
         return asyncio.ensure_future(self.members[name].relayed.follow(TABLE, version, wait_s))
 
--- a/features/steps/gateway_relay_world_steps.py
+++ b/features/steps/gateway_relay_world_steps.py
@@ -75,6 +75,32 @@
     context.run_async(bounded(run()))
 
 
+@when("the store changes {changes:d} rows, comes back at version {version:d} and changes a row")
+def step_comes_back(context, changes, version):
+    world = context.relay_world
+
+    async def run():
+        for number in range(changes):
+            world.store.put(f"lost-{number}")
+            await asyncio.sleep(0.01)
+        world.store.come_back(version)
+        follower = world.relay.relayed
+        await follower.read(TABLE, "")
+        world.restart_following()
+        known = (await world.members["a"].relayed.read(TABLE, "")).unwrap().version
+        asked = world.member_asks("a", known, LONG_S)
+        await asyncio.sleep(0.1)
+        world.store.put("k")
+        context.relay_answer = (await asked).unwrap()
+
+    context.run_async(bounded(run()))
+
+
+@then('member "a" has the row')
+def step_has_row(context):
+    assert "k" in [row.key for row in context.relay_answer.rows], context.relay_answer
+
+
 @then("both members have the row, and the store was asked by the relay only")
 def step_have(context):
     for answer in context.relay_answers:
--- /dev/null
+++ b/features/steps/store_from_copy_steps.py
@@ -0,0 +1,178 @@
+"""Steps in which the store comes back from a copy."""
+
+import asyncio
+
+from behave import then, when
+
+from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
+from indigoworks_lab.control_simulation.control_plan import CALM_S, ControlPlan
+from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
+from indigoworks_lab.control_simulation.fault_injector import FaultInjector
+from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.run_control_seed import (
+    MAX_STEPS,
+    make_control_loop,
+    run_control_seed,
+)
+from indigoworks_lab.control_simulation.server_entry import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    SERVERS_TABLE,
+)
+from indigoworks_lab.simulation.core.disposal import dispose, silent_disposal
+
+NODES = 3
+SERVERS = 4
+RETURN = FaultKind.STORE_RETURNS_FROM_COPY
+COPY_S = 1.0
+"""Time from the calm beginning to the copy."""
+
+SEEDS_BY_AGE_S = {1.0: 1, 3.0: 2, 6.0: 3}
+"""Seeds of the runs, by the age of the copy."""
+
+CONFIGURATION = 900
+NEW_CONFIGURATION_S = 0.8
+LOOK_S = 0.05
+
+
+def beside(age_s, text):
+    """Return the other faults of a run whose store goes away `age_s` after the copy."""
+    away_s = COPY_S + age_s
+    return {
+        "nothing else happens": (),
+        "a server crashes in the span that is lost": (
+            DrawnFault(FaultKind.SERVER_CRASHED, away_s - 0.6, 0.0),
+        ),
+        "a server leaves in the span that is lost": (
+            DrawnFault(FaultKind.SERVER_DRAINING, away_s - 0.4, 0.0),
+        ),
+        "a server is replaced at its address in that span": (
+            DrawnFault(FaultKind.SERVER_REPLACED, away_s - 0.8, 0.3),
+        ),
+        "the leader is killed in the span that is lost": (
+            DrawnFault(FaultKind.LEADER_KILLED, away_s - 0.9, 9.0),
+        ),
+        "the leader stops in the span that is lost": (
+            DrawnFault(FaultKind.LEADER_STOPPED, away_s - 0.9, 9.0),
+        ),
+        "the leader is frozen while the store comes back": (
+            DrawnFault(FaultKind.LEADER_FROZEN, away_s - 0.2, 6.0),
+        ),
+        "the leader is cut off from the store as it comes back": (
+            DrawnFault(FaultKind.LEADER_CUT_FROM_STORE, away_s, 8.0),
+        ),
+        "all gateways are killed in the span that is lost": (
+            DrawnFault(FaultKind.ALL_NODES_KILLED, away_s - 0.6, 0.5),
+        ),
+        "all gateways start while the store comes back": (
+            DrawnFault(FaultKind.ALL_NODES_KILLED, away_s + 0.2, 0.6),
+        ),
+        "writes of the span that is lost are made late": (
+            DrawnFault(FaultKind.STORE_WRITES_LATE, away_s - 0.9, 0.9),
+            DrawnFault(FaultKind.SERVER_CRASHED, away_s - 0.8, 0.0),
+        ),
+        "orders of the span that is lost are carried out late": (
+            DrawnFault(FaultKind.ORDERS_LATE, away_s - 0.9, 2.0),
+            DrawnFault(FaultKind.SERVER_CRASHED, away_s - 0.8, 0.0),
+        ),
+        "it comes back once more soon after": (DrawnFault(RETURN, away_s + 0.5, 4.0),),
+    }[text]
+
+
+@when("control simulation brings the store back from copies, and {text}")
+def step_returns(context, text):
+    context.reports = []
+    for age_s, seed in SEEDS_BY_AGE_S.items():
+        faults = (DrawnFault(RETURN, COPY_S, age_s), *beside(age_s, text))
+        context.reports.append(run_control_seed(seed, ControlPlan(NODES, SERVERS, faults)))
+
+
+@when("control simulation writes a configuration soon after the store came back from copies")
+def step_configuration(context):
+    context.late = [
+        f"copy of {age_s} s, seed {seed}: {name}"
+        for age_s, seed in SEEDS_BY_AGE_S.items()
+        for name in run(seed, age_s, nodes_without_new_configuration)
+    ]
+
+
+async def nodes_without_new_configuration(deployment, age_s):
+    """Change the configuration in the span that is lost and after it; return who is late."""
+    changes = DrawnFault(FaultKind.CONFIGURATION_CHANGES, COPY_S, age_s)
+    faults = (DrawnFault(RETURN, COPY_S, age_s), changes)
+    returning = asyncio.ensure_future(inject(deployment, faults))
+    await came_back(deployment)
+    await asyncio.sleep(NEW_CONFIGURATION_S)
+    value = str(CONFIGURATION).encode()
+    deployment.store.rows.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, value)
+    await asyncio.sleep(2.0)
+    returning.cancel()
+    nodes = deployment.living_nodes()
+    versions = {each.name: each.control.configuration_version() for each in nodes}
+    return [f"{name} has {known}" for name, known in versions.items() if known != CONFIGURATION]
+
+
+@then("each gateway of the control simulation had it in force within 2 s")
+def step_in_force(context):
+    assert not context.late, "\n".join(context.late)
+
+
+@when("control simulation brings the store back from a copy in which a leaving server is ready")
+def step_leaving(context):
+    context.ready_again = [
+        f"seed {seed}: {name}"
+        for seed in SEEDS_BY_AGE_S.values()
+        for name in run(seed, 2.0, ready_again)
+    ]
+
+
+async def ready_again(deployment, age_s):
+    """Return the nodes that take a server for ready after they knew that it leaves."""
+    returning = asyncio.ensure_future(inject(deployment, (DrawnFault(RETURN, COPY_S, age_s),)))
+    await asyncio.sleep(COPY_S + age_s - 1.0)
+    leaving = deployment.fleet.stable()[0]
+    leaving.is_draining = True
+    deployment.fleet.beat(leaving)
+    await came_back(deployment)
+    # What the copy holds stays for a while: the server writes its entry only at its next heartbeat.
+    deployment.fleet.hush(leaving)
+    found = set()
+    for _ in range(int(2.0 / LOOK_S)):
+        for node in deployment.living_nodes():
+            if node.takes_for_ready(leaving.server_id):
+                found.add(node.name)
+        await asyncio.sleep(LOOK_S)
+    returning.cancel()
+    entries = deployment.store.rows.read(SERVERS_TABLE, "").rows
+    assert any(each.key == leaving.server_id for each in entries)
+    return sorted(found)
+
+
+@then("no gateway of the control simulation takes that server for ready again")
+def step_not_ready(context):
+    assert not context.ready_again, "\n".join(context.ready_again)
+
+
+async def inject(deployment, faults):
+    await FaultInjector(deployment, ControlPlan(NODES, SERVERS, faults)).run()
+
+
+async def came_back(deployment):
+    while deployment.store.rows.era == 0:  # noqa: ASYNC110
+        await asyncio.sleep(LOOK_S)
+
+
+def run(seed, age_s, scenario):
+    """Return what a scenario returns on a deployment that has been calm for a while."""
+    loop = make_control_loop(seed, MAX_STEPS)
+    with silent_disposal():
+        deployment = ControlDeployment(loop, seed, NODES, SERVERS)
+
+        async def play():
+            deployment.start()
+            await asyncio.sleep(CALM_S)
+            return await scenario(deployment, age_s)
+
+        result = loop.run_until_complete(loop.create_task(play()))
+        dispose(loop)
+    return result
--- a/indigoworks_lab/control_simulation/control_audit.py
+++ b/indigoworks_lab/control_simulation/control_audit.py
@@ -91,6 +91,11 @@
         """A process learnt that its transaction was made."""
         self.rows.acknowledged(transaction, version)
 
+    def returned(self) -> None:
+        """The store came back from a copy."""
+        self._lease.note_leader()
+        self.rows.returned()
+
     # ---- nodes ----
 
     def ordering(self, boot: str) -> None:
--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -37,9 +37,17 @@
     MACHINES_SLOW = "machines slow"
     ORDERS_ALL_LATE = "every order late"
     CONFIGURATION_CHANGES = "configuration changes, older ones are written again"
+    STORE_RETURNS_FROM_COPY = "store comes back from a copy"
+    """The copy is made when the fault begins; its duration is the age of the copy."""
 
 
-_NOT_DRAWN = frozenset({FaultKind.ORDERS_ALL_LATE, FaultKind.CONFIGURATION_CHANGES})
+_NOT_DRAWN = frozenset(
+    {
+        FaultKind.ORDERS_ALL_LATE,
+        FaultKind.CONFIGURATION_CHANGES,
+        FaultKind.STORE_RETURNS_FROM_COPY,
+    }
+)
 
 DRAWN_KINDS = tuple(each for each in FaultKind if each not in _NOT_DRAWN)
 """Kinds that a seed draws; a further kind here changes the plans of all seeds."""
--- a/indigoworks_lab/control_simulation/row_checker.py
+++ b/indigoworks_lab/control_simulation/row_checker.py
@@ -1,4 +1,4 @@
-"""Acknowledged rows are never lost."""
+"""Acknowledged rows are never lost, unless the store itself comes back from a copy."""
 
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
@@ -50,6 +50,12 @@
             known = self._acknowledged.get((transaction.part, put.key), 0)
             self._acknowledged[(transaction.part, put.key)] = max(known, version)
 
+    def returned(self) -> None:
+        """The store came back from a copy: it lost what it had acknowledged since."""
+        newest = self._rows.version
+        kept = {key: version for key, version in self._acknowledged.items() if version <= newest}
+        self._acknowledged = kept
+
     def check_end(self) -> None:
         """Compare what was acknowledged with what the store holds."""
         for (part, key), version in self._acknowledged.items():
--- a/indigoworks_lab/control_simulation/server_fleet.py
+++ b/indigoworks_lab/control_simulation/server_fleet.py
@@ -44,6 +44,7 @@
         self._run = run
         self._by_address: dict[str, SimulatedServer] = {}
         self._written_s: dict[str, float] = {}
+        self._sequences: dict[str, int] = {}
         self._silent: set[str] = set()
         self._number = 0
 
@@ -104,6 +105,19 @@
                 if at_s < earliest_s:
                     self._remove(server_id)
 
+    def beat(self, server: SimulatedServer) -> None:
+        """Write a server's entry now."""
+        self._write(server)
+
+    def hush(self, server: SimulatedServer) -> None:
+        """Let a server write its entry no more."""
+        self._silent.add(server.server_id)
+
+    def note_return(self) -> None:
+        """Count the silence of each server whose entry the store has from its copy from now on."""
+        for row in self._store.rows.read(SERVERS_TABLE, "").rows:
+            self._written_s[row.key] = self._loop.time()
+
     async def _heartbeat(self, server: SimulatedServer) -> None:
         while server.is_up and server.server_id not in self._silent:
             self._write(server)
@@ -112,7 +126,7 @@
     def _write(self, server: SimulatedServer) -> None:
         if not self._store.is_reachable(str(server.address)):
             return
-        sequence = self._store.rows.version + 1
+        sequence = self._sequences[server.server_id] = self._sequences.get(server.server_id, 0) + 1
         self._store.rows.put(SERVERS_TABLE, server.server_id, encode_server(server, sequence))
         self._written_s[server.server_id] = self._loop.time()
 
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -119,6 +119,10 @@
         """Tell whether a request for a key would go out at once."""
         return self._lookup.find(SERVICE, key).state is OwnerState.READY
 
+    def takes_for_ready(self, server_id: str) -> bool:
+        """Tell whether a server may get new work."""
+        return self._platform.servers.is_usable(server_id)
+
     def request(self, key: int, duration_s: float) -> None:
         """Take a request of a caller."""
         self.process.spawn(self._handle(key, duration_s))
--- a/indigoworks_lab/control_simulation/simulated_store.py
+++ b/indigoworks_lab/control_simulation/simulated_store.py
@@ -34,11 +34,13 @@
 
     :ivar store_time_s: reading of the store's steady clock.
     :ivar made_s: true time at which it was made.
+    :ivar era: how often the store had come back from a copy by then.
     """
 
     result: ResultT | None
     store_time_s: float
     made_s: float
+    era: int
 
 
 class SimulatedStore:
@@ -77,9 +79,14 @@
             await asyncio.sleep(self._random.uniform(*LATE_WRITE_S))
             await operation()
             return
+        era = self.rows.era
         result = await operation()
+        if self.rows.era != era:
+            # The connection broke when the store went away.
+            return
         self._traffic.add(STORE_WRITE if is_write else STORE_READ, source, _size_bytes(result))
-        made = StoreAnswer(result, self._loop.time() + STORE_TIME_OFFSET_S, self._loop.time())
+        now_s = self._loop.time()
+        made = StoreAnswer(result, now_s + STORE_TIME_OFFSET_S, now_s, era)
         is_lost = self._random.random() < self.faults.lost_ratio
         await asyncio.sleep(self._delay_s(source))
         if not is_lost and await self._passes(source, answer):
@@ -95,7 +102,7 @@
                 return False
             if self.faults.state is StoreState.REFUSING:
                 await asyncio.sleep(self._random.uniform(0.0, REFUSAL_S))
-                _settle(answer, StoreAnswer(None, 0.0, self._loop.time()))
+                _settle(answer, StoreAnswer(None, 0.0, self._loop.time(), self.rows.era))
                 return False
             await asyncio.sleep(POLL_S)
         return True
