--- a/features/steps/gateway_burst_steps.py
+++ b/features/steps/gateway_burst_steps.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from behave import given, then, when
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.hub_choice import HubChoice
@@ -31,7 +32,7 @@
         for number in range(count):
             address = Address("127.0.0.1", number + 1)
             peer = PeerAddress(f"p{number}", "b", ZONES[number % len(ZONES)], address)
-            row = Row("t", "", PEER_PREFIX + peer.node, encode_peer(peer), number + 1)
+            row = Row("t", "", PEER_PREFIX + peer.node, encode_peer(peer), at(number + 1))
             directory.apply([row])
         self.ports = range(1, count + 1)
         self.got = Counter()
--- a/features/steps/gateway_challenge_steps.py
+++ b/features/steps/gateway_challenge_steps.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from behave import given, then, when
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
@@ -36,7 +37,7 @@
         self.peers = PeerTable(clock)
         for number, (node, cores) in enumerate(capacities.items(), 1):
             address = PeerAddress(node, "b", "z", Address("127.0.0.1", number), cores)
-            row = Row("t", "", PEER_PREFIX + node, encode_peer(address), number)
+            row = Row("t", "", PEER_PREFIX + node, encode_peer(address), at(number))
             self.directory.apply([row])
         self.order = ChallengeOrder(
             name, capacities[name], self.peers, self.directory, Random(f"challenge {name}")
--- a/features/steps/gateway_choked_link_world.py
+++ b/features/steps/gateway_choked_link_world.py
@@ -6,6 +6,7 @@
 
 from gateway_slow_link_world import TABLE, RelaySender, SlowLinkWorld, StorePort
 from result import Err, Ok
+from store_versions import at
 
 from indigoworks.backend.errors import BackendAnswerLost
 from indigoworks.rowstore.errors import StoreUnreachable
@@ -71,8 +72,8 @@
     async def follow(self, table, after, wait_s):
         if table != TABLE:
             return await self.limited(wait_s, lambda: (), asyncio.sleep(wait_s))
-        waiting = self.store.wait_for_change(after, wait_s)
-        return await self.limited(wait_s, lambda: self.store.rows(after), waiting)
+        waiting = self.store.wait_for_change(after.counter, wait_s)
+        return await self.limited(wait_s, lambda: self.store.rows(after.counter), waiting)
 
     async def limited(self, wait_s, rows, waiting=None):
         asked_s = self.clock.now()
@@ -89,7 +90,7 @@
                 true_at_s = self.health.note_answer(asked_s, made_s)
                 encoded = sum(len(base64.b64encode(each.value)) for each in answer)
                 await self.link.carry(encoded, limit.piece_came)
-                return Ok(Rows(answer, version, true_at_s))
+                return Ok(Rows(answer, at(version), true_at_s))
         except TimeoutError:
             self.health.note_trouble("follow", "lost")
             return Err(StoreUnreachable("", ""))
--- a/features/steps/gateway_cold_server_steps.py
+++ b/features/steps/gateway_cold_server_steps.py
@@ -8,6 +8,7 @@
 from gateway_control_steps import until
 from gateway_control_world import SERVICE
 from gateway_world import HOST, make_rate_budget, make_record
+from store_versions import at
 
 from indigoworks.broker.broker_choice import BrokerChoice
 from indigoworks.common.address import Address
@@ -28,7 +29,7 @@
     for number in numbers:
         entry = {"host": HOST, "port": 1, "boot": "b", "zone": ZONES[number % len(ZONES)]}
         key = f"{PEER_PREFIX}n{number}"
-        rows.append(Row(CONTROL_TABLE, "", key, json.dumps(entry).encode(), number + 1))
+        rows.append(Row(CONTROL_TABLE, "", key, json.dumps(entry).encode(), at(number + 1)))
     return rows
 
 
--- a/features/steps/gateway_configuration_pace_steps.py
+++ b/features/steps/gateway_configuration_pace_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from gateway_world import make_configuration, make_ports, make_settings
 from result import Ok
+from store_versions import at
 
 from indigoworks.gateway.platform_side import PlatformSide
 from indigoworks.rowstore.row import Row
@@ -33,7 +34,7 @@
 
     async def follow(self, table, after, wait_s):
         self.asked += 1
-        if self.version == after:
+        if at(self.version) == after:
             self.changed.clear()
             waits = [
                 asyncio.ensure_future(self.changed.wait()),
@@ -42,13 +43,13 @@
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             for each in waits:
                 each.cancel()
-        if self.version == after:
+        if at(self.version) == after:
             return Ok(Rows((), after, self.clock.now()))
         return Ok(self._rows())
 
     def _rows(self):
-        row = Row(TABLE, "", "config", str(self.version).encode(), self.version)
-        return Rows((row,), self.version, self.clock.now())
+        row = Row(TABLE, "", "config", str(self.version).encode(), at(self.version))
+        return Rows((row,), at(self.version), self.clock.now())
 
 
 @given("a gateway of a {size} group whose configurations are to be in force within {apply_s:g} s")
--- a/features/steps/gateway_control_steps.py
+++ b/features/steps/gateway_control_steps.py
@@ -12,6 +12,7 @@
 from indigoworks.ownership.ownership_table import KEY_COUNT
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
 from indigoworks.ownership.table_editor import first_table
+from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks_lab.simulation.core.poll_until import poll_until
 
 PATIENCE_S = 10.0
@@ -64,7 +65,7 @@
             world.list_server(name, number + 1)
         table = first_table(SERVICE, owners, [1] * len(owners))
         world.store.put(OWNERS, table.encode())
-        world.store.put(LEADER_KEY, LeaderRow(3, "n1", "boot-1", 0).encode())
+        world.store.put(LEADER_KEY, LeaderRow(3, "n1", "boot-1", NO_VERSION).encode())
 
     context.run_async(fill())
 
@@ -256,7 +257,7 @@
 
 
 async def name_another_leader(world):
-    world.store.put(LEADER_KEY, LeaderRow(9, "n2", "boot-9", 0).encode())
+    world.store.put(LEADER_KEY, LeaderRow(9, "n2", "boot-9", NO_VERSION).encode())
     await until(lambda: not world.leadership.is_named())
 
 
--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -4,13 +4,14 @@
 from random import Random
 
 from result import Err, Ok
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.ownership.challenge_order import ChallengeOrder
-from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup, part_of
 from indigoworks.ownership.group_leader import GroupLeader
 from indigoworks.ownership.group_member import GroupMember
 from indigoworks.ownership.hold_bounds import HoldBounds
@@ -27,6 +28,7 @@
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.table_follower import TableFollower
+from indigoworks.rowstore.transaction import ABSENT
 from indigoworks.servers.server_list import ServerList
 from indigoworks.servers.server_record import ServerRecord
 
@@ -50,12 +52,12 @@
     def put(self, key, value):
         self.written.append((key, value))
         self.version += 1
-        self.rows[key] = Row(CONTROL_TABLE, ControlGroup().part, key, value, self.version)
+        self.rows[key] = Row(CONTROL_TABLE, part_of(0), key, value, at(self.version))
 
     def answer(self, rows):
         now_s = self.clock.now()
         true_at_s = self.health.note_answer(now_s, now_s)
-        return Ok(Rows(tuple(rows), self.version, true_at_s))
+        return Ok(Rows(tuple(rows), at(self.version), true_at_s))
 
     async def read(self, table, part):
         return self.answer(self.rows.values())
@@ -69,14 +71,14 @@
     async def commit(self, transaction):
         for each in transaction.expected:
             known = self.rows.get(each.key)
-            if (0 if known is None else known.version) != each.version:
+            if (ABSENT if known is None else known.version) != each.version:
                 return Err(ConditionFailed("A row has changed.", "Read it."))
         for put in transaction.puts:
             self.put(put.key, put.value)
         self.writes += 1
         if self.writes == self.lost_write:
             return Err(StoreUnreachable("No answer.", "Wait."))
-        return Ok(self.version)
+        return Ok(at(self.version))
 
 
 class WillingServers:
@@ -131,7 +133,7 @@
         self.bounds = HoldBounds(self.clock)
         self.peers = PeerTable(self.clock)
         self.directory = PeerDirectory("n1")
-        self.group = ControlGroup()
+        self.group = ControlGroup(self.health.eras)
         self.led = 0
         self.leadership = Leadership(
             "n1",
@@ -151,7 +153,7 @@
         self.follower = TableFollower(
             self.store,
             CONTROL_TABLE,
-            self.group.part,
+            lambda: self.group.part,
             lambda: 1.0,
             self.clock,
             self.take_rows,
@@ -165,7 +167,9 @@
 
     def list_server(self, name, version, is_draining=False):
         address = Address("127.0.0.1", 1000 + ord(name))
-        self.servers.put(ServerRecord(name, SERVICE, address, "z", 2, is_draining, 0.0, version))
+        self.servers.put(
+            ServerRecord(name, SERVICE, address, "z", 2, is_draining, 0.0, at(version))
+        )
 
     def make_keeper(self, service, owned):
         return RangeKeeper(
--- a/features/steps/gateway_doubt_steps.py
+++ b/features/steps/gateway_doubt_steps.py
@@ -5,6 +5,7 @@
 
 import detangle
 from behave import given, then, when
+from store_versions import at
 
 from indigoworks.broker.broker_codec import decode_datagram, encode_datagram
 from indigoworks.broker.broker_datagram import BrokerDatagram
@@ -143,7 +144,7 @@
         for number, node in enumerate(nodes)
     }
     rows = [
-        Row("control", "", PEER_PREFIX + node, encode_peer(addresses[node]), number + 1)
+        Row("control", "", PEER_PREFIX + node, encode_peer(addresses[node]), at(number + 1))
         for number, node in enumerate(nodes)
     ]
     told, sent, spreads = set(), {}, {}
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -11,6 +11,7 @@
 # isort: split
 from evacuation_reader import read_evacuated_zone
 from result import Err, Ok
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.lag_watch import LagWatch
@@ -32,19 +33,19 @@
         self.clock = clock
         self.version = 1
         self.first_version = 0
-        self.rows = {"config": Row(TABLE, "", "config", b"1", 1)}
+        self.rows = {"config": Row(TABLE, "", "config", b"1", at(1))}
         self.removed = {}
         self.changed = asyncio.Event()
         self.is_losing = False
 
     def put(self, key):
         self.version += 1
-        self.rows[key] = Row(TABLE, "", key, b"{}", self.version)
+        self.rows[key] = Row(TABLE, "", key, b"{}", at(self.version))
         self._wake()
 
     def remove(self, key):
         self.version += 1
-        self.removed[key] = replace(self.rows.pop(key), version=self.version, is_removed=True)
+        self.removed[key] = replace(self.rows.pop(key), version=at(self.version), is_removed=True)
         self._wake()
 
     def forget_history(self):
@@ -52,10 +53,10 @@
         self.removed.clear()
 
     async def read(self, table, part):
-        return Ok(Rows(tuple(self.rows.values()), self.version, self.clock.now()))
+        return Ok(Rows(tuple(self.rows.values()), at(self.version), self.clock.now()))
 
     async def follow(self, table, after, wait_s):
-        if self.is_losing or self.version == after:
+        if self.is_losing or at(self.version) == after:
             self.changed.clear()
             waits = [
                 asyncio.ensure_future(self.changed.wait()),
@@ -64,7 +65,7 @@
             await asyncio.wait(waits[self.is_losing :], return_when=asyncio.FIRST_COMPLETED)
             for each in waits:
                 each.cancel()
-        if after < self.first_version:
+        if after.counter < self.first_version:
             return Err(HistoryGone("gone", "read again"))
         if self.is_losing:
             return Ok(Rows((), after, self.clock.now()))
@@ -72,7 +73,7 @@
         newer = sorted(
             (each for each in known if each.version > after), key=lambda row: row.version
         )
-        return Ok(Rows(tuple(newer), self.version, self.clock.now()))
+        return Ok(Rows(tuple(newer), at(self.version), self.clock.now()))
 
     def _wake(self):
         if not self.is_losing:
@@ -159,7 +160,7 @@
 
     async def say():
         for _ in range(round(duration_s / REPORT_S)):
-            watch.note("n2", context.evacuation_store.version)
+            watch.note("n2", at(context.evacuation_store.version))
             await clock.advance(REPORT_S)
 
     context.run_async(say())
--- a/features/steps/gateway_exchange_steps.py
+++ b/features/steps/gateway_exchange_steps.py
@@ -23,6 +23,7 @@
     encode_report,
 )
 from indigoworks.gateway.server_board import ServerBoard
+from indigoworks.rowstore.store_version import StoreVersion
 
 TEXTS = strategies.text(max_size=8)
 NUMBERS = strategies.integers(0, 2**40)
@@ -45,6 +46,7 @@
     total=strategies.integers(0, 10**6),
 )
 COUNTS = strategies.dictionaries(strategies.text("abc", min_size=1, max_size=2), KEYS, max_size=4)
+VERSIONS = strategies.builds(StoreVersion, strategies.integers(0, 2**31), NUMBERS)
 REPORTS = strategies.builds(
     PeerReport,
     node=strategies.text(min_size=1, max_size=8),
@@ -58,6 +60,8 @@
     retry_count=strategies.integers(0, 10**6),
     hub=TEXTS,
     is_joining=strategies.booleans(),
+    group_version=VERSIONS,
+    operator_row_version=VERSIONS,
     members=strategies.lists(
         strategies.tuples(strategies.integers(0, 2**32 - 1), NUMBERS), max_size=3
     ).map(tuple),
--- a/features/steps/gateway_group_world.py
+++ b/features/steps/gateway_group_world.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from gateway_world import make_rate_budget, make_record
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
@@ -103,7 +104,7 @@
             OwnedRange(0, HALF - 1, first, 2 * self.version),
             OwnedRange(HALF, KEY_COUNT - 1, second, 2 * self.version + 1),
         )
-        self.tables.put(OwnershipTable("shop", ranges, 2 * self.version + 1, self.version))
+        self.tables.put(OwnershipTable("shop", ranges, 2 * self.version + 1, at(self.version)))
         if is_told:
             self.queue.capacity_changed()
 
--- a/features/steps/gateway_hub_world.py
+++ b/features/steps/gateway_hub_world.py
@@ -4,6 +4,8 @@
 from itertools import count
 from random import Random
 
+from store_versions import at
+
 from indigoworks.common.address import Address
 from indigoworks.exchange.hub_choice import HubChoice
 from indigoworks.exchange.key_sample import KeySample
@@ -127,7 +129,7 @@
             for row in (node.row, other.row):
                 for target in (node, other):
                     key = PEER_PREFIX + row.node
-                    target.directory.apply([Row("t", "", key, encode_peer(row), version)])
+                    target.directory.apply([Row("t", "", key, encode_peer(row), at(version))])
         self.at(self.random.uniform(0.0, 0.1), node.tick)
         return node
 
--- a/features/steps/gateway_lagging_feed_steps.py
+++ b/features/steps/gateway_lagging_feed_steps.py
@@ -5,6 +5,7 @@
 from backend_manual_clock import ManualClock
 from behave import given, then, when
 from result import Err, Ok
+from store_versions import at
 
 from indigoworks.common.clock import LoopClock
 from indigoworks.exchange.lag_watch import LagWatch
@@ -42,15 +43,15 @@
         return Ok(self._rows(FIRST, FIRST))
 
     async def follow(self, table, after, wait_s):
-        for _ in range(after, self.newest):
+        for _ in range(after.counter, self.newest):
             await self.step.acquire()
-        if after == self.newest:
+        if after == at(self.newest):
             await asyncio.Event().wait()
-        return Ok(self._rows(after + 1, self.newest))
+        return Ok(self._rows(after.counter + 1, self.newest))
 
     def _rows(self, first, last):
-        rows = [Row("op", "", "config", b"", version) for version in range(first, last + 1)]
-        return Rows(tuple(rows), last, 0.0)
+        rows = [Row("op", "", "config", b"", at(version)) for version in range(first, last + 1)]
+        return Rows(tuple(rows), at(last), 0.0)
 
 
 @given(
@@ -60,9 +61,9 @@
     async def make():
         context.lagging_store = SlowStore(FIRST + count)
         context.lagging_versions = [0]
-        take = lambda rows: context.lagging_versions.extend(row.version for row in rows)  # noqa: E731
+        take = lambda rows: context.lagging_versions.extend(row.version.counter for row in rows)  # noqa: E731
         context.lagging_feed = TableFollower(
-            context.lagging_store, "op", "", lambda: 1.0, LoopClock(), take, take
+            context.lagging_store, "op", lambda: "", lambda: 1.0, LoopClock(), take, take
         )
 
     context.run_async(make())
@@ -126,7 +127,7 @@
 
 def configurations(version):
     """Return the answer that holds the configuration of `version`."""
-    return Rows((Row("op", "", "config", b"", version),), version, 0.0)
+    return Rows((Row("op", "", "config", b"", at(version)),), at(version), 0.0)
 
 
 @given("a gateway feed of configurations that waits for an answer")
@@ -134,10 +135,10 @@
     async def make():
         store = context.doubted_store = DoubtedStore()
         context.lagging_versions = []
-        take = lambda rows: context.lagging_versions.extend(row.version for row in rows)  # noqa: E731
+        take = lambda rows: context.lagging_versions.extend(row.version.counter for row in rows)  # noqa: E731
         context.lagging_clock = ManualClock()
         context.doubted_feed = TableFollower(
-            store, "op", "", lambda: 1.0, context.lagging_clock, take, take
+            store, "op", lambda: "", lambda: 1.0, context.lagging_clock, take, take
         )
         context.doubted_task = asyncio.ensure_future(context.doubted_feed.run())
         await settle()
--- a/features/steps/gateway_late_grant_steps.py
+++ b/features/steps/gateway_late_grant_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then
 from gateway_ownership_world import HOLD_S, TIMEOUT_S, FakeKeeper, grant, make_bounds
+from store_versions import at
 
 from indigoworks.ownership.hold_bounds import LATE_ORDER_S, SLOW_ORDER_S
 from indigoworks.ownership.keeper_set import KeeperSet
@@ -57,10 +58,10 @@
     for wants_fence in (True, False):
         made = []
         keepers = KeeperSet(lambda *args, made=made: made.append(FakeKeeper(*args)) or made[-1])
-        keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, 99, "a", 4),), 4, 1))
+        keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, 99, "a", 4),), 4, at(1)))
         made[0].is_granted, made[0].wants_fence = True, wants_fence
         assert (keepers.wanting_fence("shop") == [made[0].owned]) is wants_fence
-        keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, 99, "a", 6),), 6, 2))
+        keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, 99, "a", 6),), 6, at(2)))
         assert made[1].is_granted is wants_fence
-        keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, 99, "b", 8),), 8, 3))
+        keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, 99, "b", 8),), 8, at(3)))
         assert not made[2].is_granted
--- a/features/steps/gateway_limit_placement_steps.py
+++ b/features/steps/gateway_limit_placement_steps.py
@@ -15,6 +15,7 @@
 from indigoworks.ownership.ownership_table import KEY_COUNT
 from indigoworks.ownership.server_capacity import ServerCapacity
 from indigoworks.ownership.table_editor import first_table, with_moves
+from indigoworks.rowstore.store_version import NO_VERSION
 
 MAX_STEPS = 20_000_000
 SAMPLE_S = 0.1
@@ -82,7 +83,7 @@
         for number, name in enumerate(SERVERS):
             self.world.list_server(name, number + 1)
         self.world.store.put(OWNERS, first_table(SERVICE, SERVERS, [1] * len(SERVERS)).encode())
-        self.world.store.put(LEADER_KEY, LeaderRow(3, "n1", "boot-1", 0).encode())
+        self.world.store.put(LEADER_KEY, LeaderRow(3, "n1", "boot-1", NO_VERSION).encode())
         self.tasks = []
         self.number = 0
 
--- a/features/steps/gateway_limit_socket_steps.py
+++ b/features/steps/gateway_limit_socket_steps.py
@@ -7,6 +7,7 @@
 from eliot import add_destinations, remove_destination
 from gateway_scripted_server import BEHAVIOURS, NAMES, Behaviour, answer
 from gateway_world import HOST, ZONE, ask
+from store_versions import at
 
 from indigoworks.exchange.peer_directory import PEER_PREFIX
 from indigoworks.ownership.control_group import CONTROL_TABLE
@@ -59,7 +60,7 @@
     world = context.gateway
     entry = {"host": HOST, "port": 1, "boot": "b", "zone": ZONE}
     key = PEER_PREFIX + world.settings.node
-    world.directory.apply([Row(CONTROL_TABLE, "", key, json.dumps(entry).encode(), 1)])
+    world.directory.apply([Row(CONTROL_TABLE, "", key, json.dumps(entry).encode(), at(1))])
 
 
 @given("the lines of the gateway are read")
--- a/features/steps/gateway_metrics_steps.py
+++ b/features/steps/gateway_metrics_steps.py
@@ -12,8 +12,9 @@
 
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.gateway.retry_allowance import NEW_PROCESS_SHARE, SAFETY
-from indigoworks.ownership.control_group import ControlGroup
+from indigoworks.ownership.control_group import part_of
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
+from indigoworks.rowstore.store_version import NO_VERSION
 
 OPERATORS_PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 PAUSE_S = 0.02
@@ -133,13 +134,13 @@
 
 @when("another gateway process leads epoch {epoch:d}")
 def other_leader(context, epoch):
-    row = LeaderRow(epoch, "n2", "boot-2", 0)
+    row = LeaderRow(epoch, "n2", "boot-2", NO_VERSION)
     world = context.gateway_process
 
     async def put():
         key = LEADER_KEY
         world.store.put(key, row.encode())
-        assert world.store.rows[key].part == ControlGroup().part
+        assert world.store.rows[key].part == part_of(0)
 
     context.run_async(put())
 
--- a/features/steps/gateway_not_held_steps.py
+++ b/features/steps/gateway_not_held_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from gateway_world import make_record
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_table import PeerTable
@@ -38,7 +39,7 @@
         servers.put(make_record(name, Address("127.0.0.1", number)))
     tables = context.lookup_tables = OwnershipTables()
     ranges = (OwnedRange(0, 99, "a", 5), OwnedRange(100, 199, "b", 5), OwnedRange(200, 299, "a", 5))
-    tables.put(OwnershipTable(SERVICE, ranges, 5, 1))
+    tables.put(OwnershipTable(SERVICE, ranges, 5, at(1)))
     context.lookup = OwnerLookup(tables, servers, ServerBoard(PeerTable(clock), clock), clock)
 
 
@@ -57,7 +58,7 @@
 def step_new_tokens(context):
     table = context.lookup_tables.table(SERVICE)
     ranges = tuple(replace(each, token=9) for each in table.ranges)
-    context.lookup_tables.put(OwnershipTable(SERVICE, ranges, 9, 2))
+    context.lookup_tables.put(OwnershipTable(SERVICE, ranges, 9, at(2)))
 
 
 @when("{duration_ms:d} ms pass for the gateway lookup")
--- a/features/steps/gateway_owner_outage_steps.py
+++ b/features/steps/gateway_owner_outage_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from gateway_group_world import FixedServers
 from gateway_world import make_rate_budget, make_record
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
@@ -55,7 +56,7 @@
     def put_table(self):
         self.version += 1
         owned = OwnedRange(0, LAST, self.owner, self.token)
-        self.tables.put(OwnershipTable("shop", (owned,), self.token, self.version))
+        self.tables.put(OwnershipTable("shop", (owned,), self.token, at(self.version)))
 
     def tell(self, is_pending):
         self.epoch += 1
--- a/features/steps/gateway_ownership_steps.py
+++ b/features/steps/gateway_ownership_steps.py
@@ -6,6 +6,7 @@
 from gateway_ownership_world import HOLD_S, FakeKeeper, grant, make_bounds
 from hypothesis import given as for_all
 from hypothesis import strategies
+from store_versions import at
 
 from indigoworks.ownership import hold_bounds
 from indigoworks.ownership.hold_bounds import HoldBounds
@@ -78,9 +79,9 @@
         table = start(random)
         for _ in range(5):
             table, _ = random_change(random, table)
-        read = OwnershipTable.decode("shop", table.encode(), 7)
+        read = OwnershipTable.decode("shop", table.encode(), at(7))
         assert (read.ranges, read.highest_token) == (table.ranges, table.highest_token)
-        assert read.version == 7
+        assert read.version == at(7)
         for key in edges(table):
             assert read.find(key).holds(key)
 
@@ -180,9 +181,9 @@
     made = []
     keepers = KeeperSet(lambda *args: made.append(FakeKeeper(*args)) or made[-1])
     pieces = (OwnedRange(0, 99, "a", 4), OwnedRange(100, KEY_COUNT - 1, "a", 4))
-    keepers.keep("shop", OwnershipTable("shop", pieces, 4, 1))
+    keepers.keep("shop", OwnershipTable("shop", pieces, 4, at(1)))
     made[0].is_granted = True
-    keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, KEY_COUNT - 1, "a", 4),), 4, 2))
+    keepers.keep("shop", OwnershipTable("shop", (OwnedRange(0, KEY_COUNT - 1, "a", 4),), 4, at(2)))
     assert not made[2].is_granted
 
 
--- a/features/steps/gateway_pace_steps.py
+++ b/features/steps/gateway_pace_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from gateway_relay_world import TABLE
 from result import Ok
+from store_versions import at
 
 from indigoworks.exchange import report_pace
 from indigoworks.exchange.peer_table import LIVE_S
@@ -13,6 +14,7 @@
 from indigoworks.relay.relayed_store import RelayedStore
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_health import StoreHealth
 
 MEASURED_S = 30.0
 
@@ -33,16 +35,17 @@
         async def follow(self, table, after, wait_s):
             Busy.calls += 1
             clock._now_s += 0.004
-            return Ok(Rows((Row(TABLE, "", "k", b"", after + 1),), after + 1, 0.0))
+            newest = at(after.counter + 1)
+            return Ok(Rows((Row(TABLE, "", "k", b"", newest),), newest, 0.0))
 
     async def sleep(duration_s):
         clock._now_s += duration_s
 
     clock.sleep = sleep
-    relayed = RelayedStore(Busy(), None, choice, None, frozenset({TABLE}), clock)
+    relayed = RelayedStore(Busy(), StoreHealth(clock), choice, None, frozenset({TABLE}), clock)
 
     async def run():
-        version, until_s = 1, clock.now() + 3.0
+        version, until_s = at(1), clock.now() + 3.0
         while clock.now() < until_s:
             version = (await relayed.follow(TABLE, version, 1.0)).unwrap().version
 
--- a/features/steps/gateway_paced_feed_steps.py
+++ b/features/steps/gateway_paced_feed_steps.py
@@ -6,6 +6,7 @@
 from backend_manual_clock import ManualClock
 from behave import given, then, when
 from result import Ok
+from store_versions import at
 
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
@@ -27,16 +28,17 @@
 
     async def read(self, table, part):
         self.calls.append(("read", self.clock.now(), 0.0))
-        return Ok(Rows((), self.newest(), 0.0))
+        return Ok(Rows((), at(self.newest()), 0.0))
 
     async def follow(self, table, after, wait_s):
         self.calls.append(("follow", self.clock.now(), wait_s))
-        if self.newest() == after:
+        if at(self.newest()) == after:
             await self.clock.sleep(ROW_PERIOD_S)
         rows = [
-            Row(table, "", str(each), b"", each) for each in range(after + 1, self.newest() + 1)
+            Row(table, "", str(each), b"", at(each))
+            for each in range(after.counter + 1, self.newest() + 1)
         ]
-        return Ok(Rows(tuple(rows), self.newest(), 0.0))
+        return Ok(Rows(tuple(rows), at(self.newest()), 0.0))
 
     def follows(self):
         return [each for each in self.calls if each[0] == "follow"]
@@ -52,9 +54,9 @@
     context.paced_rows = []
 
     async def make():
-        take = lambda rows: context.paced_rows.extend(row.version for row in rows)  # noqa: E731
+        take = lambda rows: context.paced_rows.extend(row.version.counter for row in rows)  # noqa: E731
         context.paced_feed = TableFollower(
-            store, "servers", "", lambda: wait, clock, take, take, pace_s=lambda: pace
+            store, "servers", lambda: "", lambda: wait, clock, take, take, pace_s=lambda: pace
         )
         context.paced_task = asyncio.ensure_future(context.paced_feed.run())
         await clock.advance(2 * ROW_PERIOD_S)
--- a/features/steps/gateway_process_world.py
+++ b/features/steps/gateway_process_world.py
@@ -18,6 +18,7 @@
 )
 from prometheus_client.parser import text_string_to_metric_families
 from result import Ok
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
@@ -37,7 +38,7 @@
 
     def put_in(self, table, key, value):
         self.version += 1
-        self.rows[table, key] = Row(table, "", key, value, self.version)
+        self.rows[table, key] = Row(table, "", key, value, at(self.version))
 
     async def read(self, table, part):
         return self.answer(each for each in self.rows.values() if each.table == table)
@@ -70,7 +71,7 @@
 def read_server(row):
     fields = json.loads(row.value)
     address = Address(HOST, fields.pop("port"))
-    return Ok(make_record(row.key, address, row.version, **fields))
+    return Ok(make_record(row.key, address, row.version.counter, **fields))
 
 
 class ProcessWorld(GatewayWorld):
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -8,6 +8,7 @@
 from gateway_world import HOST
 from hypothesis import given as for_all
 from hypothesis import strategies
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
@@ -22,8 +23,12 @@
 from indigoworks.relay.feed_history import FeedHistory
 from indigoworks.relay.relay_choice import MIN_LINK_MBIT, RelayChoice, relay_capacity
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 
 TEXTS = strategies.text(max_size=6)
+VERSIONS = strategies.builds(
+    StoreVersion, strategies.integers(0, 2**31), strategies.integers(0, 2**40)
+)
 LARGE_VALUES = strategies.builds(
     lambda piece, times: piece * times,
     strategies.binary(min_size=1, max_size=9),
@@ -35,14 +40,14 @@
     part=TEXTS,
     key=TEXTS,
     value=strategies.binary(max_size=9) | LARGE_VALUES,
-    version=strategies.integers(0, 2**40),
+    version=VERSIONS,
     is_removed=strategies.booleans(),
 )
 AGES_S = strategies.floats(0, 10**6) | strategies.just(float("inf"))
 ANSWERS = strategies.builds(
     FeedAnswer,
     rows=strategies.lists(ROWS, max_size=4).map(tuple),
-    version=strategies.integers(0, 2**40),
+    version=VERSIONS,
     proof_age_s=AGES_S,
     trouble_age_s=AGES_S,
     is_gone=strategies.booleans(),
@@ -77,25 +82,25 @@
     @for_all(strategies.integers(1, 50), steps, strategies.booleans(), strategies.randoms())
     def check(start, batches, is_repeated, random):
         known, version, newest = FeedHistory(), start, {}
-        assert not known.knows_since(0)
-        known.restart(start)
+        assert not known.knows_since(NO_VERSION)
+        known.restart(at(start))
         for batch in batches:
             # Rows of one transaction share its version.
             version += 1
             keys = random.sample("abcd", len(batch))
             rows = [
-                Row("t", "", key, bytes(size), version)
+                Row("t", "", key, bytes(size), at(version))
                 for key, size in zip(keys, batch, strict=True)
             ]
             newest.update((row.key, row) for row in rows)
-            known.add(rows, version)
+            known.add(rows, at(version))
             if is_repeated:
-                known.add(rows, version)
-        assert known.version == version
-        assert not known.knows_since(start - 1)
-        held = sum(len(row.value) for row in known.rows_after(0))
+                known.add(rows, at(version))
+        assert known.version == at(version)
+        assert not known.knows_since(at(start - 1))
+        held = sum(len(row.value) for row in known.rows_after(NO_VERSION))
         assert held <= feed_history.MAX_BYTES
-        for after in range(start, version + 2):
+        for after in map(at, range(start, version + 2)):
             if known.knows_since(after):
                 expected = [row for row in newest.values() if row.version > after]
                 came = known.rows_after(after)
@@ -110,16 +115,18 @@
 
 @then("gateway relay: a history that is begun anew as of an older version keeps what it has")
 def step_overtaken(context):
-    rows = [Row("t", "", key, b"", version) for version, key in ((11, "a"), (12, "b"), (13, "c"))]
+    rows = [
+        Row("t", "", key, b"", at(version)) for version, key in ((11, "a"), (12, "b"), (13, "c"))
+    ]
     known = FeedHistory()
-    known.restart(10)
-    known.add(rows[:2], 12)
+    known.restart(at(10))
+    known.add(rows[:2], at(12))
     for older in (10, 11, 12):
-        known.restart(older)
-    known.add(rows[2:], 13)
-    assert known.knows_since(10) and known.rows_after(10) == tuple(rows)
-    known.restart(14)
-    assert not known.knows_since(13) and known.version == 14
+        known.restart(at(older))
+    known.add(rows[2:], at(13))
+    assert known.knows_since(at(10)) and known.rows_after(at(10)) == tuple(rows)
+    known.restart(at(14))
+    assert not known.knows_since(at(13)) and known.version == at(14)
 
 
 @then("gateway relay: for all histories after a whole reading all rows are known, or it says not")
@@ -129,21 +136,23 @@
 
     @for_all(strategies.lists(sizes, max_size=4), strategies.lists(changes, max_size=8))
     def check(first, later):
-        read = [Row("t", "", key, bytes(size), 3) for key, size in zip("abcd", first, strict=False)]
+        read = [
+            Row("t", "", key, bytes(size), at(3)) for key, size in zip("abcd", first, strict=False)
+        ]
         expected = {row.key: row for row in read}
         known = FeedHistory()
         assert not known.knows_all()
-        known.restart(5, read)
+        known.restart(at(5), read)
         for version, (key, size, is_removed) in enumerate(later, 6):
-            row = Row("t", "", key, b"" if is_removed else bytes(size), version, is_removed)
-            known.add([row], version)
+            row = Row("t", "", key, b"" if is_removed else bytes(size), at(version), is_removed)
+            known.add([row], at(version))
             expected[key] = row
         held = [row for row in expected.values() if not row.is_removed]
         if known.knows_all():
             assert sorted(known.all_rows(), key=str) == sorted(held, key=str)
         else:
             assert sum(len(row.value) for row in expected.values()) > feed_history.MAX_BYTES // 2
-        known.restart(100)
+        known.restart(at(100))
         assert not known.knows_all()
 
     check()
@@ -185,7 +194,7 @@
 
 def hear(context, node, zone, capacity):
     peer = PeerAddress(node, "b", zone, Address(HOST, 1), capacity)
-    context.relay_directory.apply([Row("c", "", f"peer/{node}", encode_peer(peer), 1)])
+    context.relay_directory.apply([Row("c", "", f"peer/{node}", encode_peer(peer), at(1))])
     context.relay_peers.heard_s[node] = context.relay_clock.now()
 
 
--- a/features/steps/gateway_relay_world.py
+++ b/features/steps/gateway_relay_world.py
@@ -1,9 +1,11 @@
 """One relay and two members over a store in memory, on loopback."""
 
 import asyncio
+from dataclasses import replace
 
 from gateway_world import HOST, LONG_S, ShiftedClock, free_port
 from result import Err, Ok
+from store_versions import at
 
 from indigoworks.backend.http_sender import HttpSender
 from indigoworks.common.address import Address
@@ -36,20 +38,30 @@
 
     def __init__(self, version):
         self.version = version
+        self.era = 0
         self.rows = []
         self.askers = []
         self.changed = asyncio.Event()
         self.asked = asyncio.Condition()
 
+    def newest(self):
+        return at(self.version, self.era)
+
     def put(self, key):
         self.version += 1
-        self.rows.append(Row(TABLE, "", key, b"v", self.version))
+        self.rows.append(Row(TABLE, "", key, b"v", self.newest()))
         self.changed.set()
 
     def come_back(self, version):
         """Lose what was written after `version`; its versions are given out again."""
         self.version = version
-        self.rows = [row for row in self.rows if row.version <= version]
+        self.era += 1
+        kept = [row.version.counter <= version for row in self.rows]
+        self.rows = [
+            replace(row, version=at(row.version.counter, self.era))
+            for row, is_kept in zip(self.rows, kept, strict=True)
+            if is_kept
+        ]
 
     async def note_asker(self, node):
         async with self.asked:
@@ -76,7 +88,8 @@
 
     async def follow(self, table, after, wait_s):
         await self.store.note_asker(self.node)
-        if after > self.store.version:
+        if after.era != self.store.era:
+            self.health.eras.note(self.store.era)
             return Err(HistoryGone("No such version.", "Read the table whole."))
         while not self.store.after(after) or self.is_silent:
             await self.store.changed.wait()
@@ -85,8 +98,9 @@
 
     def _answer(self, rows):
         now_s = self.clock.now()
+        self.health.eras.note(self.store.era)
         self.health.note_answer(now_s, now_s)
-        return Rows(tuple(rows), self.store.version, now_s)
+        return Rows(tuple(rows), self.store.newest(), now_s)
 
 
 class RelayGateway:
@@ -120,7 +134,7 @@
         self.server = FeedServer(address, self.relayed, self.choice, self.health, self.clock)
 
     def know(self, peer):
-        row = Row("c", "", f"peer/{peer.node}", encode_peer(peer), 1)
+        row = Row("c", "", f"peer/{peer.node}", encode_peer(peer), at(1))
         self.directory.apply([row])
         self.peers.heard_s[peer.node] = self.clock.now() + LONG_S
 
@@ -161,7 +175,7 @@
             await asyncio.sleep(0.02)
 
     async def _follow(self, gateway):
-        version = self.store.version
+        version = self.store.newest()
         while True:
             answer = await gateway.relayed.follow(TABLE, version, LONG_S)
             if isinstance(answer, Err):
--- a/features/steps/gateway_relay_world_steps.py
+++ b/features/steps/gateway_relay_world_steps.py
@@ -5,9 +5,11 @@
 from behave import given, then, when
 from gateway_relay_world import TABLE, RelayWorld
 from gateway_world import HOST, LONG_S
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
+from indigoworks.rowstore.store_version import NO_VERSION
 
 MEASURED_S = 15.0
 """Bound of a step, against one that never ends; nothing asserts how long it took."""
@@ -67,7 +69,7 @@
     world = context.relay_world
 
     async def run():
-        asked = [world.member_asks(name, world.store.version, LONG_S) for name in "ab"]
+        asked = [world.member_asks(name, world.store.newest(), LONG_S) for name in "ab"]
         await asyncio.sleep(0.1)
         world.store.put("k")
         context.relay_answers = [(await each).unwrap() for each in asked]
@@ -105,7 +107,7 @@
 def step_have(context):
     for answer in context.relay_answers:
         assert [row.key for row in answer.rows] == ["k"]
-        assert answer.version == context.relay_world.store.version
+        assert answer.version == context.relay_world.store.newest()
     assert set(context.relay_world.store.askers) == {"r"}, context.relay_world.store.askers
 
 
@@ -115,7 +117,7 @@
 
     async def run():
         context.relay_asked_s = world.members[name].clock.now()
-        context.relay_answer = (await world.member_asks(name, version, wait_s)).unwrap()
+        context.relay_answer = (await world.member_asks(name, at(version), wait_s)).unwrap()
 
     context.run_async(bounded(run()))
 
@@ -131,7 +133,7 @@
     world = context.relay_world
 
     async def run():
-        asked = world.member_asks("a", version, wait_s)
+        asked = world.member_asks("a", at(version), wait_s)
         await world.store.asked_by("a")
         world.store.put("k")
         context.relay_answer = (await asked).unwrap()
@@ -144,7 +146,7 @@
     world = context.relay_world
 
     async def run():
-        asked = asyncio.ensure_future(world.members["a"].relayed.follow("large", 10, LONG_S))
+        asked = asyncio.ensure_future(world.members["a"].relayed.follow("large", at(10), LONG_S))
         await world.store.asked_by("a")
         world.store.put("k")
         context.relay_answer = (await asked).unwrap()
@@ -169,9 +171,9 @@
 @then("the gateway relay keeps the row of the small table only")
 def step_no_history(context):
     relayed = context.relay_world.relay.relayed
-    assert [row.key for row in relayed.history(TABLE).rows_after(0)] == [TABLE]
+    assert [row.key for row in relayed.history(TABLE).rows_after(NO_VERSION)] == [TABLE]
     large = relayed.history("large")
-    assert large.version == 0 and not large.rows_after(0)
+    assert large.version == NO_VERSION and not large.rows_after(NO_VERSION)
     assert not large.knows_since(large.version)
 
 
@@ -181,7 +183,7 @@
     world.relay.port.is_silent = True
 
     async def run():
-        asked = world.member_asks("a", world.store.version, LONG_S)
+        asked = world.member_asks("a", world.store.newest(), LONG_S)
         await asyncio.sleep(0.1)
         assert not asked.done() and "a" not in world.store.askers
         world.relay.clock.shift_s += 5.0
@@ -203,7 +205,7 @@
     world = context.relay_world
 
     async def run():
-        asked = world.member_asks("b", version, wait_s)
+        asked = world.member_asks("b", at(version), wait_s)
         await asyncio.sleep(0.1)
         world.store.put("k")
         context.relay_answer = (await asked).unwrap()
@@ -229,7 +231,7 @@
     world.store.askers.clear()
 
     async def run():
-        asked = world.member_asks("a", world.store.version, LONG_S)
+        asked = world.member_asks("a", world.store.newest(), LONG_S)
         await asyncio.sleep(0.1)
         world.store.put("l")
         return (await asked).unwrap()
--- a/features/steps/gateway_repeat_steps.py
+++ b/features/steps/gateway_repeat_steps.py
@@ -15,6 +15,7 @@
 )
 from hypothesis import given as for_all
 from hypothesis import strategies
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
@@ -123,7 +124,7 @@
 
 def peer_row(node):
     peer = PeerAddress(node, "b", "z1", Address(HOST, 1))
-    return Row("t", "", PEER_PREFIX + node, encode_peer(peer), 1)
+    return Row("t", "", PEER_PREFIX + node, encode_peer(peer), at(1))
 
 
 def check_budget(random, clock, allowance, actions, slack):
--- a/features/steps/gateway_rest_socket_steps.py
+++ b/features/steps/gateway_rest_socket_steps.py
@@ -8,6 +8,7 @@
 from gateway_room_steps import start_callers
 from gateway_scripted_server import NAMES
 from gateway_world import ask, make_record, make_service, until
+from store_versions import at
 
 from indigoworks.gateway.server_connection import ServerConnection
 from indigoworks.ownership.owned_range import OwnedRange
@@ -25,8 +26,8 @@
 
 def put_owners(context, *ranges):
     tables = context.gateway.tables
-    version = tables.table("shop").version + 1
-    tables.put(OwnershipTable("shop", ranges, version, version))
+    version = tables.table("shop").version.counter + 1
+    tables.put(OwnershipTable("shop", ranges, version, at(version)))
     context.gateway.side.queue.capacity_changed()
 
 
--- a/features/steps/gateway_sick_leader_steps.py
+++ b/features/steps/gateway_sick_leader_steps.py
@@ -9,6 +9,7 @@
 from indigoworks.exchange.leader_beat import LeaderBeat
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
+from indigoworks.rowstore.store_version import NO_VERSION
 
 EPOCH = 3
 CHALLENGE_S = 1.0
@@ -26,7 +27,7 @@
 def step_leader(context, age_s):
     async def build():
         world = ControlWorld(0, ManualClock())
-        world.store.put(LEADER_KEY, LeaderRow(EPOCH, "n2", "boot-9", 0).encode())
+        world.store.put(LEADER_KEY, LeaderRow(EPOCH, "n2", "boot-9", NO_VERSION).encode())
         answer = (await world.store.read("", "")).unwrap()
         world.take_rows(answer.rows)
         world.leadership.note_proof(answer.true_at_s)
--- a/features/steps/gateway_slow_link_world.py
+++ b/features/steps/gateway_slow_link_world.py
@@ -10,6 +10,7 @@
 from gateway_drawn_routes import route
 from gateway_world import HOST, ZONE, make_configuration, make_ports, make_settings
 from result import Err, Ok
+from store_versions import at
 
 from indigoworks.backend.errors import BackendAnswerLost
 from indigoworks.common.address import Address
@@ -68,7 +69,7 @@
 
     def rows(self, after):
         versions = range(after + 1, self.version + 1)
-        return tuple(Row(TABLE, "", KEY, self.values[each], each) for each in versions)
+        return tuple(Row(TABLE, "", KEY, self.values[each], at(each)) for each in versions)
 
     async def wait_for_change(self, after, wait_s):
         try:
@@ -94,15 +95,15 @@
         if table != TABLE:
             await asyncio.sleep(wait_s)
             return await self.answer(asked_s, ())
-        await self.store.wait_for_change(after, wait_s)
-        return await self.answer(asked_s, self.store.rows(after))
+        await self.store.wait_for_change(after.counter, wait_s)
+        return await self.answer(asked_s, self.store.rows(after.counter))
 
     async def answer(self, asked_s, rows):
         version, made_s = self.store.version, self.clock.now()
         await asyncio.sleep(self.store.latency_s)
         true_at_s = self.health.note_answer(asked_s, made_s)
         await self.link.carry(sum(len(base64.b64encode(each.value)) for each in rows))
-        return Ok(Rows(rows, version, true_at_s))
+        return Ok(Rows(rows, at(version), true_at_s))
 
 
 class RelaySender:
@@ -209,7 +210,7 @@
 
     def address_row(self):
         peer = PeerAddress(self.node, "x", self.zone, self.address, self.relay.capacity)
-        return Row("c", "", f"peer/{self.node}", encode_peer(peer), 1)
+        return Row("c", "", f"peer/{self.node}", encode_peer(peer), at(1))
 
 
 class SlowLinkWorld:
--- a/features/steps/gateway_store_probe_steps.py
+++ b/features/steps/gateway_store_probe_steps.py
@@ -5,6 +5,7 @@
 from backend_manual_clock import ManualClock
 from behave import given, then, when
 from result import Err, Ok
+from store_versions import at
 
 from indigoworks.exchange.peer_directory import DIRECT_GATEWAYS
 from indigoworks.rowstore.errors import StoreRefused
@@ -37,7 +38,7 @@
 
     async def commit(self, transaction):
         self.transactions += 1
-        return Ok(1)
+        return Ok(at(1))
 
     async def _answer(self, table, wait_s):
         if not self.is_refusing:
@@ -48,7 +49,7 @@
                 await self.clock.sleep(max(wait_s, CALL_S) + transfer_s)
             finally:
                 self.at_work -= 1
-            return Ok(Rows((), 1, self.clock.now()))
+            return Ok(Rows((), at(1), self.clock.now()))
         self.calls_while_refusing += 1
         self.at_work += 1
         self.most_at_work = max(self.most_at_work, self.at_work)
@@ -73,7 +74,7 @@
             clock,
         )
         context.probe_followers = [
-            TableFollower(store, f"t{number}", "", lambda: 2.0, clock, _pass, _pass)
+            TableFollower(store, f"t{number}", lambda: "", lambda: 2.0, clock, _pass, _pass)
             for number in range(tables)
         ]
         context.probe_tasks = [
@@ -164,7 +165,7 @@
 def step_transaction(context):
     async def run():
         before = context.probe_refusing.transactions
-        await context.probe_store.commit(Transaction("p", (), ()))
+        await context.probe_store.commit(Transaction(0, "p", (), ()))
         assert context.probe_refusing.transactions == before + 1
 
     context.run_async(run())
--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -9,6 +9,7 @@
 
 # isort: split
 from server_notice_reader import read_server_notice
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
@@ -83,7 +84,7 @@
 def make_record(server_id, address, version=1, service="shop", **fields) -> ServerRecord:
     values = {"zone": ZONE, "slots": 4, "is_draining": False, "warm_up_left_s": 0.0, **fields}
     return ServerRecord(
-        server_id=server_id, service=service, address=address, version=version, **values
+        server_id=server_id, service=service, address=address, version=at(version), **values
     )
 
 
--- a/features/steps/platform_folder_reader_steps.py
+++ b/features/steps/platform_folder_reader_steps.py
@@ -11,6 +11,7 @@
 # isort: split
 from configuration_reader import read_configuration
 from server_entry_reader import read_server_entry
+from store_versions import at
 
 from indigoworks.common.address import Address
 from indigoworks.gateway.gateway_settings import (
@@ -217,10 +218,10 @@
     }
 
     def read(value):
-        return read_server_entry(Row("servers", "", "i-1", value, 12))
+        return read_server_entry(Row("servers", "", "i-1", value, at(12)))
 
     got = read(json.dumps(entry).encode()).unwrap()
-    assert (got.server_id, got.service, got.version) == ("i-1", "s", 12)
+    assert (got.server_id, got.service, got.version) == ("i-1", "s", at(12))
     assert (got.address, got.zone) == (Address("10.0.0.9", 8080), "z1")
     assert (got.slots, got.is_draining, got.warm_up_left_s) == (7, True, 2.5)
     ready = read(json.dumps({**entry, "state": "ready"}).encode()).unwrap()
--- a/features/steps/platform_folder_store_steps.py
+++ b/features/steps/platform_folder_store_steps.py
@@ -12,6 +12,7 @@
 from configuration_reader import read_configuration
 from http_row_store import HttpRowStore
 from server_entry_reader import read_server_entry
+from store_versions import at
 
 from indigoworks.backend.http_sender import HttpSender
 from indigoworks.common.address import Address
@@ -77,12 +78,12 @@
     got = context.platform_result.unwrap()
     stand_in = context.platform_stand_in
     expected = [
-        (key, value, version)
+        (key, value, at(version))
         for (_, of_part, key), (value, version) in sorted(stand_in.rows.items())
         if of_part == part
     ]
     assert [(each.key, each.value, each.version) for each in got.rows] == expected
-    assert len(expected) == count and got.version == stand_in.version
+    assert len(expected) == count and got.version == at(stand_in.version)
     assert all((each.table, each.part) == (TABLE, part) for each in got.rows)
     assert not any(each.is_removed for each in got.rows)
 
@@ -96,7 +97,7 @@
 
 
 def follow(context, version):
-    work = context.platform_store.follow(TABLE, version, 0.01)
+    work = context.platform_store.follow(TABLE, at(version), 0.01)
     context.platform_result = context.run_async(work)
     return context.platform_result
 
@@ -111,14 +112,14 @@
         False,
     )
     assert (removed.key, removed.value, removed.is_removed) == (context.platform_keys[1], b"", True)
-    assert got.version == removed.version == context.platform_stand_in.version
+    assert got.version == removed.version == at(context.platform_stand_in.version)
 
 
 @then("the platform folder's feed from the newest version gives nothing")
 def feed_empty(context):
     version = context.platform_stand_in.version
     got = follow(context, version).unwrap()
-    assert got.rows == () and got.version == version
+    assert got.rows == () and got.version == at(version)
 
 
 @when("the platform folder follows from version {version:d}")
@@ -129,6 +130,7 @@
 @when("the platform folder commits two rows that must be absent")
 def commits(context):
     transaction = Transaction(
+        0,
         "p",
         tuple(ExpectedVersion(TABLE, key, ABSENT) for key in KEYS),
         tuple(RowPut(TABLE, key, b"\xff" + key.encode()) for key in KEYS),
@@ -145,7 +147,7 @@
 @then("the platform folder store holds both under the version that was answered")
 def holds_both(context):
     assert_both(context)
-    assert context.platform_result.unwrap() == context.platform_stand_in.version
+    assert context.platform_result.unwrap() == at(context.platform_stand_in.version)
 
 
 @then("the platform folder store holds both rows nevertheless")
@@ -286,5 +288,5 @@
 @then("the platform folder's reading and the feed after it hold the change")
 def hold_change(context):
     reading = context.platform_result.unwrap()
-    after = follow(context, reading.version).unwrap()
+    after = follow(context, reading.version.counter).unwrap()
     assert b"changed" in [each.value for each in (*reading.rows, *after.rows)]
--- a/features/steps/platform_large_answers_steps.py
+++ b/features/steps/platform_large_answers_steps.py
@@ -7,6 +7,7 @@
 from gateway_world import until
 from platform_folder_store_steps import TABLE, reads
 from platform_paced_answers import PacedAnswers
+from store_versions import at
 
 from indigoworks.backend.errors import BackendAnswerLost
 from indigoworks.backend.http_message import HttpMessage
@@ -55,8 +56,8 @@
     got = context.platform_result.unwrap()
     stand_in = context.platform_stand_in
     expected = {key: held for (_, _, key), held in stand_in.rows.items()}
-    assert {each.key: (each.value, each.version) for each in got.rows} == expected
-    assert len(got.rows) == count and got.version == stand_in.version
+    assert {each.key: (each.value, each.version.counter) for each in got.rows} == expected
+    assert len(got.rows) == count and got.version == at(stand_in.version)
 
 
 def next_call(context):
@@ -97,7 +98,7 @@
         await until(lambda: len(paced.sent_s) > SOME_PIECES)
         stand_in.paced = None
         stand_in.troubles = ["503"]
-        refused = await context.platform_store.commit(Transaction(part, (), ()))
+        refused = await context.platform_store.commit(Transaction(0, part, (), ()))
         assert refused.is_err() and not reading.done()
         context.platform_refusal_s = context.platform_health.last_trouble_s
         context.platform_result = await reading
--- a/features/store_from_copy.feature
+++ b/features/store_from_copy.feature
@@ -8,6 +8,17 @@
       | beside                                               |
       | nothing else happens                                 |
       | a server crashes in the span that is lost            |
+      | a server leaves in the span that is lost             |
+      | a server is replaced at its address in that span     |
+      | the leader is killed in the span that is lost        |
+      | the leader stops in the span that is lost            |
+      | the leader is frozen while the store comes back      |
+      | the leader is cut off from the store as it comes back |
+      | all gateways are killed in the span that is lost     |
+      | all gateways start while the store comes back        |
+      | writes of the span that is lost are made late        |
+      | orders of the span that is lost are carried out late |
+      | it comes back once more soon after                   |
 
   Scenario: A configuration written after the store came back from a copy is in force at every gateway
     When control simulation writes a configuration soon after the store came back from copies
--- a/indigoworks/broker/zone_servers.py
+++ b/indigoworks/broker/zone_servers.py
@@ -34,6 +34,10 @@
         """Look at the list of servers anew: it has changed."""
         self._usable.clear()
 
+    def known(self, service: str) -> Iterable[ServerRecord]:
+        """Return the servers of `service` that are listed or were so a short time ago."""
+        return self._servers.known(service)
+
     def get(self, server_id: str) -> ServerRecord | None:
         """Return a server that is listed or was so a short time ago, of any zone."""
         return self._servers.get(server_id)
--- a/indigoworks/exchange/lag_watch.py
+++ b/indigoworks/exchange/lag_watch.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 
 PATIENCE_S = 0.4
 """Feeds reach processes at slightly different times: so much lag says nothing."""
@@ -24,17 +25,21 @@
     """
 
     def __init__(
-        self, what: str, own_version: Callable[[], int], ask_anew: Callable[[], None], clock: Clock
+        self,
+        what: str,
+        own_version: Callable[[], StoreVersion],
+        ask_anew: Callable[[], None],
+        clock: Clock,
     ) -> None:
         self._what = what
         self._own_version = own_version
         self._ask_anew = ask_anew
         self._clock = clock
         self._behind_since_s: float | None = None
-        self._behind_version = -1
+        self._behind_version = NO_VERSION
         self._patience_s = PATIENCE_S
 
-    def note(self, peer: str, version: int) -> None:
+    def note(self, peer: str, version: StoreVersion) -> None:
         """Take the version that a peer says it has."""
         own_version = self._own_version()
         if version <= own_version:
@@ -51,8 +56,8 @@
                 message_type="feed:behind",
                 level="WARNING",
                 what=self._what,
-                own_version=own_version,
+                own_version=str(own_version),
                 peer=peer,
-                peer_version=version,
+                peer_version=str(version),
             )
             self._ask_anew()
--- a/indigoworks/exchange/peer_directory.py
+++ b/indigoworks/exchange/peer_directory.py
@@ -6,6 +6,7 @@
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 
 DIRECT_GATEWAYS = 16
 """Up to so many gateways each reports to each: a hub would only be one more thing that can fail."""
@@ -20,7 +21,7 @@
     def __init__(self, own_node: str) -> None:
         self._own_node = own_node
         self._peers: dict[str, PeerAddress] = {}
-        self._versions: dict[str, int] = {}
+        self._versions: dict[str, StoreVersion] = {}
 
     def apply(self, rows: Sequence[Row]) -> None:
         """Take rows; those of other kinds are passed over."""
@@ -28,7 +29,7 @@
             if not row.key.startswith(PEER_PREFIX):
                 continue
             node = row.key.removeprefix(PEER_PREFIX)
-            if self._versions.get(node, 0) >= row.version:
+            if self._versions.get(node, NO_VERSION) >= row.version:
                 continue
             self._versions[node] = row.version
             self._apply_row(node, row)
--- a/indigoworks/exchange/peer_report.py
+++ b/indigoworks/exchange/peer_report.py
@@ -9,6 +9,7 @@
 from indigoworks.exchange.notice_note import NoticeNote
 from indigoworks.exchange.server_load import ServerLoad
 from indigoworks.exchange.suspect_note import SuspectNote
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,11 +43,11 @@
     samples: tuple[KeySample, ...]
     retry_count: int
     configuration_version: int = 0
-    group_version: int = 0
+    group_version: StoreVersion = NO_VERSION
     hub: str = ""
     is_joining: bool = False
     members: tuple[tuple[int, int], ...] = ()
-    operator_row_version: int = 0
+    operator_row_version: StoreVersion = NO_VERSION
     suspects: tuple[SuspectNote, ...] = ()
     notices: tuple[NoticeNote, ...] = ()
 
--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -13,6 +13,7 @@
 from indigoworks.exchange.peer_report import AgedReport, PeerReport
 from indigoworks.exchange.server_load import ServerLoad
 from indigoworks.exchange.suspect_codec import from_message, to_message
+from indigoworks.rowstore.store_version import StoreVersion
 
 MS_PER_S = 1000.0
 MAX_AGE_MS = 2**32 - 1
@@ -27,8 +28,10 @@
         epoch=report.epoch,
         retry_count=report.retry_count,
         configuration_version=report.configuration_version,
-        group_version=report.group_version,
-        operator_row_version=report.operator_row_version,
+        group_version=report.group_version.counter,
+        group_era=report.group_version.era,
+        operator_row_version=report.operator_row_version.counter,
+        operator_row_era=report.operator_row_version.era,
         hub=report.hub,
         is_joining=report.is_joining,
         members=[member for member, _ in report.members],
@@ -106,8 +109,8 @@
         ),
         retry_count=message.retry_count,
         configuration_version=message.configuration_version,
-        group_version=message.group_version,
-        operator_row_version=message.operator_row_version,
+        group_version=StoreVersion(message.group_era, message.group_version),
+        operator_row_version=StoreVersion(message.operator_row_era, message.operator_row_version),
         hub=message.hub,
         is_joining=message.is_joining,
         suspects=tuple(from_message(each) for each in message.suspects),
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -28,6 +28,7 @@
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.relay.relay_choice import relay_capacity
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks.rowstore.table_follower import TableFollower
 
 LEADER_WAIT_S = 0.8
@@ -58,7 +59,7 @@
         self._directory = directory
         self.tables = tables
         self._clock = clock
-        self.group = ControlGroup()
+        self.group = ControlGroup(ports.health.eras)
         self.leadership = Leadership(
             settings.node,
             boot,
@@ -89,7 +90,7 @@
         self.follower = TableFollower(
             ports.store,
             CONTROL_TABLE,
-            self.group.part,
+            lambda: self.group.part,
             self._feed_wait_s,
             clock,
             self._take_rows,
@@ -97,7 +98,8 @@
             self.leadership.note_proof,
         )
         platform.on_path_failed(self.follower.ask_anew)
-        self.group_version = 0
+        ports.health.eras.on_new(self.follower.ask_anew)
+        self.group_version = NO_VERSION
         self._lags = (
             LagWatch(
                 "operator",
@@ -108,6 +110,11 @@
             LagWatch("group", lambda: self.group_version, self.follower.ask_anew, clock),
         )
 
+    async def follow(self) -> None:
+        """Follow the group's rows until cancelled; they lie where the store's era says."""
+        await self._ports.health.eras.wait_known()
+        await self.follower.run()
+
     def use_settings(self, settings: GatewaySettings) -> None:
         """Go by what of `settings` can change in a running process."""
         self._policy.set_hold_max(settings.hold_max_s)
@@ -129,6 +136,8 @@
 
     def take_report(self, report: PeerReport) -> None:
         """Take a report of a peer."""
+        era = max(report.operator_row_version.era, report.group_version.era)
+        self._ports.health.eras.note(era, report.node)
         self.leadership.signs.note(report)
         self._lags[0].note(report.node, report.operator_row_version)
         configurations = self._platform.configurations
@@ -148,7 +157,7 @@
         return 0 if configuration is None else configuration.version
 
     def _take_rows(self, rows: Sequence[Row]) -> None:
-        self.group_version = max(self.group_version, *(each.version for each in rows), 0)
+        self.group_version = max((self.group_version, *(each.version for each in rows)))
         self.leadership.apply(rows)
         self._directory.apply(rows)
         self.on_rows(rows)
--- a/indigoworks/gateway/counted_store.py
+++ b/indigoworks/gateway/counted_store.py
@@ -10,6 +10,7 @@
 from indigoworks.rowstore.errors import StoreError
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.rowstore.transaction import Transaction
 
 
@@ -30,12 +31,14 @@
         """Read one part of a table whole."""
         return await self._calls.counted("read", self._store.read(table, part), _outcome)
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Result[Rows, StoreError]:
+    async def follow(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> Result[Rows, StoreError]:
         """Wait for changed rows of a table."""
         answer = self._store.follow(table, after, wait_s)
         return await self._calls.counted("follow", answer, _outcome)
 
-    async def commit(self, transaction: Transaction) -> Result[int, StoreError]:
+    async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
         """Make a transaction."""
         return await self._calls.counted("commit", self._store.commit(transaction), _outcome)
 
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -33,7 +33,7 @@
 from indigoworks.gateway.status_side import StatusSide
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.ownership_tables import OwnershipTables
-from indigoworks.rowstore.transaction import RowPut, Transaction
+from indigoworks.rowstore.transaction import RowPut
 
 TIDY_PERIOD_S = 1.0
 REGISTER_RETRY_S = 0.3
@@ -165,7 +165,7 @@
         self._requests.front.start()
         for work in (
             *(each.run() for each in self._platform.followers),
-            self._control.follower.run(),
+            self._control.follow(),
             self._register(),
             self._exchange.run(),
             self._requests.brokers.broker.run(),
@@ -228,10 +228,12 @@
 
     async def _register(self) -> None:
         """Write this process's row, so that peers can reach it."""
+        await self._ports.health.eras.wait_known()
         peer = self._own_address()
         put = RowPut(CONTROL_TABLE, PEER_PREFIX + peer.node, encode_peer(peer))
-        transaction = Transaction(self._control.group.part, (), (put,))
-        while isinstance(await self._ports.store.commit(transaction), Err):
+        while isinstance(
+            await self._ports.store.commit(self._control.group.transaction((), (put,))), Err
+        ):
             await self._clock.sleep(REGISTER_RETRY_S)
 
     def _own_address(self) -> PeerAddress:
--- a/indigoworks/gateway/gateway_plane.py
+++ b/indigoworks/gateway/gateway_plane.py
@@ -17,6 +17,7 @@
 from indigoworks.ownership.ownership_table import KEY_COUNT
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.routes.configuration_holder import ConfigurationHolder
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.servers.server_list import ServerList
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.wire.control_pb2 import (
@@ -51,7 +52,7 @@
         peers: PeerView,
         directory: PeerDirectory,
         leadership: Leadership,
-        group_version: Callable[[], int],
+        group_version: Callable[[], StoreVersion],
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -68,19 +69,20 @@
     def status(self) -> ControlPlaneStatus:
         """Return role and progress of this gateway."""
         row = self._leadership.row
+        version = self._group_version()
         return ControlPlaneStatus(
             member=self._own_member(),
             role="leader" if self._leadership.may_act() else "follower",
-            generation=0,
+            generation=version.era,
             term=row.epoch,
             leader=self._member_of(row.node, row.boot) if row.node else None,
-            commit_index=self._group_version(),
+            commit_index=version.counter,
         )
 
     def state(self) -> ControlState:
         """Return servers, ranges and the version of the configuration."""
         configuration = self._configurations.current()
-        state = ControlState(last_index=self._group_version())
+        state = ControlState(last_index=self._group_version().counter)
         state.settings_version = 0 if configuration is None else configuration.version
         state.servers.extend(self._server(each) for each in self._servers.listed())
         for service in self.known_services():
@@ -119,7 +121,7 @@
             RouterPresence(
                 member=self._member_of(each.node, each.boot),
                 settings_version=each.configuration_version,
-                view_version=each.group_version,
+                view_version=each.group_version.counter,
                 since_poll_s=now_s - (self._peers.report_time_s(each.node) or now_s),
             )
             for each in self._peers.live_reports()
--- a/indigoworks/gateway/platform_side.py
+++ b/indigoworks/gateway/platform_side.py
@@ -12,6 +12,7 @@
 from indigoworks.routes.configuration import Configuration
 from indigoworks.routes.configuration_holder import ConfigurationHolder
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 from indigoworks.rowstore.table_follower import TableFollower
 from indigoworks.servers.cold_servers import ColdLimit
 from indigoworks.servers.server_list import ServerList
@@ -80,9 +81,9 @@
         self._is_large_group = is_large_group
         self._is_relayed = is_relayed
         self._is_relay = is_relay
-        self._configuration_row_version = 0
+        self._configuration_row_version = NO_VERSION
         self._has_read_servers = False
-        self.operator_row_version = 0
+        self.operator_row_version = NO_VERSION
         self._unreadable: dict[str, str] = {}
         self._listeners: list[Callable[[], None]] = []
         self._path_listeners: list[Callable[[], None]] = []
@@ -90,7 +91,7 @@
             TableFollower(
                 ports.store,
                 ports.configuration_table,
-                "",
+                lambda: "",
                 self._configuration_wait_s,
                 clock,
                 self._take_all_operator_rows,
@@ -100,7 +101,7 @@
             TableFollower(
                 ports.store,
                 ports.servers_table,
-                "",
+                lambda: "",
                 probe_wait_s,
                 clock,
                 self._take_all_servers,
@@ -110,6 +111,8 @@
             ),
         )
 
+        ports.health.eras.on_new(self._begin_era)
+
     def use_settings(self, settings: GatewaySettings) -> None:
         """Go by what of `settings` can change in a running process."""
         self.servers.set_heartbeat(settings.server_heartbeat_s)
@@ -135,10 +138,15 @@
         known = None if configuration is None else configuration.services.get(service)
         return known is not None and known.is_keyed
 
-    def operator_position(self) -> int:
+    def operator_position(self) -> StoreVersion:
         """Return the version up to which all rows of the operator are known here."""
         return self.followers[0].version
 
+    def _begin_era(self) -> None:
+        """Read all anew; the newest configuration stays in force meanwhile."""
+        for follower in self.followers:
+            follower.ask_anew()
+
     def _take_all_operator_rows(self, rows: Sequence[Row]) -> None:
         zones = (self._ports.read_evacuated_zone(row.key) for row in rows)
         self.servers.evacuations.keep_only(zone for zone in zones if zone is not None)
@@ -180,7 +188,7 @@
             log_message(
                 message_type="configuration:refused",
                 level="ERROR",
-                row_version=row.version,
+                row_version=str(row.version),
                 reason=str(result.unwrap_err()),
             )
 
@@ -224,7 +232,7 @@
             message_type="server:entry_refused",
             level="ERROR",
             server=row.key,
-            row_version=row.version,
+            row_version=str(row.version),
             reason=reason,
         )
 
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -139,7 +139,7 @@
             ports.store,
             ports.health,
             CONTROL_TABLE,
-            ControlGroup().part,
+            ControlGroup(ports.health.eras).transaction,
             clock,
             is_cut,
         )
--- /dev/null
+++ b/indigoworks/ownership/former_era.py
@@ -0,0 +1,28 @@
+"""What a process knew of its control group when an era of the store ended."""
+
+from dataclasses import dataclass
+
+from indigoworks.ownership.leader_row import NO_LEADER, LeaderRow
+from indigoworks.rowstore.store_version import NO_VERSION
+
+
+@dataclass(frozen=True, slots=True)
+class FormerEra:
+    """Knowledge of the newest era before the current one.
+
+    :ivar row: the newest known row of a leader.
+    :ivar is_led: this process led until the end.
+    :ivar is_fresh: the group's rows were followed until the end, but for the time of a hold.
+    """
+
+    row: LeaderRow
+    is_led: bool
+    is_fresh: bool
+
+    def is_before(self, era: int) -> bool:
+        """Tell whether nothing lies between this era and `era`."""
+        return self.row.version != NO_VERSION and self.row.version.era == era - 1
+
+
+NO_FORMER_ERA = FormerEra(NO_LEADER, is_led=False, is_fresh=False)
+"""What a process knows that has just begun."""
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -4,6 +4,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_view import PeerView
+from indigoworks.ownership.era_numbers import first_number
 from indigoworks.ownership.group_load import GroupLoad
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HoldPolicy
@@ -26,6 +27,7 @@
     with_new_tokens,
     without_former,
 )
+from indigoworks.ownership.table_recovery import TableRecovery
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
@@ -98,11 +100,14 @@
         self._fenced_s = float("-inf")
         self._failed_s = float("-inf")
         self._seen: dict[str, tuple[frozenset[str], float]] = {}
+        self._recovery = TableRecovery(leadership, keepers, bounds, policy, servers, clock)
+        self._has_read_former = False
 
     async def run(self, predecessor: LeaderRow) -> None:
         """Lead until another leader is named, or none."""
         before = PredecessorBound(predecessor, self._leadership.signs)
-        self._bounds.start_epoch(before.until_s(self._clock.now(), self._policy.longest_max_s))
+        if not self._leadership.led_former_era():
+            self._bounds.start_epoch(before.until_s(self._clock.now(), self._policy.longest_max_s))
         epoch = self._leadership.row.epoch
         try:
             while self._leads(epoch) and not await self._take_tables():
@@ -138,17 +143,36 @@
         if not await self._writer.read_again():
             return False
         for service in self._keyed_services():
-            table = self._tables.table(service)
-            if table.ranges and not await self._writer.write(with_new_tokens(table), "new_leader"):
+            if not await self._take_table(service):
                 return False
         return True
 
+    async def _take_table(self, service: str) -> bool:
+        table = self._tables.table(service)
+        if table.version.era != self._leadership.era:
+            return await self._carry_over(service)
+        return not table.ranges or await self._writer.write(with_new_tokens(table), "new_leader")
+
+    async def _carry_over(self, service: str) -> bool:
+        """Write the table of a former era, if there is one, as the first of this one."""
+        if not self._has_read_former:
+            self._has_read_former = await self._writer.read_former_eras()
+        table = self._tables.table(service)
+        if not self._has_read_former or not table.ranges:
+            return self._has_read_former
+        recovered = await self._recovery.recover(table)
+        return await self._writer.write(recovered, "new_era")
+
     # ---- one service ----
 
     async def _look_after(self, service: str) -> None:
         if not self._leadership.may_act():
             return
         table = self._tables.table(service)
+        if table.version.era != self._leadership.era:
+            if not await self._carry_over(service):
+                return
+            table = self._tables.table(service)
         if not table.ranges:
             await self._first_table(service)
             return
@@ -265,5 +289,7 @@
             self._seen[service] = (names, now_s)
         if not servers or now_s - self._seen[service][1] < SETTLE_S:
             return
-        table = first_table(service, sorted(names), [each.slots for each in servers])
+        slots = [each.slots for each in servers]
+        above = first_number(self._leadership.era)
+        table = first_table(service, sorted(names), slots, above)
         await self._writer.write(table, "first")
--- a/indigoworks/ownership/keeper_set.py
+++ b/indigoworks/ownership/keeper_set.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from indigoworks.exchange.leader_beat import PendingRange
+from indigoworks.ownership.order_outcome import OrderResult
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.range_keeper import RangeKeeper
@@ -20,6 +21,7 @@
     def __init__(self, make_keeper: MakeKeeper) -> None:
         self._make_keeper = make_keeper
         self._keepers: dict[str, dict[OwnedRange, RangeKeeper]] = {}
+        self._granted_at_stop: dict[str, frozenset[OwnedRange]] = {}
 
     def keep(self, service: str, table: OwnershipTable) -> None:
         """Start keepers of new ranges and stop those of ranges that are gone."""
@@ -45,7 +47,10 @@
             keeper.resume()
 
     def stop_all(self) -> None:
-        """Stop all keepers."""
+        """Stop all keepers; what their owners hold is remembered."""
+        self._granted_at_stop = {
+            service: frozenset(self.granted(service)) for service in self._keepers
+        }
         for keepers in self._keepers.values():
             for keeper in keepers.values():
                 keeper.stop()
@@ -55,6 +60,14 @@
         """Return the ranges that their owners hold."""
         return [each.owned for each in self._of(service) if each.is_granted]
 
+    def granted_at_stop(self, service: str) -> frozenset[OwnedRange]:
+        """Return the ranges that their owners held when all keepers were stopped last."""
+        return self._granted_at_stop.get(service, frozenset())
+
+    async def confirm(self, service: str, owned: OwnedRange) -> OrderResult | None:
+        """Renew one grant, once, and return the result; None: nothing was sent."""
+        return await self._make_keeper(service, owned).renew()
+
     def granted_count(self) -> int:
         """Return how many ranges of all services their owners hold."""
         return sum(len(self.granted(service)) for service in self._keepers)
--- a/indigoworks/ownership/leader_row.py
+++ b/indigoworks/ownership/leader_row.py
@@ -3,6 +3,8 @@
 import json
 from dataclasses import dataclass
 
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
+
 LEADER_KEY = "leader"
 
 
@@ -10,20 +12,20 @@
 class LeaderRow:
     """Leader of one epoch; an empty `node`: it gave the leadership up.
 
-    :ivar version: version of the row; 0 where there is none.
+    :ivar version: version of the row; NO_VERSION where there is none.
     """
 
     epoch: int
     node: str
     boot: str
-    version: int
+    version: StoreVersion
 
     def encode(self) -> bytes:
         """Return the value of the row."""
         return json.dumps({"epoch": self.epoch, "node": self.node, "boot": self.boot}).encode()
 
     @classmethod
-    def decode(cls, value: bytes, version: int) -> "LeaderRow":
+    def decode(cls, value: bytes, version: StoreVersion) -> "LeaderRow":
         """Read the value of a row.
 
         :raises ValueError, KeyError, TypeError: the value is not such a row.
@@ -32,5 +34,5 @@
         return cls(int(document["epoch"]), document["node"], document["boot"], version)
 
 
-NO_LEADER = LeaderRow(0, "", "", 0)
+NO_LEADER = LeaderRow(0, "", "", NO_VERSION)
 """What holds before any leader wrote the row."""
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import replace
 
 from eliot import log_message
 from result import Err
@@ -11,12 +12,16 @@
 from indigoworks.exchange.peer_view import PeerView
 from indigoworks.ownership.challenge_order import ChallengeOrder
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.era_numbers import first_number
+from indigoworks.ownership.former_era import NO_FORMER_ERA, FormerEra
+from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.leader_row import LEADER_KEY, NO_LEADER, LeaderRow
 from indigoworks.ownership.leader_signs import LeaderSigns
 from indigoworks.rowstore.errors import ConditionFailed
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 
 LEADER_LEASE_S = 6.0
@@ -33,6 +38,10 @@
 SILENCE_S = 1.0
 """A leader of which nobody heard for so long is challenged."""
 
+FORMER_LEADER_FIRST_S = 1.5
+"""In a new era the others leave the leadership to a former leader that is heard for so long: that
+is the longest pause between its calls to a store that did not answer."""
+
 
 class Leadership:
     """Follows the leader's row, challenges a lost leader, and tells whether this process leads.
@@ -41,8 +50,13 @@
     counts from the moment at which the answer was certainly true. A challenge does not wait for the
     old leader's lease: what the old leader may still do is ruled out server by server.
 
+    In a new era of the store nobody leads until a row of that era is written: rows of before may be
+    gone. The leader of the former era is waited for a little, since it knows what it granted.
+
     :ivar has_read: the group's rows have been read.
-    :ivar predecessor: the row before the newest one, where that names this process.
+    :ivar predecessor: the row before the newest one of the era, where that names this process.
+    :ivar former: what was known of the group when the era before this one ended.
+    :ivar era_seen_s: clock reading at which this process learnt of the current era.
     """
 
     def __init__(
@@ -67,24 +81,29 @@
         self._order = order
         self._row = NO_LEADER
         self.predecessor = NO_LEADER
+        self.former = NO_FORMER_ERA
         self._row_seen_s = clock.now()
+        self.era_seen_s = clock.now()
         self.has_read = False
+        self._has_read_era = False
         self._proof_s: float | None = None
         self._changed = asyncio.Event()
         self._is_resigned = False
         self.signs = LeaderSigns(peers, directory, clock)
+        group.eras.on_new(self._begin_era)
 
     # ---- what the store says ----
 
     def apply(self, rows: Sequence[Row]) -> None:
         """Take rows; those of other kinds are passed over."""
         for row in rows:
-            if row.key == LEADER_KEY and row.version > self._row.version:
+            is_current = row.version.era == self.era
+            if row.key == LEADER_KEY and is_current and row.version > self._row.version:
                 self._take_row(LeaderRow.decode(row.value, row.version))
 
     def note_proof(self, true_at_s: float) -> None:
         """Take note that the rows applied so far were the newest at `true_at_s`."""
-        self.has_read = True
+        self.has_read = self._has_read_era = True
         if self._names_us() and (self._proof_s is None or true_at_s > self._proof_s):
             self._proof_s = true_at_s
 
@@ -93,8 +112,49 @@
         if self._names_us() and (self._proof_s is None or sent_s > self._proof_s):
             self._proof_s = sent_s
 
+    def note_former(self, row: LeaderRow) -> None:
+        """Take a row of an earlier era, as the store's copy holds it."""
+        if row.version > self.former.row.version:
+            self.former = replace(self.former, row=row)
+
+    def _begin_era(self) -> None:
+        is_fresh = self._has_read_era and self._health.proof_age_s() <= HOLD_S
+        newest = max(self._row, self.former.row, key=lambda each: each.version)
+        self.former = FormerEra(newest, self.may_act(), is_fresh)
+        self._row = self.predecessor = NO_LEADER
+        self._row_seen_s = self.era_seen_s = self._clock.now()
+        self._has_read_era = False
+        self._proof_s = None
+        self._changed.set()
+
     # ---- questions ----
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store whose rows count."""
+        return self._group.eras.current
+
+    def led_former_era(self) -> bool:
+        """Tell whether this process led until the former era ended, and nobody since."""
+        return self.former.is_led and self._is_first_of_era()
+
+    def knows_former_era(self) -> bool:
+        """Tell whether what this process read of the former era leaves no room for moves of which
+        it does not know.
+
+        A move away from an owner that renews its grants takes a release, which that owner knows of,
+        or the time of a hold.
+        """
+        return self._is_first_of_era() and (self.former.is_led or self.former.is_fresh)
+
+    def _is_first_of_era(self) -> bool:
+        """Tell whether no leader of this era was before, and no era that this process missed."""
+        return self.predecessor.version == NO_VERSION and self.former.is_before(self.era)
+
+    def acted_before(self) -> LeaderRow:
+        """Return the row of the leader before this process."""
+        return self.former.row if self.predecessor.version == NO_VERSION else self.predecessor
+
     @property
     def row(self) -> LeaderRow:
         """Return the newest known row."""
@@ -132,7 +192,9 @@
     async def challenge_if_lost(self) -> None:
         """Try to take the leadership over where the leader is lost; `is_named` tells the result."""
         reason = self._reason_to_challenge()
-        if reason is not None and not (reason == "own_earlier_boot" and self._order.is_first()):
+        is_next = reason == "led_before"
+        is_next |= reason == "own_earlier_boot" and self._order.is_first()
+        if reason is not None and not is_next:
             await self._clock.sleep(self._order.wait_s(self._row.node))
             reason = self._reason_to_challenge()
         if reason is not None:
@@ -143,23 +205,39 @@
         self._is_resigned = True
         if not self._names_us():
             return
-        row = LeaderRow(self._row.epoch, "", "", 0)
+        row = LeaderRow(self._row.epoch, "", "", NO_VERSION)
         self._proof_s = None
         await self._store.commit(self._write_of(row))
         log_message(message_type="leader:resigned", epoch=row.epoch)
 
     def _reason_to_challenge(self) -> str | None:
-        is_sound = self.has_read and self._health.proof_age_s() < SOUND_STORE_S
+        is_sound = self._has_read_era and self._health.proof_age_s() < SOUND_STORE_S
         if self._is_resigned or not is_sound or self._names_us():
             return None
-        if self._row.version == 0:
-            return "no_row"
+        if self._row.version == NO_VERSION:
+            return self._reason_without_row()
         if self._row.node == "":
             return "given_up"
         if self._row.node == self._node:
             return "own_earlier_boot"
         return self._reason_from_signs()
 
+    def _reason_without_row(self) -> str | None:
+        if self.led_former_era():
+            return "led_before"
+        is_early = self._clock.now() - self.era_seen_s < FORMER_LEADER_FIRST_S
+        return None if is_early and self._may_hear_of_former_leader() else "no_row"
+
+    def _may_hear_of_former_leader(self) -> bool:
+        """Tell whether the leader of the former era is heard, or may be known to those who are."""
+        before = self.former.row
+        if before.version == NO_VERSION:
+            return self.era > 0 and self.signs.hears_peers()
+        if before.node in ("", self._node):
+            return False
+        silence_s = self.signs.silence_s(before.epoch, self.era_seen_s - SILENCE_S)
+        return silence_s < SILENCE_S
+
     def _reason_from_signs(self) -> str | None:
         boot = self._directory.boot_of(self._row.node)
         if boot is not None and boot != self._row.boot:
@@ -174,7 +252,8 @@
 
     async def _take_over(self, reason: str) -> None:
         silence_s = self.signs.silence_s(self._row.epoch, self._row_seen_s)
-        row = LeaderRow(self._row.epoch + 1, self._node, self._boot, 0)
+        known = max(self._row.epoch, self.former.row.epoch, first_number(self.era))
+        row = LeaderRow(known + 1, self._node, self._boot, NO_VERSION)
         sent_s = self._clock.now()
         result = await self._store.commit(self._write_of(row))
         is_decided = result.is_ok() or isinstance(result.unwrap_err(), ConditionFailed)
@@ -198,7 +277,7 @@
 
     def _write_of(self, row: LeaderRow) -> Transaction:
         put = RowPut(CONTROL_TABLE, LEADER_KEY, row.encode())
-        return Transaction(self._group.part, (self.condition(),), (put,))
+        return self._group.transaction((self.condition(),), (put,))
 
     def _take_row(self, row: LeaderRow) -> None:
         if row.version <= self._row.version:
--- a/indigoworks/ownership/ownership_table.py
+++ b/indigoworks/ownership/ownership_table.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 
 KEY_COUNT = 65536
 """Keys of a service: whole numbers from 0."""
@@ -15,13 +16,13 @@
     """Ranges in the order of their keys; together they cover all keys or are empty.
 
     :ivar highest_token: above or equal to every token that any range of the service ever had.
-    :ivar version: version of the row that holds this table; 0 where there is none.
+    :ivar version: version of the row that holds this table; NO_VERSION where there is none.
     """
 
     service: str
     ranges: tuple[OwnedRange, ...]
     highest_token: int
-    version: int
+    version: StoreVersion
     _firsts: list[int] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -55,7 +56,7 @@
         ).encode()
 
     @classmethod
-    def decode(cls, service: str, value: bytes, version: int) -> "OwnershipTable":
+    def decode(cls, service: str, value: bytes, version: StoreVersion) -> "OwnershipTable":
         """Read the value of a row.
 
         :raises ValueError, KeyError, TypeError: the value is not such a row.
@@ -70,4 +71,4 @@
     @classmethod
     def empty(cls, service: str) -> "OwnershipTable":
         """Return the table of a service that has no row yet."""
-        return cls(service, (), 0, 0)
+        return cls(service, (), 0, NO_VERSION)
--- a/indigoworks/ownership/ownership_tables.py
+++ b/indigoworks/ownership/ownership_tables.py
@@ -69,7 +69,7 @@
                 message_type="ownership:row_unreadable",
                 level="ERROR",
                 service=service,
-                version=row.version,
+                version=str(row.version),
                 reason=str(error),
             )
             return False
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -5,6 +5,7 @@
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leader_signs import LeaderSigns
 from indigoworks.ownership.leadership import LEADER_LEASE_S
+from indigoworks.rowstore.store_version import NO_VERSION
 
 BEAT_DELAY_S = 0.2
 """A beat is heard up to so long after it was sent."""
@@ -32,7 +33,7 @@
 
         :param hold_max_s: longest hold that a leader grants.
         """
-        if self._predecessor.version == 0:
+        if self._predecessor.version == NO_VERSION:
             return float("-inf")
         acts_until_s = now_s if self.acts_no_more() else now_s + LEADER_LEASE_S
         epoch = self._predecessor.epoch
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -78,6 +78,7 @@
         self.task: asyncio.Task[None] | None = None
         self._is_quiet = False
         self._is_reached = False
+        self._last_result: OrderResult | None = None
         self._no_order = asyncio.Event()
         self._no_order.set()
 
@@ -111,6 +112,12 @@
         """Renew again: the row leaves the range with its owner."""
         self._is_quiet = False
 
+    async def renew(self) -> OrderResult | None:
+        """Renew the grant once, and return the result; None: nothing was sent."""
+        self.is_granted = True
+        await self._grant()
+        return self._last_result
+
     async def _run(self) -> None:
         if not self.is_granted:
             for former in self.owned.former:
@@ -205,7 +212,7 @@
         return self._note_outcome(outcome, hold_s)
 
     def _note_outcome(self, outcome: OrderOutcome, hold_s: float) -> float:
-        result = outcome.result
+        result = self._last_result = outcome.result
         self._reach.note(self.owned.server_id, result)
         self._is_reached = result is OrderResult.DONE
         if result is OrderResult.DONE:
--- a/indigoworks/ownership/table_editor.py
+++ b/indigoworks/ownership/table_editor.py
@@ -6,6 +6,7 @@
 from indigoworks.ownership.owned_range import BOUND_UNKNOWN, FormerOwner, OwnedRange
 from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
 from indigoworks.ownership.range_move import RangeMove
+from indigoworks.rowstore.store_version import NO_VERSION
 
 BoundOf = Callable[[str, OwnedRange], int]
 """Returns until when a server may hold keys of a range, on the store's clock in milliseconds."""
@@ -14,17 +15,23 @@
 """A new token is so much above the highest: the one between closes the old owner's grants."""
 
 
-def first_table(service: str, server_ids: Sequence[str], weights: Sequence[int]) -> OwnershipTable:
-    """Return equal contiguous shares by weight for servers that hold nothing yet."""
+def first_table(
+    service: str, server_ids: Sequence[str], weights: Sequence[int], above: int = 0
+) -> OwnershipTable:
+    """Return equal contiguous shares by weight for servers that hold nothing yet.
+
+    :param above: the first token is above this number.
+    """
+    token = above + TOKEN_STEP
     total = sum(weights)
     ranges: list[OwnedRange] = []
     first, sum_of_weights = 0, 0
     for server_id, weight in zip(server_ids, weights, strict=True):
         sum_of_weights += weight
         last = KEY_COUNT * sum_of_weights // total - 1
-        ranges.append(OwnedRange(first, last, server_id, TOKEN_STEP))
+        ranges.append(OwnedRange(first, last, server_id, token))
         first = last + 1
-    return OwnershipTable(service, tuple(ranges), TOKEN_STEP, 0)
+    return OwnershipTable(service, tuple(ranges), token, NO_VERSION)
 
 
 def with_moves(table: OwnershipTable, moves: Sequence[RangeMove]) -> OwnershipTable:
@@ -58,6 +65,19 @@
     return OwnershipTable(table.service, ranges, token, table.version)
 
 
+def in_new_era(table: OwnershipTable, carried: Sequence[OwnedRange], above: int) -> OwnershipTable:
+    """Return a table of an earlier era as the first one of a new era.
+
+    :param carried: its ranges, each with the former owners that are to be ruled out in the new era.
+    :param above: the token of all ranges is above this number.
+    """
+    token = max(table.highest_token, above) + TOKEN_STEP
+    ranges = [
+        OwnedRange(each.first, each.last, each.server_id, token, each.former) for each in carried
+    ]
+    return OwnershipTable(table.service, _merged(ranges), token, NO_VERSION)
+
+
 def without_former(table: OwnershipTable, granted: Sequence[OwnedRange]) -> OwnershipTable:
     """Return the table in which ranges that were granted name no former owners."""
     done = set(granted)
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -1,25 +1,32 @@
 """Reads and writes the rows of a control group as its leader."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from eliot import log_message
-from result import Err
+from result import Err, Ok
 
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
 from indigoworks.ownership.owned_range import BOUND_UNKNOWN, OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
 from indigoworks.ownership.table_editor import with_bounds
+from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 
 READ_RETRY_S = 0.1
 
+FORMER_ERAS = 8
+"""So many eras are looked through for tables: the store may have come back several times before a
+leader could write any."""
+
 
 class TableWriter:
     """Writes tables of owners under the condition that this process leads.
@@ -71,6 +78,38 @@
             return self._leadership.may_act()
         return False
 
+    async def read_former_eras(self) -> bool:
+        """Take the tables of the newest former era that the store has any of.
+
+        False where this process leads no longer.
+        """
+        newest = self._leadership.era - 1
+        for era in range(newest, max(-1, newest - FORMER_ERAS), -1):
+            rows = await self._read_former(era)
+            if rows is None:
+                return False
+            for row in rows:
+                if row.key == LEADER_KEY:
+                    self._leadership.note_former(LeaderRow.decode(row.value, row.version))
+            self._tables.apply(rows)
+            if any(row.key.startswith(OWNERS_PREFIX) for row in rows):
+                break
+        return self._leadership.may_act()
+
+    async def _read_former(self, era: int) -> list[Row] | None:
+        """Return the rows of a former era, as of that era; None: this process leads no longer."""
+        while self._leadership.may_act():
+            result = await self._store.read(CONTROL_TABLE, self._group.part_in(era))
+            if isinstance(result, Ok):
+                rows = result.unwrap().rows
+                return [
+                    replace(row, version=replace(row.version, era=era))
+                    for row in rows
+                    if row.part == self._group.part_in(era)
+                ]
+            await self._clock.sleep(READ_RETRY_S)
+        return None
+
     def _bound_ms(self, server_id: str, owned: OwnedRange) -> int:
         """Return until when a server may hold keys of a range, on the store's clock."""
         until_s = self._bounds.until_s(server_id, owned.first, owned.last)
@@ -90,6 +129,7 @@
         table = with_bounds(table, self._bound_ms)
         key = OWNERS_PREFIX + table.service
         transaction = Transaction(
+            self._group.eras.current,
             self._group.part,
             (
                 self._leadership.condition(),
@@ -125,7 +165,7 @@
             reason=reason,
             ranges=len(table.ranges),
             token=table.highest_token,
-            version=written.version,
+            version=str(written.version),
             epoch=self._leadership.row.epoch,
         )
         return True
--- a/indigoworks/quarantine/quarantine_rows.py
+++ b/indigoworks/quarantine/quarantine_rows.py
@@ -1,7 +1,7 @@
 """Refused requests in rows of the store."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 
 from result import Err
@@ -17,7 +17,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.store_health import StoreHealth
-from indigoworks.rowstore.transaction import RowPut, Transaction
+from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 
 ROW_PREFIX = "quarantine/"
 """Keys of these rows, before the number of the row."""
@@ -38,6 +38,9 @@
 
 MS_PER_S = 1000.0
 
+MakeTransaction = Callable[[Sequence[ExpectedVersion], Sequence[RowPut]], Transaction]
+"""Makes a transaction of conditions and writes."""
+
 
 class QuarantineRows:
     """Writes verdicts to the store, and takes those that others wrote.
@@ -49,6 +52,7 @@
     neither would know of three (8 gateways that hear no other, ten tries: ten servers ended under
     one request, and three with these writes; simulated).
 
+    :param make_transaction: returns a transaction in the part of the store's current era.
     :param is_cut: tells whether peers may not hear this process.
 
     Ages are told in the time of the store's steady clock, so that a row that is read after a
@@ -61,7 +65,7 @@
         store: RowStore,
         health: StoreHealth,
         table: str,
-        part: str,
+        make_transaction: MakeTransaction,
         clock: Clock,
         is_cut: Callable[[], bool],
     ) -> None:
@@ -70,7 +74,7 @@
         self._store = store
         self._health = health
         self._table = table
-        self._part = part
+        self._make_transaction = make_transaction
         self._clock = clock
         self._wanted: dict[RequestMark, None] = {}
         self._written_s: dict[int, float] = {}
@@ -124,7 +128,7 @@
             self._quarantine.note_of(suspect), self._health.to_store_ms(self._clock.now())
         )
         put = RowPut(self._table, _key(mark), encode_stored(stored))
-        if isinstance(await self._store.commit(Transaction(self._part, (), (put,))), Err):
+        if isinstance(await self._store.commit(self._make_transaction((), (put,))), Err):
             return False
         self._note_stored(mark, self._clock.now())
         written = self._quarantine.get(mark)
--- a/indigoworks/relay/feed_answer.py
+++ b/indigoworks/relay/feed_answer.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +18,7 @@
     """
 
     rows: tuple[Row, ...]
-    version: int
+    version: StoreVersion
     proof_age_s: float
     trouble_age_s: float
     is_gone: bool = False
--- a/indigoworks/relay/feed_answer_codec.py
+++ b/indigoworks/relay/feed_answer_codec.py
@@ -8,6 +8,7 @@
 from indigoworks.exchange.exchange_pb2 import FeedAnswerMessage, RowMessage
 from indigoworks.relay.feed_answer import FeedAnswer
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import StoreVersion
 
 MS_PER_S = 1000.0
 NEVER_MS = 2**32 - 1
@@ -27,7 +28,8 @@
 def encode_feed_answer(answer: FeedAnswer) -> bytes:
     """Return the bytes of an answer."""
     message = FeedAnswerMessage(
-        version=answer.version,
+        version=answer.version.counter,
+        era=answer.version.era,
         proof_age_ms=_milliseconds(answer.proof_age_s),
         trouble_age_ms=_milliseconds(answer.trouble_age_s),
         is_gone=answer.is_gone,
@@ -40,7 +42,8 @@
             part=row.part,
             key=row.key,
             value=_compressed(row.value) if is_compressed else row.value,
-            version=row.version,
+            version=row.version.counter,
+            era=row.version.era,
             is_removed=row.is_removed,
             is_compressed=is_compressed,
         )
@@ -57,7 +60,7 @@
         return None
     return FeedAnswer(
         rows,
-        message.version,
+        StoreVersion(message.era, message.version),
         _seconds(message.proof_age_ms),
         _seconds(message.trouble_age_ms),
         message.is_gone,
@@ -76,7 +79,8 @@
     :raises zlib.error: its value is damaged.
     """
     value = zlib.decompress(message.value) if message.is_compressed else message.value
-    return Row(message.table, message.part, message.key, value, message.version, message.is_removed)
+    version = StoreVersion(message.era, message.version)
+    return Row(message.table, message.part, message.key, value, version, message.is_removed)
 
 
 def _milliseconds(age_s: float) -> int:
--- a/indigoworks/relay/feed_history.py
+++ b/indigoworks/relay/feed_history.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 
 MAX_ROWS = 400
 MAX_BYTES = 2 * 1024 * 1024
@@ -14,22 +15,24 @@
 class FeedHistory:
     """The newest change of each row, in the order of versions, from `floor` to `version`.
 
+    All of them are of one era: a history begins anew when the store has come back from a copy.
+
     Earlier changes of a row are of no use to who asks later, and may be large. After a whole
     reading whose rows were kept, all rows of the table are known: who is further back gets these.
 
     :ivar floor: changes up to this version are not known here.
-    :ivar version: version up to which the table has been followed; 0: not at all yet.
+    :ivar version: version up to which the table has been followed; NO_VERSION: not at all yet.
     """
 
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str], Row] = {}
         self._bytes = 0
-        self.floor = 0
-        self.version = 0
+        self.floor = NO_VERSION
+        self.version = NO_VERSION
         self._is_complete = False
         self._changed: asyncio.Future[None] | None = None
 
-    def restart(self, version: int, all_rows: Sequence[Row] | None = None) -> None:
+    def restart(self, version: StoreVersion, all_rows: Sequence[Row] | None = None) -> None:
         """Begin anew after a whole reading of the table as of `version`.
 
         A reading that the feed has overtaken meanwhile changes nothing: what lies between would be
@@ -49,7 +52,7 @@
         self._drop_oldest()
         self.wake()
 
-    def add(self, rows: Sequence[Row], version: int) -> None:
+    def add(self, rows: Sequence[Row], version: StoreVersion) -> None:
         """Add what a step of the feed brought; what is known already is passed over."""
         known = self.version
         for row in rows:
@@ -61,9 +64,9 @@
             if rows:
                 self.wake()
 
-    def knows_since(self, version: int) -> bool:
+    def knows_since(self, version: StoreVersion) -> bool:
         """Tell whether all changes after `version` are known here."""
-        return self.version > 0 and version >= self.floor
+        return self.version > NO_VERSION and version >= self.floor
 
     def knows_all(self) -> bool:
         """Tell whether every row of the table is known here, whenever it changed."""
@@ -73,11 +76,11 @@
         """Return every row that the table holds as of `version`, as far as `knows_all`."""
         return tuple(row for row in self._rows.values() if not row.is_removed)
 
-    def rows_after(self, version: int) -> tuple[Row, ...]:
+    def rows_after(self, version: StoreVersion) -> tuple[Row, ...]:
         """Return the changes after `version`, oldest first."""
         return tuple(row for row in self._rows.values() if row.version > version)
 
-    def has_after(self, version: int) -> bool:
+    def has_after(self, version: StoreVersion) -> bool:
         """Tell whether a row changed after `version`."""
         newest = next(reversed(self._rows.values()), None)
         return newest is not None and newest.version > version
--- a/indigoworks/relay/feed_server.py
+++ b/indigoworks/relay/feed_server.py
@@ -17,6 +17,7 @@
 from indigoworks.relay.relayed_store import MAX_PROOF_AGE_S, UNAVAILABLE_STATUS, RelayedStore
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.store_version import StoreVersion
 
 WATCH_PERIOD_S = 0.2
 """Time between two looks at whether the answers of the store are still fresh."""
@@ -82,10 +83,11 @@
         fields = parse_qs(query)
         try:
             table = fields["table"][0]
-            after = int(fields["after"][0])
+            after = StoreVersion(int(fields["era"][0]), int(fields["after"][0]))
             wait_s = min(int(fields["wait_ms"][0]) / MS_PER_S, MAX_WAIT_S)
         except (KeyError, ValueError):
-            return HttpAnswer(BAD_STATUS, (), b"Send table, after and wait_ms.")
+            return HttpAnswer(BAD_STATUS, (), b"Send table, era, after and wait_ms.")
+        self._health.eras.note(after.era, "asker")
         self._choice.note_asked()
         if not self._store.asks_the_store():
             reason = b"Ask the store: this gateway asks another one."
@@ -105,7 +107,7 @@
         except (StreamClosedError, OSError):
             pass
 
-    async def _feed_answer(self, table: str, after: int, wait_s: float) -> FeedAnswer:
+    async def _feed_answer(self, table: str, after: StoreVersion, wait_s: float) -> FeedAnswer:
         history = self._store.history(table)
         until_s = self._clock.now() + wait_s
         if not history.knows_since(after) and history.knows_all():
@@ -124,7 +126,7 @@
     def _answer_of(
         self,
         rows: tuple[Row, ...],
-        version: int,
+        version: StoreVersion,
         is_gone: bool = False,
         is_whole: bool = False,
     ) -> FeedAnswer:
--- a/indigoworks/relay/relayed_store.py
+++ b/indigoworks/relay/relayed_store.py
@@ -16,10 +16,11 @@
 from indigoworks.relay.relay_choice import RelayChoice
 from indigoworks.relay.relay_log import log_relay_failed, log_relay_used
 from indigoworks.relay.relay_questions import RelayQuestions
-from indigoworks.rowstore.errors import StoreError
+from indigoworks.rowstore.errors import HistoryGone, StoreError
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.rowstore.transaction import Transaction
 
 FEED_PATH = "/feed"
@@ -106,8 +107,13 @@
             self._keep(table, replace(result.unwrap(), is_whole=True))
         return result
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Result[Rows, StoreError]:
+    async def follow(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> Result[Rows, StoreError]:
         """Wait for changed rows, at a relay or at the store."""
+        if after.era != self._health.eras.current:
+            reason = "The store has come back from a copy since."
+            return Err(HistoryGone(reason, "Read the table whole."))
         if self._is_kept(table):
             rows = await self._follow_relays(table, after, wait_s)
             if rows is not None:
@@ -115,7 +121,7 @@
                 return Ok(rows)
         return await self._follow_store(table, after, wait_s)
 
-    async def commit(self, transaction: Transaction) -> Result[int, StoreError]:
+    async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
         """Make a transaction."""
         return await self._store.commit(transaction)
 
@@ -158,13 +164,14 @@
 
         What this process has followed already is never replaced by something older.
         """
-        rows = await self._follow_relays(table, 0, 0.0)
+        nothing = StoreVersion(self._health.eras.current, 0)
+        rows = await self._follow_relays(table, nothing, 0.0)
         if rows is None or not rows.is_whole or rows.version < self.history(table).version:
             return None
         return rows
 
     async def _follow_store(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: StoreVersion, wait_s: float
     ) -> Result[Rows, StoreError]:
         if table in self._relayed_tables:
             self._note_used("")
@@ -185,7 +192,7 @@
         if left_s > 0:
             await self._clock.sleep(left_s)
 
-    async def _follow_relays(self, table: str, after: int, wait_s: float) -> Rows | None:
+    async def _follow_relays(self, table: str, after: StoreVersion, wait_s: float) -> Rows | None:
         """Return what a relay knows; None: there is none that can be relied upon now.
 
         The next one is asked as soon as one has failed: else each failure would cost a call to the
@@ -208,10 +215,15 @@
         return self._choice.relay()
 
     async def _follow_relay(
-        self, relay: PeerAddress, table: str, after: int, wait_s: float
+        self, relay: PeerAddress, table: str, after: StoreVersion, wait_s: float
     ) -> Rows | None:
         """Return what the relay knows; None: it cannot be relied upon now."""
-        query = {"table": table, "after": after, "wait_ms": int(wait_s * MS_PER_S)}
+        query = {
+            "table": table,
+            "era": after.era,
+            "after": after.counter,
+            "wait_ms": int(wait_s * MS_PER_S),
+        }
         message = HttpMessage("GET", f"{FEED_PATH}?{urlencode(query)}")
         sent_s = self._clock.now()
         is_large = table in self._large_tables
@@ -232,7 +244,8 @@
         if answer.proof_age_s > MAX_PROOF_AGE_S:
             self._failed(relay, "stale", answer.proof_age_s)
             return None
-        if answer.is_gone:
+        self._health.eras.note(answer.version.era, relay.node)
+        if answer.is_gone or answer.version.era < self._health.eras.current:
             return None
         if not is_large:
             self._note_used(relay.node)
--- a/indigoworks/rowstore/errors.py
+++ b/indigoworks/rowstore/errors.py
@@ -31,3 +31,12 @@
     """A row has another version than the transaction expected; nothing was written."""
 
     kind = "condition_failed"
+
+
+class EraEnded(StoreError):
+    """The store has come back from a copy: the call or its answer belongs to an earlier era.
+
+    A transaction may have been made, in rows that nobody reads any more.
+    """
+
+    kind = "store_era_ended"
--- a/indigoworks/rowstore/probing_store.py
+++ b/indigoworks/rowstore/probing_store.py
@@ -7,9 +7,10 @@
 from result import Result
 
 from indigoworks.common.clock import Clock
-from indigoworks.rowstore.errors import ConditionFailed, HistoryGone, StoreError
+from indigoworks.rowstore.errors import ConditionFailed, EraEnded, HistoryGone, StoreError
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.rowstore.transaction import Transaction
 
 PROBE_WAIT_S = 0.3
@@ -74,13 +75,15 @@
         """Read one part of a table whole."""
         return await self._paced(lambda _: self._store.read(table, part))
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Result[Rows, StoreError]:
+    async def follow(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> Result[Rows, StoreError]:
         """Wait for changed rows of a table; a probe waits for PROBE_WAIT_S at most."""
         return await self._paced(
             lambda longest_s: self._store.follow(table, after, min(wait_s, longest_s))
         )
 
-    async def commit(self, transaction: Transaction) -> Result[int, StoreError]:
+    async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
         """Make a transaction."""
         return await self._store.commit(transaction)
 
@@ -120,7 +123,7 @@
 
     def _note(self, result: Result[Rows, StoreError]) -> Result[Rows, StoreError]:
         is_answered = result.is_ok() or isinstance(
-            result.unwrap_err(), (HistoryGone, ConditionFailed)
+            result.unwrap_err(), (HistoryGone, ConditionFailed, EraEnded)
         )
         self._failures = 0 if is_answered else self._failures + 1
         return result
--- a/indigoworks/rowstore/row.py
+++ b/indigoworks/rowstore/row.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
+from indigoworks.rowstore.store_version import StoreVersion
+
 
 @dataclass(frozen=True, slots=True)
 class Row:
     """A row as the store held it at one version.
 
-    :ivar version: from one counter of the store that rises with each transaction.
+    :ivar version: the store's version that wrote it; of a row that a copy brought back, in the era
+        in which it was read.
     :ivar is_removed: the row was taken out at that version; its value is empty.
     """
 
@@ -15,5 +18,5 @@
     part: str
     key: str
     value: bytes
-    version: int
+    version: StoreVersion
     is_removed: bool = False
--- a/indigoworks/rowstore/rows.py
+++ b/indigoworks/rowstore/rows.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +16,6 @@
     """
 
     rows: tuple[Row, ...]
-    version: int
+    version: StoreVersion
     true_at_s: float
     is_whole: bool = False
--- a/indigoworks/rowstore/store_health.py
+++ b/indigoworks/rowstore/store_health.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
+from indigoworks.rowstore.store_eras import StoreEras
 from indigoworks.rowstore.store_trouble import StoreTrouble
 
 MS_PER_S = 1000.0
@@ -25,9 +26,13 @@
     A feed's answer may come long after its question. The store's own steady clock, which each
     answer names, tells when it was made: not earlier than the store's time plus the largest known
     difference between our sending time and the store's time of the answer.
+
+    :ivar eras: in which era the store is; the reading of its clock may jump where one begins.
     """
 
     def __init__(self, clock: Clock) -> None:
+        self.eras = StoreEras()
+        self.eras.on_new(self._begin_era)
         self._clock = clock
         self._offset_s: float | None = None
         self._largest_offset_s: float | None = None
@@ -42,6 +47,7 @@
         :param store_time_s: reading of the store's steady clock in the answer.
         :returns: the clock reading at which this answer was certainly true.
         """
+        self.eras.note(self.eras.current)
         # The last byte may come long after the store read its clock. That makes this difference
         # larger, and the smallest one counts: `is_past` answers later, never too early. The moment
         # of the headers would not do: a store may send them before it reads its clock.
@@ -60,6 +66,12 @@
             log_message(message_type="store:regained", trouble_age_s=self.trouble_age_s())
         return true_at_s
 
+    def _begin_era(self) -> None:
+        """Forget how the store's clock stood to ours; entries may be missing from the copy."""
+        self._offset_s = None
+        self._largest_offset_s = None
+        self._append(StoreTrouble(self._clock.now()))
+
     def note_relayed(self, proof_s: float, trouble_s: float) -> None:
         """Take what another gateway says of its own answers and troubles.
 
--- a/indigoworks/rowstore/table_follower.py
+++ b/indigoworks/rowstore/table_follower.py
@@ -7,10 +7,11 @@
 from result import Err, Result
 
 from indigoworks.common.clock import Clock
-from indigoworks.rowstore.errors import HistoryGone, StoreError
+from indigoworks.rowstore.errors import EraEnded, HistoryGone, StoreError
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 
 RETRY_S = 0.1
 """Pause after the first call that failed."""
@@ -26,9 +27,10 @@
 class TableFollower:
     """Reads a part of a table whole, then follows the table's feed; one task, for ever.
 
-    After a feed whose history is gone, and when it is told to ask anew, the part is read whole
-    again.
+    The part is read whole again after a feed whose history is gone, when the store has come back
+    from a copy, and when the follower is told to ask anew.
 
+    :param part: returns the part to follow; another one from the next whole reading on.
     :param on_all: called with all rows of a whole reading.
     :param on_changes: called with the changed rows of a step of the feed.
     :param wait_s: longest wait of the next step of the feed, in seconds.
@@ -43,7 +45,7 @@
         self,
         store: RowStore,
         table: str,
-        part: str,
+        part: Callable[[], str],
         wait_s: Callable[[], float],
         clock: Clock,
         on_all: Callable[[Sequence[Row]], None],
@@ -63,14 +65,14 @@
         self._on_failure = on_failure
         self._pace_s = pace_s
         self._rows_came_s = float("-inf")
-        self._version: int | None = None
+        self._version: StoreVersion | None = None
         self._failures = 0
         self._doubted = asyncio.Event()
 
     @property
-    def version(self) -> int:
-        """Return the version of the store up to which all rows are known here; 0: none is."""
-        return self._version or 0
+    def version(self) -> StoreVersion:
+        """Return the version of the store up to which all rows are known here."""
+        return self._version or NO_VERSION
 
     def ask_anew(self) -> None:
         """Ask anew: the answer that is waited for may be lost, or long in coming.
@@ -88,8 +90,8 @@
             if error is None:
                 self._failures = 0
                 continue
-            if isinstance(error, HistoryGone):
-                log_message(message_type="store:history_gone", table=self._table)
+            if isinstance(error, (HistoryGone, EraEnded)):
+                log_message(message_type="store:history_gone", table=self._table, reason=error.kind)
                 self._version = None
                 continue
             self._failures += 1
@@ -112,7 +114,7 @@
             feed.cancel()
             whole.cancel()
 
-    async def _feed(self, after: int) -> Result[Rows, StoreError]:
+    async def _feed(self, after: StoreVersion) -> Result[Rows, StoreError]:
         """Ask for changed rows, after the pause that is due."""
         pause_s = max(0.0, self._rows_came_s + self._pace_s() - self._clock.now())
         if pause_s > 0:
@@ -125,7 +127,7 @@
 
     async def _read(self) -> Result[Rows, StoreError]:
         asked_s = self._clock.now()
-        result = await self._store.read(self._table, self._part)
+        result = await self._store.read(self._table, self._part())
         self._log_if_large("whole", asked_s, result)
         return result
 
@@ -165,7 +167,8 @@
             self._rows_came_s = self._clock.now()
         if answer.is_whole:
             return self._take_whole(result)
-        rows = [row for row in answer.rows if row.part == self._part]
+        part = self._part()
+        rows = [row for row in answer.rows if row.part == part]
         if rows:
             self._on_changes(rows)
         self._note(answer)
@@ -180,6 +183,6 @@
         return None
 
     def _note(self, answer: Rows) -> None:
-        self._version = max(self._version or 0, answer.version)
+        self._version = max(self.version, answer.version)
         if self._on_proof is not None:
             self._on_proof(answer.true_at_s)
--- a/indigoworks/rowstore/transaction.py
+++ b/indigoworks/rowstore/transaction.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-ABSENT = 0
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
+
+ABSENT = NO_VERSION
 """Expected version of a row that must not be there."""
 
 
@@ -12,7 +14,7 @@
 
     table: str
     key: str
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,8 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Transaction:
-    """Conditions and writes within one part, at most 100 together."""
+    """Conditions and writes within one part, at most 100 together.
+
+    :ivar era: era of the store for which it is meant; it is not sent in another one.
+    """
 
+    era: int
     part: str
     expected: tuple[ExpectedVersion, ...]
     puts: tuple[RowPut, ...]
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -6,6 +6,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.servers.cold_servers import ColdServers
 from indigoworks.servers.server_notice import ServerNotice
 from indigoworks.servers.server_notices import ServerNotices
@@ -57,7 +58,7 @@
         self._listed: dict[str, ServerRecord] = {}
         self._vanished: dict[str, tuple[ServerRecord, float]] = {}
         self._replaced: dict[str, float] = {}
-        self._first_versions: dict[str, int] = {}
+        self._first_versions: dict[str, StoreVersion] = {}
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
         self._services_at: dict[str, str] = {}
 
@@ -74,6 +75,8 @@
         if known is not None and known.version >= record.version:
             return
         earlier = self.get(record.server_id)
+        if earlier is not None and record.is_older_word_than(earlier):
+            return
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
             # What another life asked for concerns this one no more.
             self.notices.forget(record.server_id)
@@ -137,6 +140,10 @@
         records = self._by_service.get(service, {})
         return [record for record in records.values() if self.is_usable(record.server_id)]
 
+    def known(self, service: str) -> Iterable[ServerRecord]:
+        """Return the servers of `service` that are listed or were so a short time ago."""
+        return self._by_service.get(service, {}).values()
+
     def listed(self) -> Iterable[ServerRecord]:
         """Return all entries of the list, leaving servers included."""
         return self._listed.values()
@@ -279,6 +286,6 @@
             server=record.server_id,
             service=record.service,
             address=str(record.address),
-            version=record.version,
+            version=str(record.version),
             **fields,
         )
--- a/indigoworks/servers/server_source.py
+++ b/indigoworks/servers/server_source.py
@@ -17,6 +17,10 @@
         """Return the servers of `service` that may get new work."""
         ...
 
+    def known(self, service: str) -> Iterable[ServerRecord]:
+        """Return the servers of `service` that are listed or were so a short time ago."""
+        ...
+
     def get(self, server_id: str) -> ServerRecord | None:
         """Return a server that is listed or was so a short time ago, leaving ones included."""
         ...
--- a/indigoworks_lab/control_simulation/broken_control_rules.py
+++ b/indigoworks_lab/control_simulation/broken_control_rules.py
@@ -35,8 +35,8 @@
     return bounds.own_until_s(server_id, first, last)
 
 
-def _unconditional(part: str, _expected: Any, puts: Any) -> Transaction:
-    return Transaction(part, (), puts)
+def _unconditional(era: int, part: str, _expected: Any, puts: Any) -> Transaction:
+    return Transaction(era, part, (), puts)
 
 
 def _no_leavers(_leader: GroupLeader, _service: str, _table: Any) -> dict[str, str]:
--- a/indigoworks_lab/control_simulation/broken_row_rules.py
+++ b/indigoworks_lab/control_simulation/broken_row_rules.py
@@ -28,13 +28,13 @@
     return await _write(writer, table, reason)
 
 
-def _of_table_only(part: str, expected: Any, puts: Any) -> Transaction:
-    return Transaction(part, expected[1:], puts)
+def _of_table_only(era: int, part: str, expected: Any, puts: Any) -> Transaction:
+    return Transaction(era, part, expected[1:], puts)
 
 
 def _challenge_blindly(leadership: Leadership, row: LeaderRow) -> Transaction:
     put = RowPut(CONTROL_TABLE, LEADER_KEY, row.encode())
-    return Transaction(leadership._group.part, (), (put,))
+    return leadership._group.transaction((), (put,))
 
 
 def _take_any_version(holder: ConfigurationHolder, configuration: Configuration) -> None:
--- a/indigoworks_lab/control_simulation/control_audit.py
+++ b/indigoworks_lab/control_simulation/control_audit.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from indigoworks.ownership.key_grant import KeyGrant
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.rowstore.transaction import Transaction
 from indigoworks_lab.control_simulation.event_digest import EventDigest
 from indigoworks_lab.control_simulation.grant_row_checker import GrantRowChecker
@@ -87,14 +88,14 @@
         self._lease.note_leader()
         self._grant_rows.note_table()
 
-    def acknowledged(self, transaction: Transaction, version: int) -> None:
+    def acknowledged(self, transaction: Transaction, version: StoreVersion) -> None:
         """A process learnt that its transaction was made."""
         self.rows.acknowledged(transaction, version)
 
-    def returned(self) -> None:
-        """The store came back from a copy."""
+    def returned(self, copied: StoreVersion) -> None:
+        """The store came back from a copy of that version."""
         self._lease.note_leader()
-        self.rows.returned()
+        self.rows.returned(copied)
 
     # ---- nodes ----
 
--- a/indigoworks_lab/control_simulation/count_traffic.py
+++ b/indigoworks_lab/control_simulation/count_traffic.py
@@ -5,7 +5,7 @@
 
 import fire
 
-from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
 from indigoworks_lab.control_simulation import traffic_counter
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
@@ -64,7 +64,7 @@
         deployment.traffic.clear()
         await asyncio.sleep(self._window_s)
         self.tables_written = deployment.audit.rows.tables_written - written
-        row = deployment.store.rows.row(CONTROL_TABLE, ControlGroup().part, OWNERS_PREFIX + SERVICE)
+        row = deployment.store.rows.row(CONTROL_TABLE, part_of(0), OWNERS_PREFIX + SERVICE)
         self.owners_bytes = 0 if row is None else len(row.value)
         leader = deployment.leader()
         assert leader is not None, "no gateway leads"
--- a/indigoworks_lab/control_simulation/grant_row_checker.py
+++ b/indigoworks_lab/control_simulation/grant_row_checker.py
@@ -1,9 +1,10 @@
 """A server takes keys only as a row said before: its own, under that token."""
 
-from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
+from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks_lab.control_simulation.interval_map import IntervalMap
 from indigoworks_lab.control_simulation.memory_rows import MemoryRows
 from indigoworks_lab.control_simulation.server_entry import SERVICE
@@ -20,15 +21,15 @@
     def __init__(self, rows: MemoryRows, violations: ViolationList) -> None:
         self._rows = rows
         self._violations = violations
-        self._version = (0, 0)
+        self._version = NO_VERSION
         self._written: dict[ServerToken, IntervalMap[bool]] = {}
 
     def note_table(self) -> None:
         """Take note of the table as it is now; called after each transaction."""
-        row = self._rows.row(CONTROL_TABLE, ControlGroup().part, OWNERS_PREFIX + SERVICE)
-        if row is None or (self._rows.era, row.version) == self._version:
+        row = self._rows.row(CONTROL_TABLE, part_of(self._rows.era), OWNERS_PREFIX + SERVICE)
+        if row is None or row.version == self._version:
             return
-        self._version = (self._rows.era, row.version)
+        self._version = row.version
         for owned in OwnershipTable.decode(SERVICE, row.value, row.version).ranges:
             keys = self._written.setdefault((owned.server_id, owned.token), IntervalMap(False))
             keys.set(owned.first, owned.last, True)
--- a/indigoworks_lab/control_simulation/lease_checker.py
+++ b/indigoworks_lab/control_simulation/lease_checker.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.ownership.leadership import LEADER_LEASE_S
 from indigoworks_lab.control_simulation.memory_rows import MemoryRows
@@ -25,8 +25,8 @@
 
     def note_leader(self) -> None:
         """Take note of whom the row names; called after each transaction."""
-        row = self._rows.row(CONTROL_TABLE, ControlGroup().part, LEADER_KEY)
-        boot = "" if row is None else LeaderRow.decode(row.value, 1).boot
+        row = self._rows.row(CONTROL_TABLE, part_of(self._rows.era), LEADER_KEY)
+        boot = "" if row is None else LeaderRow.decode(row.value, row.version).boot
         if boot != self._named[-1][1]:
             self._named.append((self._loop.time(), boot))
 
--- a/indigoworks_lab/control_simulation/node_store.py
+++ b/indigoworks_lab/control_simulation/node_store.py
@@ -7,9 +7,16 @@
 from result import Err, Ok, Result
 
 from indigoworks.common.clock import Clock
-from indigoworks.rowstore.errors import StoreError, StoreRefused, StoreUnreachable
+from indigoworks.rowstore.errors import (
+    EraEnded,
+    HistoryGone,
+    StoreError,
+    StoreRefused,
+    StoreUnreachable,
+)
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.rowstore.transaction import Transaction
 from indigoworks_lab.control_simulation.memory_rows import RowState
 from indigoworks_lab.control_simulation.simulated_store import SimulatedStore, StoreAnswer
@@ -39,7 +46,7 @@
         """That transaction was tried."""
         ...
 
-    def acknowledged(self, transaction: Transaction, version: int) -> None:
+    def acknowledged(self, transaction: Transaction, version: StoreVersion) -> None:
         """A process was told that its transaction was made."""
         ...
 
@@ -73,8 +80,12 @@
 
         return _rows(await self._call("read", operation, 0.0, False))
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Result[Rows, StoreError]:
+    async def follow(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> Result[Rows, StoreError]:
         """Wait for changed rows of a table."""
+        if after.era != self._health.eras.current:
+            return Err(HistoryGone("The store has come back from a copy.", REMEDY))
 
         async def operation() -> Result[RowState, StoreError]:
             await self._store.rows.wait_for_change(table, after, wait_s)
@@ -82,10 +93,12 @@
 
         return _rows(await self._call("feed", operation, wait_s, False))
 
-    async def commit(self, transaction: Transaction) -> Result[int, StoreError]:
+    async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
         """Make a transaction."""
+        if transaction.era != self._health.eras.current:
+            return Err(_era_ended())
 
-        async def operation() -> Result[int, StoreError]:
+        async def operation() -> Result[StoreVersion, StoreError]:
             self._watcher.committing(self._boot, transaction)
             result = self._store.rows.commit(transaction)
             self._watcher.committed()
@@ -106,6 +119,8 @@
         is_write: bool,
     ) -> Result[tuple[ResultT, float], StoreError]:
         sent_s = self._clock.now()
+        eras = self._health.eras
+        asked_in = eras.current if eras.is_known else None
         future: asyncio.Future[StoreAnswer[Result[ResultT, StoreError]]]
         future = asyncio.get_running_loop().create_future()
         self._run_outside(self._store.carry(self._node, operation, is_write, future))
@@ -115,6 +130,9 @@
         except TimeoutError:
             self._health.note_trouble(name, "unreachable")
             return Err(StoreUnreachable("No answer came.", REMEDY))
+        eras.note(answer.era)
+        if answer.era < eras.current or asked_in not in (None, answer.era):
+            return Err(_era_ended())
         if answer.result is None:
             self._health.note_trouble(name, "refused")
             return Err(StoreRefused("Nothing was done.", REMEDY))
@@ -127,6 +145,10 @@
         return Ok((answer.result.unwrap(), true_at_s))
 
 
+def _era_ended() -> StoreError:
+    return EraEnded("The store has come back from a copy.", REMEDY)
+
+
 def _rows(result: Result[tuple[RowState, float], StoreError]) -> Result[Rows, StoreError]:
     if isinstance(result, Err):
         return result
--- a/indigoworks_lab/control_simulation/row_checker.py
+++ b/indigoworks_lab/control_simulation/row_checker.py
@@ -4,6 +4,7 @@
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 from indigoworks.rowstore.transaction import Transaction
 from indigoworks_lab.control_simulation.memory_rows import MemoryRows
 from indigoworks_lab.control_simulation.violation_list import ViolationList
@@ -23,18 +24,18 @@
     def __init__(self, rows: MemoryRows, violations: ViolationList) -> None:
         self._rows = rows
         self._violations = violations
-        self._acknowledged: dict[tuple[str, str], int] = {}
+        self._acknowledged: dict[tuple[str, str], StoreVersion] = {}
         self.tables_written = 0
 
     def committing(self, boot: str, transaction: Transaction) -> None:
         """A transaction is about to be tried."""
         expected = {each.key: each.version for each in transaction.expected}
         versions = {
-            key: 0 if row is None else row.version
+            key: NO_VERSION if row is None else row.version
             for key in {*expected, *(put.key for put in transaction.puts)}
             for row in [self._rows.row(CONTROL_TABLE, transaction.part, key)]
         }
-        if any(versions[key] != version for key, version in expected.items()):
+        if any(versions[key].counter != each.counter for key, each in expected.items()):
             return
         for put in transaction.puts:
             is_owners = put.key.startswith(OWNERS_PREFIX)
@@ -44,36 +45,36 @@
                 self.tables_written += 1
                 self._check_table(boot, transaction.part, put.key, put.value)
 
-    def acknowledged(self, transaction: Transaction, version: int) -> None:
+    def acknowledged(self, transaction: Transaction, version: StoreVersion) -> None:
         """A process learnt that its transaction was made."""
         for put in transaction.puts:
-            known = self._acknowledged.get((transaction.part, put.key), 0)
+            known = self._acknowledged.get((transaction.part, put.key), NO_VERSION)
             self._acknowledged[(transaction.part, put.key)] = max(known, version)
 
-    def returned(self) -> None:
-        """The store came back from a copy: it lost what it had acknowledged since."""
-        newest = self._rows.version
-        kept = {key: version for key, version in self._acknowledged.items() if version <= newest}
-        self._acknowledged = kept
+    def returned(self, copied: StoreVersion) -> None:
+        """The store came back from a copy of that version: it lost what it acknowledged later."""
+        self._acknowledged = {
+            key: version for key, version in self._acknowledged.items() if version <= copied
+        }
 
     def check_end(self) -> None:
         """Compare what was acknowledged with what the store holds."""
         for (part, key), version in self._acknowledged.items():
             row = self._rows.row(CONTROL_TABLE, part, key)
-            if row is None or row.version < version:
+            if row is None or row.version.counter < version.counter:
                 self._add(f"{key} was acknowledged in version {version} and is gone")
 
     def _check_table(self, boot: str, part: str, key: str, value: bytes) -> None:
         leader = self._rows.row(CONTROL_TABLE, part, LEADER_KEY)
-        if leader is None or LeaderRow.decode(leader.value, 1).boot != boot:
+        if leader is None or LeaderRow.decode(leader.value, leader.version).boot != boot:
             self._add(f"{boot} writes {key} and does not lead")
-        table = OwnershipTable.decode("", value, 0)
+        table = OwnershipTable.decode("", value, NO_VERSION)
         if sum(each.width for each in table.ranges) != KEY_COUNT:
             self._add(f"{boot} writes {key}, which does not cover the keys")
         before = self._rows.row(CONTROL_TABLE, part, key)
         if before is None:
             return
-        highest = OwnershipTable.decode("", before.value, 0).highest_token
+        highest = OwnershipTable.decode("", before.value, NO_VERSION).highest_token
         if table.highest_token < highest:
             self._add(f"{boot} lowers the highest token of {key} from {highest}")
 
--- a/indigoworks_lab/control_simulation/run_control_seed.py
+++ b/indigoworks_lab/control_simulation/run_control_seed.py
@@ -6,7 +6,7 @@
 
 from detangle._config import NetConfig, SimConfig
 
-from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
+from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
 from indigoworks_lab.control_simulation.control_plan import CALM_S, ControlPlan, draw_plan
@@ -47,7 +47,7 @@
     loop.run_until_complete(main)
     audit, rows = deployment.audit, deployment.store.rows
     audit.rows.check_end()
-    leader = rows.row(CONTROL_TABLE, ControlGroup().part, LEADER_KEY)
+    leader = rows.row(CONTROL_TABLE, part_of(rows.era), LEADER_KEY)
     return ControlReport(
         seed=seed,
         plan=plan,
@@ -56,7 +56,7 @@
         grants=audit.grants,
         begun=audit.begun,
         moves=audit.rows.tables_written,
-        epochs=0 if leader is None else LeaderRow.decode(leader.value, 1).epoch,
+        epochs=0 if leader is None else LeaderRow.decode(leader.value, leader.version).epoch,
         served_again_s=deployment.recovery.served_again_s,
         digest=audit.digest.text(),
     )
--- a/indigoworks_lab/control_simulation/server_entry.py
+++ b/indigoworks_lab/control_simulation/server_entry.py
@@ -46,6 +46,7 @@
         is_draining=entry["is_draining"],
         warm_up_left_s=0.0,
         version=row.version,
+        sequence=entry["sequence"],
     )
     return Ok(record)
 
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -22,7 +22,7 @@
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.rowstore.store_health import StoreHealth
-from indigoworks.rowstore.transaction import RowPut, Transaction
+from indigoworks.rowstore.transaction import RowPut
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks_lab.control_simulation.node_exchange import NodeExchange
 from indigoworks_lab.control_simulation.node_orders import NodeOrders
@@ -109,8 +109,9 @@
         address = self._settings.peer_address
         endpoint = (address.host, address.port)
         self._world.datagrams.attach(endpoint, self.name, self.process, self._exchange)
-        for follower in (*self._platform.followers, self.control.follower):
+        for follower in self._platform.followers:
             self.process.spawn(follower.run())
+        self.process.spawn(self.control.follow())
         self.process.spawn(self._register())
         self.process.spawn(self._exchange.run())
         self.process.spawn(self.control.member.run())
@@ -182,8 +183,11 @@
     async def _register(self) -> None:
         peer = PeerAddress(self.name, self.boot, self._settings.zone, self._settings.peer_address)
         put = RowPut(CONTROL_TABLE, PEER_PREFIX + peer.node, encode_peer(peer))
-        transaction = Transaction(self.control.group.part, (), (put,))
-        while isinstance(await self._ports.store.commit(transaction), Err):
+        eras = self._ports.health.eras
+        await eras.wait_known()
+        while isinstance(
+            await self._ports.store.commit(self.control.group.transaction((), (put,))), Err
+        ):
             await self._clock.sleep(REGISTER_RETRY_S)
 
     def _has_news(self) -> bool:
--- a/indigoworks_lab/crash_simulation/crash_simulation.py
+++ b/indigoworks_lab/crash_simulation/crash_simulation.py
@@ -10,6 +10,7 @@
 from indigoworks.exchange.peer_directory import PEER_PREFIX, encode_peer
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.rowstore.row import Row
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks_lab.crash_simulation.build_gateway import ZONES, build_gateway, zone_of
 from indigoworks_lab.crash_simulation.caller_answer import CallerAnswer
@@ -239,5 +240,5 @@
             slots=machine.slots,
             is_draining=False,
             warm_up_left_s=0.0,
-            version=self._entry_version,
+            version=StoreVersion(0, self._entry_version),
         )
--- a/indigoworks_lab/crash_simulation/group_store.py
+++ b/indigoworks_lab/crash_simulation/group_store.py
@@ -8,6 +8,7 @@
 from indigoworks.rowstore.errors import StoreError, StoreUnreachable
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
+from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.rowstore.transaction import Transaction
 
 COMMIT_S = 0.005
@@ -23,12 +24,12 @@
         self.rows: dict[str, Row] = {}
         self.is_down = False
         self.commits = 0
-        self._version = 0
+        self._version = StoreVersion(0, 0)
         self._on_row = on_row
 
     def put(self, table: str, part: str, key: str, value: bytes) -> None:
         """Write a row."""
-        self._version += 1
+        self._version = StoreVersion(0, self._version.counter + 1)
         self.rows[key] = Row(table, part, key, value, self._version)
         self._on_row(self.rows[key])
 
@@ -38,11 +39,13 @@
         now_s = asyncio.get_running_loop().time()
         return Ok(Rows(tuple(self.rows.values()), self._version, now_s, is_whole=True))
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Result[Rows, StoreError]:
+    async def follow(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> Result[Rows, StoreError]:
         """Return all rows: the simulation hands changes on itself."""
         return await self.read(table, "")
 
-    async def commit(self, transaction: Transaction) -> Result[int, StoreError]:
+    async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
         """Make a transaction without conditions."""
         self.commits += 1
         await asyncio.sleep(COMMIT_S)
--- a/indigoworks_lab/crash_simulation/owner_moves.py
+++ b/indigoworks_lab/crash_simulation/owner_moves.py
@@ -6,6 +6,7 @@
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.rowstore.store_version import StoreVersion
 
 
 class OwnerMoves:
@@ -29,7 +30,7 @@
                 zip(firsts, lasts, server_ids, strict=True), 1
             )
         )
-        self.tables.put(OwnershipTable(service, ranges, len(ranges), 1))
+        self._put(service, ranges, len(ranges))
 
     def move(self, service: str, server_id: str, heirs: Sequence[str]) -> None:
         """Give the keys of one server to another one."""
@@ -42,4 +43,8 @@
             OwnedRange(each.first, each.last, heir, token) if each.server_id == server_id else each
             for each in table.ranges
         )
-        self.tables.put(OwnershipTable(service, ranges, token, table.version + 1))
+        self._put(service, ranges, token)
+
+    def _put(self, service: str, ranges: tuple[OwnedRange, ...], token: int) -> None:
+        version = StoreVersion(0, self.tables.table(service).version.counter + 1)
+        self.tables.put(OwnershipTable(service, ranges, token, version))
