Addresses of gateways and verdicts on requests are written again in a new era of the store

A gateway that starts after the store came back from a copy finds no other one, and a restart of all forgets requests under which servers ended. Cause: each row of ours was written once. In a new era the group's part is empty, and what the copy holds lies in the former one. The scenario of verdicts fails without it ('nothing was written') and passes with it. Why it works: every gateway writes its own address once in each era, drawn over the number of gateways / 40 s, since a part of the store takes some hundred writes a second; verdicts are written again by who wrote them; those of gateways that are gone come with the next refusal anywhere, which finds no row. Ruled out: the leader copies the rows (it is busy with the tables then, and does not know what the copy lacks).

--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -112,3 +112,10 @@
 
   Scenario: Gateways agree
     Then gateway quarantines end with the same whatever they hear in which order
+
+  Scenario: A verdict in a row that the store has lost is written again
+    Given a gateway quarantine whose verdicts go to rows of the store
+    When three servers end under a request of that quarantine
+    Then the store holds the verdict in the part of era 0
+    When the store comes back from a copy without that row
+    Then the store holds the verdict in the part of era 1
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -37,6 +37,9 @@
 
 TIDY_PERIOD_S = 1.0
 REGISTER_RETRY_S = 0.3
+REGISTERED_PER_S = 40.0
+"""Gateways that write their address again each second when the store has lost the addresses: those
+that run know each other, and a part of the store takes some hundred writes a second."""
 
 LISTEN_AFTER_STOP_S = 2.6
 """After the stop signal new connections are accepted for so long: callers are sent here until two
@@ -64,7 +67,7 @@
         settings = settings_in_force.current
         self._clock = LoopClock()
         self._boot = uuid.uuid4().hex[:8]
-        random = Random(self._boot)
+        random = self._random = Random(self._boot)
         self._metric_values = Metrics()
         ports = self._ports = self._counted(ports)
         self._peers = PeerTable(self._clock, settings.node)
@@ -227,8 +230,19 @@
             raise
 
     async def _register(self) -> None:
-        """Write this process's row, so that peers can reach it."""
-        await self._ports.health.eras.wait_known()
+        """Write this process's row, so that peers can reach it, in each era of the store."""
+        eras = self._ports.health.eras
+        await eras.wait_known()
+        while True:
+            era = eras.current
+            await self._write_address()
+            log_message(message_type="peer:registered", era=era)
+            await eras.wait_after(era)
+            # All gateways write one part, which takes a bounded number of writes a second.
+            span_s = self._directory.count_others() / REGISTERED_PER_S
+            await self._clock.sleep(self._random.uniform(0.0, span_s))
+
+    async def _write_address(self) -> None:
         peer = self._own_address()
         put = RowPut(CONTROL_TABLE, PEER_PREFIX + peer.node, encode_peer(peer))
         while isinstance(
--- a/indigoworks/quarantine/quarantine_rows.py
+++ b/indigoworks/quarantine/quarantine_rows.py
@@ -79,7 +79,21 @@
         self._wanted: dict[RequestMark, None] = {}
         self._written_s: dict[int, float] = {}
         self._stored: dict[int, RequestMark] = {}
+        self._own: set[RequestMark] = set()
         self._has_work = asyncio.Event()
+        health.eras.on_new(self._begin_era)
+
+    def _begin_era(self) -> None:
+        """Have the own rows written again: the store has lost all of the former era.
+
+        Rows of gateways that have ended come again with the next refusal anywhere.
+        """
+        self._written_s.clear()
+        self._stored.clear()
+        for mark in self._own:
+            suspect = self._quarantine.get(mark)
+            if suspect is not None:
+                self.want(suspect)
 
     def want(self, suspect: Suspect) -> None:
         """Have written what is known of a request."""
@@ -123,6 +137,7 @@
         suspect = self._quarantine.get(mark)
         if suspect is None:
             del self._wanted[mark]
+            self._own.discard(mark)
             return True
         stored = StoredSuspect(
             self._quarantine.note_of(suspect), self._health.to_store_ms(self._clock.now())
@@ -131,6 +146,7 @@
         if isinstance(await self._store.commit(self._make_transaction((), (put,))), Err):
             return False
         self._note_stored(mark, self._clock.now())
+        self._own.add(mark)
         written = self._quarantine.get(mark)
         if written is None or written.crashes == suspect.crashes:
             # Otherwise it has changed meanwhile, and is written once more.
--- a/indigoworks_lab/control_simulation/row_checker.py
+++ b/indigoworks_lab/control_simulation/row_checker.py
@@ -1,6 +1,9 @@
 """Acknowledged rows are never lost, unless the store itself comes back from a copy."""
 
-from indigoworks.ownership.control_group import CONTROL_TABLE
+from collections.abc import Iterable
+
+from indigoworks.exchange.peer_directory import PEER_PREFIX
+from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
@@ -64,6 +67,12 @@
             if row is None or row.version.counter < version.counter:
                 self._add(f"{key} was acknowledged in version {version} and is gone")
 
+    def check_addresses(self, nodes: Iterable[str]) -> None:
+        """Check that the store holds the address of each living node, where its era has them."""
+        for node in nodes:
+            if self._rows.row(CONTROL_TABLE, part_of(self._rows.era), PEER_PREFIX + node) is None:
+                self._add(f"{node} has no address in era {self._rows.era}")
+
     def _check_table(self, boot: str, part: str, key: str, value: bytes) -> None:
         leader = self._rows.row(CONTROL_TABLE, part, LEADER_KEY)
         if leader is None or LeaderRow.decode(leader.value, leader.version).boot != boot:
--- a/indigoworks_lab/control_simulation/run_control_seed.py
+++ b/indigoworks_lab/control_simulation/run_control_seed.py
@@ -47,6 +47,7 @@
     loop.run_until_complete(main)
     audit, rows = deployment.audit, deployment.store.rows
     audit.rows.check_end()
+    audit.rows.check_addresses(each.name for each in deployment.living_nodes())
     leader = rows.row(CONTROL_TABLE, part_of(rows.era), LEADER_KEY)
     return ControlReport(
         seed=seed,
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -185,10 +185,13 @@
         put = RowPut(CONTROL_TABLE, PEER_PREFIX + peer.node, encode_peer(peer))
         eras = self._ports.health.eras
         await eras.wait_known()
-        while isinstance(
-            await self._ports.store.commit(self.control.group.transaction((), (put,))), Err
-        ):
-            await self._clock.sleep(REGISTER_RETRY_S)
+        while True:
+            era = eras.current
+            while isinstance(
+                await self._ports.store.commit(self.control.group.transaction((), (put,))), Err
+            ):
+                await self._clock.sleep(REGISTER_RETRY_S)
+            await eras.wait_after(era)
 
     def _has_news(self) -> bool:
         return self._board.loads() != self._reported_loads or self._sampler.has_samples()
