Evacuations that a copy of the store lacks stay until the operator has written them again

An evacuation that was acknowledged in the span that the store lost ended with the first reading of the new era, and work went to the zone until the operator had written it again. Cause: a whole reading is taken for all that the operator wants; in a new era it is what the copy holds. Evidence: the first scenario fails without this (servers of z1 get new work) and passes with it; the second, that an evacuation which nobody writes again ends, passes with it. Why it works: at a new era the known evacuations are kept for 5 s, as long as one may take to be in force everywhere; what is not written again by then ends. Also: lines for a configuration and a server's word that stay although the copy names an older one (configuration:kept, server:kept), as the report could not tell what was dropped. Conclusion: the newest configuration stays by its own number, a leaving by the server's sequence, an evacuation by time.

--- a/features/gateway_evacuation.feature
+++ b/features/gateway_evacuation.feature
@@ -26,6 +26,22 @@
     And the operator takes zone "z1" back, and the store forgets its history
     Then that gateway sends new work to servers of "z1, z2" only
 
+  Scenario: An evacuation that a copy of the store lacks stays until the operator has written it again
+    Given a gateway that follows the operator's rows, with a server in zone "z1" and one in zone "z2"
+    When the operator evacuates zone "z1"
+    And the store comes back from a copy that lacks the evacuation of zone "z1"
+    Then that gateway sends new work to servers of "z2" only
+    When the operator evacuates zone "z1"
+    And 6 s pass for that gateway
+    Then that gateway sends new work to servers of "z2" only
+
+  Scenario: An evacuation that nobody writes again after the store came back ends
+    Given a gateway that follows the operator's rows, with a server in zone "z1" and one in zone "z2"
+    When the operator evacuates zone "z1"
+    And the store comes back from a copy that lacks the evacuation of zone "z1"
+    And 6 s pass for that gateway
+    Then that gateway sends new work to servers of "z1, z2" only
+
   Scenario: Peers tell of an evacuation whose row did not arrive
     Given a gateway that follows the operator's rows, with a server in zone "z1" and one in zone "z2"
     When the operator evacuates zone "z1", and the answer that tells so is lost
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -32,6 +32,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.version = 1
+        self.era = 0
         self.first_version = 0
         self.rows = {"config": Row(TABLE, "", "config", b"1", at(1))}
         self.removed = {}
@@ -40,23 +41,37 @@
 
     def put(self, key):
         self.version += 1
-        self.rows[key] = Row(TABLE, "", key, b"{}", at(self.version))
+        self.rows[key] = Row(TABLE, "", key, b"{}", self.newest())
         self._wake()
 
     def remove(self, key):
         self.version += 1
-        self.removed[key] = replace(self.rows.pop(key), version=at(self.version), is_removed=True)
+        self.removed[key] = replace(self.rows.pop(key), version=self.newest(), is_removed=True)
         self._wake()
 
     def forget_history(self):
         self.first_version = self.version
         self.removed.clear()
 
+    def come_back_without(self, key):
+        """Come back from a copy that lacks a row."""
+        self.era += 1
+        self.rows = {
+            name: replace(row, version=at(row.version.counter, self.era))
+            for name, row in self.rows.items()
+            if name != key
+        }
+        self.removed.clear()
+        self._wake()
+
+    def newest(self):
+        return at(self.version, self.era)
+
     async def read(self, table, part):
-        return Ok(Rows(tuple(self.rows.values()), at(self.version), self.clock.now()))
+        return Ok(Rows(tuple(self.rows.values()), self.newest(), self.clock.now()))
 
     async def follow(self, table, after, wait_s):
-        if self.is_losing or at(self.version) == after:
+        if self.is_losing or self.newest() == after:
             self.changed.clear()
             waits = [
                 asyncio.ensure_future(self.changed.wait()),
@@ -65,7 +80,7 @@
             await asyncio.wait(waits[self.is_losing :], return_when=asyncio.FIRST_COMPLETED)
             for each in waits:
                 each.cancel()
-        if after.counter < self.first_version:
+        if after.era != self.era or after.counter < self.first_version:
             return Err(HistoryGone("gone", "read again"))
         if self.is_losing:
             return Ok(Rows((), after, self.clock.now()))
@@ -73,7 +88,7 @@
         newer = sorted(
             (each for each in known if each.version > after), key=lambda row: row.version
         )
-        return Ok(Rows(tuple(newer), at(self.version), self.clock.now()))
+        return Ok(Rows(tuple(newer), self.newest(), self.clock.now()))
 
     def _wake(self):
         if not self.is_losing:
@@ -82,8 +97,10 @@
 
 def start(context):
     clock, store = context.evacuation_clock, context.evacuation_store
+    health = context.evacuation_health = StoreHealth(clock)
+    health.eras.note(store.era)
     ports = make_ports(
-        StoreHealth(clock),
+        health,
         store=store,
         read_configuration=lambda value: Ok(make_configuration(int(value))),
         read_evacuated_zone=read_evacuated_zone,
@@ -135,6 +152,24 @@
     change(context, act)
 
 
+@when('the store comes back from a copy that lacks the evacuation of zone "{zone}"')
+def step_come_back(context, zone):
+    def act():
+        context.evacuation_store.come_back_without(f"evacuate/{zone}")
+        context.evacuation_health.eras.note(context.evacuation_store.era)
+
+    change(context, act)
+
+
+@when("{duration_s:g} s pass for that gateway")
+def step_time_passes(context, duration_s):
+    async def run():
+        await context.evacuation_clock.advance(duration_s)
+        context.evacuation_side.tidy()
+
+    context.run_async(run())
+
+
 @when('the operator evacuates zone "{zone}", and the answer that tells so is lost')
 def step_evacuate_unheard(context, zone):
     def act():
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -263,6 +263,7 @@
         while True:
             await self._clock.sleep(TIDY_PERIOD_S)
             self._requests.tidy()
+            self._platform.tidy()
 
     # ---- exchange ----
 
--- a/indigoworks/gateway/platform_side.py
+++ b/indigoworks/gateway/platform_side.py
@@ -83,6 +83,7 @@
         self._is_relay = is_relay
         self._configuration_row_version = NO_VERSION
         self._has_read_servers = False
+        self._written_zones: set[str] = set()
         self.operator_row_version = NO_VERSION
         self._unreadable: dict[str, str] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -110,7 +111,6 @@
                 pace_s=self._servers_pace_s,
             ),
         )
-
         ports.health.eras.on_new(self._begin_era)
 
     def use_settings(self, settings: GatewaySettings) -> None:
@@ -142,14 +142,20 @@
         """Return the version up to which all rows of the operator are known here."""
         return self.followers[0].version
 
+    def tidy(self) -> None:
+        """End what was kept through a new era of the store and was not written again."""
+        self.servers.evacuations.end_kept(self._written_zones)
+
     def _begin_era(self) -> None:
-        """Read all anew; the newest configuration stays in force meanwhile."""
+        """Read all anew; the newest configuration and the evacuations stay in force meanwhile."""
+        self.servers.evacuations.keep_all()
         for follower in self.followers:
             follower.ask_anew()
 
     def _take_all_operator_rows(self, rows: Sequence[Row]) -> None:
         zones = (self._ports.read_evacuated_zone(row.key) for row in rows)
-        self.servers.evacuations.keep_only(zone for zone in zones if zone is not None)
+        self._written_zones = {zone for zone in zones if zone is not None}
+        self.servers.evacuations.keep_only(self._written_zones)
         self._take_operator_rows(rows)
 
     def _take_operator_rows(self, rows: Sequence[Row]) -> None:
@@ -163,8 +169,10 @@
         if zone is None:
             return
         if row.is_removed:
+            self._written_zones.discard(zone)
             self.servers.evacuations.end(zone)
         else:
+            self._written_zones.add(zone)
             self.servers.evacuations.begin(zone)
         self._notify()
 
@@ -183,7 +191,7 @@
             result = self._ports.read_configuration(row.value)
             if isinstance(result, Ok):
                 self._configuration_row_version = row.version
-                self.configurations.put_in_force(result.unwrap())
+                self._put_in_force(result.unwrap())
                 return
             log_message(
                 message_type="configuration:refused",
@@ -192,6 +200,16 @@
                 reason=str(result.unwrap_err()),
             )
 
+    def _put_in_force(self, configuration: Configuration) -> None:
+        current = self.configurations.current()
+        if current is not None and configuration.version < current.version:
+            log_message(
+                message_type="configuration:kept",
+                version=current.version,
+                written=configuration.version,
+            )
+        self.configurations.put_in_force(configuration)
+
     def _take_cold_limits(self, configuration: Configuration) -> None:
         if not self._bounds_cold_servers:
             return
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -76,6 +76,7 @@
             return
         earlier = self.get(record.server_id)
         if earlier is not None and record.is_older_word_than(earlier):
+            self._note_older_word(record, earlier)
             return
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
             # What another life asked for concerns this one no more.
@@ -89,6 +90,11 @@
         if known is None or known.is_draining != record.is_draining:
             self._log("server:listed", record, is_draining=record.is_draining)
 
+    def _note_older_word(self, record: ServerRecord, known: ServerRecord) -> None:
+        is_vanished = known.server_id in self._vanished
+        if is_vanished or known.is_draining != record.is_draining:
+            self._log("server:kept", known, is_vanished=is_vanished, is_draining=known.is_draining)
+
     def remove(self, server_id: str) -> None:
         """Take note that an entry vanished."""
         record = self._listed.pop(server_id, None)
--- a/indigoworks/servers/zone_evacuations.py
+++ b/indigoworks/servers/zone_evacuations.py
@@ -6,6 +6,10 @@
 
 from indigoworks.common.clock import Clock
 
+WRITTEN_AGAIN_S = 5.0
+"""The operator has written again what a copy of the store lacks within this time: as long as an
+evacuation may take to be in force everywhere."""
+
 
 class ZoneEvacuations:
     """Evacuated zones, and when the evacuations of the others ended.
@@ -17,9 +21,29 @@
         self._clock = clock
         self._begun_s: dict[str, float] = {}
         self._ended_s: dict[str, float] = {}
+        self._kept_until_s: dict[str, float] = {}
 
     # ---- changes ----
 
+    def keep_all(self) -> None:
+        """Keep the evacuations that are known for a while, whatever a reading lacks.
+
+        The store has come back from a copy; the operator writes again what the copy does not hold.
+        """
+        until_s = self._clock.now() + WRITTEN_AGAIN_S
+        self._kept_until_s = dict.fromkeys(self._begun_s, until_s)
+        if self._begun_s:
+            log_message(message_type="zone:evacuations_kept", zones=sorted(self._begun_s))
+
+    def end_kept(self, zones: Iterable[str]) -> None:
+        """End the evacuations that were kept for long enough and are not among `zones`."""
+        written = set(zones)
+        now_s = self._clock.now()
+        for zone in [each for each, until_s in self._kept_until_s.items() if until_s <= now_s]:
+            del self._kept_until_s[zone]
+            if zone not in written:
+                self.end(zone)
+
     def begin(self, zone: str) -> None:
         """Take note that a zone is to be empty from now on."""
         if zone in self._begun_s:
@@ -29,6 +53,7 @@
 
     def end(self, zone: str) -> None:
         """Take note that the servers of a zone may work again."""
+        self._kept_until_s.pop(zone, None)
         if self._begun_s.pop(zone, None) is None:
             return
         self._ended_s[zone] = self._clock.now()
@@ -38,7 +63,8 @@
         """Go by a whole reading: these zones are evacuated, and no others."""
         wanted = set(zones)
         for zone in [each for each in self._begun_s if each not in wanted]:
-            self.end(zone)
+            if zone not in self._kept_until_s:
+                self.end(zone)
         for zone in wanted:
             self.begin(zone)
 
