A leader that had not taken the tables of an era knows nothing of it; what a lost span may have given out is bounded range by range

Others: one bound for all keys of all servers, 22 s, where nobody knew the lost span; and a new process asked owners for their grants before it had read any server. Why it works: a table is known only if it is of the era right before; a former leader's own old row waits for peers as a new process does; what may be held is noted for the ranges that are doubted, 9 s where their owner renews its old grant, 22 s where it does not. Ruled out: to skip the wait (a server that is dark may hold the keys). Also: the report counts leaders, not the number of the last epoch; ChallengeReasons and the lease have modules of their own. Conclusion: drawn like the others: explore-control (--noreturns leaves them out), gateway-soak.

--- a/features/steps/gateway_signals_steps.py
+++ b/features/steps/gateway_signals_steps.py
@@ -13,7 +13,7 @@
 from gateway_soak_gateway import GRACE_S, SoakGateway
 from gateway_soak_ports import HeldPorts
 from gateway_soak_store import SoakStore
-from gateway_soak_world import is_ready
+from gateway_soak_waits import is_ready
 
 from indigoworks_lab.client.polling import becomes_true
 
--- a/features/steps/gateway_soak_command.py
+++ b/features/steps/gateway_soak_command.py
@@ -17,6 +17,7 @@
 from indigoworks_lab.gateway_soak.draw_limits import draw_limits
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
 from indigoworks_lab.gateway_soak.draw_rests import draw_rests
+from indigoworks_lab.gateway_soak.draw_returns import draw_returns
 from indigoworks_lab.simulation.worker_processes import worker_processes
 
 ROOT = Path(__file__).parents[2]
@@ -84,7 +85,8 @@
     plan = draw_plan(Random(seed), seconds, gateways, SERVERS)
     rests = draw_rests(Random(f"rests {seed}"), seconds, SERVERS)
     limits = draw_limits(Random(f"limits {seed}"), seconds, SERVERS)
-    await world.run(plan, seconds, rests, limits)
+    returns = draw_returns(Random(f"returns {seed}"), seconds)
+    await world.run(plan, seconds, rests, limits, returns)
     return world, check_soak(world.history)
 
 
--- a/features/steps/gateway_soak_steps.py
+++ b/features/steps/gateway_soak_steps.py
@@ -14,6 +14,7 @@
 from indigoworks_lab.gateway_soak.draw_limits import draw_limits
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
 from indigoworks_lab.gateway_soak.draw_rests import draw_rests
+from indigoworks_lab.gateway_soak.draw_returns import draw_returns
 from indigoworks_lab.gateway_soak.event_kind import EventKind
 from indigoworks_lab.gateway_soak.process_life import ProcessLife
 from indigoworks_lab.gateway_soak.server_run import ServerRun
@@ -141,7 +142,8 @@
         plan = draw_plan(Random(seed), SHORT_S, SHORT_GATEWAYS, SERVERS)
         rests = draw_rests(Random(f"rests {seed}"), SHORT_S, SERVERS)
         limits = draw_limits(Random(f"limits {seed}"), SHORT_S, SERVERS)
-        await world.run(plan, SHORT_S, rests, limits)
+        returns = draw_returns(Random(f"returns {seed}"), SHORT_S)
+        await world.run(plan, SHORT_S, rests, limits, returns)
         world.history.is_timed = False
         return world.history
 
--- a/features/steps/gateway_soak_store.py
+++ b/features/steps/gateway_soak_store.py
@@ -5,7 +5,7 @@
 import json
 from random import Random
 
-from platform_folder_store_stand_in import StoreStandIn, wire
+from platform_folder_store_stand_in import ERA_HEADER, StoreStandIn, wire
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
@@ -32,6 +32,7 @@
         self._changed = asyncio.Event()
         self._mode = ""
         self._spell = 0
+        self._is_away = False
         self._open = set()
         self.troubles: list[TimeSpan] = []
 
@@ -51,12 +52,31 @@
         spell = self._spell
         self._mode = mode
         if mode == "down":
-            for stream in list(self._open):
-                stream.close()
+            self._close_all()
         await asyncio.sleep(duration_s)
         if spell == self._spell:
             self._mode = ""
 
+    async def return_from_copy(self, age_s, away_s, settled_s) -> None:
+        """Copy all, go away after a while, and come back from the copy.
+
+        :param settled_s: time after the return in which what the others write is still missing.
+        """
+        copy = self.copy()
+        await asyncio.sleep(age_s)
+        now_s = asyncio.get_running_loop().time()
+        self.troubles.append(TimeSpan(now_s, now_s + away_s + settled_s))
+        self._is_away = True
+        self._close_all()
+        await asyncio.sleep(away_s)
+        self.come_back(copy)
+        self._is_away = False
+        self._wake()
+
+    def _close_all(self) -> None:
+        for stream in list(self._open):
+            stream.close()
+
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -74,7 +94,7 @@
             self._open.discard(stream)
 
     async def _one(self, request, stream) -> None:
-        if self._mode == "down":
+        if self._mode == "down" or self._is_away:
             stream.close()
             return
         if self._mode == "slow":
@@ -116,7 +136,7 @@
         if self._mode == "trickles" and len(body) > TRICKLE_LEAST_BYTES:
             parts = TRICKLE_PARTS
         size = -(-len(body) // parts)
-        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        headers = HTTPHeaders({"Content-Length": str(len(body)), ERA_HEADER: str(self.era)})
         await request.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, "X"), headers, body[:size]
         )
--- a/features/steps/gateway_soak_world.py
+++ b/features/steps/gateway_soak_world.py
@@ -1,7 +1,6 @@
 """A soak: gateway processes, a store, servers and callers, and a plan of events."""
 
 import asyncio
-import contextlib
 from random import Random
 
 from gateway_soak_documents import DRAIN_S, configuration, server_entry
@@ -13,13 +12,13 @@
 
 from header_names import HEADER_NAMES  # isort: skip
 
+from gateway_soak_waits import has_used, is_ready
+
 from indigoworks_lab.client.polling import becomes_true
-from indigoworks_lab.gateway_soak.caller_connection import CallerConnection
 from indigoworks_lab.gateway_soak.caller_limits_view import CallerLimitsView
 from indigoworks_lab.gateway_soak.event_kind import EventKind
 from indigoworks_lab.gateway_soak.soak_caller import SoakCaller
 from indigoworks_lab.gateway_soak.soak_history import SoakHistory
-from indigoworks_lab.load.process_cpu import process_cpu_s
 
 GATEWAYS = 3
 SERVERS = 3
@@ -63,6 +62,8 @@
         lives = self.history.lives
         self.gateways = [SoakGateway(each, self._ports, store, folder, lives) for each in names]
         self._servers = {}
+        self._ended = set()
+        self._newest = b""
         self._places = []
         self._version = 0
         self._recent = []
@@ -70,13 +71,15 @@
         self._callers = []
         self._tasks = []
 
-    async def run(self, plan, seconds, rests=(), limits=()) -> None:
-        """Play `plan`, `rests` and `limits`; ends every process that it started."""
+    async def run(self, plan, seconds, rests=(), limits=(), returns=()) -> None:
+        """Play `plan`, `rests`, `limits` and `returns`; ends every process that it started."""
         try:
             await self._start()
             resting = (self._rest(each) for each in rests)
             naming = (self._name_limit(each) for each in limits)
-            await asyncio.gather(self._play(plan), asyncio.sleep(seconds), *resting, *naming)
+            returning = (self._return(each) for each in returns)
+            events = (*resting, *naming, *returning)
+            await asyncio.gather(self._play(plan), asyncio.sleep(seconds), *events)
             await self._finish()
         finally:
             for gateway in self.gateways:
@@ -148,6 +151,7 @@
         version = self._version
         known = [*self._limits.route_versions, version]
         value = configuration(version, known, fillers, idle_timeout_s, max_body_bytes)
+        self._newest = value
         self._store.put("op", "", "config", value)
         now_s = asyncio.get_running_loop().time()
         self.history.acknowledged_s[version] = now_s
@@ -258,6 +262,22 @@
         await asyncio.sleep(limit.for_s)
         server.drop_limit(limit.per_s)
 
+    async def _return(self, event) -> None:
+        """Let the store come back from a copy; operator and servers write again."""
+        await asyncio.sleep(event.at_s)
+        await self._store.return_from_copy(event.age_s, event.away_s, event.written_again_s)
+        await asyncio.sleep(event.written_again_s)
+        self._store.put("op", "", "config", self._newest)
+        for server_id in self._servers:
+            if server_id in self._ended:
+                self._unlist(server_id)
+            else:
+                self._list(server_id)
+
+    def _unlist(self, server_id) -> None:
+        if ("servers", "", server_id) in self._store.rows:
+            self._store.remove("servers", "", server_id)
+
     async def _leave(self, place) -> None:
         server_id = self._places[place]
         self._places[place] = await self._add_server()
@@ -265,25 +285,6 @@
         server.is_leaving = True
         self._list(server_id)
         await asyncio.sleep(DRAIN_S + LEAVE_MORE_S)
-        self._store.remove("servers", "", server_id)
+        self._ended.add(server_id)
+        self._unlist(server_id)
         await server.stop()
-
-
-async def has_used(process, cpu_s) -> None:
-    """Wait until the process has used so much processor time, or has ended."""
-    with contextlib.suppress(OSError):
-        while process.exit_code() is None and process_cpu_s(process.pid) < cpu_s:  # noqa: ASYNC110
-            await asyncio.sleep(POLL_S)
-
-
-async def is_ready(gateway) -> bool:
-    """Tell whether the gateway answers its probe with 200, or its process has ended."""
-    if gateway.process.exit_code() is not None:
-        return True
-    connection = await CallerConnection.open(gateway.readiness)
-    if connection is None:
-        return False
-    with contextlib.closing(connection):
-        await connection.send(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
-        answer = await connection.receive()
-        return getattr(answer, "status", 0) == 200
--- a/features/steps/platform_folder_store_stand_in.py
+++ b/features/steps/platform_folder_store_stand_in.py
@@ -4,6 +4,7 @@
 import json
 import sys
 import tomllib
+from dataclasses import dataclass
 from pathlib import Path
 
 from platform_paced_answers import PacedAnswers
@@ -22,6 +23,7 @@
 
 _FIELDS = tomllib.loads((ROOT / "deploy" / "wire.toml").read_text())["fields"]
 START_MS = 5_000_000
+ERA_HEADER = "Store-Era"
 
 
 def wire(name: str) -> str:
@@ -29,6 +31,16 @@
     return _FIELDS.get(name, name)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the stand-in comes back from."""
+
+    version: int
+    rows: dict[tuple[str, str, str], tuple[bytes, int]]
+    changes: list[dict]
+    forgotten: int
+
+
 class StoreStandIn:
     """Rows, a feed of changes, and troubles that the scenario asks for."""
 
@@ -38,6 +50,7 @@
         self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
         self.changes: list[dict] = []
         self.forgotten = 0
+        self.era = 0
         self.troubles: list[str] = []
         self.calls: list[str] = []
         self.between_pages = lambda: None
@@ -61,6 +74,16 @@
             {"table": table, "part": part, "key": key, "ver": self.version, "gone": True}
         )
 
+    def copy(self) -> StoreCopy:
+        """Return all that is kept now."""
+        return StoreCopy(self.version, dict(self.rows), list(self.changes), self.forgotten)
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Lose what was written since the copy; its versions are given out again."""
+        self.era += 1
+        self.version, self.forgotten = copy.version, copy.forgotten
+        self.rows, self.changes = dict(copy.rows), list(copy.changes)
+
     def _put(self, table, part, key, value) -> None:
         self.rows[(table, part, key)] = (value, self.version)
         self.changes.append(self._row(table, part, key))
@@ -93,7 +116,7 @@
         if status in (200, 410, 412):
             document = {"ver": self.version, "now": START_MS + self.version, **document}
         body = json.dumps(document).encode()
-        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        headers = HTTPHeaders({"Content-Length": str(len(body)), ERA_HEADER: str(self.era)})
         start_line = ResponseStartLine("HTTP/1.1", status, "X")
         if self.paced is not None:
             self.paced.send(request.connection, start_line, headers, body)
@@ -122,7 +145,7 @@
         query = {name: values[0].decode() for name, values in request.query_arguments.items()}
         assert set(query) == {"table", "after", wire("waitMs")}, query
         after = int(query["after"])
-        if after < self.forgotten:
+        if not self.forgotten <= after <= self.version:
             return 410, {}
         newest = {}
         for change in self.changes:
--- a/features/steps/store_from_copy_steps.py
+++ b/features/steps/store_from_copy_steps.py
@@ -5,7 +5,12 @@
 from behave import then, when
 
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
-from indigoworks_lab.control_simulation.control_plan import CALM_S, ControlPlan
+from indigoworks_lab.control_simulation.control_plan import (
+    CALM_S,
+    ControlPlan,
+    draw_plan,
+    with_returns,
+)
 from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
 from indigoworks_lab.control_simulation.fault_injector import FaultInjector
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
@@ -87,6 +92,11 @@
         context.reports.append(run_control_seed(seed, ControlPlan(NODES, SERVERS, faults)))
 
 
+@when("control simulation draws seed {seed:d} with returns of the store from copies")
+def step_drawn(context, seed):
+    context.reports = [run_control_seed(seed, with_returns(draw_plan(seed), seed))]
+
+
 @when("control simulation writes a configuration soon after the store came back from copies")
 def step_configuration(context):
     context.late = [
--- a/features/store_from_copy.feature
+++ b/features/store_from_copy.feature
@@ -27,3 +27,15 @@
   Scenario: A server whose leaving was in the span that is lost gets no new work
     When control simulation brings the store back from a copy in which a leaving server is ready
     Then no gateway of the control simulation takes that server for ready again
+
+  Scenario Outline: Other faults overlap the returns of the store in seed <seed>
+    When control simulation draws seed <seed> with returns of the store from copies
+    Then control simulation found nothing in any of the runs
+
+    Examples:
+      | seed |
+      | 9    |
+      | 14   |
+      | 27   |
+      | 28   |
+      | 32   |
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -100,14 +100,15 @@
         self._fenced_s = float("-inf")
         self._failed_s = float("-inf")
         self._seen: dict[str, tuple[frozenset[str], float]] = {}
-        self._recovery = TableRecovery(leadership, keepers, bounds, policy, servers, clock)
-        self._has_read_former = False
+        self._recovery = TableRecovery(
+            leadership, tables, writer, keepers, bounds, policy, servers, clock
+        )
 
     async def run(self, predecessor: LeaderRow) -> None:
         """Lead until another leader is named, or none."""
         before = PredecessorBound(predecessor, self._leadership.signs)
-        if not self._leadership.led_former_era():
-            self._bounds.start_epoch(before.until_s(self._clock.now(), self._policy.longest_max_s))
+        if not self._leadership.led_former_era(self._leadership.era - 1):
+            self._bounds.start_epoch(self._predecessor_until_s(before))
         epoch = self._leadership.row.epoch
         try:
             while self._leads(epoch) and not await self._take_tables():
@@ -122,6 +123,17 @@
         finally:
             self._keepers.stop_all()
 
+    def _predecessor_until_s(self, before: PredecessorBound) -> float:
+        """Return the bound of what the leader before this one has granted.
+
+        Minus infinity where that is not known well enough: what anybody may have granted is then
+        noted range by range when the tables are brought into the new era.
+        """
+        is_known = self._leadership.knows_former_era(self._leadership.era - 1)
+        if is_known or not self._leadership.is_first_in_era():
+            return before.until_s(self._clock.now(), self._policy.longest_max_s)
+        return float("-inf")
+
     def _leads(self, epoch: int) -> bool:
         """Tell whether the newest known row still names this process for `epoch`."""
         return self._leadership.row.epoch == epoch and self._leadership.is_named()
@@ -150,19 +162,9 @@
     async def _take_table(self, service: str) -> bool:
         table = self._tables.table(service)
         if table.version.era != self._leadership.era:
-            return await self._carry_over(service)
+            return await self._recovery.carry_over(service)
         return not table.ranges or await self._writer.write(with_new_tokens(table), "new_leader")
 
-    async def _carry_over(self, service: str) -> bool:
-        """Write the table of a former era, if there is one, as the first of this one."""
-        if not self._has_read_former:
-            self._has_read_former = await self._writer.read_former_eras()
-        table = self._tables.table(service)
-        if not self._has_read_former or not table.ranges:
-            return self._has_read_former
-        recovered = await self._recovery.recover(table)
-        return await self._writer.write(recovered, "new_era")
-
     # ---- one service ----
 
     async def _look_after(self, service: str) -> None:
@@ -170,7 +172,7 @@
             return
         table = self._tables.table(service)
         if table.version.era != self._leadership.era:
-            if not await self._carry_over(service):
+            if not await self._recovery.carry_over(service):
                 return
             table = self._tables.table(service)
         if not table.ranges:
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -57,7 +57,6 @@
         self._sent_s: dict[_Hold, float] = {}
         self._late_s: dict[_Hold, float] = {}
         self._predecessor_s = float("inf")
-        self._unknown_s = float("-inf")
 
     def start_epoch(self, predecessor_until_s: float) -> None:
         """Begin as a new leader.
@@ -69,10 +68,6 @@
         self._late_s = {}
         self._predecessor_s = predecessor_until_s
 
-    def note_unknown(self, until_s: float) -> None:
-        """Take note that leaders of which nothing is known may have granted any keys until then."""
-        self._unknown_s = max(self._unknown_s, until_s)
-
     def note_possible(self, server_id: str, owned: OwnedRange, until_s: float) -> None:
         """Take note that a server may hold a range by the grant of a leader that is not known."""
         hold = _Hold(server_id, owned.first, owned.last, owned.token)
@@ -126,8 +121,7 @@
 
     def until_s(self, server_id: str, first: int, last: int) -> float:
         """Return until when the server may hold any of the keys."""
-        own_s = self.own_until_s(server_id, first, last)
-        return max(self._predecessor_s, self._unknown_s, own_s)
+        return max(self._predecessor_s, self.own_until_s(server_id, first, last))
 
     def own_until_s(self, server_id: str, first: int, last: int) -> float:
         """Return the bound of this leader's own grants; minus infinity: there were none."""
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -11,10 +11,12 @@
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_view import PeerView
 from indigoworks.ownership.challenge_order import ChallengeOrder
+from indigoworks.ownership.challenge_reasons import ChallengeReasons
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.era_numbers import first_number
 from indigoworks.ownership.former_era import NO_FORMER_ERA, FormerEra
 from indigoworks.ownership.hold_policy import HOLD_S
+from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leader_row import LEADER_KEY, NO_LEADER, LeaderRow
 from indigoworks.ownership.leader_signs import LeaderSigns
 from indigoworks.rowstore.errors import ConditionFailed
@@ -24,24 +26,9 @@
 from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 
-LEADER_LEASE_S = 6.0
-"""A leader acts while its newest proof of leadership is younger."""
-
 SOUND_STORE_S = 2.5
 """A challenger's own view of the store must be younger."""
 
-SICK_LEADER_S = 1.8
-"""A leader that tells of an older proof is challenged: it has a new one every 0.8 s, and may be
-without one for as long as a leader may be silent (SILENCE_S) beyond that. Where the store is out
-for all, the challenge itself fails."""
-
-SILENCE_S = 1.0
-"""A leader of which nobody heard for so long is challenged."""
-
-FORMER_LEADER_FIRST_S = 1.5
-"""In a new era the others leave the leadership to a former leader that is heard for so long: that
-is the longest pause between its calls to a store that did not answer."""
-
 
 class Leadership:
     """Follows the leader's row, challenges a lost leader, and tells whether this process leads.
@@ -76,20 +63,18 @@
         self._group = group
         self._store = store
         self._health = health
-        self._directory = directory
         self._clock = clock
         self._order = order
         self._row = NO_LEADER
         self.predecessor = NO_LEADER
         self.former = NO_FORMER_ERA
-        self._row_seen_s = clock.now()
-        self.era_seen_s = clock.now()
-        self.has_read = False
-        self._has_read_era = False
+        self._row_seen_s = self.era_seen_s = clock.now()
+        self.has_read = self._has_read_era = False
         self._proof_s: float | None = None
         self._changed = asyncio.Event()
         self._is_resigned = False
         self.signs = LeaderSigns(peers, directory, clock)
+        self._reasons = ChallengeReasons(node, self.signs, directory, clock)
         group.eras.on_new(self._begin_era)
 
     # ---- what the store says ----
@@ -103,6 +88,8 @@
 
     def note_proof(self, true_at_s: float) -> None:
         """Take note that the rows applied so far were the newest at `true_at_s`."""
+        if not self.has_read:
+            self.era_seen_s = self._clock.now()
         self.has_read = self._has_read_era = True
         if self._names_us() and (self._proof_s is None or true_at_s > self._proof_s):
             self._proof_s = true_at_s
@@ -134,26 +121,30 @@
         """Return the era of the store whose rows count."""
         return self._group.eras.current
 
-    def led_former_era(self) -> bool:
-        """Tell whether this process led until the former era ended, and nobody since."""
-        return self.former.is_led and self._is_first_of_era()
+    def led_former_era(self, era: int) -> bool:
+        """Tell whether this process led until `era` ended, and nobody has led since."""
+        return self.former.is_led and self._is_first_after(era)
 
-    def knows_former_era(self) -> bool:
-        """Tell whether what this process read of the former era leaves no room for moves of which
-        it does not know.
+    def knows_former_era(self, era: int) -> bool:
+        """Tell whether what this process read of `era` leaves no room for moves of which it does
+        not know.
 
         A move away from an owner that renews its grants takes a release, which that owner knows of,
         or the time of a hold.
         """
-        return self._is_first_of_era() and (self.former.is_led or self.former.is_fresh)
+        return self._is_first_after(era) and (self.former.is_led or self.former.is_fresh)
+
+    def _is_first_after(self, era: int) -> bool:
+        """Tell whether no leader of this era was before, and `era` is the one right before it."""
+        return era == self.era - 1 and self.former.is_before(self.era) and self.is_first_in_era()
 
-    def _is_first_of_era(self) -> bool:
-        """Tell whether no leader of this era was before, and no era that this process missed."""
-        return self.predecessor.version == NO_VERSION and self.former.is_before(self.era)
+    def is_first_in_era(self) -> bool:
+        """Tell whether nobody is known to have led in this era before this process."""
+        return self.predecessor.version == NO_VERSION
 
     def acted_before(self) -> LeaderRow:
         """Return the row of the leader before this process."""
-        return self.former.row if self.predecessor.version == NO_VERSION else self.predecessor
+        return self.former.row if self.is_first_in_era() else self.predecessor
 
     @property
     def row(self) -> LeaderRow:
@@ -192,9 +183,8 @@
     async def challenge_if_lost(self) -> None:
         """Try to take the leadership over where the leader is lost; `is_named` tells the result."""
         reason = self._reason_to_challenge()
-        is_next = reason == "led_before"
-        is_next |= reason == "own_earlier_boot" and self._order.is_first()
-        if reason is not None and not is_next:
+        is_next = reason == "own_earlier_boot" and self._order.is_first()
+        if reason is not None and reason != "led_before" and not is_next:
             await self._clock.sleep(self._order.wait_s(self._row.node))
             reason = self._reason_to_challenge()
         if reason is not None:
@@ -214,41 +204,11 @@
         is_sound = self._has_read_era and self._health.proof_age_s() < SOUND_STORE_S
         if self._is_resigned or not is_sound or self._names_us():
             return None
-        if self._row.version == NO_VERSION:
-            return self._reason_without_row()
-        if self._row.node == "":
-            return "given_up"
-        if self._row.node == self._node:
-            return "own_earlier_boot"
-        return self._reason_from_signs()
-
-    def _reason_without_row(self) -> str | None:
-        if self.led_former_era():
+        if self._row.version != NO_VERSION:
+            return self._reasons.with_row(self._row, self._row_seen_s)
+        if self.led_former_era(self.era - 1):
             return "led_before"
-        is_early = self._clock.now() - self.era_seen_s < FORMER_LEADER_FIRST_S
-        return None if is_early and self._may_hear_of_former_leader() else "no_row"
-
-    def _may_hear_of_former_leader(self) -> bool:
-        """Tell whether the leader of the former era is heard, or may be known to those who are."""
-        before = self.former.row
-        if before.version == NO_VERSION:
-            return self.era > 0 and self.signs.hears_peers()
-        if before.node in ("", self._node):
-            return False
-        silence_s = self.signs.silence_s(before.epoch, self.era_seen_s - SILENCE_S)
-        return silence_s < SILENCE_S
-
-    def _reason_from_signs(self) -> str | None:
-        boot = self._directory.boot_of(self._row.node)
-        if boot is not None and boot != self._row.boot:
-            return "later_boot"
-        silence_s = self.signs.silence_s(self._row.epoch, self._row_seen_s)
-        if self.signs.is_sick(self._row.epoch, SICK_LEADER_S):
-            return "leader_without_store"
-        if self.signs.hears_peers():
-            return "silent" if silence_s > SILENCE_S else None
-        row_age_s = self._clock.now() - self._row_seen_s
-        return "silent_alone" if min(silence_s, row_age_s) > LEADER_LEASE_S else None
+        return self._reasons.without_row(self.former.row, self.era, self.era_seen_s)
 
     async def _take_over(self, reason: str) -> None:
         silence_s = self.signs.silence_s(self._row.epoch, self._row_seen_s)
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -2,9 +2,9 @@
 
 from indigoworks.ownership.hold_bounds import CLOCK_FACTOR, LATE_ORDER_S, MARGIN_S
 from indigoworks.ownership.hold_policy import HOLD_S, TROUBLE_S
+from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leader_signs import LeaderSigns
-from indigoworks.ownership.leadership import LEADER_LEASE_S
 from indigoworks.rowstore.store_version import NO_VERSION
 
 BEAT_DELAY_S = 0.2
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -10,11 +10,14 @@
 from indigoworks.ownership.hold_bounds import CLOCK_FACTOR, LATE_ORDER_S, MARGIN_S, HoldBounds
 from indigoworks.ownership.hold_policy import HOLD_S, HoldPolicy
 from indigoworks.ownership.keeper_set import KeeperSet
-from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
+from indigoworks.ownership.leader_lease import LEADER_LEASE_S
+from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.order_outcome import OrderResult
 from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
+from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.table_editor import in_new_era
+from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.servers.server_source import ServerSource
 
 LIST_SETTLES_S = 2.2
@@ -22,7 +25,7 @@
 
 
 class TableRecovery:
-    """Finds out which ranges of a former era are certainly with the owner that is known here.
+    """Carries tables over, and finds out which ranges are certainly with the owner known here.
 
     The store has lost the newest tables, and servers hold keys by them. Tokens of the new era are
     above all earlier ones, so that no late order of before can take effect. What is left is a
@@ -34,6 +37,8 @@
     def __init__(
         self,
         leadership: Leadership,
+        tables: OwnershipTables,
+        writer: TableWriter,
         keepers: KeeperSet,
         bounds: HoldBounds,
         policy: HoldPolicy,
@@ -41,57 +46,66 @@
         clock: Clock,
     ) -> None:
         self._leadership = leadership
+        self._tables = tables
+        self._writer = writer
+        self._has_read_former = False
         self._keepers = keepers
         self._bounds = bounds
         self._policy = policy
         self._servers = servers
         self._clock = clock
 
-    async def recover(self, table: OwnershipTable) -> OwnershipTable:
+    async def carry_over(self, service: str) -> bool:
+        """Write the table of a former era, if there is one, as the first of this one.
+
+        False where that did not come about, such as by a write whose answer was lost: it is then to
+        be done again from the rows as they are.
+        """
+        if not self._has_read_former:
+            self._has_read_former = await self._writer.read_former_eras()
+        table = self._tables.table(service)
+        if not self._has_read_former or not table.ranges:
+            return self._has_read_former
+        return await self._writer.write(await self._recovered(table), "new_era")
+
+    async def _recovered(self, table: OwnershipTable) -> OwnershipTable:
         """Return the first table of the new era; it is yet to be written."""
-        if not self._leadership.knows_former_era():
-            await self._prepare_for_unknown()
-        results = await asyncio.gather(
-            *(self._confirmed(table.service, each) for each in table.ranges)
+        is_known = self._leadership.knows_former_era(table.version.era)
+        if not is_known:
+            # Servers that came in the span that is lost are missing from the copy.
+            since_s = self._clock.now() - self._leadership.era_seen_s
+            await self._clock.sleep(max(0.0, LIST_SETTLES_S - since_s))
+        confirmed = await asyncio.gather(
+            *(self._is_confirmed(table, each) for each in table.ranges)
         )
-        others = self._possible_holders(table)
-        carried: list[OwnedRange] = []
-        doubted = 0
-        for owned, is_confirmed in zip(table.ranges, results, strict=True):
-            if not is_confirmed:
-                doubted += 1
-                carried.append(self._with_possible(owned, others))
-            else:
-                carried.append(self._as_known(table.service, owned))
+        holders = self._possible_holders(table)
+        carried = [
+            self._carried(table, owned, is_confirmed, is_known, holders)
+            for owned, is_confirmed in zip(table.ranges, confirmed, strict=True)
+        ]
         log_message(
             message_type="ownership:recovered",
             service=table.service,
             from_version=str(table.version),
             ranges=len(carried),
-            doubted=doubted,
-            servers=len(others),
-            led_before=self._leadership.led_former_era(),
+            doubted=confirmed.count(False),
+            servers=len(holders),
+            is_known=is_known,
+            led_before=self._led(table),
         )
         return in_new_era(table, carried, first_number(self._leadership.era))
 
-    async def _prepare_for_unknown(self) -> None:
-        """Take note of what leaders that are not known may have granted, and to whom."""
-        late_s = max(LATE_ORDER_S + HOLD_S, self._policy.longest_max_s)
-        self._bounds.note_unknown(self._acts_until_s() + late_s * CLOCK_FACTOR + MARGIN_S)
-        # Servers that came in the span that is lost are missing from the copy.
-        since_s = self._clock.now() - self._leadership.era_seen_s
-        await self._clock.sleep(max(0.0, LIST_SETTLES_S - since_s))
-
-    async def _confirmed(self, service: str, owned: OwnedRange) -> bool:
-        """Tell whether nobody but the owner and the former owners in the row can hold a range."""
-        if not self._leadership.knows_former_era():
-            return False
-        is_own = self._leadership.led_former_era()
-        is_granted = owned in self._keepers.granted_at_stop(service) if is_own else not owned.former
-        if not is_granted:
+    def _led(self, table: OwnershipTable) -> bool:
+        return self._leadership.led_former_era(table.version.era)
+
+    async def _is_confirmed(self, table: OwnershipTable, owned: OwnedRange) -> bool:
+        """Tell whether the owner renews its grant, or this process granted the range itself."""
+        is_own = self._led(table)
+        granted = self._keepers.granted_at_stop(table.service)
+        if owned not in granted if is_own else owned.former:
             # Its own grants are known to a leader; of another's this one may not have been sent.
             return is_own
-        result = await self._keepers.confirm(service, owned)
+        result = await self._keepers.confirm(table.service, owned)
         return result is OrderResult.DONE or (is_own and result is not OrderResult.FENCED)
 
     def _possible_holders(self, table: OwnershipTable) -> frozenset[str]:
@@ -100,22 +114,40 @@
         former = {before.server_id for each in table.ranges for before in each.former}
         return frozenset(listed | owners | former)
 
-    def _as_known(self, service: str, owned: OwnedRange) -> OwnedRange:
-        """Return a range with the former owners that are still to be ruled out.
-
-        Their bounds are readings of the store's clock in the former era.
+    def _carried(
+        self,
+        table: OwnershipTable,
+        owned: OwnedRange,
+        is_confirmed: bool,
+        is_known: bool,
+        holders: frozenset[str],
+    ) -> OwnedRange:
+        """Return a range with the former owners that are to be ruled out in the new era.
+
+        Bounds in the row are readings of the store's clock in the former era.
         """
-        if owned in self._keepers.granted_at_stop(service):
-            return replace(owned, former=())
-        return replace(owned, former=tuple(FormerOwner(each.server_id) for each in owned.former))
-
-    def _with_possible(self, owned: OwnedRange, servers: frozenset[str]) -> OwnedRange:
-        others = sorted(servers - {owned.server_id})
-        until_s = self._acts_until_s() + self._policy.longest_max_s * CLOCK_FACTOR + MARGIN_S
-        for server_id in others:
+        if is_confirmed and is_known:
+            is_granted = owned in self._keepers.granted_at_stop(table.service)
+            left = () if is_granted else owned.former
+            return replace(owned, former=tuple(FormerOwner(each.server_id) for each in left))
+        until_s = self._acts_until_s() + self._longest_hold_s(is_confirmed, is_known)
+        others = sorted(holders - {owned.server_id})
+        # What a known leader granted to the owner has its bound.
+        for server_id in others if is_known else holders:
             self._bounds.note_possible(server_id, owned, until_s)
         return replace(owned, former=tuple(FormerOwner(each) for each in others))
 
+    def _longest_hold_s(self, is_confirmed: bool, is_known: bool) -> float:
+        """Return how long a grant may hold after its sending that a leader of before has sent.
+
+        Keys that their owner has never given up can be with another server only by a move that
+        waited for the owner's hold to pass, which a leader makes in a sound time.
+        """
+        hold_s = HOLD_S if is_confirmed else self._policy.longest_max_s
+        if not is_confirmed and not is_known:
+            hold_s = max(hold_s, LATE_ORDER_S + HOLD_S)
+        return hold_s * CLOCK_FACTOR + MARGIN_S
+
     def _acts_until_s(self) -> float:
         """Return until when a leader of the former era may act: its newest proof is older."""
         return self._leadership.era_seen_s + LEADER_LEASE_S
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -10,8 +10,9 @@
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
-from indigoworks.ownership.leadership import LEADER_LEASE_S, Leadership
+from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.owned_range import BOUND_UNKNOWN, OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
--- a/indigoworks_lab/control_simulation/control_deployment.py
+++ b/indigoworks_lab/control_simulation/control_deployment.py
@@ -109,6 +109,7 @@
         self._is_returning = self._is_returning or not self.living_nodes()
         if self._is_returning:
             self.recovery.note_back()
+        self.recovery.note_started()
         self.start_node(int(name[1:]))
         if len(self.living_nodes()) == self._node_count:
             self._is_returning = False
--- a/indigoworks_lab/control_simulation/control_plan.py
+++ b/indigoworks_lab/control_simulation/control_plan.py
@@ -1,6 +1,6 @@
 """What a run meets."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
@@ -11,6 +11,10 @@
 MAX_FAULTS = 8
 HOLD_MAX_S = 10.0
 DURATIONS_S = (0.4, 1.5, 3.0, 5.0, 8.0, 12.0)
+COPY_AGES_S = (0.5, 1.0, 3.0, 6.0)
+MAX_RETURNS = 2
+LONGEST_AWAY_S = 4.5
+"""Time until the store is back and all that others wrote is written again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,3 +41,18 @@
         faults.append(DrawnFault(random.choice(kinds), start_s, duration_s))
     faults.sort(key=lambda each: each.start_s)
     return ControlPlan(random.choice((2, 3, 4)), random.choice((3, 4, 5)), tuple(faults))
+
+
+def with_returns(plan: ControlPlan, seed: int) -> ControlPlan:
+    """Return a plan in which the store also comes back from a copy, once or twice.
+
+    Drawn by themselves, so that the other faults of a seed stay what they are.
+    """
+    random = Random(f"{seed}:returns")
+    returns = []
+    for _ in range(random.randint(1, MAX_RETURNS)):
+        age_s = random.choice(COPY_AGES_S)
+        start_s = random.uniform(0.0, FAULTS_S - age_s - LONGEST_AWAY_S)
+        returns.append(DrawnFault(FaultKind.STORE_RETURNS_FROM_COPY, start_s, age_s))
+    faults = sorted((*plan.faults, *returns), key=lambda each: each.start_s)
+    return replace(plan, faults=tuple(faults))
--- a/indigoworks_lab/control_simulation/control_trace.py
+++ b/indigoworks_lab/control_simulation/control_trace.py
@@ -6,17 +6,18 @@
 import eliot
 from detangle._context import current_host
 
+from indigoworks_lab.control_simulation.control_plan import ControlPlan
 from indigoworks_lab.control_simulation.control_report import ControlReport
 from indigoworks_lab.control_simulation.run_control_seed import run_control_seed
 
 HIDDEN = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "level"})
 
 
-def trace_seed(seed: int) -> ControlReport:
+def trace_seed(seed: int, plan: ControlPlan | None = None) -> ControlReport:
     """Run a seed and print its log."""
     eliot.add_destinations(_print)
     try:
-        return run_control_seed(seed)
+        return run_control_seed(seed, plan)
     finally:
         eliot.remove_destination(_print)
 
--- a/indigoworks_lab/control_simulation/explore.py
+++ b/indigoworks_lab/control_simulation/explore.py
@@ -8,6 +8,7 @@
 
 import fire
 
+from indigoworks_lab.control_simulation.control_plan import ControlPlan, draw_plan, with_returns
 from indigoworks_lab.control_simulation.control_report import ControlReport
 from indigoworks_lab.control_simulation.control_trace import trace_seed
 from indigoworks_lab.control_simulation.run_control_seed import run_control_seed
@@ -17,22 +18,25 @@
 PROGRESS_SEEDS = 100
 
 
-def explore(seeds: int = 20, first: int = 1, jobs: int = 2, trace: int = 0) -> int:
+def explore(
+    seeds: int = 20, first: int = 1, jobs: int = 2, trace: int = 0, returns: bool = True
+) -> int:
     """Run seeds and print those that broke a rule, with their faults.
 
     :param seeds: number of seeds.
     :param first: the first seed.
     :param jobs: processes to run in.
     :param trace: run only this seed and print the log of all nodes with the virtual time.
+    :param returns: the store also comes back from a copy; without, the other faults are the same.
     :returns: exit code: 0 nothing found, 1 found.
     """
     if trace:
-        report = trace_seed(trace)
+        report = trace_seed(trace, draw(trace, returns))
         print(report.text())
         return 0 if report.is_ok else EXIT_FOUND
     started_s = time.monotonic()
     reports: list[ControlReport] = []
-    for report in _reports(range(first, first + seeds), jobs):
+    for report in _reports(range(first, first + seeds), jobs, returns):
         reports.append(report)
         if not report.is_ok:
             print(report.text(), flush=True)
@@ -42,12 +46,19 @@
     return EXIT_FOUND if any(not report.is_ok for report in reports) else 0
 
 
-def _reports(seeds: range, jobs: int) -> Iterator[ControlReport]:
+def draw(seed: int, returns: bool) -> ControlPlan:
+    """Return the plan of a seed."""
+    plan = draw_plan(seed)
+    return with_returns(plan, seed) if returns else plan
+
+
+def _reports(seeds: range, jobs: int, returns: bool) -> Iterator[ControlReport]:
     if jobs <= 1:
-        yield from map(run_control_seed, seeds)
+        for seed in seeds:
+            yield run_control_seed(seed, draw(seed, returns))
         return
     with worker_processes(jobs) as workers:
-        running = [workers.submit(run_control_seed, seed) for seed in seeds]
+        running = [workers.submit(run_control_seed, seed, draw(seed, returns)) for seed in seeds]
         for done in as_completed(running):
             yield done.result()
 
@@ -83,8 +94,10 @@
     fire.Fire(_explore_and_exit, name="explore-control")
 
 
-def _explore_and_exit(seeds: int = 20, first: int = 1, jobs: int = 2, trace: int = 0) -> None:
-    sys.exit(explore(seeds, first, jobs, trace))
+def _explore_and_exit(
+    seeds: int = 20, first: int = 1, jobs: int = 2, trace: int = 0, returns: bool = True
+) -> None:
+    sys.exit(explore(seeds, first, jobs, trace, returns))
 
 
 if __name__ == "__main__":
--- a/indigoworks_lab/control_simulation/lease_checker.py
+++ b/indigoworks_lab/control_simulation/lease_checker.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
+from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
-from indigoworks.ownership.leadership import LEADER_LEASE_S
 from indigoworks_lab.control_simulation.memory_rows import MemoryRows
 from indigoworks_lab.control_simulation.violation_list import ViolationList
 
--- a/indigoworks_lab/control_simulation/recovery_checker.py
+++ b/indigoworks_lab/control_simulation/recovery_checker.py
@@ -23,6 +23,12 @@
 (13 s) and to hold (3 s). Moves that begin then have FINAL_S to end. All other keys are served
 within RECOVER_S even then."""
 
+LOST_SPAN_S = 25.0
+"""Where the store came back from a copy, keys that the lost span may have given to a server that
+has ended since may wait so long from the moment at which a leader learns of it that has not
+followed the group until then: the list settles (2.2 s) while leaders of before act for their lease
+(6 s), and an order of theirs may be taken late (13 s) and hold (3 s, or 10 s)."""
+
 LEAST_SHARE = 0.25
 """The users' rule: at least so much is served again within RECOVER_S."""
 
@@ -49,6 +55,18 @@
         self._up_servers = up_servers
         self._violations = violations
         self._back_s = float("-inf")
+        self._unknown_s = float("-inf")
+        self._has_returned = False
+
+    def note_returned(self) -> None:
+        """Take note that the store comes back from a copy now."""
+        self._has_returned = True
+        self._unknown_s = self._loop.time()
+
+    def note_started(self) -> None:
+        """Take note that a gateway starts now; it knows nothing of a span that the store lost."""
+        if self._has_returned:
+            self._unknown_s = self._loop.time()
 
     def note_back(self) -> None:
         """Take note that a gateway starts again after all were down.
@@ -61,7 +79,8 @@
         """Watch from now, the end of the faults, for RECOVER_S, and for late grants if need be."""
         begun_s = self._loop.time()
         served = await self._watch(begun_s, begun_s + RECOVER_S)
-        late_until_s = self._back_s + LATE_GRANTS_S + FINAL_S
+        late_s = max(self._back_s + LATE_GRANTS_S, self._unknown_s + LOST_SPAN_S)
+        late_until_s = late_s + FINAL_S
         if late_until_s > self._loop.time() and not _is_whole(served):
             self._check_waiting(served)
             served = await self._watch(begun_s, late_until_s)
--- a/indigoworks_lab/control_simulation/row_checker.py
+++ b/indigoworks_lab/control_simulation/row_checker.py
@@ -22,6 +22,7 @@
     owners are changed only by the leader, cover all keys, and their highest token grows.
 
     :ivar tables_written: tables of owners that were written so far.
+    :ivar leaders: leaders that were named so far, resignations left out.
     """
 
     def __init__(self, rows: MemoryRows, violations: ViolationList) -> None:
@@ -29,6 +30,7 @@
         self._violations = violations
         self._acknowledged: dict[tuple[str, str], StoreVersion] = {}
         self.tables_written = 0
+        self.leaders = 0
 
     def committing(self, boot: str, transaction: Transaction) -> None:
         """A transaction is about to be tried."""
@@ -44,6 +46,8 @@
             is_owners = put.key.startswith(OWNERS_PREFIX)
             if (is_owners or put.key == LEADER_KEY) and put.key not in expected:
                 self._add(f"{boot} writes {put.key} without knowing version {versions[put.key]}")
+            if put.key == LEADER_KEY and LeaderRow.decode(put.value, NO_VERSION).node:
+                self.leaders += 1
             if is_owners:
                 self.tables_written += 1
                 self._check_table(boot, transaction.part, put.key, put.value)
--- a/indigoworks_lab/control_simulation/run_control_seed.py
+++ b/indigoworks_lab/control_simulation/run_control_seed.py
@@ -6,8 +6,6 @@
 
 from detangle._config import NetConfig, SimConfig
 
-from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
-from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
 from indigoworks_lab.control_simulation.control_plan import CALM_S, ControlPlan, draw_plan
 from indigoworks_lab.control_simulation.control_report import ControlReport
@@ -45,10 +43,9 @@
     deployment = ControlDeployment(loop, seed, plan.nodes, plan.servers, plan.hold_max_s)
     main = loop.create_task(_scenario(deployment, plan))
     loop.run_until_complete(main)
-    audit, rows = deployment.audit, deployment.store.rows
+    audit = deployment.audit
     audit.rows.check_end()
     audit.rows.check_addresses(each.name for each in deployment.living_nodes())
-    leader = rows.row(CONTROL_TABLE, part_of(rows.era), LEADER_KEY)
     return ControlReport(
         seed=seed,
         plan=plan,
@@ -57,7 +54,7 @@
         grants=audit.grants,
         begun=audit.begun,
         moves=audit.rows.tables_written,
-        epochs=0 if leader is None else LeaderRow.decode(leader.value, leader.version).epoch,
+        epochs=audit.rows.leaders,
         served_again_s=deployment.recovery.served_again_s,
         digest=audit.digest.text(),
     )
--- a/indigoworks_lab/control_simulation/store_fault_actions.py
+++ b/indigoworks_lab/control_simulation/store_fault_actions.py
@@ -68,6 +68,7 @@
         newest = self._rows.row(CONFIGURATION_TABLE, "", CONFIGURATION_KEY)
         self._rows.return_to(copy)
         self._deployment.audit.returned(copy.version)
+        self._deployment.recovery.note_returned()
         self._deployment.fleet.note_return()
         self._faults.state = StoreState.UP
         await asyncio.sleep(self._return_random.uniform(*WRITES_AGAIN_S))
