An owner that misses one order is asked again before its keys wait for the longest hold of anybody

Cause: the first leader of an era that knew nothing of the one before asked each owner once to renew; three of four answered late. A leader that knows the former era still asks once.

--- a/features/store_from_copy.feature
+++ b/features/store_from_copy.feature
@@ -39,3 +39,4 @@
       | 27   |
       | 28   |
       | 32   |
+      | 440  |
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -20,6 +20,10 @@
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.servers.server_source import ServerSource
 
+UNKNOWN_TRIES = 3
+"""So often an owner is asked to renew that does not answer, where keys would else wait for the
+longest hold that anybody may have granted."""
+
 LIST_SETTLES_S = 2.2
 """Every living server is back in the list so long after the store has come back."""
 
@@ -105,9 +109,19 @@
         if owned not in granted if is_own else owned.former:
             # Its own grants are known to a leader; of another's this one may not have been sent.
             return is_own
-        result = await self._keepers.confirm(table.service, owned)
+        tries = 1 if self._leadership.knows_former_era(table.version.era) else UNKNOWN_TRIES
+        result = await self._confirm(table.service, owned, tries)
         return result is OrderResult.DONE or (is_own and result is not OrderResult.FENCED)
 
+    async def _confirm(self, service: str, owned: OwnedRange, tries: int) -> OrderResult | None:
+        """Let the owner renew its grant; one that may only have missed the order is asked again."""
+        result = await self._keepers.confirm(service, owned)
+        for _ in range(tries - 1):
+            if result is not OrderResult.UNANSWERED:
+                break
+            result = await self._keepers.confirm(service, owned)
+        return result
+
     def _possible_holders(self, table: OwnershipTable) -> frozenset[str]:
         listed = {each.server_id for each in self._servers.known(table.service)}
         owners = {each.server_id for each in table.ranges}
