Where nobody knows the former era, servers release what others own in one order a span, before the table is written

What callers saw: nothing on the users' platform; found by reading. Every doubted range named every server as a former owner: at 100 servers and 150 ranges a row of 330 KB (64 KB are planned for) and 15,000 orders, each over a connection of its own. Why it works: the first leader of an era notes what may be held, then has each server release the keys that others own, neighbours together, under the token right below that of the new table; who answers holds none of them, and only the others stay as former owners in the row. Before: the new scenario (24 servers, all gateways start) fails: over two former owners a range. Conclusion: the cost of an era that nobody remembers grows with servers and ranges, not with their product.

--- a/features/steps/store_from_copy_steps.py
+++ b/features/steps/store_from_copy_steps.py
@@ -4,6 +4,9 @@
 
 from behave import then, when
 
+from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
+from indigoworks.ownership.ownership_table import OwnershipTable
+from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
 from indigoworks_lab.control_simulation.control_plan import (
     CALM_S,
@@ -23,7 +26,9 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     SERVERS_TABLE,
+    SERVICE,
 )
+from indigoworks_lab.control_simulation.traffic_counter import ORDER
 from indigoworks_lab.simulation.core.disposal import dispose, silent_disposal
 
 NODES = 3
@@ -158,6 +163,46 @@
     return sorted(found)
 
 
+@when("control simulation starts all gateways of {servers:d} servers while the store comes back")
+def step_many_servers(context, servers):
+    context.first_table, context.orders = run(1, 3.0, first_table_of_era, servers)
+
+
+async def first_table_of_era(deployment, age_s):
+    """Return the first table of the new era, and the orders sent after the gateways' start."""
+    kill = DrawnFault(FaultKind.ALL_NODES_KILLED, COPY_S + age_s + 0.2, 0.6)
+    faults = (DrawnFault(RETURN, COPY_S, age_s), kill)
+    acting = asyncio.ensure_future(inject(deployment, faults))
+    await came_back(deployment)
+    before = orders_of(deployment)
+    while (row := owners_row(deployment)) is None:  # noqa: ASYNC110
+        await asyncio.sleep(LOOK_S)
+    acting.cancel()
+    table = OwnershipTable.decode(SERVICE, row.value, row.version)
+    return table, orders_of(deployment) - before
+
+
+def owners_row(deployment):
+    rows = deployment.store.rows
+    return rows.row(CONTROL_TABLE, part_of(rows.era), OWNERS_PREFIX + SERVICE)
+
+
+def orders_of(deployment):
+    counts = deployment.traffic.messages
+    return sum(count for (what, _), count in counts.items() if what == ORDER)
+
+
+@then("the first table of the era names at most {most:d} former owners of each range")
+def step_few_former(context, most):
+    assert context.first_table.ranges
+    assert max(len(each.former) for each in context.first_table.ranges) <= most
+
+
+@then("the gateways sent at most {most:d} orders until it was written")
+def step_few_orders(context, most):
+    assert 0 < context.orders <= most, context.orders
+
+
 @then("no gateway of the control simulation takes that server for ready again")
 def step_not_ready(context):
     assert not context.ready_again, "\n".join(context.ready_again)
@@ -172,11 +217,11 @@
         await asyncio.sleep(LOOK_S)
 
 
-def run(seed, age_s, scenario):
+def run(seed, age_s, scenario, servers=SERVERS):
     """Return what a scenario returns on a deployment that has been calm for a while."""
     loop = make_control_loop(seed, MAX_STEPS)
     with silent_disposal():
-        deployment = ControlDeployment(loop, seed, NODES, SERVERS)
+        deployment = ControlDeployment(loop, seed, NODES, servers)
 
         async def play():
             deployment.start()
--- a/features/store_from_copy.feature
+++ b/features/store_from_copy.feature
@@ -40,3 +40,8 @@
       | 28   |
       | 32   |
       | 440  |
+
+  Scenario: The first table of an era that nobody remembers names only servers that did not answer
+    When control simulation starts all gateways of 24 servers while the store comes back
+    Then the first table of the era names at most 2 former owners of each range
+    And the gateways sent at most 400 orders until it was written
--- a/indigoworks/ownership/keeper_set.py
+++ b/indigoworks/ownership/keeper_set.py
@@ -68,6 +68,10 @@
         """Renew one grant, once, and return the result; None: nothing was sent."""
         return await self._make_keeper(service, owned).renew()
 
+    async def release(self, service: str, owned: OwnedRange, server_id: str) -> None:
+        """Have a server release keys under the token before that of `owned`."""
+        await self._make_keeper(service, owned).release_from(server_id)
+
     def granted_count(self) -> int:
         """Return how many ranges of all services their owners hold."""
         return sum(len(self.granted(service)) for service in self._keepers)
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -118,6 +118,10 @@
         await self._grant()
         return self._last_result
 
+    async def release_from(self, server_id: str) -> bool:
+        """Have a server release the range; False where it did not answer that it has."""
+        return await self._release(server_id) is not None
+
     async def _run(self) -> None:
         if not self.is_granted:
             for former in self.owned.former:
--- a/indigoworks/ownership/table_editor.py
+++ b/indigoworks/ownership/table_editor.py
@@ -71,13 +71,30 @@
     :param carried: its ranges, each with the former owners that are to be ruled out in the new era.
     :param above: the token of all ranges is above this number.
     """
-    token = max(table.highest_token, above) + TOKEN_STEP
+    token = token_in_era(table, above)
     ranges = [
         OwnedRange(each.first, each.last, each.server_id, token, each.former) for each in carried
     ]
     return OwnershipTable(table.service, _merged(ranges), token, NO_VERSION)
 
 
+def token_in_era(table: OwnershipTable, above: int) -> int:
+    """Return the token under which a table of an earlier era begins in a new one."""
+    return max(table.highest_token, above) + TOKEN_STEP
+
+
+def spans_of_others(
+    ranges: Sequence[OwnedRange], server_id: str, token: int
+) -> tuple[OwnedRange, ...]:
+    """Return the keys of `ranges` that other servers own, neighbours as one, under `token`."""
+    others = [
+        OwnedRange(each.first, each.last, "", token)
+        for each in ranges
+        if each.server_id != server_id
+    ]
+    return _merged(others)
+
+
 def without_former(table: OwnershipTable, granted: Sequence[OwnedRange]) -> OwnershipTable:
     """Return the table in which ranges that were granted name no former owners."""
     done = set(granted)
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -1,6 +1,7 @@
 """Brings a table of owners into a new era of the store."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import replace
 
 from eliot import log_message
@@ -16,7 +17,7 @@
 from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
-from indigoworks.ownership.table_editor import in_new_era
+from indigoworks.ownership.table_editor import in_new_era, spans_of_others, token_in_era
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.servers.server_source import ServerSource
 
@@ -24,6 +25,10 @@
 """So often an owner is asked to renew that does not answer, where keys would else wait for the
 longest hold that anybody may have granted."""
 
+RELEASES_S = 0.8
+"""Longest wait for the answers to all releases, which have work to wait for; servers that need
+longer are asked again range by range."""
+
 LIST_SETTLES_S = 2.2
 """Every living server is back in the list so long after the store has come back."""
 
@@ -83,21 +88,32 @@
             *(self._is_confirmed(table, each) for each in table.ranges)
         )
         holders = self._possible_holders(table)
-        carried = [
-            self._carried(table, owned, is_confirmed, is_known, holders)
-            for owned, is_confirmed in zip(table.ranges, confirmed, strict=True)
-        ]
+        unsure = []
+        for owned, is_confirmed in zip(table.ranges, confirmed, strict=True):
+            if not (is_confirmed and is_known):
+                unsure.append(owned)
+                self._note_holders(owned, holders, self._until_s(is_confirmed, is_known), is_known)
+        above = first_number(self._leadership.era)
+        await self._release_elsewhere(table.service, unsure, holders, token_in_era(table, above))
         log_message(
             message_type="ownership:recovered",
             service=table.service,
             from_version=str(table.version),
-            ranges=len(carried),
+            ranges=len(table.ranges),
             doubted=confirmed.count(False),
+            unsure=len(unsure),
             servers=len(holders),
             is_known=is_known,
             led_before=self._led(table),
         )
-        return in_new_era(table, carried, first_number(self._leadership.era))
+        doubted = set(unsure)
+        carried = [
+            self._unsure(each, holders) if each in doubted else self._sure(table.service, each)
+            for each in table.ranges
+        ]
+        return in_new_era(table, carried, above)
+
+    # ---- which ranges are with their owners ----
 
     def _led(self, table: OwnershipTable) -> bool:
         return self._leadership.led_former_era(table.version.era)
@@ -128,28 +144,55 @@
         former = {before.server_id for each in table.ranges for before in each.former}
         return frozenset(listed | owners | former)
 
-    def _carried(
-        self,
-        table: OwnershipTable,
-        owned: OwnedRange,
-        is_confirmed: bool,
-        is_known: bool,
-        holders: frozenset[str],
-    ) -> OwnedRange:
+    # ---- who else may hold them ----
+
+    def _note_holders(
+        self, owned: OwnedRange, holders: frozenset[str], until_s: float, is_known: bool
+    ) -> None:
+        for server_id in holders:
+            # What a known leader granted to the owner has its bound.
+            if not is_known or server_id != owned.server_id:
+                self._bounds.note_possible(server_id, owned, until_s)
+
+    async def _release_elsewhere(
+        self, service: str, unsure: Sequence[OwnedRange], holders: frozenset[str], token: int
+    ) -> None:
+        """Have every server release the ranges that others own, in as few orders as there can be.
+
+        Who answers holds none of them; who does not stays a former owner.
+        """
+        releases = [
+            asyncio.ensure_future(self._keepers.release(service, span, server_id))
+            for server_id in sorted(holders)
+            for span in spans_of_others(unsure, server_id, token)
+        ]
+        if not releases:
+            return
+        _, pending = await asyncio.wait(releases, timeout=RELEASES_S)
+        for each in pending:
+            each.cancel()
+
+    def _sure(self, service: str, owned: OwnedRange) -> OwnedRange:
         """Return a range with the former owners that are to be ruled out in the new era.
 
         Bounds in the row are readings of the store's clock in the former era.
         """
-        if is_confirmed and is_known:
-            is_granted = owned in self._keepers.granted_at_stop(table.service)
-            left = () if is_granted else owned.former
-            return replace(owned, former=tuple(FormerOwner(each.server_id) for each in left))
-        until_s = self._acts_until_s() + self._longest_hold_s(is_confirmed, is_known)
-        others = sorted(holders - {owned.server_id})
-        # What a known leader granted to the owner has its bound.
-        for server_id in others if is_known else holders:
-            self._bounds.note_possible(server_id, owned, until_s)
-        return replace(owned, former=tuple(FormerOwner(each) for each in others))
+        is_granted = owned in self._keepers.granted_at_stop(service)
+        left = () if is_granted else owned.former
+        return replace(owned, former=tuple(FormerOwner(each.server_id) for each in left))
+
+    def _unsure(self, owned: OwnedRange, holders: frozenset[str]) -> OwnedRange:
+        """Return a range whose former owners are all that may still hold it."""
+        now_s = self._clock.now()
+        former = [
+            FormerOwner(each)
+            for each in sorted(holders - {owned.server_id})
+            if self._bounds.own_until_s(each, owned.first, owned.last) > now_s
+        ]
+        return replace(owned, former=tuple(former))
+
+    def _until_s(self, is_confirmed: bool, is_known: bool) -> float:
+        return self._acts_until_s() + self._longest_hold_s(is_confirmed, is_known)
 
     def _longest_hold_s(self, is_confirmed: bool, is_known: bool) -> float:
         """Return how long a grant may hold after its sending that a leader of before has sent.
