A relay looks through the newest rows of its history alone

What callers saw: nothing yet. Versions as pairs of era and counter take longer to compare, and a relay compared all 400 rows of its history with the version of each question. Why it works: the rows lie in the order of their versions; reading ends at the first that is not newer. The property of all histories passes unchanged.

--- a/indigoworks/relay/feed_history.py
+++ b/indigoworks/relay/feed_history.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from itertools import takewhile
 
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
@@ -78,7 +79,8 @@
 
     def rows_after(self, version: StoreVersion) -> tuple[Row, ...]:
         """Return the changes after `version`, oldest first."""
-        return tuple(row for row in self._rows.values() if row.version > version)
+        newer = takewhile(lambda row: row.version > version, reversed(self._rows.values()))
+        return tuple(newer)[::-1]
 
     def has_after(self, version: StoreVersion) -> bool:
         """Tell whether a row changed after `version`."""
