--- a/features/steps/gateway_soak_world.py
+++ b/features/steps/gateway_soak_world.py
@@ -13,11 +13,11 @@
 
 from header_names import HEADER_NAMES  # isort: skip
 
-from gateway_soak_waits import has_used, is_ready
 
 from indigoworks_lab.client.polling import becomes_true
 from indigoworks_lab.gateway_soak.caller_limits_view import CallerLimitsView
 from indigoworks_lab.gateway_soak.event_kind import EventKind
+from indigoworks_lab.gateway_soak.gateway_waits import has_used, is_ready
 from indigoworks_lab.gateway_soak.soak_caller import SoakCaller
 from indigoworks_lab.gateway_soak.soak_history import SoakHistory
 from indigoworks_lab.gateway_soak.time_span import TimeSpan
--- a/features/steps/store_from_copy_steps.py
+++ b/features/steps/store_from_copy_steps.py
@@ -17,6 +17,7 @@
 from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
 from indigoworks_lab.control_simulation.fault_injector import FaultInjector
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.return_faults import RETURN, faults_beside_return
 from indigoworks_lab.control_simulation.run_control_seed import (
     MAX_STEPS,
     make_control_loop,
@@ -33,7 +34,6 @@
 
 NODES = 3
 SERVERS = 4
-RETURN = FaultKind.STORE_RETURNS_FROM_COPY
 COPY_S = 1.0
 """Time from the calm beginning to the copy."""
 
@@ -45,55 +45,12 @@
 LOOK_S = 0.05
 
 
-def beside(age_s, text):
-    """Return the other faults of a run whose store goes away `age_s` after the copy."""
-    away_s = COPY_S + age_s
-    return {
-        "nothing else happens": (),
-        "a server crashes in the span that is lost": (
-            DrawnFault(FaultKind.SERVER_CRASHED, away_s - 0.6, 0.0),
-        ),
-        "a server leaves in the span that is lost": (
-            DrawnFault(FaultKind.SERVER_DRAINING, away_s - 0.4, 0.0),
-        ),
-        "a server is replaced at its address in that span": (
-            DrawnFault(FaultKind.SERVER_REPLACED, away_s - 0.8, 0.3),
-        ),
-        "the leader is killed in the span that is lost": (
-            DrawnFault(FaultKind.LEADER_KILLED, away_s - 0.9, 9.0),
-        ),
-        "the leader stops in the span that is lost": (
-            DrawnFault(FaultKind.LEADER_STOPPED, away_s - 0.9, 9.0),
-        ),
-        "the leader is frozen while the store comes back": (
-            DrawnFault(FaultKind.LEADER_FROZEN, away_s - 0.2, 6.0),
-        ),
-        "the leader is cut off from the store as it comes back": (
-            DrawnFault(FaultKind.LEADER_CUT_FROM_STORE, away_s, 8.0),
-        ),
-        "all gateways are killed in the span that is lost": (
-            DrawnFault(FaultKind.ALL_NODES_KILLED, away_s - 0.6, 0.5),
-        ),
-        "all gateways start while the store comes back": (
-            DrawnFault(FaultKind.ALL_NODES_KILLED, away_s + 0.2, 0.6),
-        ),
-        "writes of the span that is lost are made late": (
-            DrawnFault(FaultKind.STORE_WRITES_LATE, away_s - 0.9, 0.9),
-            DrawnFault(FaultKind.SERVER_CRASHED, away_s - 0.8, 0.0),
-        ),
-        "orders of the span that is lost are carried out late": (
-            DrawnFault(FaultKind.ORDERS_LATE, away_s - 0.9, 2.0),
-            DrawnFault(FaultKind.SERVER_CRASHED, away_s - 0.8, 0.0),
-        ),
-        "it comes back once more soon after": (DrawnFault(RETURN, away_s + 0.5, 4.0),),
-    }[text]
-
-
 @when("control simulation brings the store back from copies, and {text}")
 def step_returns(context, text):
     context.reports = []
     for age_s, seed in SEEDS_BY_AGE_S.items():
-        faults = (DrawnFault(RETURN, COPY_S, age_s), *beside(age_s, text))
+        beside = faults_beside_return(text, COPY_S + age_s)
+        faults = (DrawnFault(RETURN, COPY_S, age_s), *beside)
         context.reports.append(run_control_seed(seed, ControlPlan(NODES, SERVERS, faults)))
 
 
