--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -36,6 +36,9 @@
 RETRY_S = 0.15
 """Pause before an order is sent again."""
 
+LONG_WAIT_S = 3.0
+"""A range that waits so long for a former owner is logged once, with what it still waits for."""
+
 
 class RangeKeeper:
     """Rules out former owners, grants the range, and renews the grant.
@@ -137,6 +140,7 @@
         """Return when `former` can hold no key of the range any more."""
         started_s = self._clock.now()
         tries = 0
+        is_logged = False
         while True:
             reason = self._reason_ruled_out(former)
             if reason is None:
@@ -151,6 +155,9 @@
                 )
                 return
             tries += 1
+            if not is_logged and self._clock.now() - started_s > LONG_WAIT_S:
+                is_logged = True
+                self._log_wait(former)
             await self._clock.sleep(RETRY_S)
 
     def _reason_ruled_out(self, former: FormerOwner) -> str | None:
@@ -250,6 +257,17 @@
 
     # ---- log ----
 
+    def _log_wait(self, former: FormerOwner) -> None:
+        bound_s = self._bounds.until_s(former.server_id, self.owned.first, self.owned.last)
+        own_s = self._bounds.own_until_s(former.server_id, self.owned.first, self.owned.last)
+        self._log(
+            "range:waits_for_former",
+            former=former.server_id,
+            is_listed=self._servers.get(former.server_id) is not None,
+            bound_left_s=round(min(bound_s - self._clock.now(), 1e6), 3),
+            is_bound_of_predecessor=own_s < bound_s,
+        )
+
     def _log(self, message_type: str, **fields: object) -> None:
         log_message(
             message_type=message_type,
