A process that was named leader as an era ended has not led that era

Cause: a challenge of which the answer is lost is carried out late, and its row names the process just as the store comes back in a new era. 'Led until the end' was derived from the row alone. Such a process skips HoldBounds.start_epoch, as one that knows what it granted; but it has never begun, and the bound of the leader before it is still the initial one, infinity. Every former owner that answers no release is then waited for without end. A process that had led earlier would have gone by bounds of that earlier epoch: too short, by reading.

--- a/features/store_from_copy.feature
+++ b/features/store_from_copy.feature
@@ -41,6 +41,16 @@
       | 32   |
       | 440  |
 
+  # The leader that was named never began, so that the bound of earlier grants was never set.
+  Scenario Outline: Keys are served again where a process became leader as an era of the store ended: seed <seed>
+    When control simulation draws seed <seed> with returns of the store from copies
+    Then control simulation found nothing in any of the runs
+
+    Examples:
+      | seed   |
+      | 700096 |
+      | 710037 |
+
   Scenario: The first table of an era that nobody remembers names only servers that did not answer
     When control simulation starts all gateways of 24 servers while the store comes back
     Then the first table of the era names at most 2 former owners of each range
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -71,6 +71,7 @@
         self._row_seen_s = self.era_seen_s = clock.now()
         self.has_read = self._has_read_era = False
         self._proof_s: float | None = None
+        self._acting_epoch: int | None = None
         self._changed = asyncio.Event()
         self._is_resigned = False
         self.signs = LeaderSigns(peers, directory, clock)
@@ -104,10 +105,14 @@
         if row.version > self.former.row.version:
             self.former = replace(self.former, row=row)
 
+    def start_acting(self, epoch: int) -> None:
+        """Take note that the bounds of earlier leaders' grants stand: `epoch` may give orders."""
+        self._acting_epoch = epoch
+
     def _begin_era(self) -> None:
         is_fresh = self._has_read_era and self._health.proof_age_s() <= HOLD_S
-        newest = max(self._row, self.former.row, key=lambda each: each.version)
-        self.former = FormerEra(newest, self.may_act(), is_fresh)
+        newest = max(self._acted_last(), self.former.row, key=lambda each: each.version)
+        self.former = FormerEra(newest, self.may_act() and self._is_acting(), is_fresh)
         self._row = self.predecessor = NO_LEADER
         self._row_seen_s = self.era_seen_s = self._clock.now()
         self._has_read_era = False
@@ -134,6 +139,17 @@
         """
         return self._is_first_after(era) and (self.former.is_led or self.former.is_fresh)
 
+    def _acted_last(self) -> LeaderRow:
+        """Return the newest row whose leader may have given orders.
+
+        The row may name this process before it knows of that, or in the very moment in which the
+        era ends: then the leader before it acted last.
+        """
+        return self.predecessor if self._names_us() and not self._is_acting() else self._row
+
+    def _is_acting(self) -> bool:
+        return self._names_us() and self._acting_epoch == self._row.epoch
+
     def _is_first_after(self, era: int) -> bool:
         """Tell whether no leader of this era was before, and `era` is the one right before it."""
         return era == self.era - 1 and self.former.is_before(self.era) and self.is_first_in_era()
