Holds that a process must wait for end with the era before it led, not with one that it led itself

Cause, by range:waits_for_former: nobody had followed the first era to its end, so every server may hold any key until 6 + 13 + 3 s after the era was learnt. The process that took the lead in the second era counted so from that era's beginning; its write of the first table was refused, the third era began 4 s later, and it counted again from there (bound 40.5 s), although nobody but itself had led in between. Its own orders of that time have their bounds one by one.

--- a/features/store_from_copy.feature
+++ b/features/store_from_copy.feature
@@ -51,6 +51,10 @@
       | 700096 |
       | 710037 |
 
+  Scenario: Keys wait for holds of the era before a leader began, not of the one that it led: seed 710083
+    When control simulation draws seed 710083 with returns of the store from copies
+    Then control simulation found nothing in any of the runs
+
   Scenario: The first table of an era that nobody remembers names only servers that did not answer
     When control simulation starts all gateways of 24 servers while the store comes back
     Then the first table of the era names at most 2 former owners of each range
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -44,6 +44,8 @@
     :ivar predecessor: the row before the newest one of the era, where that names this process.
     :ivar former: what was known of the group when the era before this one ended.
     :ivar era_seen_s: clock reading at which this process learnt of the current era.
+    :ivar others_led_until_s: clock reading at which this process learnt of the end of the newest
+        era in which others may have led.
     """
 
     def __init__(
@@ -68,7 +70,7 @@
         self._row = NO_LEADER
         self.predecessor = NO_LEADER
         self.former = NO_FORMER_ERA
-        self._row_seen_s = self.era_seen_s = clock.now()
+        self._row_seen_s = self.era_seen_s = self.others_led_until_s = clock.now()
         self.has_read = self._has_read_era = False
         self._proof_s: float | None = None
         self._acting_epoch: int | None = None
@@ -90,7 +92,7 @@
     def note_proof(self, true_at_s: float) -> None:
         """Take note that the rows applied so far were the newest at `true_at_s`."""
         if not self.has_read:
-            self.era_seen_s = self._clock.now()
+            self.era_seen_s = self.others_led_until_s = self._clock.now()
         self.has_read = self._has_read_era = True
         if self._names_us() and (self._proof_s is None or true_at_s > self._proof_s):
             self._proof_s = true_at_s
@@ -112,9 +114,12 @@
     def _begin_era(self) -> None:
         is_fresh = self._has_read_era and self._health.proof_age_s() <= HOLD_S
         newest = max(self._acted_last(), self.former.row, key=lambda each: each.version)
-        self.former = FormerEra(newest, self.may_act() and self._is_acting(), is_fresh)
-        self._row = self.predecessor = NO_LEADER
+        is_led = self.may_act() and self._is_acting()
+        self.former = FormerEra(newest, is_led, is_fresh)
         self._row_seen_s = self.era_seen_s = self._clock.now()
+        if not (is_led and self.is_first_in_era()):
+            self.others_led_until_s = self.era_seen_s
+        self._row = self.predecessor = NO_LEADER
         self._has_read_era = False
         self._proof_s = None
         self._changed.set()
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -206,5 +206,5 @@
         return hold_s * CLOCK_FACTOR + MARGIN_S
 
     def _acts_until_s(self) -> float:
-        """Return until when a leader of the former era may act: its newest proof is older."""
-        return self._leadership.era_seen_s + LEADER_LEASE_S
+        """Return until when a leader of a former era may act: its newest proof is older."""
+        return self._leadership.others_led_until_s + LEADER_LEASE_S
