No refusal is final by a configuration that peers know to be outdated

Cause: only routes asked whether peers have a newer configuration. Bodies and headers were judged by the HTTP library with the limits in force, a missing key by the service of the older configuration, and the idle time by the older limit. ConfigurationRefusals judges them all; the library reads more than is allowed, and what is over an outdated limit is dropped and answered with 503 and a time to come back. The word of a newer version counts for 5 s after it was last told, not first told: an operator may need longer than that to write again. A header over the limit in force gets 431 in place of a closed connection.

--- a/features/steps/gateway_idle_steps.py
+++ b/features/steps/gateway_idle_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 from gateway_request_steps import make_world
-from gateway_world import Caller, make_configuration, make_route
+from gateway_world import Caller, make_configuration, make_route, make_service
 
 from indigoworks.routes.caller_limits import CallerLimits
 
@@ -119,6 +119,39 @@
     context.run_async(hear())
 
 
+@when("a gateway caller asks, and headers may have {most:d} bytes")
+def set_headers(context, most):
+    set_limit(context, LONG_REST_S, max_header_bytes=most)
+    context.run_async(ask_first(context))
+
+
+@when("a gateway caller asks, and headers may grow from {old:d} to {new:d} bytes while it rests")
+def grow_headers(context, old, new):
+    set_headers(context, old)
+    set_limit(context, LONG_REST_S, max_header_bytes=new)
+
+
+@when("a gateway caller asks, and its service gets keys")
+def gets_keys(context):
+    context.run_async(ask_first(context))
+    services = (make_service(is_keyed=True),)
+    configuration = make_configuration(9, make_route(), services=services)
+    context.gateway.platform.configurations.put_in_force(configuration)
+
+
+@then("the resting gateway caller's request with a header of over {size:d} bytes is {what}")
+def header_judged(context, size, what):
+    context.rester.send(headers=(f"X-Filler: {'x' * size}",))
+    answer = context.run_async(context.rester.receive())
+    assert answer.status == {"told to come back": 503, "denied": 431, "answered": 200}[what]
+
+
+@then("the resting gateway caller's next request is told to come back")
+def told_to_come_back(context):
+    answer = context.run_async(context.rester.ask())
+    assert (answer.status, answer.header("Retry-After")) == (503, "0.300"), answer
+
+
 @then("the resting gateway caller's request with a body of {size:d} bytes is not denied")
 def body_not_denied(context, size):
     async def send():
--- a/indigoworks/gateway/front_exchange.py
+++ b/indigoworks/gateway/front_exchange.py
@@ -26,6 +26,9 @@
 MS_PER_S = 1000.0
 BODILESS = frozenset({204, 304})
 
+UNCONFIGURED = CallerLimits()
+"""Limits of a gateway without a configuration."""
+
 FAULT_ANSWER = FinalAnswer(
     502,
     (("Content-Type", "text/plain; charset=utf-8"),),
@@ -40,10 +43,22 @@
     is_stopping: bool
     limits: CallerLimits
 
+    def are_limits_outdated(self) -> bool:
+        """Tell whether a newer configuration may allow what the limits do not."""
+        ...
+
     async def answer(self, request: ClientRequest) -> FinalAnswer:
         """Answer one request."""
         ...
 
+    def header_too_large(self, request: ClientRequest) -> FinalAnswer:
+        """Refuse a request whose header is over the limits."""
+        ...
+
+    def come_back(self, request: ClientRequest) -> FinalAnswer:
+        """Refuse a request whose body is over outdated limits; it may come again."""
+        ...
+
 
 class FrontExchange(HTTPMessageDelegate):
     """Reads one request whole, answers it, and cancels the work when the caller goes away."""
@@ -58,6 +73,9 @@
         self._start_line = RequestStartLine("", "", "")
         self._headers = HTTPHeaders()
         self._chunks: list[bytes] = []
+        self._body_bytes = 0
+        self._is_header_too_large = False
+        self._is_body_too_large = False
         self._task: asyncio.Task[None] | None = None
         self._rests_from_s = clock.now()
         self._first_limits = server.limits
@@ -69,13 +87,21 @@
         assert isinstance(start_line, RequestStartLine)
         self._start_line = start_line
         self._headers = headers
+        is_outdated = self._server.are_limits_outdated()
+        self._is_header_too_large = _header_bytes(start_line, headers) > self._most_header_bytes()
         # The library took its limit before the rest of this connection.
-        most_bytes = max(each.max_body_bytes for each in self._known_limits())
-        self._connection.set_max_body_size(most_bytes)
+        read_bytes = max(self._most_body_bytes(), UNCONFIGURED.max_body_bytes if is_outdated else 0)
+        self._connection.set_max_body_size(read_bytes)
 
     def data_received(self, chunk: bytes) -> None:
-        """Take a part of the body."""
-        self._chunks.append(chunk)
+        """Take a part of the body; one over the limits in force is read and dropped."""
+        self._body_bytes += len(chunk)
+        if self._body_bytes > self._most_body_bytes():
+            self._is_body_too_large = True
+        if self._is_body_too_large:
+            self._chunks.clear()
+        else:
+            self._chunks.append(chunk)
 
     def finish(self) -> None:
         """Answer the request, which has been read whole."""
@@ -103,6 +129,12 @@
         """Return what a caller may go by: the limits as its rest began, and the newest."""
         return self._first_limits, self._server.limits
 
+    def _most_header_bytes(self) -> int:
+        return max(each.max_header_bytes for each in self._known_limits())
+
+    def _most_body_bytes(self) -> int:
+        return max(each.max_body_bytes for each in self._known_limits())
+
     def _is_before_header(self) -> bool:
         """Tell whether no whole header has been read from the open connection.
 
@@ -138,7 +170,7 @@
     async def _run(self, request: ClientRequest) -> None:
         with self._server.in_progress.one():
             try:
-                answer = await self._server.answer(request)
+                answer = await self._answer(request)
             except asyncio.CancelledError:
                 return
             except Exception as error:
@@ -151,6 +183,13 @@
                 answer = FAULT_ANSWER
             await self._write(request, answer)
 
+    async def _answer(self, request: ClientRequest) -> FinalAnswer:
+        if self._is_header_too_large:
+            return self._server.header_too_large(request)
+        if self._is_body_too_large:
+            return self._server.come_back(request)
+        return await self._server.answer(request)
+
     async def _write(self, request: ClientRequest, answer: FinalAnswer) -> None:
         headers = HTTPHeaders()
         for name, value in answer.headers:
@@ -188,6 +227,13 @@
         )
 
 
+def _header_bytes(start_line: RequestStartLine, headers: HTTPHeaders) -> int:
+    """Return the length of a header as written with one space after each colon."""
+    first = len(" ".join(start_line)) + len("\r\n")
+    fields = sum(len(name) + len(value) + len(": \r\n") for name, value in headers.get_all())
+    return first + fields + len("\r\n")
+
+
 def _milliseconds(text: str | None) -> float | None:
     if text is None:
         return None
--- a/indigoworks/gateway/front_server.py
+++ b/indigoworks/gateway/front_server.py
@@ -12,6 +12,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.common.in_progress import InProgress
 from indigoworks.gateway.client_request import ClientRequest
+from indigoworks.gateway.configuration_refusals import ConfigurationRefusals
 from indigoworks.gateway.final_answer import FinalAnswer
 from indigoworks.gateway.front_exchange import FrontExchange
 from indigoworks.gateway.header_names import HeaderNames
@@ -19,6 +20,10 @@
 
 BACKLOG = 1024
 
+HEADER_READ_BYTES = 256 * 1024
+"""So much of a header is read, whatever the limit in force: whether it is too large is judged when
+it is there, since a newer configuration may allow it."""
+
 CLOSE_PERIOD_S = 0.02
 """Time between two looks for connections that rest while the process stops."""
 
@@ -29,13 +34,19 @@
     """Reads requests whole, lets `handler` answer them, and tells it when a caller goes away."""
 
     def __init__(
-        self, address: Address, names: HeaderNames, handler: Handler, clock: Clock
+        self,
+        address: Address,
+        names: HeaderNames,
+        handler: Handler,
+        refusals: ConfigurationRefusals,
+        clock: Clock,
     ) -> None:
         self._address = address
         self._names = names
         self._handler = handler
         self._clock = clock
-        self._server = HTTPServer(self)
+        self._refusals = refusals
+        self._server = HTTPServer(self, max_header_size=HEADER_READ_BYTES)
         self._listeners: list[socket.socket] = []
         self._exchanges: WeakKeyDictionary[object, FrontExchange] = WeakKeyDictionary()
         self.in_progress = InProgress()
@@ -53,15 +64,22 @@
         self._server.add_sockets(self._listeners)
 
     def set_limits(self, limits: CallerLimits) -> None:
-        """Put limits in force; that of headers only for connections that do not rest already."""
+        """Put limits in force."""
         self.limits = limits
-        self._server.conn_params.max_header_size = limits.max_header_bytes
+        # A connection that rests has the bound that the library took when its rest began.
+        self._server.conn_params.max_header_size = max(HEADER_READ_BYTES, limits.max_header_bytes)
+
+    def are_limits_outdated(self) -> bool:
+        """Tell whether a newer configuration may allow what the limits in force do not."""
+        return self._refusals.is_outdated()
 
     def close_rested(self) -> None:
         """Close connections that have rested for too long, or do not end a header.
 
         The HTTP library's own time-out would close a connection whose request has just been read.
         """
+        if self.are_limits_outdated():
+            return
         for exchange in list(self._exchanges.values()):
             exchange.close_if_rested_too_long()
 
@@ -78,6 +96,14 @@
         """Let the handler answer one request."""
         return await self._handler(request)
 
+    def header_too_large(self, request: ClientRequest) -> FinalAnswer:
+        """Refuse a request whose header is over the limits."""
+        return self._refusals.header_too_large(request)
+
+    def come_back(self, request: ClientRequest) -> FinalAnswer:
+        """Refuse a request whose body is over outdated limits; it may come again."""
+        return self._refusals.come_back(request)
+
     def stop_listening(self) -> None:
         """Accept no further connections."""
         self._server.stop()
--- a/indigoworks/gateway/gateway_answers.py
+++ b/indigoworks/gateway/gateway_answers.py
@@ -42,6 +42,10 @@
         """Return that the request names no key."""
         return self._own(request, 400, f"No key. Send a number in {self._names.key}.\n")
 
+    def too_large(self, request: ClientRequest) -> FinalAnswer:
+        """Return that the header is larger than the configuration allows."""
+        return self._own(request, 431, "Header too large. Send fewer or shorter headers.\n")
+
     def lost(self, request: ClientRequest) -> FinalAnswer:
         """Return that the request may have run."""
         text = "The answer was lost; the request may have run. Check before sending it again.\n"
--- a/indigoworks/gateway/request_routing.py
+++ b/indigoworks/gateway/request_routing.py
@@ -2,42 +2,32 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.client_request import ClientRequest
+from indigoworks.gateway.configuration_refusals import ConfigurationRefusals
 from indigoworks.gateway.final_answer import FinalAnswer
 from indigoworks.gateway.first_tries import FirstTries
 from indigoworks.gateway.flow_state import FlowState
-from indigoworks.gateway.gateway_answers import GatewayAnswers
-from indigoworks.gateway.refusal import Refusal, RefusalReason
-from indigoworks.gateway.request_log import RequestLog
+from indigoworks.gateway.refusal import RefusalReason
 from indigoworks.gateway.weighted_split import WeightedSplit
 from indigoworks.routes.configuration import Configuration
 from indigoworks.routes.configuration_holder import ConfigurationHolder
 from indigoworks.routes.route import Route
 
-COME_BACK_S = 0.3
-"""Time to come back after a refusal for a configuration that is not there yet: gateways
-on slow links have a change 0.2 s after the store in the median, 0.8 s at most, and 1.3 s at most of
-changes in quick succession (simulated zone, 2,533 routes)."""
-
 
 class RequestRouting:
     """Routes requests when they arrive, and again when they are about to be sent.
 
     A request may wait for half a second and more before it is sent: what is in force by then
-    decides. A gateway that knows that peers have a newer configuration does not say that there is
-    no route: it says when to come back.
+    decides.
     """
 
     def __init__(
         self,
         configurations: ConfigurationHolder,
-        answers: GatewayAnswers,
-        log: RequestLog,
+        refusals: ConfigurationRefusals,
         clock: Clock,
     ) -> None:
         self._configurations = configurations
-        self._answers = answers
-        self._log = log
-        self._clock = clock
+        self._refusals = refusals
         self._split = WeightedSplit()
         self._first_tries = FirstTries(clock)
 
@@ -45,10 +35,10 @@
         """Return a request with its route, or its final answer where it has none."""
         configuration = self._configurations.current()
         if configuration is None:
-            return self._refused(request, RefusalReason.NO_CONFIGURATION)
+            return self._refusals.refused(request, RefusalReason.NO_CONFIGURATION)
         route = configuration.find_route(request.host, request.path)
         if route is None:
-            return self._no_route(request, configuration)
+            return self._refusals.no_route(request, configuration.version)
         chosen = self._split.choose(route)
         age_s = self._first_tries.age_s(route.name, request.wait_s)
         return self._with_service(request, configuration, route, chosen, age_s)
@@ -77,7 +67,7 @@
             return None
         route = configuration.find_route(state.request.host, state.request.path)
         if route is None:
-            return self._no_route(state.request, configuration)
+            return self._refusals.no_route(state.request, configuration.version)
         is_kept = _leads_to(route, state.service.name)
         chosen = state.service.name if is_kept else self._split.choose(route)
         routed = self._with_service(state.request, configuration, route, chosen, 0.0)
@@ -96,24 +86,12 @@
     ) -> FlowState | FinalAnswer:
         service = configuration.services.get(service_name)
         if service is None:
-            return self._refused(request, RefusalReason.NO_SERVER)
+            return self._refusals.refused(request, RefusalReason.NO_SERVER)
         if service.is_keyed and request.key is None:
-            self._log.no_key(request, service.name, configuration.version)
-            return self._answers.no_key(request)
+            return self._refusals.no_key(request, service.name, configuration.version)
         share = configuration.share_of(route, service.name, request.key)
         return FlowState(request, route, service, configuration.version, share, first_try_age_s)
 
-    def _no_route(self, request: ClientRequest, configuration: Configuration) -> FinalAnswer:
-        if self._configurations.is_behind(self._clock.now()):
-            return self._refused(request, RefusalReason.CONFIGURATION_BEHIND)
-        self._log.no_route(request, configuration.version)
-        return self._answers.no_route(request)
-
-    def _refused(self, request: ClientRequest, reason: RefusalReason) -> FinalAnswer:
-        refusal = Refusal(reason, COME_BACK_S)
-        self._log.refused(request, None, refusal)
-        return self._answers.refused(request, refusal)
-
 
 def _leads_to(route: Route, service_name: str) -> bool:
     return any(each.service == service_name and each.weight > 0 for each in route.services)
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -13,6 +13,7 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.gateway.configuration_refusals import ConfigurationRefusals
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_answers import GatewayAnswers
@@ -149,8 +150,9 @@
         self.quarantine.on_crash = self._quarantine_rows.note_crash
         self._harm = HarmWatch(self.quarantine, self.doubts, self._watch, platform.servers, clock)
         self.doubts.on_free = self._open_lock
+        refusals = ConfigurationRefusals(platform.configurations, answers, log, clock)
         flow = RequestFlow(
-            RequestRouting(platform.configurations, answers, log, clock),
+            RequestRouting(platform.configurations, refusals, clock),
             placer,
             owners,
             self.sender,
@@ -170,7 +172,7 @@
             log,
             clock,
         )
-        self.front = FrontServer(settings.front_address, ports.names, flow.run, clock)
+        self.front = FrontServer(settings.front_address, ports.names, flow.run, refusals, clock)
         platform.configurations.on_change(
             lambda configuration: self.front.set_limits(configuration.limits)
         )
--- a/indigoworks/routes/configuration_holder.py
+++ b/indigoworks/routes/configuration_holder.py
@@ -7,7 +7,7 @@
 from indigoworks.routes.configuration import Configuration
 
 BEHIND_S = 5.0
-"""A newer version that has not come for so long will not: it cannot be read here, or its holder was
+"""A newer version that nobody told of for so long is not waited for: its holder is gone, or was
 out of step. Twice the longest time of today's deployments in which a change must be in force."""
 
 
@@ -27,14 +27,16 @@
     def note_newer(self, version: int, at_s: float) -> None:
         """Take note that another process has this version in force.
 
+        A store that came back from a copy may be without it for as long as the operator needs.
+
         :param at_s: clock reading of the moment at which it said so.
         """
-        if version > self._newest_version:
+        if version >= self._newest_version:
             self._newest_version = version
             self._newest_heard_s = at_s
 
     def is_behind(self, now_s: float) -> bool:
-        """Tell whether another process has just put a newer configuration in force."""
+        """Tell whether another process that is heard has a newer configuration in force."""
         is_older = self._current is not None and self._current.version < self._newest_version
         return is_older and now_s - self._newest_heard_s <= BEHIND_S
 
