In a cut the lock of a suspect request is a row of the store as well

Callers saw: with no zone hearing another, a request that ends its servers ended each next owner of its key by several runs at once; 6 and 4 runs later than 3 s after the third where 3 may be (listed rows).

Cause: the lock that lets one try go is given out by one gateway among those that are heard, so that each part of a cut has one: the runs at 4.14 and 7.28 s come in groups, one from each part. Word of ends passes by the store only while a peer is missed, and a peer that was never heard was not missed.

While a listed member is not heard, who has the lock of its part writes the request's row in the store under a condition, too: all who are in touch reach the store, and one of two writes fails. A part that hears everybody goes by a row that another has written. Not chosen: a vote (refuses innocents), turns by time (end before the keys are back), all locks by the store (a write for each doubt).

--- a/features/gateway_harmful_in_hand.feature
+++ b/features/gateway_harmful_in_hand.feature
@@ -34,6 +34,22 @@
       | scheduler | 1000  | 0.01  | 0.1     | 20    |
       | scheduler | 60    | 0.2   | 0.9     | 4     |
 
+  Scenario: A cut of which only one zone knows lets no further tries go
+    Given 11 crash gateways before 20 servers of each service
+    And servers of 4 slots, whose keys move after 3.1 s
+    And between 0.1 and 20 s zone "z2" does not hear the others
+    When a request to catalogue that ends its servers comes 1000 times, one each 0.01 s, from as many callers
+    Then at most 3 runs of it began later than 3 s after the third run that ended its server
+
+  Scenario Outline: Drawn cuts of zones beside other faults let no further tries go: seed <seed>
+    When the drawn run <seed> of harmful requests with cuts of zones is played
+    Then no request reached more than 3 servers later than 3 s after it had ended three
+    And at most 0.002 of the tries of other requests were refused for it
+
+    Examples:
+      | seed |
+      | 7    |
+
   Scenario Outline: Many tries a second, <gateways> gateways, <service>, one each <gap_s> s, <lost> lost
     Given <gateways> crash gateways before 20 servers of each service
     And servers of 4 slots, whose keys move after 3.1 s
--- a/features/steps/gateway_harm_caller_steps.py
+++ b/features/steps/gateway_harm_caller_steps.py
@@ -111,6 +111,11 @@
     context.harm_report = run_seed(seed, is_of_many=True)
 
 
+@when("the drawn run {seed:d} of harmful requests with cuts of zones is played")
+def step_drawn_with_cuts(context, seed):
+    context.harm_report = run_seed(seed, has_zone_cuts=True)
+
+
 @then("callers were told the time after which it is tried anew")
 def step_told_time(context):
     until_s = last_end_s(context, "scheduler") + 60
--- a/features/steps/gateway_limit_steps.py
+++ b/features/steps/gateway_limit_steps.py
@@ -115,6 +115,18 @@
     context.crash_scripts.append(script)
 
 
+@given('between {begin_s:g} and {end_s:g} s zone "{zone}" does not hear the others')
+def step_deaf_zone(context, begin_s, end_s, zone):
+    async def script(simulation, callers):
+        await asyncio.sleep(begin_s)
+        zone_of = {each.node: each.address.zone for each in simulation.gateways.values()}
+        simulation.is_cut = lambda sender, receiver: zone_of[receiver] == zone != zone_of[sender]
+        await asyncio.sleep(end_s - begin_s)
+        simulation.is_cut = lambda sender, receiver: False
+
+    context.crash_scripts.append(script)
+
+
 @given("patient requests beside them at {per_s:d} a second for {duration_s:g} s")
 def step_patient(context, per_s, duration_s):
     async def beside(simulation, callers):
--- /dev/null
+++ b/indigoworks/exchange/cut_watch.py
@@ -0,0 +1,46 @@
+"""Whether members of the group may not hear this process."""
+
+from indigoworks.common.clock import Clock
+from indigoworks.exchange.peer_directory import PeerDirectory
+from indigoworks.exchange.peer_view import PeerView
+
+HEARD_S = 0.5
+"""A member must have been heard within this time."""
+
+HEARD_OF_MANY_S = 1.0
+"""The same in a group that is large enough for hubs: before it has them, and where they fail, its
+gateways report each 0.6 s."""
+
+GONE_S = 600.0
+"""A member that has been silent for longer has left for good: rows of machines that left stay in
+the store."""
+
+
+class CutWatch:
+    """Compares the members that the store lists with those that are heard.
+
+    What the members keep together by messages alone has no sum while it says so: each part of a cut
+    group has a keeper of its own.
+    """
+
+    def __init__(self, directory: PeerDirectory, peers: PeerView, clock: Clock) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._clock = clock
+        self._listed_s: dict[str, float] = {}
+
+    def note_members(self) -> None:
+        """Take note of when members were listed first; call it after the directory has changed."""
+        now_s = self._clock.now()
+        nodes = [each.node for each in self._directory.others()]
+        self._listed_s = {each: self._listed_s.get(each, now_s) for each in nodes}
+
+    def is_cut(self) -> bool:
+        """Tell whether a member is not heard that may still run."""
+        within_s = HEARD_OF_MANY_S if self._directory.has_many() else HEARD_S
+        return any(within_s < self._silence_s(each) < GONE_S for each in self._listed_s)
+
+    def _silence_s(self, node: str) -> float:
+        heard_s = self._peers.heard_time_s(node)
+        listed_s = self._listed_s[node]
+        return self._clock.now() - (listed_s if heard_s is None else max(heard_s, listed_s))
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -5,10 +5,13 @@
 
 from indigoworks.broker.broker_side import BrokerSide
 from indigoworks.broker.brokered_queue import BrokeredQueue
+from indigoworks.broker.group_locks import GroupLocks
+from indigoworks.broker.stored_locks import StoredLocks
 from indigoworks.broker.suspect_locks import SuspectLocks
 from indigoworks.common.clock import Clock
 from indigoworks.common.logging.line_rates import LineRates
 from indigoworks.common.metrics import Metrics
+from indigoworks.exchange.cut_watch import CutWatch
 from indigoworks.exchange.datagram_port import DatagramPort, OpenDatagrams
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
@@ -130,19 +133,17 @@
         answers = GatewayAnswers(ports.names)
         log = RequestLog(self.board, RequestMetrics(metrics), line_rates, clock)
         self.quarantine = Quarantine(clock, ports.health.to_store_s)
-
-        def is_cut() -> bool:
-            is_alone = directory.count_others() > 0 and peers.live_count() == 0
-            return is_alone or peers.has_silent_peer()
-
+        group = ControlGroup(ports.health.eras)
+        self._cuts = CutWatch(directory, peers, clock)
+        self._stored_locks = StoredLocks(own.boot, ports.store, group, ports.health, clock)
         self._quarantine_rows = QuarantineRows(
             self.quarantine,
             ports.store,
             ports.health,
             CONTROL_TABLE,
-            ControlGroup(ports.health.eras).transaction,
+            group.transaction,
             clock,
-            is_cut,
+            self._cuts.is_cut,
         )
         peers.on_heard = self.quarantine.tell_again
         self.quarantine.on_verdict = self._quarantine_rows.want
@@ -162,7 +163,11 @@
             self._harm,
             TryGate(
                 self._harm,
-                SuspectLocks(self.brokers.choice, self.brokers.client, clock),
+                GroupLocks(
+                    SuspectLocks(self.brokers.choice, self.brokers.client, clock),
+                    self._stored_locks,
+                    self._cuts,
+                ),
                 clock,
             ),
             self.allowance,
@@ -198,8 +203,10 @@
         await self._quarantine_rows.run()
 
     def take_rows(self, rows: Sequence[Row]) -> None:
-        """Take rows of the group."""
+        """Take rows of the group, which the directory has taken already."""
+        self._cuts.note_members()
         self._quarantine_rows.take_rows(rows)
+        self._stored_locks.take_rows(rows)
 
     def use_settings(self, settings: GatewaySettings) -> None:
         """Go by what of `settings` can change in a running process."""
@@ -223,6 +230,7 @@
     def close(self) -> None:
         """End all checks of servers."""
         self._harm.close()
+        self._stored_locks.close()
         self._watch.close()
 
 
--- a/indigoworks_lab/crash_simulation/build_gateway.py
+++ b/indigoworks_lab/crash_simulation/build_gateway.py
@@ -82,10 +82,14 @@
 
 
 def _ports(store: GroupStore) -> PlatformPorts:
+    clock = LoopClock()
+    health = StoreHealth(clock)
+    # The store's clock is that of the simulation.
+    health.note_answer(clock.now(), clock.now())
     return PlatformPorts(
         names=NAMES,
         store=store,
-        health=StoreHealth(LoopClock()),
+        health=health,
         orders=NoOrders(),
         configuration_table=CONFIGURATION_TABLE,
         configuration_key=CONFIGURATION_KEY,
--- a/indigoworks_lab/crash_simulation/explore.py
+++ b/indigoworks_lab/crash_simulation/explore.py
@@ -22,6 +22,8 @@
 SERVERS = (6, 14, 20)
 CALLERS = 40
 READERS_OF_PAGE = 9
+MANY_TRIES = 10
+MANY_TRIES_S = 10.0
 MAX_STEPS = 100_000_000
 
 Fault = Callable[["DrawnRun"], Coroutine[Any, Any, None]]
@@ -49,8 +51,13 @@
         return asyncio.get_running_loop().time()
 
 
-def run_seed(seed: int, is_of_many: bool = False) -> HarmReport:
-    """Play the run of a seed; `is_of_many`: tries of one request come from many callers."""
+def run_seed(seed: int, is_of_many: bool = False, has_zone_cuts: bool = False) -> HarmReport:
+    """Play the run of a seed.
+
+    :param is_of_many: tries of one request come from many callers.
+    :param has_zone_cuts: a request also comes many times a second, in a group of which no zone, or
+        one alone, hears the others.
+    """
     random = Random(f"harm {seed}")
     shape = CrashShape(
         gateways=random.choice(GATEWAYS),
@@ -63,8 +70,13 @@
         simulation = CrashSimulation(shape, seed)
         simulation.start()
         run = DrawnRun(simulation, Callers(simulation), random, Outages(), is_of_many)
+        works = [_play(run)]
+        if has_zone_cuts:
+            # Drawn by itself, so that the rest of a seed stays what it is.
+            cut = DrawnRun(simulation, run.callers, Random(f"cuts {seed}"), run.outages, True)
+            works += [_cut_zones(cut), _many_tries(cut)]
         try:
-            await _play(run)
+            await asyncio.gather(*works)
         finally:
             await simulation.finish()
         return check_harm(simulation.runs(), simulation.answers, run.outages, HARMFUL)
@@ -100,6 +112,18 @@
         await asyncio.sleep(gap_s)
 
 
+async def _many_tries(run: DrawnRun) -> None:
+    """A request that ends its servers comes many times a second, from many callers."""
+    random = run.random
+    target = f"/{random.choice(run.simulation.shape.services)[0]}/{HARMFUL}/many"
+    gap_s = random.choice((0.01, 0.02, 0.05, 0.2))
+    run.simulation.harmful.add(target)
+    await asyncio.sleep(random.uniform(0.5, 4.0))
+    for count in range(int(MANY_TRIES_S / gap_s)):
+        run.simulation.spawn(run.callers.ask(target, run.caller(MANY_TRIES, count)))
+        await asyncio.sleep(gap_s)
+
+
 async def _page(run: DrawnRun) -> None:
     for count in range(int(LENGTH_S * PAGES_PER_S)):
         caller = run.caller(READERS_OF_PAGE, count) if run.is_of_many else "10.9.1.1"
@@ -137,6 +161,20 @@
     run.simulation.is_cut = lambda sender, receiver: False
 
 
+async def _cut_zones(run: DrawnRun) -> None:
+    """No zone hears another, or one alone does not hear the others; all reach the store."""
+    random, simulation = run.random, run.simulation
+    simulation.store.feed_s = random.choice((0.0, 0.02, 0.1))
+    zone_of = {each.node: each.address.zone for each in simulation.gateways.values()}
+    deaf = random.choice((None, None, *sorted(set(zone_of.values()))))
+    await asyncio.sleep(random.choice((0.0, random.uniform(0.0, 6.0))))
+    simulation.is_cut = lambda sender, receiver: (
+        zone_of[sender] != zone_of[receiver] and deaf in (None, zone_of[receiver])
+    )
+    await asyncio.sleep(random.uniform(3.0, 20.0))
+    simulation.is_cut = lambda sender, receiver: False
+
+
 async def _lose_store(run: DrawnRun) -> None:
     await asyncio.sleep(run.random.uniform(0.0, 25.0))
     began_s = run.now_s()
--- a/indigoworks_lab/crash_simulation/group_store.py
+++ b/indigoworks_lab/crash_simulation/group_store.py
@@ -5,18 +5,19 @@
 
 from result import Err, Ok, Result
 
-from indigoworks.rowstore.errors import StoreError, StoreUnreachable
+from indigoworks.rowstore.errors import ConditionFailed, StoreError, StoreUnreachable
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_version import StoreVersion
-from indigoworks.rowstore.transaction import Transaction
+from indigoworks.rowstore.transaction import ABSENT, Transaction
 
 COMMIT_S = 0.005
 
 
 class GroupStore:
-    """Implements `RowStore` for one part; hands each new row to `on_row` at once.
+    """Implements `RowStore` for one part; hands each new row to `on_row`.
 
+    :ivar feed_s: time after which it is handed on.
     :ivar is_down: no call is answered, and none is carried out.
     """
 
@@ -24,6 +25,7 @@
         self.rows: dict[str, Row] = {}
         self.is_down = False
         self.commits = 0
+        self.feed_s = 0.0
         self._version = StoreVersion(0, 0)
         self._on_row = on_row
 
@@ -31,7 +33,10 @@
         """Write a row."""
         self._version = StoreVersion(0, self._version.counter + 1)
         self.rows[key] = Row(table, part, key, value, self._version)
-        self._on_row(self.rows[key])
+        if self.feed_s:
+            asyncio.get_running_loop().call_later(self.feed_s, self._on_row, self.rows[key])
+        else:
+            self._on_row(self.rows[key])
 
     async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
         """Return all rows."""
@@ -46,11 +51,17 @@
         return await self.read(table, "")
 
     async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
-        """Make a transaction without conditions."""
+        """Make a transaction if its conditions hold."""
         self.commits += 1
         await asyncio.sleep(COMMIT_S)
         if self.is_down:
             return Err(StoreUnreachable("The store is down.", "Try again later."))
+        for expected in transaction.expected:
+            if self._version_of(expected.key) != expected.version:
+                return Err(ConditionFailed("A row has changed.", "Read it again."))
         for put in transaction.puts:
             self.put(put.table, transaction.part, put.key, put.value)
         return Ok(self._version)
+
+    def _version_of(self, key: str) -> StoreVersion:
+        return self.rows[key].version if key in self.rows else ABSENT
