Members are looked through for a cut when their rows change, not with each row of the group

CutWatch.take_rows built its record of listed members anew with every row that the group's feed brought: with 195 gateways 195 entries for each table of owners that the leader writes. It does so now for rows that name gateways alone. No figure was taken of either; the scenarios of locks, quarantine and limits pass as before.

--- a/indigoworks/exchange/cut_watch.py
+++ b/indigoworks/exchange/cut_watch.py
@@ -1,8 +1,11 @@
 """Whether members of the group may not hear this process."""
 
+from collections.abc import Iterable
+
 from indigoworks.common.clock import Clock
-from indigoworks.exchange.peer_directory import PeerDirectory
+from indigoworks.exchange.peer_directory import PEER_PREFIX, PeerDirectory
 from indigoworks.exchange.peer_view import PeerView
+from indigoworks.rowstore.row import Row
 
 HEARD_S = 0.5
 """A member must have been heard within this time."""
@@ -35,8 +38,10 @@
         self._share = 1.0
         self._share_until_s = float("-inf")
 
-    def note_members(self) -> None:
-        """Take note of when members were listed first; call it after the directory has changed."""
+    def take_rows(self, rows: Iterable[Row]) -> None:
+        """Take note of when members were listed first; the directory has taken the rows already."""
+        if not any(row.key.startswith(PEER_PREFIX) for row in rows):
+            return
         now_s = self._clock.now()
         nodes = [each.node for each in self._directory.others()]
         self._listed_s = {each: self._listed_s.get(each, now_s) for each in nodes}
--- a/indigoworks/gateway/request_side.py
+++ b/indigoworks/gateway/request_side.py
@@ -205,7 +205,7 @@
 
     def take_rows(self, rows: Sequence[Row]) -> None:
         """Take rows of the group, which the directory has taken already."""
-        self._cuts.note_members()
+        self._cuts.take_rows(rows)
         self._quarantine_rows.take_rows(rows)
         self._stored_locks.take_rows(rows)
 
