Log lines: why a range passed, orders without an answer, who begins to act as leader

Cause: no line told by which bound a range passed from one server to the next, or of a grant that was sent and not answered, so that the hypotheses on two owners could not be told apart from the logs. Ruled out: a change of any decision. The lines read bounds and proofs and feed nothing back; the bounds of holds that have ended, and those of earlier epochs of this process, are kept for the log only, beside the ones that decide. Before: range:former_ruled_out with `hold_has_ended` for three bounds; a proof of 1000000 s where there was none; server:replaced without its sign. After: range:passed, order:unanswered, order:answered_again, order:old_proof, leader:acts; further fields on leader:lost, leader:resigned, server:replaced, range:fenced. The reasons of range:former_ruled_out are named by proof. An order's outcome carries the id that answers.

--- a/indigoworks/broker/zone_servers.py
+++ b/indigoworks/broker/zone_servers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from indigoworks.common.clock import Clock
+from indigoworks.servers.replacement_sign import ReplacementSign
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
@@ -75,6 +76,6 @@
         """Tell whether the server's process is known to have ended."""
         return self._servers.is_gone(server_id)
 
-    def note_replaced(self, server_id: str, by_server_id: str) -> None:
+    def note_replaced(self, server_id: str, by_server_id: str, sign: ReplacementSign) -> None:
         """Take note that another server answers at the address of `server_id`."""
-        self._servers.note_replaced(server_id, by_server_id)
+        self._servers.note_replaced(server_id, by_server_id, sign)
--- a/indigoworks/common/logging/line_rates.py
+++ b/indigoworks/common/logging/line_rates.py
@@ -15,6 +15,7 @@
     "leader:",
     "ownership:",
     "range:",
+    "order:",
     "hold:",
     "server:",
     "reach:",
--- a/indigoworks/gateway/request_flow.py
+++ b/indigoworks/gateway/request_flow.py
@@ -23,6 +23,7 @@
 from indigoworks.gateway.server_sender import MISDIRECTED, ServerSender
 from indigoworks.gateway.try_gate import TryGate
 from indigoworks.gateway.waiting_request import WaitingRequest
+from indigoworks.servers.replacement_sign import ReplacementSign
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
@@ -226,7 +227,8 @@
         by_server_id = answer.answering_id
         is_other = by_server_id is not None and by_server_id != server.server_id
         if answer.status == MISDIRECTED and is_other:
-            self._servers.note_replaced(server.server_id, by_server_id or "")
+            sign = ReplacementSign.REQUEST
+            self._servers.note_replaced(server.server_id, by_server_id or "", sign)
             return
         self._board.note_answer(server.server_id)
         if (
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -1,5 +1,6 @@
 """Until when a server may hold keys at the latest."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from eliot import log_message
@@ -20,6 +21,9 @@
 SLOW_ORDER_S = 0.1
 """An order that is under way for longer may well be one that is carried out late."""
 
+PAST_HOLDS_S = 60.0
+"""Holds that have ended are remembered for so long, for the log only."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Hold:
@@ -56,6 +60,7 @@
         self._open_s: dict[_Hold, float] = {}
         self._sent_s: dict[_Hold, float] = {}
         self._late_s: dict[_Hold, float] = {}
+        self._past_s: dict[_Hold, float] = {}
         self._predecessor_s = float("inf")
 
     def start_epoch(self, predecessor_until_s: float) -> None:
@@ -63,6 +68,8 @@
 
         :param predecessor_until_s: bound of what earlier leaders granted, as known now.
         """
+        for known in (self._settled_s, self._open_s, self._late_s):
+            self._remember(known)
         self._settled_s = {}
         self._open_s = {}
         self._late_s = {}
@@ -107,7 +114,7 @@
 
     def close_below(self, server_id: str, first: int, last: int, token: int) -> None:
         """Take note that the server refuses grants of these keys under tokens below `token`."""
-        for known in (self._settled_s, self._open_s, self._late_s):
+        for known in (self._settled_s, self._open_s, self._late_s, self._past_s):
             for hold in [each for each in known if each.overlaps(server_id, first, last)]:
                 if hold.token < token:
                     until_s = known.pop(hold)
@@ -133,6 +140,25 @@
         ]
         return max(bounds_s, default=float("-inf"))
 
+    @property
+    def predecessor_until_s(self) -> float:
+        """Return the bound of earlier leaders' grants; minus infinity: there were none."""
+        return self._predecessor_s
+
+    def last_grant(self, server_id: str, first: int, last: int) -> tuple[float, int | None]:
+        """Return the latest end of this process's own grants, and their highest token, for the log.
+
+        Those that have ended of late count, and those of epochs before the current one.
+        """
+        holds = [
+            (until_s, hold.token)
+            for known in (self._settled_s, self._open_s, self._late_s, self._past_s)
+            for hold, until_s in known.items()
+            if hold.overlaps(server_id, first, last)
+        ]
+        until_s = max((until_s for until_s, _ in holds), default=float("-inf"))
+        return until_s, max((token for _, token in holds), default=None)
+
     def longest_left_s(self) -> float:
         """Return how long the longest of this leader's holds may last.
 
@@ -150,11 +176,19 @@
     def drop_past(self) -> None:
         """Forget holds that have ended."""
         now_s = self._clock.now()
+        for known in (self._settled_s, self._open_s, self._late_s):
+            self._remember({hold: at_s for hold, at_s in known.items() if at_s <= now_s})
+        oldest_s = now_s - PAST_HOLDS_S
+        self._past_s = {hold: at_s for hold, at_s in self._past_s.items() if at_s > oldest_s}
         self._settled_s = {hold: at_s for hold, at_s in self._settled_s.items() if at_s > now_s}
         self._open_s = {hold: at_s for hold, at_s in self._open_s.items() if at_s > now_s}
         self._late_s = {hold: at_s for hold, at_s in self._late_s.items() if at_s > now_s}
         self._sent_s = {hold: at_s for hold, at_s in self._sent_s.items() if hold in self._open_s}
 
+    def _remember(self, holds: Mapping[_Hold, float]) -> None:
+        for hold, until_s in holds.items():
+            self._past_s[hold] = max(until_s, self._past_s.get(hold, until_s))
+
 
 def _hold(owned: OwnedRange) -> _Hold:
     return _Hold(owned.server_id, owned.first, owned.last, owned.token)
--- /dev/null
+++ b/indigoworks/ownership/leader_state.py
@@ -0,0 +1,17 @@
+"""What a process is as leader of a control group."""
+
+from enum import Enum
+
+
+class LeaderState(Enum):
+    """States of a process as leader, for the log."""
+
+    LEADS = "leads"
+    """The newest known row names it, and it has a proof."""
+    UNPROVED = "unproved"
+    """The newest known row names it, and it has no proof."""
+    RESIGNED = "resigned"
+    """It gave the leadership up; a proof of it, if there is one, came later."""
+    LOST = "lost"
+    """It has acted as leader, and the newest known row does not name it."""
+    NEVER_LED = "never_led"
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -15,10 +15,15 @@
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.era_numbers import first_number
 from indigoworks.ownership.former_era import NO_FORMER_ERA, FormerEra
+from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.leader_lease import LEADER_LEASE_S
+from indigoworks.ownership.leader_log import log_acting, log_lost, log_resigned, order_fields
 from indigoworks.ownership.leader_row import LEADER_KEY, NO_LEADER, LeaderRow
 from indigoworks.ownership.leader_signs import LeaderSigns
+from indigoworks.ownership.leader_state import LeaderState
+from indigoworks.ownership.order_watch import OrderWatch
+from indigoworks.ownership.predecessor_bound import PredecessorBound
 from indigoworks.rowstore.errors import ConditionFailed
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
@@ -76,6 +81,7 @@
         self._acting_epoch: int | None = None
         self._changed = asyncio.Event()
         self._is_resigned = False
+        self._orders: OrderWatch | None = None
         self.signs = LeaderSigns(peers, directory, clock)
         self._reasons = ChallengeReasons(node, self.signs, directory, clock)
         group.eras.on_new(self._begin_era)
@@ -107,9 +113,13 @@
         if row.version > self.former.row.version:
             self.former = replace(self.former, row=row)
 
-    def start_acting(self, epoch: int) -> None:
+    def start_acting(
+        self, epoch: int, before: PredecessorBound, bounds: HoldBounds, orders: OrderWatch
+    ) -> None:
         """Take note that the bounds of earlier leaders' grants stand: `epoch` may give orders."""
         self._acting_epoch = epoch
+        self._orders = orders
+        log_acting(epoch, before, bounds, self.led_former_era(self.era - 1), self._clock.now())
 
     def _begin_era(self) -> None:
         is_fresh = self._has_read_era and self._health.proof_age_s() <= HOLD_S
@@ -186,6 +196,14 @@
             return float("inf")
         return self._clock.now() - self._proof_s
 
+    def state(self) -> LeaderState:
+        """Return what this process is as leader, for the log."""
+        if self._is_resigned:
+            return LeaderState.RESIGNED
+        if self._names_us():
+            return LeaderState.UNPROVED if self._proof_s is None else LeaderState.LEADS
+        return LeaderState.NEVER_LED if self._acting_epoch is None else LeaderState.LOST
+
     def condition(self) -> ExpectedVersion:
         """Return the condition under which a leader's transactions are made."""
         return ExpectedVersion(CONTROL_TABLE, LEADER_KEY, self._row.version)
@@ -218,8 +236,9 @@
             return
         row = LeaderRow(self._row.epoch, "", "", NO_VERSION)
         self._proof_s = None
-        await self._store.commit(self._write_of(row))
-        log_message(message_type="leader:resigned", epoch=row.epoch)
+        open_orders = order_fields(self._orders)
+        result = await self._store.commit(self._write_of(row))
+        log_resigned(row.epoch, result.is_ok(), open_orders)
 
     def _reason_to_challenge(self) -> str | None:
         is_sound = self._has_read_era and self._health.proof_age_s() < SOUND_STORE_S
@@ -271,9 +290,7 @@
         self._changed.set()
         if was_ours and not self._names_us():
             self._proof_s = None
-            log_message(
-                message_type="leader:lost", level="WARNING", epoch=row.epoch, to_node=row.node
-            )
+            log_lost(row.epoch, row.node, self._orders)
         elif not self._names_us():
             log_message(message_type="leader:seen", epoch=row.epoch, node=row.node)
 
--- a/indigoworks/ownership/order_outcome.py
+++ b/indigoworks/ownership/order_outcome.py
@@ -22,7 +22,11 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderOutcome:
-    """Result of a grant or release; `handover` comes with a release that was done."""
+    """Result of a grant or release; `handover` comes with a release that was done.
+
+    :ivar answering_id: id that the server names as its own in the answer; None: it names none.
+    """
 
     result: OrderResult
     handover: str | None = None
+    answering_id: str | None = None
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -17,15 +17,17 @@
     What it had granted when it sent its newest beat ends as that beat said. What it sent later
     began before it acted no more; it may be long from the moment at which the beat's proof of
     leadership was old enough for long holds: a leader that is cut off says so to nobody.
+
+    :ivar row: row of the predecessor.
     """
 
     def __init__(self, predecessor: LeaderRow, signs: LeaderSigns) -> None:
-        self._predecessor = predecessor
+        self.row = predecessor
         self._signs = signs
 
     def acts_no_more(self) -> bool:
         """Tell whether the predecessor is known to act no longer."""
-        row = self._predecessor
+        row = self.row
         return row.node == "" or self._signs.acts_no_more(row.node, row.boot, row.epoch)
 
     def until_s(self, now_s: float, hold_max_s: float) -> float:
@@ -33,10 +35,10 @@
 
         :param hold_max_s: longest hold that a leader grants.
         """
-        if self._predecessor.version == NO_VERSION:
+        if self.row.version == NO_VERSION:
             return float("-inf")
         acts_until_s = now_s if self.acts_no_more() else now_s + LEADER_LEASE_S
-        epoch = self._predecessor.epoch
+        epoch = self.row.epoch
         hold_s = self._hold_s(acts_until_s, hold_max_s)
         later_until_s = acts_until_s + hold_s * CLOCK_FACTOR + MARGIN_S
         return max(self._signs.announced_until_s(epoch), later_until_s)
@@ -46,7 +48,7 @@
 
         Of a predecessor that was never heard, grants may also be unanswered and taken late.
         """
-        epoch = self._predecessor.epoch
+        epoch = self.row.epoch
         long_from_s = self._signs.proved_s(epoch) + TROUBLE_S - BEAT_DELAY_S
         if long_from_s == float("-inf"):
             return max(LATE_ORDER_S + HOLD_S, hold_max_s)
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -4,8 +4,6 @@
 import zlib
 from collections.abc import Callable
 
-from eliot import log_message
-
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import RENEWAL_S, HoldPolicy
@@ -14,9 +12,12 @@
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
 from indigoworks.ownership.owned_range import BOUND_UNKNOWN, FormerOwner, OwnedRange
+from indigoworks.ownership.passing_proof import PassingProof
+from indigoworks.ownership.range_log import RangeLog
 from indigoworks.ownership.server_orders import ServerOrders
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.servers.replacement_sign import ReplacementSign
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
@@ -74,12 +75,13 @@
         self._reach = reach
         self._health = health
         self._clock = clock
+        self._log = RangeLog(service, owned, leadership, bounds, health, reach.orders, clock)
         self._on_granted = on_granted
         self._handover: str | None = None
         self.is_granted = False
         self.wants_token = False
         self.task: asyncio.Task[None] | None = None
-        self._is_quiet = False
+        self._is_quiet = self._is_passing = False
         self._is_reached = False
         self._last_result: OrderResult | None = None
         self._no_order = asyncio.Event()
@@ -96,6 +98,7 @@
     def start(self, is_granted: bool) -> None:
         """Start the task; `is_granted`: the owner already holds the range under its token."""
         self.is_granted = is_granted
+        self._is_passing = not is_granted
         self.task = asyncio.ensure_future(self._run())
 
     def stop(self) -> None:
@@ -139,36 +142,31 @@
     async def _rule_out(self, former: FormerOwner) -> None:
         """Return when `former` can hold no key of the range any more."""
         started_s = self._clock.now()
-        tries = 0
         is_logged = False
         while True:
-            reason = self._reason_ruled_out(former)
-            if reason is None:
-                reason = await self._release(former.server_id)
-            if reason is not None:
-                self._log(
-                    "range:former_ruled_out",
-                    former=former.server_id,
-                    reason=reason,
-                    took_s=round(self._clock.now() - started_s, 3),
-                    tries=tries,
-                )
+            self._log.look_at(former)
+            proof = self._reason_ruled_out(former)
+            if proof is None:
+                proof = await self._release(former.server_id)
+            if proof is not None:
+                self._log.ruled_out(former, proof)
                 return
-            tries += 1
             if not is_logged and self._clock.now() - started_s > LONG_WAIT_S:
                 is_logged = True
-                self._log_wait(former)
+                self._log.waits(former, self._servers.get(former.server_id) is not None)
             await self._clock.sleep(RETRY_S)
 
-    def _reason_ruled_out(self, former: FormerOwner) -> str | None:
+    def _reason_ruled_out(self, former: FormerOwner) -> PassingProof | None:
         if self._servers.is_gone(former.server_id):
-            return "address_has_another_server"
+            return PassingProof.SERVER_REPLACED
         if former.until_ms != BOUND_UNKNOWN and self._health.is_past(former.until_ms):
-            return "hold_has_ended"
+            return PassingProof.ROW_BOUND
         until_s = self._bounds.until_s(former.server_id, self.owned.first, self.owned.last)
-        return "hold_has_ended" if self._clock.now() > until_s else None
+        if self._clock.now() > until_s:
+            return self._log.bound_that_ended(former.server_id)
+        return None
 
-    async def _release(self, former: str) -> str | None:
+    async def _release(self, former: str) -> PassingProof | None:
         """Send a release; its token closes late and foreign renewals of these keys."""
         record = self._servers.get(former)
         if record is None or not self._leadership.may_act():
@@ -179,17 +177,21 @@
         if outcome.result is OrderResult.DONE:
             self._bounds.close_below(former, release.first, release.last, release.token)
             self._handover = outcome.handover or self._handover
-            return "released"
+            return PassingProof.RELEASED
         if outcome.result is OrderResult.OTHER_SERVER:
-            self._servers.note_replaced(former, "")
-            return "gone"
+            self._note_replaced(former, outcome)
+            return PassingProof.ORDER_MISDIRECTED
         return None
 
     async def _answered_release(self, record: ServerRecord, release: KeyRelease) -> OrderOutcome:
         """Send a release until it is answered, at most for RELEASE_TIMEOUT_S."""
         until_s = self._clock.now() + RELEASE_TIMEOUT_S
         while True:
-            outcome = await self._orders.release(record, release, RELEASE_AGAIN_S)
+            with self._log.order(
+                "release", record.server_id, release.token, RELEASE_AGAIN_S
+            ) as order:
+                outcome = await self._orders.release(record, release, RELEASE_AGAIN_S)
+                order.result = outcome.result
             is_answered = outcome.result is not OrderResult.UNANSWERED
             if is_answered or self._clock.now() >= until_s or not self._leadership.may_act():
                 return outcome
@@ -213,8 +215,15 @@
         )
         self._bounds.open(self.owned, hold_s, ORDER_TIMEOUT_S)
         self._no_order.clear()
+        if self._is_passing:
+            self._is_passing = False
+            self._log.passed()
         try:
-            outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S)
+            with self._log.order(
+                "grant", record.server_id, grant.token, ORDER_TIMEOUT_S, hold_s
+            ) as order:
+                outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S)
+                order.result = outcome.result
         except asyncio.CancelledError:
             self._bounds.close_unanswered(self.owned)
             raise
@@ -230,7 +239,9 @@
             self._bounds.close_answered(self.owned, hold_s)
             if not self.is_granted:
                 self.is_granted = True
-                self._log("range:granted", hold_s=hold_s, has_handover=self._handover is not None)
+                self._log.log(
+                    "range:granted", hold_s=hold_s, has_handover=self._handover is not None
+                )
                 self._on_granted()
             self._handover = None
             return self._until_renewal_s()
@@ -239,11 +250,11 @@
         else:
             self._bounds.close_not_taken(self.owned)
         if result is OrderResult.OTHER_SERVER:
-            self._servers.note_replaced(self.owned.server_id, "")
+            self._note_replaced(self.owned.server_id, outcome)
         if result is OrderResult.FENCED:
             self.wants_token = True
             self.is_granted = False
-            self._log("range:fenced", level="WARNING")
+            self._log.log("range:fenced", level="WARNING")
             return RENEWAL_S
         return RETRY_S
 
@@ -255,28 +266,6 @@
         # again where time passes only in sleeps.
         return max(MIN_PAUSE_S, left_s)
 
-    # ---- log ----
-
-    def _log_wait(self, former: FormerOwner) -> None:
-        bound_s = self._bounds.until_s(former.server_id, self.owned.first, self.owned.last)
-        own_s = self._bounds.own_until_s(former.server_id, self.owned.first, self.owned.last)
-        self._log(
-            "range:waits_for_former",
-            former=former.server_id,
-            is_listed=self._servers.get(former.server_id) is not None,
-            bound_left_s=round(min(bound_s - self._clock.now(), 1e6), 3),
-            is_bound_of_predecessor=own_s < bound_s,
-        )
-
-    def _log(self, message_type: str, **fields: object) -> None:
-        log_message(
-            message_type=message_type,
-            service=self.service,
-            first=self.owned.first,
-            last=self.owned.last,
-            server=self.owned.server_id,
-            token=self.owned.token,
-            epoch=self._leadership.row.epoch,
-            proof_age_s=round(min(self._leadership.proof_age_s(), 1e6), 3),
-            **fields,
-        )
+    def _note_replaced(self, server_id: str, outcome: OrderOutcome) -> None:
+        sign = ReplacementSign.of_order(outcome.answering_id)
+        self._servers.note_replaced(server_id, outcome.answering_id or "", sign)
--- /dev/null
+++ b/indigoworks/ownership/range_log.py
@@ -0,0 +1,182 @@
+"""Lines of the log on one range: who may hold its keys, and by what that is known."""
+
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+
+from eliot import log_message
+
+from indigoworks.common.clock import Clock
+from indigoworks.ownership.hold_bounds import HoldBounds
+from indigoworks.ownership.leader_log import left_s
+from indigoworks.ownership.leader_proof import proof_fields
+from indigoworks.ownership.leadership import Leadership
+from indigoworks.ownership.order_watch import OrderWatch
+from indigoworks.ownership.owned_range import BOUND_UNKNOWN, FormerOwner, OwnedRange
+from indigoworks.ownership.passing_proof import PassingProof
+from indigoworks.ownership.sent_order import SentOrder
+from indigoworks.rowstore.store_health import StoreHealth
+
+
+@dataclass(slots=True)
+class _Passing:
+    """What was known of a former owner when it was ruled out.
+
+    :ivar own_until_s: latest end of what this process granted to it.
+    """
+
+    began_s: float
+    own_until_s: float = float("-inf")
+    token: int | None = None
+    predecessor_until_s: float = float("-inf")
+    row_until_s: float = float("-inf")
+    clocks_spread_s: float | None = None
+    proof: PassingProof | None = None
+    proved_s: float = float("-inf")
+    tries: int = 0
+
+
+class RangeLog:
+    """Writes the lines of one range keeper; it decides nothing."""
+
+    def __init__(
+        self,
+        service: str,
+        owned: OwnedRange,
+        leadership: Leadership,
+        bounds: HoldBounds,
+        health: StoreHealth,
+        orders: OrderWatch,
+        clock: Clock,
+    ) -> None:
+        self._service = service
+        self._owned = owned
+        self._leadership = leadership
+        self._bounds = bounds
+        self._health = health
+        self._orders = orders
+        self._clock = clock
+        self._passings: dict[str, _Passing] = {}
+
+    def order(
+        self, kind: str, server_id: str, token: int, timeout_s: float, hold_s: float | None = None
+    ) -> AbstractContextManager[SentOrder]:
+        """Follow an order that is about to be sent; its result is to be set inside."""
+        order = SentOrder(
+            kind,
+            self._service,
+            server_id,
+            self._owned.first,
+            self._owned.last,
+            token,
+            self._leadership.row.epoch,
+            timeout_s,
+            hold_s,
+            self._clock.now(),
+        )
+        return self._orders.follow(order, self._leadership)
+
+    # ---- former owners ----
+
+    def look_at(self, former: FormerOwner) -> None:
+        """Take note of the bounds of a former owner's holds, before an answer closes them."""
+        passing = self._passings.setdefault(former.server_id, _Passing(self._clock.now()))
+        until_s, token = self._bounds.last_grant(former.server_id, *self._keys())
+        passing.own_until_s = until_s
+        passing.token = passing.token if token is None else token
+        passing.predecessor_until_s = self._bounds.predecessor_until_s
+        if former.until_ms != BOUND_UNKNOWN:
+            row_until_s = self._health.past_at_s(former.until_ms)
+            passing.row_until_s = float("inf") if row_until_s is None else row_until_s
+        passing.clocks_spread_s = self._health.clocks_spread_s()
+        passing.tries += 1
+
+    def bound_that_ended(self, server_id: str) -> PassingProof:
+        """Return which of this process's and its predecessor's bounds ended last."""
+        passing = self._passings[server_id]
+        bounds_s = {
+            PassingProof.PREDECESSOR_BOUND: passing.predecessor_until_s,
+            PassingProof.OWN_BOUND: passing.own_until_s,
+        }
+        # Of its own grants of earlier epochs a leader may know while its rules go by other bounds.
+        ended = [each for each in bounds_s if float("-inf") < bounds_s[each] < self._clock.now()]
+        return max(ended, key=lambda each: bounds_s[each], default=PassingProof.NO_BOUND)
+
+    def ruled_out(self, former: FormerOwner, proof: PassingProof) -> None:
+        """Tell that a former owner holds no key of the range any more."""
+        passing = self._passings[former.server_id]
+        passing.proof = proof
+        passing.proved_s = self._clock.now()
+        self.log(
+            "range:former_ruled_out",
+            former=former.server_id,
+            reason=proof.value,
+            took_s=round(passing.proved_s - passing.began_s, 3),
+            tries=passing.tries - 1,
+        )
+
+    def waits(self, former: FormerOwner, is_listed: bool) -> None:
+        """Tell for what the range has waited long."""
+        bound_s = self._bounds.until_s(former.server_id, *self._keys())
+        own_s = self._bounds.own_until_s(former.server_id, *self._keys())
+        self.log(
+            "range:waits_for_former",
+            former=former.server_id,
+            is_listed=is_listed,
+            bound_left_s=left_s(bound_s, self._clock.now()),
+            is_bound_of_predecessor=own_s < bound_s,
+        )
+
+    # ---- the owner ----
+
+    def passed(self) -> None:
+        """Tell that the first grant to the owner is sent: one line for each former owner."""
+        for former in self._owned.former:
+            if former.server_id != self._owned.server_id:
+                if former.server_id not in self._passings:
+                    self.look_at(former)
+                self._log_passed(former, self._passings[former.server_id])
+
+    def _log_passed(self, former: FormerOwner, passing: _Passing) -> None:
+        now_s = self._clock.now()
+        unanswered, oldest_s = self._orders.on_keys(former.server_id, *self._keys())
+        bound_of, bound_epoch = self._bound_of(passing.proof)
+        self.log(
+            "range:passed",
+            former=former.server_id,
+            former_token=passing.token,
+            proof="none" if passing.proof is None else passing.proof.value,
+            proved_ago_s=left_s(now_s, passing.proved_s),
+            bound_of=bound_of,
+            bound_epoch=bound_epoch,
+            own_left_s=left_s(passing.own_until_s, now_s),
+            predecessor_left_s=left_s(passing.predecessor_until_s, now_s),
+            row_left_s=left_s(passing.row_until_s, now_s),
+            clocks_spread_s=passing.clocks_spread_s,
+            unanswered=unanswered,
+            oldest_unanswered_s=oldest_s,
+        )
+
+    def _bound_of(self, proof: PassingProof | None) -> tuple[str | None, int | None]:
+        """Return whose bound a proof is, and the epoch of that leader where it is known."""
+        if proof is PassingProof.OWN_BOUND:
+            return "this_leader", self._leadership.row.epoch
+        if proof is PassingProof.PREDECESSOR_BOUND:
+            return "predecessor", self._leadership.acted_before().epoch
+        return ("row", None) if proof is PassingProof.ROW_BOUND else (None, None)
+
+    def _keys(self) -> tuple[int, int]:
+        return self._owned.first, self._owned.last
+
+    def log(self, message_type: str, **fields: object) -> None:
+        """Write a line on the range, with the proof of this process's leadership."""
+        log_message(
+            message_type=message_type,
+            service=self._service,
+            first=self._owned.first,
+            last=self._owned.last,
+            server=self._owned.server_id,
+            token=self._owned.token,
+            epoch=self._leadership.row.epoch,
+            **proof_fields(self._leadership),
+            **fields,
+        )
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -7,6 +7,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.hold_bounds import LATE_ORDER_S
 from indigoworks.ownership.order_outcome import OrderResult
+from indigoworks.ownership.order_watch import OrderWatch
 
 LOST_S = 0.4
 """A server that no order has reached for so long since the first failure is to lose its ranges."""
@@ -21,10 +22,14 @@
 
 
 class ServerReach:
-    """Orders in a row that did not reach a server, over all of its ranges."""
+    """Orders in a row that did not reach a server, over all of its ranges.
+
+    :ivar orders: tells the log of orders that go unanswered; nothing is decided by it.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self.orders = OrderWatch(clock)
         self._lines: dict[str, asyncio.Lock] = {}
         self._failures: dict[str, int] = {}
         self._first_failure_s: dict[str, float] = {}
--- /dev/null
+++ b/indigoworks/ownership/server_silence.py
@@ -0,0 +1,23 @@
+"""A time in which a server answers no orders."""
+
+from dataclasses import dataclass, field
+
+from indigoworks.ownership.paced_line import PacedLine
+
+
+@dataclass(slots=True)
+class ServerSilence:
+    """Orders that a server left unanswered since its last answer.
+
+    :ivar began_s: clock reading at which the first of them was sent.
+    :ivar counts: their number by kind.
+    """
+
+    began_s: float
+    line: PacedLine
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def add(self, kind: str) -> int | None:
+        """Count an order; returns how many a line stands for, or None: none is due."""
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        return self.line.take()
--- /dev/null
+++ b/indigoworks/ownership/unanswered_orders.py
@@ -0,0 +1,57 @@
+"""Orders that servers left unanswered, as counts."""
+
+from dataclasses import dataclass
+
+from indigoworks.ownership.sent_order import SentOrder
+
+REMEMBERED_S = 60.0
+"""Orders count for so long after the newest of their kind and keys."""
+
+
+@dataclass(slots=True)
+class _Count:
+    count: int
+    first_sent_s: float
+    last_sent_s: float
+
+
+class UnansweredOrders:
+    """Counts orders by kind, server, keys and token.
+
+    A later answer takes none of them away: what a server does with an order that it took late is
+    just what a reader of the log wants to find out.
+    """
+
+    def __init__(self) -> None:
+        self._counts: dict[tuple[str, str, int, int, int], _Count] = {}
+
+    def add(self, order: SentOrder) -> None:
+        """Count an order that was given up."""
+        key = (order.kind, order.server_id, order.first, order.last, order.token)
+        known = self._counts.setdefault(key, _Count(0, order.sent_s, order.sent_s))
+        known.count += 1
+        known.last_sent_s = order.sent_s
+
+    def drop_old(self, now_s: float) -> None:
+        """Forget orders that were sent long ago."""
+        self._counts = {
+            key: each
+            for key, each in self._counts.items()
+            if now_s - each.last_sent_s < REMEMBERED_S
+        }
+
+    def count(self) -> int:
+        """Return how many are known, of all servers."""
+        return sum(each.count for each in self._counts.values())
+
+    def on_keys(self, server_id: str, first: int, last: int) -> tuple[int, float | None]:
+        """Return how many orders to a server touch keys, and when the oldest was sent."""
+        found = [
+            each
+            for (_, server, order_first, order_last, _), each in self._counts.items()
+            if server == server_id and order_first <= last and first <= order_last
+        ]
+        return (
+            sum(each.count for each in found),
+            min((each.first_sent_s for each in found), default=None),
+        )
--- a/indigoworks/rowstore/store_health.py
+++ b/indigoworks/rowstore/store_health.py
@@ -153,9 +153,24 @@
 
     def is_past(self, store_ms: int) -> bool:
         """Tell whether the store's clock has certainly passed a reading."""
+        past_at_s = self.past_at_s(store_ms)
+        return past_at_s is not None and self._clock.now() > past_at_s
+
+    def past_at_s(self, store_ms: int) -> float | None:
+        """Return the reading of our clock after which the store's has passed one; None: unknown."""
         if self._largest_offset_s is None:
-            return False
-        return self._clock.now() > store_ms / MS_PER_S + self._largest_offset_s + CLOCKS_MARGIN_S
+            return None
+        return store_ms / MS_PER_S + self._largest_offset_s + CLOCKS_MARGIN_S
+
+    def clocks_spread_s(self) -> float | None:
+        """Return how far the two readings of how the clocks stand to each other are apart, for the
+        log.
+
+        Less than 0 is possible only where one clock has jumped or drifted; None: unknown.
+        """
+        if self._offset_s is None or self._largest_offset_s is None:
+            return None
+        return round(self._largest_offset_s - self._offset_s, 3)
 
     def trouble_age_s(self) -> float | None:
         """Return the seconds since the last trouble; None: there was none."""
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -8,6 +8,8 @@
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.servers.cold_servers import ColdServers
+from indigoworks.servers.replacement_log import ReplacementLog
+from indigoworks.servers.replacement_sign import ReplacementSign
 from indigoworks.servers.server_notice import ServerNotice
 from indigoworks.servers.server_notices import ServerNotices
 from indigoworks.servers.server_record import ServerRecord
@@ -58,6 +60,7 @@
         self._listed: dict[str, ServerRecord] = {}
         self._vanished: dict[str, tuple[ServerRecord, float]] = {}
         self._replaced: dict[str, float] = {}
+        self._replacements = ReplacementLog()
         self._first_versions: dict[str, StoreVersion] = {}
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
         self._services_at: dict[str, str] = {}
@@ -108,17 +111,13 @@
         for server_id in [each for each in self._listed if each not in server_ids]:
             self.remove(server_id)
 
-    def note_replaced(self, server_id: str, by_server_id: str) -> None:
+    def note_replaced(self, server_id: str, by_server_id: str, sign: ReplacementSign) -> None:
         """Take note that another server answers at the address of `server_id`: it is gone.
 
         The list may say so much later, when the store is out of reach.
         """
-        if server_id in self._replaced:
-            return
-        self._replaced[server_id] = self._clock.now()
-        log_message(
-            message_type="server:replaced", level="WARNING", server=server_id, by=by_server_id
-        )
+        self._replaced.setdefault(server_id, self._clock.now())
+        self._replacements.tell(server_id, by_server_id, sign)
 
     def take_notice(self, server_id: str, notice: ServerNotice) -> None:
         """Take what a server asks for in an answer."""
@@ -139,7 +138,10 @@
         if server_id in self._replaced:
             return True
         record = self.get(server_id)
-        return record is not None and self.holder_of_address(record) is not None
+        holder = None if record is None else self.holder_of_address(record)
+        if holder is not None:
+            self._replacements.tell(server_id, holder.server_id, ReplacementSign.LIST)
+        return holder is not None
 
     def usable(self, service: str) -> Iterable[ServerRecord]:
         """Return the servers of `service` that may get new work."""
@@ -250,6 +252,7 @@
             if at_s < earliest_s:
                 del self._vanished[server_id]
                 self._replaced.pop(server_id, None)
+                self._replacements.forget(server_id)
                 self._first_versions.pop(server_id, None)
                 self.cold.forget(server_id)
                 self.notices.forget(server_id)
--- a/indigoworks_lab/control_simulation/broken_order_rules.py
+++ b/indigoworks_lab/control_simulation/broken_order_rules.py
@@ -7,6 +7,7 @@
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderResult
 from indigoworks.ownership.owned_range import OwnedRange
+from indigoworks.ownership.passing_proof import PassingProof
 from indigoworks.ownership.range_keeper import RangeKeeper
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.servers.server_list import ServerList
@@ -21,14 +22,14 @@
 _close_answered = HoldBounds.close_answered
 
 
-async def _release_and_go_on(keeper: RangeKeeper, former: str) -> str | None:
+async def _release_and_go_on(keeper: RangeKeeper, former: str) -> PassingProof | None:
     record = keeper._servers.get(former)
     if record is None or not keeper._leadership.may_act():
         return None
     release = KeyRelease(keeper.owned.first, keeper.owned.last, keeper.owned.token - 1)
     outcome = await keeper._orders.release(record, release, SHORT_S)
     is_sent = outcome.result in (OrderResult.DONE, OrderResult.UNANSWERED)
-    return "released" if is_sent else None
+    return PassingProof.RELEASED if is_sent else None
 
 
 def _lowest_release(first: int, last: int, _token: int) -> KeyRelease:
