--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -40,12 +40,17 @@
     STORE_RETURNS_FROM_COPY = "store comes back from a copy"
     """The copy is made when the fault begins; its duration is the age of the copy."""
 
+    STORE_CLOCK_JUMPS_FORWARD = "store's steady clock jumps forward"
+    STORE_CLOCK_JUMPS_BACKWARD = "store's steady clock jumps backward"
+
 
 _NOT_DRAWN = frozenset(
     {
         FaultKind.ORDERS_ALL_LATE,
         FaultKind.CONFIGURATION_CHANGES,
         FaultKind.STORE_RETURNS_FROM_COPY,
+        FaultKind.STORE_CLOCK_JUMPS_FORWARD,
+        FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
     }
 )
 
--- a/indigoworks_lab/control_simulation/simulated_store.py
+++ b/indigoworks_lab/control_simulation/simulated_store.py
@@ -86,7 +86,8 @@
             return
         self._traffic.add(STORE_WRITE if is_write else STORE_READ, source, _size_bytes(result))
         now_s = self._loop.time()
-        made = StoreAnswer(result, now_s + STORE_TIME_OFFSET_S, now_s, era)
+        store_time_s = now_s + STORE_TIME_OFFSET_S + self.faults.clock_jump_s
+        made = StoreAnswer(result, store_time_s, now_s, era)
         is_lost = self._random.random() < self.faults.lost_ratio
         await asyncio.sleep(self._delay_s(source))
         if not is_lost and await self._passes(source, answer):
--- a/indigoworks_lab/control_simulation/store_fault_actions.py
+++ b/indigoworks_lab/control_simulation/store_fault_actions.py
@@ -13,6 +13,9 @@
 )
 from indigoworks_lab.control_simulation.store_faults import StoreState
 
+CLOCK_JUMP_S = 20.0
+"""By so much the steady clock of a store process that starts again differs from the one before."""
+
 SLOW_S = 1.2
 LOST_RATIO = 0.3
 LATE_RATIO = 0.4
@@ -43,6 +46,12 @@
         if kind is FaultKind.STORE_RETURNS_FROM_COPY:
             await self._return_from_copy(duration_s)
             return
+        if kind is FaultKind.STORE_CLOCK_JUMPS_FORWARD:
+            self._faults.clock_jump_s += CLOCK_JUMP_S
+            return
+        if kind is FaultKind.STORE_CLOCK_JUMPS_BACKWARD:
+            self._faults.clock_jump_s -= CLOCK_JUMP_S
+            return
         async with self._acting(kind):
             await asyncio.sleep(duration_s)
 
