Ranges pass by bounds on the leader's own clock alone; a jump of a clock moves no bound

Callers saw: two servers ran requests on the same keys; both had been granted them by one leader. Cause: the end of a former owner's hold stood in the row of owners as a reading of the store's steady clock. It was written through the largest (sent - store) ever seen and judged through the smallest (received - store) ever seen. After a jump of either clock (a store process that starts again, a suspended machine), or by drift, the two are apart for good and each bound is past by that much too early. The leader's own bound said otherwise; whichever said yes counted. Class: readings of two clocks compared through an offset that is kept for ever. Why this works: the row names former owners without a time. A leader goes by what it granted itself, on its own clock, and by its predecessor's bound; both end no earlier than the hold. What remains of the store's clock (age of an answer, locks of suspect requests) goes by an interval that each answer narrows and drift widens; an answer that contradicts it begins it anew. Ruled out: mending the offsets and keeping the row's bound: who reads the row cannot know that the clock has jumped since it was written. Changed checks: "the row named the end of the hold" becomes "no grant reached the server once the row had taken its keys", which is what the row's bound stood for; the age of an answer is checked from both sides, with drift, and over jumps.

--- a/features/gateway_control.feature
+++ b/features/gateway_control.feature
@@ -17,7 +17,7 @@
     When the gateway control member finds no leader
     And gateway control server "a" begins to leave
     Then gateway control keys of "a" are granted to "b" after their release
-    And the gateway control row named the end of the hold of "a"
+    And no gateway control grant reached "a" once a row had taken its keys
 
   Scenario: A write that waits for a grant is not made once another leader is named
     Given a gateway control group whose store loses the answer of write 0
--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -113,6 +113,7 @@
 
   Scenario: Trouble of the store, and the age of its word
     Then gateway store health: an answer proves no more than the store's clock allows
+    And gateway store health: no answer counts as newer than it is, whenever a clock jumps
 
   Scenario: Trouble after an entry vanished does not bring the server back
     Given a gateway server list
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -174,7 +174,6 @@
             self._bounds,
             self._policy,
             self._reach,
-            self._ports.health,
             self._clock,
             self._pending_changed,
         )
@@ -194,8 +193,6 @@
             self.leadership,
             self.tables,
             self.keepers,
-            self._bounds,
-            self._ports.health,
             self._ports.store,
             self._clock,
             self._pending_changed,
--- a/indigoworks/ownership/owned_range.py
+++ b/indigoworks/ownership/owned_range.py
@@ -2,19 +2,16 @@
 
 from dataclasses import dataclass
 
-BOUND_UNKNOWN = 0
-
 
 @dataclass(frozen=True, slots=True)
 class FormerOwner:
     """A server that may still hold keys of a range under a lower token.
 
-    :ivar until_ms: reading of the store's steady clock after which it holds them no longer, in
-        milliseconds; BOUND_UNKNOWN: none is known.
+    Until when it may is no matter of the row: readings of a clock that all gateways share say
+    nothing once it has jumped, and nobody who reads the row can know that it has.
     """
 
     server_id: str
-    until_ms: int = BOUND_UNKNOWN
 
 
 @dataclass(frozen=True, slots=True)
--- a/indigoworks/ownership/ownership_table.py
+++ b/indigoworks/ownership/ownership_table.py
@@ -3,6 +3,7 @@
 import json
 from bisect import bisect_right
 from dataclasses import dataclass, field
+from typing import Any
 
 from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
@@ -47,7 +48,7 @@
                 each.last,
                 each.server_id,
                 each.token,
-                [[former.server_id, former.until_ms] for former in each.former],
+                [[former.server_id] for former in each.former],
             ]
             for each in self.ranges
         ]
@@ -63,7 +64,7 @@
         """
         document = json.loads(value)
         ranges = tuple(
-            OwnedRange(first, last, server_id, token, tuple(FormerOwner(*each) for each in former))
+            OwnedRange(first, last, server_id, token, _read_former(former))
             for first, last, server_id, token, former in document["ranges"]
         )
         return cls(service, ranges, int(document["highest_token"]), version)
@@ -72,3 +73,8 @@
     def empty(cls, service: str) -> "OwnershipTable":
         """Return the table of a service that has no row yet."""
         return cls(service, (), 0, NO_VERSION)
+
+
+def _read_former(entries: list[list[Any]]) -> tuple[FormerOwner, ...]:
+    """Read former owners; a release that wrote a bound after the id is not to be gone by."""
+    return tuple(FormerOwner(entry[0]) for entry in entries)
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -11,12 +11,11 @@
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
-from indigoworks.ownership.owned_range import BOUND_UNKNOWN, FormerOwner, OwnedRange
+from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 from indigoworks.ownership.passing_proof import PassingProof
 from indigoworks.ownership.range_log import RangeLog
 from indigoworks.ownership.server_orders import ServerOrders
 from indigoworks.ownership.server_reach import ServerReach
-from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers.replacement_sign import ReplacementSign
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
@@ -61,7 +60,6 @@
         bounds: HoldBounds,
         policy: HoldPolicy,
         reach: ServerReach,
-        health: StoreHealth,
         clock: Clock,
         on_granted: Callable[[], None],
     ) -> None:
@@ -73,9 +71,8 @@
         self._bounds = bounds
         self._policy = policy
         self._reach = reach
-        self._health = health
         self._clock = clock
-        self._log = RangeLog(service, owned, leadership, bounds, health, reach.orders, clock)
+        self._log = RangeLog(service, owned, leadership, bounds, reach.orders, clock)
         self._on_granted = on_granted
         self._handover: str | None = None
         self.is_granted = False
@@ -159,8 +156,6 @@
     def _reason_ruled_out(self, former: FormerOwner) -> PassingProof | None:
         if self._servers.is_gone(former.server_id):
             return PassingProof.SERVER_REPLACED
-        if former.until_ms != BOUND_UNKNOWN and self._health.is_past(former.until_ms):
-            return PassingProof.ROW_BOUND
         until_s = self._bounds.until_s(former.server_id, self.owned.first, self.owned.last)
         if self._clock.now() > until_s:
             return self._log.bound_that_ended(former.server_id)
--- a/indigoworks/ownership/range_log.py
+++ b/indigoworks/ownership/range_log.py
@@ -11,10 +11,9 @@
 from indigoworks.ownership.leader_proof import proof_fields
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.order_watch import OrderWatch
-from indigoworks.ownership.owned_range import BOUND_UNKNOWN, FormerOwner, OwnedRange
+from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 from indigoworks.ownership.passing_proof import PassingProof
 from indigoworks.ownership.sent_order import SentOrder
-from indigoworks.rowstore.store_health import StoreHealth
 
 
 @dataclass(slots=True)
@@ -28,8 +27,6 @@
     own_until_s: float = float("-inf")
     token: int | None = None
     predecessor_until_s: float = float("-inf")
-    row_until_s: float = float("-inf")
-    clocks_spread_s: float | None = None
     proof: PassingProof | None = None
     proved_s: float = float("-inf")
     tries: int = 0
@@ -44,7 +41,6 @@
         owned: OwnedRange,
         leadership: Leadership,
         bounds: HoldBounds,
-        health: StoreHealth,
         orders: OrderWatch,
         clock: Clock,
     ) -> None:
@@ -52,7 +48,6 @@
         self._owned = owned
         self._leadership = leadership
         self._bounds = bounds
-        self._health = health
         self._orders = orders
         self._clock = clock
         self._passings: dict[str, _Passing] = {}
@@ -84,10 +79,6 @@
         passing.own_until_s = until_s
         passing.token = passing.token if token is None else token
         passing.predecessor_until_s = self._bounds.predecessor_until_s
-        if former.until_ms != BOUND_UNKNOWN:
-            row_until_s = self._health.past_at_s(former.until_ms)
-            passing.row_until_s = float("inf") if row_until_s is None else row_until_s
-        passing.clocks_spread_s = self._health.clocks_spread_s()
         passing.tries += 1
 
     def bound_that_ended(self, server_id: str) -> PassingProof:
@@ -150,8 +141,6 @@
             bound_epoch=bound_epoch,
             own_left_s=left_s(passing.own_until_s, now_s),
             predecessor_left_s=left_s(passing.predecessor_until_s, now_s),
-            row_left_s=left_s(passing.row_until_s, now_s),
-            clocks_spread_s=passing.clocks_spread_s,
             unanswered=unanswered,
             oldest_unanswered_s=oldest_s,
         )
@@ -162,7 +151,7 @@
             return "this_leader", self._leadership.row.epoch
         if proof is PassingProof.PREDECESSOR_BOUND:
             return "predecessor", self._leadership.acted_before().epoch
-        return ("row", None) if proof is PassingProof.ROW_BOUND else (None, None)
+        return None, None
 
     def _keys(self) -> tuple[int, int]:
         return self._owned.first, self._owned.last
--- a/indigoworks/ownership/table_editor.py
+++ b/indigoworks/ownership/table_editor.py
@@ -1,16 +1,12 @@
 """Changes of a table of owners; nothing here sends or waits."""
 
-from collections.abc import Callable, Sequence
-from dataclasses import replace
+from collections.abc import Sequence
 
-from indigoworks.ownership.owned_range import BOUND_UNKNOWN, FormerOwner, OwnedRange
+from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
 from indigoworks.ownership.range_move import RangeMove
 from indigoworks.rowstore.store_version import NO_VERSION
 
-BoundOf = Callable[[str, OwnedRange], int]
-"""Returns until when a server may hold keys of a range, on the store's clock in milliseconds."""
-
 TOKEN_STEP = 2
 """A new token is so much above the highest: the one between closes the old owner's grants."""
 
@@ -105,23 +101,6 @@
     return OwnershipTable(table.service, _merged(ranges), table.highest_token, table.version)
 
 
-def with_bounds(table: OwnershipTable, bound_of: BoundOf) -> OwnershipTable:
-    """Return the table in which every former owner has its bound."""
-    ranges = tuple(
-        replace(
-            owned,
-            former=tuple(
-                FormerOwner(each.server_id, bound_of(each.server_id, owned))
-                if each.until_ms == BOUND_UNKNOWN
-                else each
-                for each in owned.former
-            ),
-        )
-        for owned in table.ranges
-    )
-    return OwnershipTable(table.service, _merged(ranges), table.highest_token, table.version)
-
-
 def _apply(owned: OwnedRange, move: RangeMove, token: int) -> list[OwnedRange]:
     """Cut `owned` where `move` takes keys out of it."""
     first, last = max(owned.first, move.first), min(owned.last, move.last)
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -8,18 +8,14 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
-from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.keeper_set import KeeperSet
 from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.ownership.leadership import Leadership
-from indigoworks.ownership.owned_range import BOUND_UNKNOWN, OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
-from indigoworks.ownership.table_editor import with_bounds
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
-from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 
 READ_RETRY_S = 0.1
@@ -32,8 +28,8 @@
 class TableWriter:
     """Writes tables of owners under the condition that this process leads.
 
-    Before a write takes keys from an owner, renewals of its range stop, so that the row can name
-    the latest end of its hold: whoever leads next waits no longer than that.
+    Before a write takes keys from an owner, renewals of its range stop: from then on its hold only
+    runs out.
 
     :param on_pending_changed: called after each write, when new ranges are not granted yet.
     """
@@ -44,8 +40,6 @@
         leadership: Leadership,
         tables: OwnershipTables,
         keepers: KeeperSet,
-        bounds: HoldBounds,
-        health: StoreHealth,
         store: RowStore,
         clock: Clock,
         on_pending_changed: Callable[[], None],
@@ -54,8 +48,6 @@
         self._leadership = leadership
         self._tables = tables
         self._keepers = keepers
-        self._bounds = bounds
-        self._health = health
         self._store = store
         self._clock = clock
         self._on_pending_changed = on_pending_changed
@@ -111,13 +103,6 @@
             await self._clock.sleep(READ_RETRY_S)
         return None
 
-    def _bound_ms(self, server_id: str, owned: OwnedRange) -> int:
-        """Return until when a server may hold keys of a range, on the store's clock."""
-        until_s = self._bounds.until_s(server_id, owned.first, owned.last)
-        if until_s == float("inf"):
-            return BOUND_UNKNOWN
-        return self._health.to_store_ms(max(until_s, self._clock.now()))
-
     async def write(self, table: OwnershipTable, reason: str) -> bool:
         """Write a table under the condition that we lead and that nobody has changed it."""
         if not self._leadership.may_act():
@@ -127,7 +112,6 @@
             # Another leader may have been named meanwhile: the condition below would name its row.
             self._keepers.resume(table.service)
             return False
-        table = with_bounds(table, self._bound_ms)
         key = OWNERS_PREFIX + table.service
         transaction = Transaction(
             self._group.eras.current,
--- a/indigoworks/rowstore/store_health.py
+++ b/indigoworks/rowstore/store_health.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
+from indigoworks.rowstore.clock_offset import ClockOffset
 from indigoworks.rowstore.store_eras import StoreEras
 from indigoworks.rowstore.store_trouble import StoreTrouble
 
@@ -16,16 +17,13 @@
 SAME_TROUBLE_S = 0.2
 """A trouble that is told again is placed up to so much later by the way of the answer."""
 
-CLOCKS_MARGIN_S = 0.1
-"""For the drift between the store's steady clock and ours."""
-
 
 class StoreHealth:
     """Newest proof of what the store held, and the last trouble.
 
     A feed's answer may come long after its question. The store's own steady clock, which each
-    answer names, tells when it was made: not earlier than the store's time plus the largest known
-    difference between our sending time and the store's time of the answer.
+    answer names, tells when it was made: not earlier than the store's time plus the least possible
+    difference between our clock and the store's (`ClockOffset`).
 
     :ivar eras: in which era the store is; the reading of its clock may jump where one begins.
     """
@@ -34,8 +32,7 @@
         self.eras = StoreEras()
         self.eras.on_new(self._begin_era)
         self._clock = clock
-        self._offset_s: float | None = None
-        self._largest_offset_s: float | None = None
+        self._offset = ClockOffset()
         self._proof_s: float | None = None
         self._lost_since_s: float | None = None
         self._last_trouble_s: float | None = None
@@ -48,17 +45,13 @@
         :returns: the clock reading at which this answer was certainly true.
         """
         self.eras.note(self.eras.current)
-        # The last byte may come long after the store read its clock. That makes this difference
-        # larger, and the smallest one counts: `is_past` answers later, never too early. The moment
-        # of the headers would not do: a store may send them before it reads its clock.
-        received_offset_s = self._clock.now() - store_time_s
-        if self._largest_offset_s is None or received_offset_s < self._largest_offset_s:
-            self._largest_offset_s = received_offset_s
-        offset_s = sent_s - store_time_s
-        if self._offset_s is None or offset_s > self._offset_s:
-            self._offset_s = offset_s
-        true_at_s = max(sent_s, store_time_s + self._offset_s)
-        true_at_s = min(true_at_s, self._clock.now())
+        # The moment of the headers would not do for the receipt: a store may send them before it
+        # reads its clock.
+        now_s = self._clock.now()
+        self._offset.note(sent_s, now_s, store_time_s)
+        low_s = self._offset.low_s(now_s)
+        true_at_s = sent_s if low_s is None else max(sent_s, store_time_s + low_s)
+        true_at_s = min(true_at_s, now_s)
         if self._proof_s is None or true_at_s > self._proof_s:
             self._proof_s = true_at_s
         if self._lost_since_s is not None:
@@ -68,8 +61,7 @@
 
     def _begin_era(self) -> None:
         """Forget how the store's clock stood to ours; entries may be missing from the copy."""
-        self._offset_s = None
-        self._largest_offset_s = None
+        self._offset.forget()
         self._append(StoreTrouble(self._clock.now()))
 
     def note_relayed(self, proof_s: float, trouble_s: float) -> None:
@@ -141,36 +133,24 @@
         return self._clock.now() - self._proof_s
 
     def to_store_ms(self, at_s: float) -> int:
-        """Return a reading of the store's clock that is not before `at_s` on ours; 0: unknown."""
-        if self._offset_s is None:
-            return 0
-        return max(1, math.ceil((at_s - self._offset_s) * MS_PER_S))
+        """Return a reading of the store's clock that is not before `at_s` on ours; 0: unknown.
+
+        A jump of either clock makes it worthless: it must not decide who holds a key.
+        """
+        low_s = self._offset.low_s(self._clock.now())
+        return 0 if low_s is None else max(1, math.ceil((at_s - low_s) * MS_PER_S))
 
     def to_store_s(self, at_s: float) -> float:
         """Return the reading of the store's clock at `at_s` on ours, about; ours where the store's
         is unknown."""
-        return at_s if self._offset_s is None else at_s - self._offset_s
+        low_s = self._offset.low_s(self._clock.now())
+        return at_s if low_s is None else at_s - low_s
 
     def is_past(self, store_ms: int) -> bool:
-        """Tell whether the store's clock has certainly passed a reading."""
-        past_at_s = self.past_at_s(store_ms)
-        return past_at_s is not None and self._clock.now() > past_at_s
-
-    def past_at_s(self, store_ms: int) -> float | None:
-        """Return the reading of our clock after which the store's has passed one; None: unknown."""
-        if self._largest_offset_s is None:
-            return None
-        return store_ms / MS_PER_S + self._largest_offset_s + CLOCKS_MARGIN_S
-
-    def clocks_spread_s(self) -> float | None:
-        """Return how far the two readings of how the clocks stand to each other are apart, for the
-        log.
-
-        Less than 0 is possible only where one clock has jumped or drifted; None: unknown.
-        """
-        if self._offset_s is None or self._largest_offset_s is None:
-            return None
-        return round(self._largest_offset_s - self._offset_s, 3)
+        """Tell whether the store's clock has passed a reading, unless a clock has jumped since."""
+        now_s = self._clock.now()
+        high_s = self._offset.high_s(now_s)
+        return high_s is not None and now_s > store_ms / MS_PER_S + high_s
 
     def trouble_age_s(self) -> float | None:
         """Return the seconds since the last trouble; None: there was none."""
