Ages are counted by the clock that goes on while a machine is suspended

Callers would see: two servers run requests on the same keys after a gateway's machine was suspended while it led. Cause: the event loop's clock (CLOCK_MONOTONIC) stands still during a suspension. A leader whose machine goes on takes its proof of leadership for as young as it was, and renews grants for up to 6 s under a token that its successor has left behind; a server that the successor could not reach takes them. Class: an age from two readings of a clock that does not count all time. Why this works: the process has one clock; it reads CLOCK_BOOTTIME, so that every age, lease and bound counts the time that was lost. Timers of the event loop fire later by it, which only makes waits longer. Ruled out: a check for jumps at each use: as many places as there are ages. Before/After: gateway_clock.feature fails on LoopClock and passes on BootClock. Conclusion: shown by a clock that a test moves; no real machine was suspended.

--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -10,7 +10,7 @@
 from eliot import log_message
 from result import Err
 
-from indigoworks.common.clock import LoopClock
+from indigoworks.common.boot_clock import BootClock
 from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rates import LineRates
 from indigoworks.common.metrics import Metrics
@@ -65,7 +65,7 @@
     ) -> None:
         self._settings_in_force = settings_in_force
         settings = settings_in_force.current
-        self._clock = LoopClock()
+        self._clock = BootClock()
         self._boot = uuid.uuid4().hex[:8]
         random = self._random = Random(self._boot)
         self._metric_values = Metrics()
