Status 421 ends a server only where the answer names another one

Callers would see: two servers run requests on the same keys; the first was taken for gone on the word of somebody who did not say who he is. Cause: any 421 to an order counted as proof that the server's process had ended, for as long as its entry was known; its ranges passed at once. The path of requests asked for the id that answers, orders did not. Class: "gone" without a proof, and for ever. Why this works: an order's outcome carries the id that the answer names; only another id is a proof. A 421 without one is an order that was not taken: its server counts as out of reach, and its keys wait for the end of their hold. A new life under the same id is not gone by the old one's end.

--- a/indigoworks/ownership/order_outcome.py
+++ b/indigoworks/ownership/order_outcome.py
@@ -15,18 +15,24 @@
     NOT_SENT = "not_sent"
     """No connection came about: the order certainly did not reach any server."""
     OTHER_SERVER = "other_server"
-    """Another server answers at the address: the one that was meant is gone."""
+    """Whoever answers at the address did not take the order because it is meant for another."""
     UNANSWERED = "unanswered"
     """It may have been carried out, or may be so seconds later."""
 
 
 @dataclass(frozen=True, slots=True)
 class OrderOutcome:
-    """Result of a grant or release; `handover` comes with a release that was done.
+    """Result of a grant or release.
 
-    :ivar answering_id: id that the server names as its own in the answer; None: it names none.
+    :ivar handover: comes with a release that was done.
+    :ivar answering_id: server that answered, by its own word; None: it did not say.
     """
 
     result: OrderResult
     handover: str | None = None
     answering_id: str | None = None
+
+    def is_from_other(self, server_id: str) -> bool:
+        """Tell whether another server names itself at the address of the one that was meant."""
+        is_named = self.answering_id is not None and self.answering_id != server_id
+        return self.result is OrderResult.OTHER_SERVER and is_named
--- a/indigoworks/ownership/passing_proof.py
+++ b/indigoworks/ownership/passing_proof.py
@@ -9,7 +9,7 @@
     RELEASED = "released"
     """The former owner answered a release."""
     ORDER_MISDIRECTED = "order_misdirected"
-    """A release was answered by status 421: another server is at the address."""
+    """Another server answered a release: it has the address of the one that was meant."""
     SERVER_REPLACED = "server_replaced"
     """The former owner counted as gone before; `server:replaced` says why."""
     OWN_BOUND = "own_bound"
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -173,7 +173,7 @@
             self._bounds.close_below(former, release.first, release.last, release.token)
             self._handover = outcome.handover or self._handover
             return PassingProof.RELEASED
-        if outcome.result is OrderResult.OTHER_SERVER:
+        if outcome.is_from_other(former):
             self._note_replaced(former, outcome)
             return PassingProof.ORDER_MISDIRECTED
         return None
@@ -244,7 +244,7 @@
             self._bounds.close_unanswered(self.owned)
         else:
             self._bounds.close_not_taken(self.owned)
-        if result is OrderResult.OTHER_SERVER:
+        if outcome.is_from_other(self.owned.server_id):
             self._note_replaced(self.owned.server_id, outcome)
         if result is OrderResult.FENCED:
             self.wants_token = True
@@ -262,5 +262,4 @@
         return max(MIN_PAUSE_S, left_s)
 
     def _note_replaced(self, server_id: str, outcome: OrderOutcome) -> None:
-        sign = ReplacementSign.of_order(outcome.answering_id)
-        self._servers.note_replaced(server_id, outcome.answering_id or "", sign)
+        self._servers.note_replaced(server_id, outcome.answering_id or "", ReplacementSign.ORDER)
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -82,8 +82,9 @@
             self._note_older_word(record, earlier)
             return
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
-            # What another life asked for concerns this one no more.
+            # What another life asked for concerns this one no more, nor does its end.
             self.notices.forget(record.server_id)
+            self._replaced.pop(record.server_id, None)
         self._listed[record.server_id] = record
         self._vanished.pop(record.server_id, None)
         self.cold.note_told(record.server_id, record.warm_up_left_s)
--- a/indigoworks_lab/control_simulation/order_carrier.py
+++ b/indigoworks_lab/control_simulation/order_carrier.py
@@ -91,7 +91,7 @@
         if target is None:
             return OrderOutcome(OrderResult.UNANSWERED)
         if target.server_id != server_id:
-            return OrderOutcome(OrderResult.OTHER_SERVER)
+            return OrderOutcome(OrderResult.OTHER_SERVER, answering_id=target.server_id)
         is_late = self._random.random() < self.faults.late_ratio
         is_lost = self._random.random() < self.faults.lost_ratio
         if is_late:
