Whether an order may still be sent is asked right before its bytes go out

Callers would see: two servers run requests on the same keys after a change of leader beside a busy or paused gateway. Cause: a leader asked whether it may act, then waited for its turn at the server and for a connection (up to 0.3 s), and sent. A loop that was late or a process that was paused in between sent orders of a leader that had been replaced; 0.1 s stood for that in all bounds. Class: a check that is old when it is used. Why this works: the port to servers takes `may_send` and asks it with nothing to wait for between the answer and the bytes. An order that is held back has a result of its own: it says nothing of the server, and nothing was sent. The simulation's check of leases now looks when the bytes go out, not before the connection. Ruled out: a longer margin: no figure bounds a pause.

--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -101,17 +101,19 @@
     def hear(self, listener):
         self.listener = listener
 
-    async def grant(self, server, grant, timeout_s):
+    async def grant(self, server, grant, timeout_s, may_send):
         self.waiting += 1
         await self.gate.wait()
         self.waiting -= 1
+        if not may_send():
+            return OrderOutcome(OrderResult.WITHHELD)
         self.orders.append(("grant", server.server_id, grant))
         if self.unanswering == server.server_id:
             self.unanswering = None
             return OrderOutcome(OrderResult.UNANSWERED)
         return OrderOutcome(OrderResult.DONE)
 
-    async def release(self, server, release, timeout_s):
+    async def release(self, server, release, timeout_s, may_send):
         self.orders.append(("release", server.server_id, release))
         if self.lost_releases:
             self.lost_releases -= 1
--- a/features/steps/platform_folder_order_steps.py
+++ b/features/steps/platform_folder_order_steps.py
@@ -74,6 +74,10 @@
     context.platform_orders = HttpServerOrders(HEADER_NAMES, LoopClock())
 
 
+def may_send():
+    return True
+
+
 def timeout_s(context):
     return SHORT_S if context.platform_server.behaviour == "never answers" else LONG_S
 
@@ -81,7 +85,9 @@
 @when("the platform folder sends a grant")
 def send_grant(context):
     grant = KeyGrant(0, 65535, 7, 3.0)
-    work = context.platform_orders.grant(context.platform_record, grant, timeout_s(context))
+    work = context.platform_orders.grant(
+        context.platform_record, grant, timeout_s(context), lambda: True
+    )
     context.platform_outcome = context.run_async(work)
 
 
@@ -89,8 +95,8 @@
 def send_both(context):
     async def run():
         orders, record = context.platform_orders, context.platform_record
-        granted = await orders.grant(record, KeyGrant(16, 31, 12, 2.5, "5c0e"), LONG_S)
-        return granted, await orders.release(record, KeyRelease(16, 23, 13), LONG_S)
+        granted = await orders.grant(record, KeyGrant(16, 31, 12, 2.5, "5c0e"), LONG_S, may_send)
+        return granted, await orders.release(record, KeyRelease(16, 23, 13), LONG_S, may_send)
 
     context.platform_outcomes = context.run_async(run())
 
--- a/indigoworks/gateway/counted_orders.py
+++ b/indigoworks/gateway/counted_orders.py
@@ -6,7 +6,7 @@
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderOutcome
-from indigoworks.ownership.server_orders import ServerOrders, TakeNotice
+from indigoworks.ownership.server_orders import MaySend, ServerOrders, TakeNotice
 from indigoworks.servers.server_record import ServerRecord
 
 
@@ -24,16 +24,18 @@
         """Tell `listener` what servers ask for in their answers to orders."""
         self._orders.hear(listener)
 
-    async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
+    async def grant(
+        self, server: ServerRecord, grant: KeyGrant, timeout_s: float, may_send: MaySend
+    ) -> OrderOutcome:
         """Grant keys, or renew the same grant."""
-        answer = self._orders.grant(server, grant, timeout_s)
+        answer = self._orders.grant(server, grant, timeout_s, may_send)
         return await self._calls.counted("grant", answer, _outcome)
 
     async def release(
-        self, server: ServerRecord, release: KeyRelease, timeout_s: float
+        self, server: ServerRecord, release: KeyRelease, timeout_s: float, may_send: MaySend
     ) -> OrderOutcome:
         """Release keys; the answer comes when the work on them has ended."""
-        answer = self._orders.release(server, release, timeout_s)
+        answer = self._orders.release(server, release, timeout_s, may_send)
         return await self._calls.counted("release", answer, _outcome)
 
 
--- a/indigoworks/ownership/order_outcome.py
+++ b/indigoworks/ownership/order_outcome.py
@@ -14,6 +14,9 @@
     """The server did not take the order for another reason; nothing was done."""
     NOT_SENT = "not_sent"
     """No connection came about: the order certainly did not reach any server."""
+    WITHHELD = "withheld"
+    """The sender itself may no longer send: the order certainly did not reach any server, which
+    says nothing of the server."""
     OTHER_SERVER = "other_server"
     """Whoever answers at the address did not take the order because it is meant for another."""
     UNANSWERED = "unanswered"
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -185,7 +185,9 @@
             with self._log.order(
                 "release", record.server_id, release.token, RELEASE_AGAIN_S
             ) as order:
-                outcome = await self._orders.release(record, release, RELEASE_AGAIN_S)
+                outcome = await self._orders.release(
+                    record, release, RELEASE_AGAIN_S, self._leadership.may_act
+                )
                 order.result = outcome.result
             is_answered = outcome.result is not OrderResult.UNANSWERED
             if is_answered or self._clock.now() >= until_s or not self._leadership.may_act():
@@ -202,7 +204,7 @@
         record = self._servers.get(self.owned.server_id)
         if record is None:
             return RETRY_S
-        if self._is_quiet or not self._leadership.may_act():
+        if not self._may_send():
             return RETRY_S
         hold_s = self._policy.hold_s(self._reach.is_doubtful(self.owned.server_id))
         grant = KeyGrant(
@@ -217,7 +219,7 @@
             with self._log.order(
                 "grant", record.server_id, grant.token, ORDER_TIMEOUT_S, hold_s
             ) as order:
-                outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S)
+                outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S, self._may_send)
                 order.result = outcome.result
         except asyncio.CancelledError:
             self._bounds.close_unanswered(self.owned)
@@ -226,6 +228,9 @@
             self._no_order.set()
         return self._note_outcome(outcome, hold_s)
 
+    def _may_send(self) -> bool:
+        return not self._is_quiet and self._leadership.may_act()
+
     def _note_outcome(self, outcome: OrderOutcome, hold_s: float) -> float:
         result = self._last_result = outcome.result
         self._reach.note(self.owned.server_id, result)
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -44,7 +44,9 @@
         return self._lines.setdefault(server_id, asyncio.Lock())
 
     def note(self, server_id: str, result: OrderResult) -> None:
-        """Take the result of an order."""
+        """Take the result of an order; one that was withheld says nothing of the server."""
+        if result is OrderResult.WITHHELD:
+            return
         if result is OrderResult.UNANSWERED:
             self._unanswered_s[server_id] = self._clock.now()
         if result not in (OrderResult.NOT_SENT, OrderResult.UNANSWERED, OrderResult.OTHER_SERVER):
--- a/indigoworks_lab/control_simulation/broken_order_rules.py
+++ b/indigoworks_lab/control_simulation/broken_order_rules.py
@@ -27,7 +27,7 @@
     if record is None or not keeper._leadership.may_act():
         return None
     release = KeyRelease(keeper.owned.first, keeper.owned.last, keeper.owned.token - 1)
-    outcome = await keeper._orders.release(record, release, SHORT_S)
+    outcome = await keeper._orders.release(record, release, SHORT_S, lambda: True)
     is_sent = outcome.result in (OrderResult.DONE, OrderResult.UNANSWERED)
     return PassingProof.RELEASED if is_sent else None
 
--- a/indigoworks_lab/control_simulation/node_orders.py
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -7,7 +7,7 @@
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
-from indigoworks.ownership.server_orders import TakeNotice
+from indigoworks.ownership.server_orders import MaySend, TakeNotice
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks_lab.control_simulation.order_carrier import OrderCarrier, OrderTransit
 from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
@@ -39,7 +39,9 @@
     def hear(self, listener: TakeNotice) -> None:
         """Tell nothing: these servers ask for nothing."""
 
-    async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
+    async def grant(
+        self, server: ServerRecord, grant: KeyGrant, timeout_s: float, may_send: MaySend
+    ) -> OrderOutcome:
         """Grant keys, or renew the same grant."""
 
         async def operation(target: SimulatedServer) -> OrderOutcome:
@@ -47,27 +49,30 @@
             return target.grant(grant, is_excused)
 
         async with self._lines.setdefault(server.server_id, asyncio.Lock()):
-            return await self._order(server, operation, timeout_s)
+            return await self._order(server, operation, timeout_s, may_send)
 
     async def release(
-        self, server: ServerRecord, release: KeyRelease, timeout_s: float
+        self, server: ServerRecord, release: KeyRelease, timeout_s: float, may_send: MaySend
     ) -> OrderOutcome:
         """Release keys."""
 
         async def operation(target: SimulatedServer) -> OrderOutcome:
             return await target.release(release)
 
-        return await self._order(server, operation, timeout_s)
+        return await self._order(server, operation, timeout_s, may_send)
 
     async def _order(
         self,
         server: ServerRecord,
         operation: Callable[[SimulatedServer], Awaitable[OrderOutcome]],
         timeout_s: float,
+        may_send: MaySend,
     ) -> OrderOutcome:
-        self._on_order(self._boot)
         if not await self._connects(server):
             return OrderOutcome(OrderResult.NOT_SENT)
+        if not may_send():
+            return OrderOutcome(OrderResult.WITHHELD)
+        self._on_order(self._boot)
         transit = OrderTransit(asyncio.get_running_loop().create_future())
         self._run_outside(self._carrier.carry(self._node, server, operation, transit))
         try:
--- a/indigoworks_lab/crash_simulation/no_orders.py
+++ b/indigoworks_lab/crash_simulation/no_orders.py
@@ -3,7 +3,7 @@
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
-from indigoworks.ownership.server_orders import TakeNotice
+from indigoworks.ownership.server_orders import MaySend, TakeNotice
 from indigoworks.servers.server_record import ServerRecord
 
 
@@ -13,12 +13,14 @@
     def hear(self, listener: TakeNotice) -> None:
         """Tell nothing: these servers ask for nothing."""
 
-    async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
+    async def grant(
+        self, server: ServerRecord, grant: KeyGrant, timeout_s: float, may_send: MaySend
+    ) -> OrderOutcome:
         """Grant nothing."""
         return OrderOutcome(OrderResult.NOT_SENT)
 
     async def release(
-        self, server: ServerRecord, release: KeyRelease, timeout_s: float
+        self, server: ServerRecord, release: KeyRelease, timeout_s: float, may_send: MaySend
     ) -> OrderOutcome:
         """Release nothing."""
         return OrderOutcome(OrderResult.NOT_SENT)
