A leader that resigns acts no more in its process, whatever answers come

Callers would see: keys at two servers after a planned stop of the leading gateway beside trouble of its store or links. Cause: resign() cleared the proof of leadership once; an answer of the store that was under way set it again, and grants went on for up to 6 s while the successor, who reads an empty node in the row, waits for nothing that is sent later. Class: a state that a late message undoes. Why this works: whether this process may act asks whether it has resigned; nothing sets that back in its life.

--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -187,8 +187,11 @@
         return self._names_us()
 
     def may_act(self) -> bool:
-        """Tell whether this process may act as leader now; ask right before each order."""
-        return self._names_us() and self.proof_age_s() < LEADER_LEASE_S
+        """Tell whether this process may act as leader now; ask right before each order.
+
+        One that has resigned acts no more, whatever answers are still on their way to it.
+        """
+        return self._names_us() and not self._is_resigned and self.proof_age_s() < LEADER_LEASE_S
 
     def proof_age_s(self) -> float:
         """Return the age of the newest proof of leadership; infinity: there is none."""
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -8,7 +8,7 @@
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.store_version import StoreVersion
 from indigoworks.servers.cold_servers import ColdServers
-from indigoworks.servers.replacement_log import ReplacementLog
+from indigoworks.servers.replaced_servers import ReplacedServers
 from indigoworks.servers.replacement_sign import ReplacementSign
 from indigoworks.servers.server_notice import ServerNotice
 from indigoworks.servers.server_notices import ServerNotices
@@ -59,8 +59,7 @@
         self._clock = clock
         self._listed: dict[str, ServerRecord] = {}
         self._vanished: dict[str, tuple[ServerRecord, float]] = {}
-        self._replaced: dict[str, float] = {}
-        self._replacements = ReplacementLog()
+        self._replaced = ReplacedServers()
         self._first_versions: dict[str, StoreVersion] = {}
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
         self._services_at: dict[str, str] = {}
@@ -84,7 +83,7 @@
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
             # What another life asked for concerns this one no more, nor does its end.
             self.notices.forget(record.server_id)
-            self._replaced.pop(record.server_id, None)
+            self._replaced.forget(record.server_id)
         self._listed[record.server_id] = record
         self._vanished.pop(record.server_id, None)
         self.cold.note_told(record.server_id, record.warm_up_left_s)
@@ -117,8 +116,7 @@
 
         The list may say so much later, when the store is out of reach.
         """
-        self._replaced.setdefault(server_id, self._clock.now())
-        self._replacements.tell(server_id, by_server_id, sign)
+        self._replaced.add(server_id, by_server_id, sign)
 
     def take_notice(self, server_id: str, notice: ServerNotice) -> None:
         """Take what a server asks for in an answer."""
@@ -141,7 +139,7 @@
         record = self.get(server_id)
         holder = None if record is None else self.holder_of_address(record)
         if holder is not None:
-            self._replacements.tell(server_id, holder.server_id, ReplacementSign.LIST)
+            self._replaced.tell(server_id, holder.server_id, ReplacementSign.LIST)
         return holder is not None
 
     def usable(self, service: str) -> Iterable[ServerRecord]:
@@ -252,8 +250,7 @@
         for server_id, (record, at_s) in list(self._vanished.items()):
             if at_s < earliest_s:
                 del self._vanished[server_id]
-                self._replaced.pop(server_id, None)
-                self._replacements.forget(server_id)
+                self._replaced.forget(server_id)
                 self._first_versions.pop(server_id, None)
                 self.cold.forget(server_id)
                 self.notices.forget(server_id)
