What earlier leaders granted is told on through any number of leaders

Callers would see: two servers run requests on the same keys after two changes of leader within seconds beside a server that is out of reach. Cause: the beat of a leader named the holds that it granted itself. Who followed it waited for those alone, not for what the leader before it may have granted and for which that one was still waiting. A process that led, was replaced and led again emptied its own bounds, unanswered grants among them. Class: knowledge that ends with the one who had it. This acts with ordinary kills of leaders in series. Why this works: a beat carries how long grants of earlier leaders may hold, by the teller's own bound; a successor waits for the latest of the three. One that has not begun to lead tells the longest that it may come to. Own bounds stay over epochs: they go by time or by the server's answer. Ruled out: one length for both: a told hold over 13 s means that servers take orders late, and would grow with each leader.

--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -129,6 +129,7 @@
     message.leader.epoch = beat.epoch
     message.leader.proof_age_ms = _milliseconds(beat.proof_age_s)
     message.leader.hold_ms = _milliseconds(beat.hold_s)
+    message.leader.earlier_hold_ms = _milliseconds(beat.earlier_hold_s)
     for each in beat.pending:
         message.leader.pending.add(
             service=each.service, first=each.first, last=each.last, token=each.token
@@ -144,6 +145,7 @@
         pending=tuple(
             PendingRange(each.service, each.first, each.last, each.token) for each in beat.pending
         ),
+        earlier_hold_s=beat.earlier_hold_ms / MS_PER_S,
     )
 
 
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -20,9 +20,11 @@
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HoldPolicy
 from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.ownership.predecessor_bound import longest_unheard_s
 from indigoworks.ownership.range_keeper import RangeKeeper
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_writer import TableWriter
@@ -132,8 +134,14 @@
             proof_age_s=self.leadership.proof_age_s(),
             hold_s=self._bounds.longest_left_s(),
             pending=self.keepers.pending(),
+            earlier_hold_s=self._earlier_hold_s(),
         )
 
+    def _earlier_hold_s(self) -> float:
+        if self.leadership.is_acting():
+            return self._bounds.earlier_left_s()
+        return LEADER_LEASE_S + longest_unheard_s(self._policy.longest_max_s)
+
     def take_report(self, report: PeerReport) -> None:
         """Take a report of a peer."""
         era = max(report.operator_row_version.era, report.group_version.era)
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -64,15 +64,10 @@
         self._predecessor_s = float("inf")
 
     def start_epoch(self, predecessor_until_s: float) -> None:
-        """Begin as a new leader.
+        """Begin as a new leader; what this process granted as an earlier one may still hold.
 
         :param predecessor_until_s: bound of what earlier leaders granted, as known now.
         """
-        for known in (self._settled_s, self._open_s, self._late_s):
-            self._remember(known)
-        self._settled_s = {}
-        self._open_s = {}
-        self._late_s = {}
         self._predecessor_s = predecessor_until_s
 
     def note_possible(self, server_id: str, owned: OwnedRange, until_s: float) -> None:
@@ -173,6 +168,10 @@
         bounds_s = (*self._settled_s.values(), *self._late_s.values(), *slow_s)
         return max((until_s - now_s for until_s in bounds_s), default=0.0)
 
+    def earlier_left_s(self) -> float:
+        """Return how long holds may last that earlier leaders granted; infinity: not known yet."""
+        return max(0.0, self._predecessor_s - self._clock.now())
+
     def drop_past(self) -> None:
         """Forget holds that have ended."""
         now_s = self._clock.now()
--- a/indigoworks/ownership/leader_signs.py
+++ b/indigoworks/ownership/leader_signs.py
@@ -78,6 +78,13 @@
         """Return when that hold has ended; minus infinity: the leader was not heard."""
         return self._beat_s + self.announced_hold_s(epoch)
 
+    def announced_earlier_until_s(self, epoch: int) -> float:
+        """Return when holds have ended of which the leader of `epoch` told as those of leaders
+        before it; minus infinity: it was not heard."""
+        if self._beat is None or self._beat.epoch != epoch:
+            return float("-inf")
+        return self._beat_s + self._beat.earlier_hold_s
+
     def proved_s(self, epoch: int) -> float:
         """Return the time of the newest proof of which the leader of `epoch` told.
 
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -124,7 +124,7 @@
     def _begin_era(self) -> None:
         is_fresh = self._has_read_era and self._health.proof_age_s() <= HOLD_S
         newest = max(self._acted_last(), self.former.row, key=lambda each: each.version)
-        is_led = self.may_act() and self._is_acting()
+        is_led = self.may_act() and self.is_acting()
         self.former = FormerEra(newest, is_led, is_fresh)
         self._row_seen_s = self.era_seen_s = self._clock.now()
         if not (is_led and self.is_first_in_era()):
@@ -160,9 +160,10 @@
         The row may name this process before it knows of that, or in the very moment in which the
         era ends: then the leader before it acted last.
         """
-        return self.predecessor if self._names_us() and not self._is_acting() else self._row
+        return self.predecessor if self._names_us() and not self.is_acting() else self._row
 
-    def _is_acting(self) -> bool:
+    def is_acting(self) -> bool:
+        """Tell whether this process has begun to lead in the newest epoch."""
         return self._names_us() and self._acting_epoch == self._row.epoch
 
     def _is_first_after(self, era: int) -> bool:
@@ -187,10 +188,7 @@
         return self._names_us()
 
     def may_act(self) -> bool:
-        """Tell whether this process may act as leader now; ask right before each order.
-
-        One that has resigned acts no more, whatever answers are still on their way to it.
-        """
+        """Tell whether this process may act as leader now; ask right before each order."""
         return self._names_us() and not self._is_resigned and self.proof_age_s() < LEADER_LEASE_S
 
     def proof_age_s(self) -> float:
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -11,6 +11,14 @@
 """A beat is heard up to so long after it was sent."""
 
 
+def longest_unheard_s(hold_max_s: float) -> float:
+    """Return for how long a grant may hold after its sending of which nothing was told.
+
+    :param hold_max_s: longest hold that a leader grants.
+    """
+    return max(LATE_ORDER_S + HOLD_S, hold_max_s)
+
+
 class PredecessorBound:
     """Latest end of holds that a predecessor granted, from its beats and its signs of life.
 
@@ -41,7 +49,11 @@
         epoch = self.row.epoch
         hold_s = self._hold_s(acts_until_s, hold_max_s)
         later_until_s = acts_until_s + hold_s * CLOCK_FACTOR + MARGIN_S
-        return max(self._signs.announced_until_s(epoch), later_until_s)
+        return max(
+            self._signs.announced_until_s(epoch),
+            self._signs.announced_earlier_until_s(epoch),
+            later_until_s,
+        )
 
     def _hold_s(self, acts_until_s: float, hold_max_s: float) -> float:
         """Return the longest hold of a grant that is sent by `acts_until_s` and in no beat.
@@ -51,7 +63,7 @@
         epoch = self.row.epoch
         long_from_s = self._signs.proved_s(epoch) + TROUBLE_S - BEAT_DELAY_S
         if long_from_s == float("-inf"):
-            return max(LATE_ORDER_S + HOLD_S, hold_max_s)
+            return longest_unheard_s(hold_max_s)
         longest_s = HOLD_S if acts_until_s < long_from_s else max(HOLD_S, hold_max_s)
         told_s = self._signs.announced_hold_s(epoch)
         # Servers that took orders late when the beat was sent may have gone on so.
