A grant that went unanswered stays possible until its server has answered a later one

Callers would see: two servers run requests on the same keys after a server stood still, or after it took a grant late that was under way when it released the keys. Cause, one in three places: a grant that was sent and not answered counted as impossible by itself. (3) After it left the books with time (drop_past). Class: a message without an answer taken for not done after a time. Why this works: an unanswered grant has no end by time at a server that accepts connections and answers none. A server that is silent is sent one grant only, the one that it left unanswered, again: its other ranges stay free of orders that wait, so their keys pass 3.2 s after the last answer (before: up to 17 s). Ranges do not move away from an owner that answers and has a grant outstanding before a grant under a new token has fenced it; where a former owner answers a release with one outstanding, the range goes back to it under a new token at once. Earlier leaders may have sent grants to whoever owned keys when this one took over: such a server is asked before its hold counts as ended. Where connections do not come about at all (cut, machine lost) the 13 s stay, as an assumption (owner-proofs.md O1). Ruled out: a question (health) before each grant: it waits for a slot of the server, and a busy one would lose its keys; taking a refused port for the end of a hold: a cut may refuse too; a short grant to the former owner as a fence: it would hold keys that a row does not give it. Changed checks: "an answered release rules an unanswered grant out" held what is the fault; it now demands that a release ends answered holds and no late grant. What earlier leaders left unanswered at a server that answers a release still rests on its memory of that token (T1).

--- a/features/gateway_ownership.feature
+++ b/features/gateway_ownership.feature
@@ -19,6 +19,6 @@
 
   Scenario: Grants that a server left unanswered and may take late
     Then gateway owners: an answer under a higher token rules an unanswered grant out
-    And gateway owners: an answered release rules an unanswered grant out below its token
+    And gateway owners: an answered release ends holds below its token, and rules no late grant out
     And gateway owners: the leader says how long an order under way may hold once it is slow
     And gateway owners: keys stay granted under a token that only rules a late grant out
--- a/features/platform_folder_orders.feature
+++ b/features/platform_folder_orders.feature
@@ -20,7 +20,7 @@
       | answers 503          | REFUSED      |
       | closes unanswered    | UNANSWERED   |
       | never answers        | UNANSWERED   |
-      | does not listen      | NOT_SENT     |
+      | does not listen      | REFUSED_CONNECTION |
 
   Scenario: An order that is given up is broken off
     Given a platform folder server that never answers
--- a/features/steps/gateway_ownership_world.py
+++ b/features/steps/gateway_ownership_world.py
@@ -14,6 +14,7 @@
 
     failures = 0
     wants_token = wants_fence = False
+    wants_return = None
 
     def __init__(self, service, owned) -> None:
         self.service, self.owned = service, owned
--- a/indigoworks/broker/zone_servers.py
+++ b/indigoworks/broker/zone_servers.py
@@ -43,6 +43,10 @@
         """Return a server that is listed or was so a short time ago, of any zone."""
         return self._servers.get(server_id)
 
+    def is_listed(self, server_id: str) -> bool:
+        """Tell whether the list has the server's entry."""
+        return self._servers.is_listed(server_id)
+
     def is_usable(self, server_id: str) -> bool:
         """Tell whether the server may get new work."""
         return self._servers.is_usable(server_id)
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -34,6 +34,7 @@
     late is passed over.
 
     :param id_header: header in which request and answer name the id.
+    :ivar was_refused: nobody listened at the address.
     :ivar on_head: takes the head of each answer, also of one that is cut short or comes late.
     """
 
@@ -41,6 +42,7 @@
 
     def __init__(self, address: Address, id_header: str) -> None:
         self._address = address
+        self.was_refused = False
         self._id_header = id_header
         self._stream = IOStream(
             socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=MAX_ANSWER_BYTES
@@ -55,7 +57,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._stream.connect((self._address.host, self._address.port))
-        except (OSError, StreamClosedError, TimeoutError):
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            self.was_refused = _is_refusal(error)
             self.abort()
             return False
         return True
@@ -160,6 +163,11 @@
     """Serve as close callback: `is_reusable` tells the rest."""
 
 
+def _is_refusal(error: Exception) -> bool:
+    cause = error.real_error if isinstance(error, StreamClosedError) else error
+    return isinstance(cause, ConnectionRefusedError)
+
+
 def _retrieve(reading: asyncio.Future[bool]) -> None:
     """Take note of how reading ended: a broken connection shows in what was read."""
     if not reading.cancelled():
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -12,8 +12,9 @@
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.load_balancer import LoadBalancer
-from indigoworks.ownership.moves_by_load import even_moves, urgent_moves
+from indigoworks.ownership.moves_by_load import even_moves, moves_beside, urgent_moves
 from indigoworks.ownership.owned_range import OwnedRange
+from indigoworks.ownership.owner_candidates import OwnerCandidates, SpeedOf
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.predecessor_bound import PredecessorBound
@@ -29,7 +30,6 @@
 )
 from indigoworks.ownership.table_recovery import TableRecovery
 from indigoworks.ownership.table_writer import TableWriter
-from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
 TICK_S = 0.1
@@ -56,9 +56,6 @@
 """Before the first table of a service is written, its servers have stood so long unchanged: at the
 start of everything they record themselves one after the other."""
 
-SpeedOf = Callable[[str], float]
-"""Seconds that a request takes at a server, by its id."""
-
 
 class GroupLeader:
     """Writes tables of owners, keeps their ranges granted, and moves ranges.
@@ -90,10 +87,10 @@
         self._writer = writer
         self._servers = servers
         self._keyed_services = keyed_services
-        self._speed_of = speed_of
         self._clock = clock
         self._load = GroupLoad(peers, clock)
         self._resting = RestingOwners(servers, peers)
+        self._candidates = OwnerCandidates(servers, reach, self._resting, speed_of)
         self._balanced_s = float("-inf")
         self._evened_s = float("-inf")
         self._cleaned_s = float("-inf")
@@ -164,10 +161,16 @@
 
     async def _take_table(self, service: str) -> bool:
         table = self._tables.table(service)
+        self._note_inherited(table)
         if table.version.era != self._leadership.era:
             return await self._recovery.carry_over(service)
         return not table.ranges or await self._writer.write(with_new_tokens(table), "new_leader")
 
+    def _note_inherited(self, table: OwnershipTable) -> None:
+        for owned in table.ranges:
+            for server_id in (owned.server_id, *(each.server_id for each in owned.former)):
+                self._bounds.note_inherited(server_id, owned.first, owned.last)
+
     # ---- one service ----
 
     async def _look_after(self, service: str) -> None:
@@ -195,87 +198,53 @@
         fenced = self._keepers.wanting_token(service)
         if fenced:
             return with_new_token_of(table, fenced), "fenced"
-        late = self._late_to_rule_out(service)
-        fencing = with_new_token_of(table, late) if late else table
-        # Former owners that are ruled out leave the row with whatever else is written: each write
-        # goes to every gateway.
+        returns = self._keepers.wanting_return(service)
+        if returns:
+            return with_moves(table, returns), returns[0].reason
+        # Former owners that are ruled out leave the row with whatever else is written.
         granted = [each for each in self._keepers.granted(service) if each.former]
-        cleaned = without_former(fencing, granted) if granted else fencing
-        moved = self._moved_table(service, cleaned)
-        if moved is not None or late:
-            self._fenced_s = self._clock.now() if late else self._fenced_s
-            return moved or (cleaned, "unanswered")
-        return self._cleaned_table(cleaned, bool(granted))
-
-    def _late_to_rule_out(self, service: str) -> list[OwnedRange]:
-        """Return ranges whose owners may take a grant late; a new token is to rule that out."""
-        if self._clock.now() - self._fenced_s < FENCE_PERIOD_S:
-            return []
-        return self._keepers.wanting_fence(service)
+        cleaned = without_former(table, granted) if granted else table
+        late = self._keepers.wanting_fence(service)
+        if late and self._clock.now() - self._fenced_s >= FENCE_PERIOD_S:
+            self._fenced_s = self._clock.now()
+            fenced_table = with_new_token_of(table, late)
+            return without_former(fenced_table, granted), "unanswered"
+        moved = self._moved_table(service, cleaned, late)
+        return moved or self._cleaned_table(cleaned, bool(granted))
 
     def _moved_table(
-        self, service: str, table: OwnershipTable
+        self, service: str, table: OwnershipTable, late: Sequence[OwnedRange]
     ) -> tuple[OwnershipTable, str] | None:
-        leavers = self._leavers(service, table)
-        stayers = self._capacities(service, leavers)
+        """Return the table after the moves that are due; `late` ranges stay.
+
+        Their owners answer and may take an earlier grant late, which a release does not rule out.
+        """
+        leavers = self._candidates.leavers(table)
+        stayers = self._candidates.capacities(service, leavers)
         window = self._load.slow(service)
         resting = self._resting.to_relieve(table, window, stayers)
         leavers.update({each: "resting" for each in resting if each not in leavers})
         balancer = LoadBalancer(table, window)
-        moves = balancer.moves_of_leavers(leavers, stayers)
+        moves = moves_beside(balancer.moves_of_leavers(leavers, stayers), late)
         if moves:
             return with_moves(table, moves), moves[0].reason
-        return self._balanced_table(service, table, stayers)
-
-    def _leavers(self, service: str, table: OwnershipTable) -> dict[str, str]:
-        """Return the owners that are to lose their ranges, with the reason."""
-        leavers: dict[str, str] = {}
-        for owned in table.ranges:
-            if not self._servers.is_usable(owned.server_id):
-                leavers[owned.server_id] = "leaving"
-            elif self._reach.is_lost(owned.server_id):
-                leavers[owned.server_id] = "out_of_reach"
-        return leavers
-
-    def _capacities(self, service: str, leavers: dict[str, str]) -> list[ServerCapacity]:
-        """Return the servers that may be given keys: not cold ones, unless all are, and none that
-        asked for rest.
-
-        A cold server falls over at little more than half of its usual load, and one that turns all
-        away has no load and looks idle.
-        """
-        stayers = [
-            each
-            for each in self._servers.usable(service)
-            if each.server_id not in leavers
-            and not self._reach.is_suspect(each.server_id)
-            and not self._resting.is_resting(each.server_id)
-        ]
-        warm = [each for each in stayers if not self._servers.is_cold(each.server_id)]
-        return [self._capacity(each) for each in warm or stayers]
-
-    def _capacity(self, server: ServerRecord) -> ServerCapacity:
-        """Return what a server can do; one that names a limit keeps the keys that it can serve, so
-        that its answers go on to tell of the limit."""
-        limit_per_s = self._servers.limit_per_s(server.server_id)
-        return ServerCapacity(
-            server.server_id,
-            server.slots,
-            server.slots / self._speed_of(server.server_id),
-            float("inf") if limit_per_s is None else limit_per_s,
-        )
+        return self._balanced_table(service, table, stayers, late)
 
     def _balanced_table(
-        self, service: str, table: OwnershipTable, servers: list[ServerCapacity]
+        self,
+        service: str,
+        table: OwnershipTable,
+        servers: list[ServerCapacity],
+        late: Sequence[OwnedRange],
     ) -> tuple[OwnershipTable, str] | None:
         now_s = self._clock.now()
         if now_s - self._balanced_s < BALANCE_PERIOD_S or now_s - self._failed_s < LOAD_REST_S:
             return None
         self._balanced_s = now_s
-        moves = urgent_moves(table, self._load, servers)
+        moves = moves_beside(urgent_moves(table, self._load, servers), late)
         if not moves and now_s - self._evened_s > EVEN_PERIOD_S:
             self._evened_s = now_s
-            moves = even_moves(table, self._load, servers)
+            moves = moves_beside(even_moves(table, self._load, servers), late)
         return (with_moves(table, moves), moves[0].reason) if moves else None
 
     def _cleaned_table(
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
+from indigoworks.ownership.key_spans import KeySpans
 from indigoworks.ownership.owned_range import OwnedRange
 
 CLOCK_FACTOR = 1.02
@@ -62,12 +63,14 @@
         self._late_s: dict[_Hold, float] = {}
         self._past_s: dict[_Hold, float] = {}
         self._predecessor_s = float("inf")
+        self._inherited = KeySpans()
 
     def start_epoch(self, predecessor_until_s: float) -> None:
         """Begin as a new leader; what this process granted as an earlier one may still hold.
 
         :param predecessor_until_s: bound of what earlier leaders granted, as known now.
         """
+        self._inherited = KeySpans()
         self._predecessor_s = predecessor_until_s
 
     def note_possible(self, server_id: str, owned: OwnedRange, until_s: float) -> None:
@@ -93,7 +96,9 @@
         """Take note that the grant was answered now: it was taken before this moment."""
         hold = _hold(owned)
         self._open_s.pop(hold, None)
-        self.close_below(owned.server_id, owned.first, owned.last, owned.token)
+        self._inherited.remove(owned.server_id, owned.first, owned.last)
+        for known in (self._settled_s, self._open_s, self._late_s, self._past_s):
+            _take_below(known, owned.server_id, owned.first, owned.last, owned.token)
         until_s = self._clock.now() + hold_s * CLOCK_FACTOR + MARGIN_S
         self._settled_s[hold] = max(until_s, self._settled_s.get(hold, until_s))
 
@@ -107,18 +112,28 @@
         until_s = self._open_s.pop(hold, float("-inf"))
         self._late_s[hold] = max(until_s, self._late_s.get(hold, float("-inf")))
 
-    def close_below(self, server_id: str, first: int, last: int, token: int) -> None:
-        """Take note that the server refuses grants of these keys under tokens below `token`."""
-        for known in (self._settled_s, self._open_s, self._late_s, self._past_s):
-            for hold in [each for each in known if each.overlaps(server_id, first, last)]:
-                if hold.token < token:
-                    until_s = known.pop(hold)
-                    for left in hold.without(first, last):
-                        known[left] = max(until_s, known.get(left, until_s))
-
-    def may_be_late(self, owned: OwnedRange) -> bool:
-        """Tell whether a grant that the owner did not answer may still be taken."""
-        server_id, first, last = owned.server_id, owned.first, owned.last
+    def close_released(self, server_id: str, first: int, last: int, token: int) -> None:
+        """Take note that the server has given up what it held under tokens below `token`.
+
+        A grant that it may still take late stays possible: no page says that a server remembers the
+        token of a release, as it does that of a grant.
+        """
+        for known in (self._settled_s, self._past_s):
+            _take_below(known, server_id, first, last, token)
+
+    def note_inherited(self, server_id: str, first: int, last: int) -> None:
+        """Take note that earlier leaders may have sent the server grants of keys."""
+        self._inherited.add(server_id, first, last)
+
+    def is_inherited(self, server_id: str, first: int, last: int) -> bool:
+        """Tell whether grants of any of the keys by earlier leaders may be on their way.
+
+        The server refuses them once it has answered a grant of this leader.
+        """
+        return self._inherited.touches(server_id, first, last)
+
+    def may_be_late(self, server_id: str, first: int, last: int) -> bool:
+        """Tell whether a grant of any of the keys that the server left unanswered may be taken."""
         return any(each.overlaps(server_id, first, last) for each in self._late_s)
 
     def until_s(self, server_id: str, first: int, last: int) -> float:
@@ -166,22 +181,21 @@
             if now_s - self._sent_s.get(hold, now_s) > SLOW_ORDER_S
         ]
         bounds_s = (*self._settled_s.values(), *self._late_s.values(), *slow_s)
-        return max((until_s - now_s for until_s in bounds_s), default=0.0)
+        return max((0.0, *(until_s - now_s for until_s in bounds_s)))
 
     def earlier_left_s(self) -> float:
         """Return how long holds may last that earlier leaders granted; infinity: not known yet."""
         return max(0.0, self._predecessor_s - self._clock.now())
 
     def drop_past(self) -> None:
-        """Forget holds that have ended."""
+        """Forget holds that have ended, but for those by grants that may still be taken."""
         now_s = self._clock.now()
-        for known in (self._settled_s, self._open_s, self._late_s):
+        for known in (self._settled_s, self._open_s):
             self._remember({hold: at_s for hold, at_s in known.items() if at_s <= now_s})
         oldest_s = now_s - PAST_HOLDS_S
         self._past_s = {hold: at_s for hold, at_s in self._past_s.items() if at_s > oldest_s}
         self._settled_s = {hold: at_s for hold, at_s in self._settled_s.items() if at_s > now_s}
         self._open_s = {hold: at_s for hold, at_s in self._open_s.items() if at_s > now_s}
-        self._late_s = {hold: at_s for hold, at_s in self._late_s.items() if at_s > now_s}
         self._sent_s = {hold: at_s for hold, at_s in self._sent_s.items() if hold in self._open_s}
 
     def _remember(self, holds: Mapping[_Hold, float]) -> None:
@@ -189,5 +203,16 @@
             self._past_s[hold] = max(until_s, self._past_s.get(hold, until_s))
 
 
+def _take_below(
+    known: dict[_Hold, float], server_id: str, first: int, last: int, token: int
+) -> None:
+    """Take keys out of the holds of a server under tokens below `token`."""
+    for hold in [each for each in known if each.overlaps(server_id, first, last)]:
+        if hold.token < token:
+            until_s = known.pop(hold)
+            for left in hold.without(first, last):
+                known[left] = max(until_s, known.get(left, until_s))
+
+
 def _hold(owned: OwnedRange) -> _Hold:
     return _Hold(owned.server_id, owned.first, owned.last, owned.token)
--- a/indigoworks/ownership/keeper_set.py
+++ b/indigoworks/ownership/keeper_set.py
@@ -7,6 +7,7 @@
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.range_keeper import RangeKeeper
+from indigoworks.ownership.range_move import RangeMove
 
 MakeKeeper = Callable[[str, OwnedRange], RangeKeeper]
 
@@ -84,6 +85,11 @@
         """Return the ranges whose owners may still take a grant that they left unanswered."""
         return [each.owned for each in self._of(service) if each.wants_fence]
 
+    def wanting_return(self, service: str) -> list[RangeMove]:
+        """Return the moves of ranges back to former owners that answer again."""
+        moves = (each.wants_return for each in self._of(service))
+        return [each for each in moves if each is not None]
+
     def pending(self) -> tuple[PendingRange, ...]:
         """Return the ranges that are not granted yet."""
         return tuple(
--- a/indigoworks/ownership/moves_by_load.py
+++ b/indigoworks/ownership/moves_by_load.py
@@ -10,6 +10,7 @@
     SIGNIFICANCE,
     LoadBalancer,
 )
+from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.range_move import RangeMove
 from indigoworks.ownership.server_capacity import ServerCapacity
@@ -47,3 +48,8 @@
     if window.traffic_s < MIN_COVERED_S:
         return []
     return LoadBalancer(table, window).moves_for_evenness(servers)
+
+
+def moves_beside(moves: Sequence[RangeMove], kept: Sequence[OwnedRange]) -> list[RangeMove]:
+    """Return the moves that take no key out of the ranges that are to be kept."""
+    return [each for each in moves if not any(each.takes_from(owned) for owned in kept)]
--- a/indigoworks/ownership/order_outcome.py
+++ b/indigoworks/ownership/order_outcome.py
@@ -14,6 +14,9 @@
     """The server did not take the order for another reason; nothing was done."""
     NOT_SENT = "not_sent"
     """No connection came about: the order certainly did not reach any server."""
+    REFUSED_CONNECTION = "refused_connection"
+    """Nobody listens at the address: the order did not reach any server, and orders that waited
+    there to be taken are gone."""
     WITHHELD = "withheld"
     """The sender itself may no longer send: the order certainly did not reach any server, which
     says nothing of the server."""
--- /dev/null
+++ b/indigoworks/ownership/owner_candidates.py
@@ -0,0 +1,67 @@
+"""Which servers lose their ranges, and which may be given some."""
+
+from collections.abc import Callable
+
+from indigoworks.ownership.ownership_table import OwnershipTable
+from indigoworks.ownership.resting_owners import RestingOwners
+from indigoworks.ownership.server_capacity import ServerCapacity
+from indigoworks.ownership.server_reach import ServerReach
+from indigoworks.servers.server_record import ServerRecord
+from indigoworks.servers.server_source import ServerSource
+
+SpeedOf = Callable[[str], float]
+"""Seconds that a request takes at a server, by its id."""
+
+
+class OwnerCandidates:
+    """Looks at the servers of a service as owners of its ranges."""
+
+    def __init__(
+        self,
+        servers: ServerSource,
+        reach: ServerReach,
+        resting: RestingOwners,
+        speed_of: SpeedOf,
+    ) -> None:
+        self._servers = servers
+        self._reach = reach
+        self._resting = resting
+        self._speed_of = speed_of
+
+    def leavers(self, table: OwnershipTable) -> dict[str, str]:
+        """Return the owners that are to lose their ranges, with the reason."""
+        leavers: dict[str, str] = {}
+        for owned in table.ranges:
+            if not self._servers.is_usable(owned.server_id):
+                leavers[owned.server_id] = "leaving"
+            elif self._reach.is_lost(owned.server_id):
+                leavers[owned.server_id] = "out_of_reach"
+        return leavers
+
+    def capacities(self, service: str, leavers: dict[str, str]) -> list[ServerCapacity]:
+        """Return the servers that may be given keys: not cold ones, unless all are, and none that
+        asked for rest.
+
+        A cold server falls over at little more than half of its usual load, and one that turns all
+        away has no load and looks idle.
+        """
+        stayers = [
+            each
+            for each in self._servers.usable(service)
+            if each.server_id not in leavers
+            and not self._reach.is_suspect(each.server_id)
+            and not self._resting.is_resting(each.server_id)
+        ]
+        warm = [each for each in stayers if not self._servers.is_cold(each.server_id)]
+        return [self._capacity(each) for each in warm or stayers]
+
+    def _capacity(self, server: ServerRecord) -> ServerCapacity:
+        """Return what a server can do; one that names a limit keeps the keys that it can serve, so
+        that its answers go on to tell of the limit."""
+        limit_per_s = self._servers.limit_per_s(server.server_id)
+        return ServerCapacity(
+            server.server_id,
+            server.slots,
+            server.slots / self._speed_of(server.server_id),
+            float("inf") if limit_per_s is None else limit_per_s,
+        )
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -5,40 +5,29 @@
 from collections.abc import Callable
 
 from indigoworks.common.clock import Clock
+from indigoworks.ownership.former_owners import FormerOwners
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import RENEWAL_S, HoldPolicy
 from indigoworks.ownership.key_grant import KeyGrant
-from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
-from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
-from indigoworks.ownership.passing_proof import PassingProof
+from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.range_log import RangeLog
+from indigoworks.ownership.range_move import RangeMove
 from indigoworks.ownership.server_orders import ServerOrders
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.servers.replacement_sign import ReplacementSign
-from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
 ORDER_TIMEOUT_S = 0.8
 """Longest wait for the answer to a grant."""
 
-RELEASE_TIMEOUT_S = 3.0
-"""Longest wait for the answer to a release, which comes when the work has ended."""
-
-RELEASE_AGAIN_S = 0.8
-"""A release is sent again after so long without an answer: that may have been lost, and a release
-that is repeated does no more than the first."""
-
 MIN_PAUSE_S = 0.001
 """Shortest pause between two renewals."""
 
 RETRY_S = 0.15
 """Pause before an order is sent again."""
 
-LONG_WAIT_S = 3.0
-"""A range that waits so long for a former owner is logged once, with what it still waits for."""
-
 
 class RangeKeeper:
     """Rules out former owners, grants the range, and renews the grant.
@@ -73,8 +62,10 @@
         self._reach = reach
         self._clock = clock
         self._log = RangeLog(service, owned, leadership, bounds, reach.orders, clock)
+        self._former = FormerOwners(
+            owned, leadership, orders, servers, bounds, policy, reach, self._log, clock
+        )
         self._on_granted = on_granted
-        self._handover: str | None = None
         self.is_granted = False
         self.wants_token = False
         self.task: asyncio.Task[None] | None = None
@@ -90,7 +81,23 @@
 
         Under a new token the owner refuses the one that it may still take late.
         """
-        return self.is_granted and self._is_reached and self._bounds.may_be_late(self.owned)
+        return self.is_granted and self._is_reached and self._may_be_late()
+
+    def _may_be_late(self) -> bool:
+        return self._bounds.may_be_late(self.owned.server_id, self.owned.first, self.owned.last)
+
+    @property
+    def wants_return(self) -> RangeMove | None:
+        """Return the move of the range back to a server that answers; None: it is not to be made.
+
+        The server has released the keys and may take an earlier grant late. As their owner it
+        serves them, and its answer to a grant under a new token rules the late one out.
+        """
+        server_id = self._former.answers_late
+        if self.is_granted or server_id is None:
+            return None
+        first, last = self.owned.first, self.owned.last
+        return RangeMove(first, last, self.owned.server_id, server_id, "answers_again")
 
     def start(self, is_granted: bool) -> None:
         """Start the task; `is_granted`: the owner already holds the range under its token."""
@@ -100,6 +107,7 @@
 
     def stop(self) -> None:
         """End the task; an order that is under way counts as not answered."""
+        self._reach.drop_sender(self.owned.server_id, self)
         if self.task is not None:
             self.task.cancel()
 
@@ -118,81 +126,23 @@
     async def renew(self) -> OrderResult | None:
         """Renew the grant once, and return the result; None: nothing was sent."""
         self.is_granted = True
-        await self._grant()
+        try:
+            await self._grant()
+        finally:
+            self._reach.drop_sender(self.owned.server_id, self)
         return self._last_result
 
     async def release_from(self, server_id: str) -> bool:
         """Have a server release the range; False where it did not answer that it has."""
-        return await self._release(server_id) is not None
+        return await self._former.release(server_id) is not None
 
     async def _run(self) -> None:
         if not self.is_granted:
-            for former in self.owned.former:
-                if former.server_id != self.owned.server_id:
-                    await self._rule_out(former)
+            await self._former.rule_out_all()
         while True:
             pause_s = await self._grant()
             await self._clock.sleep(pause_s)
 
-    # ---- former owners ----
-
-    async def _rule_out(self, former: FormerOwner) -> None:
-        """Return when `former` can hold no key of the range any more."""
-        started_s = self._clock.now()
-        is_logged = False
-        while True:
-            self._log.look_at(former)
-            proof = self._reason_ruled_out(former)
-            if proof is None:
-                proof = await self._release(former.server_id)
-            if proof is not None:
-                self._log.ruled_out(former, proof)
-                return
-            if not is_logged and self._clock.now() - started_s > LONG_WAIT_S:
-                is_logged = True
-                self._log.waits(former, self._servers.get(former.server_id) is not None)
-            await self._clock.sleep(RETRY_S)
-
-    def _reason_ruled_out(self, former: FormerOwner) -> PassingProof | None:
-        if self._servers.is_gone(former.server_id):
-            return PassingProof.SERVER_REPLACED
-        until_s = self._bounds.until_s(former.server_id, self.owned.first, self.owned.last)
-        if self._clock.now() > until_s:
-            return self._log.bound_that_ended(former.server_id)
-        return None
-
-    async def _release(self, former: str) -> PassingProof | None:
-        """Send a release; its token closes late and foreign renewals of these keys."""
-        record = self._servers.get(former)
-        if record is None or not self._leadership.may_act():
-            return None
-        release = KeyRelease(self.owned.first, self.owned.last, self.owned.token - 1)
-        outcome = await self._answered_release(record, release)
-        self._reach.note(former, outcome.result)
-        if outcome.result is OrderResult.DONE:
-            self._bounds.close_below(former, release.first, release.last, release.token)
-            self._handover = outcome.handover or self._handover
-            return PassingProof.RELEASED
-        if outcome.is_from_other(former):
-            self._note_replaced(former, outcome)
-            return PassingProof.ORDER_MISDIRECTED
-        return None
-
-    async def _answered_release(self, record: ServerRecord, release: KeyRelease) -> OrderOutcome:
-        """Send a release until it is answered, at most for RELEASE_TIMEOUT_S."""
-        until_s = self._clock.now() + RELEASE_TIMEOUT_S
-        while True:
-            with self._log.order(
-                "release", record.server_id, release.token, RELEASE_AGAIN_S
-            ) as order:
-                outcome = await self._orders.release(
-                    record, release, RELEASE_AGAIN_S, self._leadership.may_act
-                )
-                order.result = outcome.result
-            is_answered = outcome.result is not OrderResult.UNANSWERED
-            if is_answered or self._clock.now() >= until_s or not self._leadership.may_act():
-                return outcome
-
     # ---- the owner ----
 
     async def _grant(self) -> float:
@@ -204,11 +154,11 @@
         record = self._servers.get(self.owned.server_id)
         if record is None:
             return RETRY_S
-        if not self._may_send():
+        if not self._may_send() or not self._reach.may_grant(self.owned.server_id, self):
             return RETRY_S
         hold_s = self._policy.hold_s(self._reach.is_doubtful(self.owned.server_id))
         grant = KeyGrant(
-            self.owned.first, self.owned.last, self.owned.token, hold_s, self._handover
+            self.owned.first, self.owned.last, self.owned.token, hold_s, self._former.handover
         )
         self._bounds.open(self.owned, hold_s, ORDER_TIMEOUT_S)
         self._no_order.clear()
@@ -233,24 +183,26 @@
 
     def _note_outcome(self, outcome: OrderOutcome, hold_s: float) -> float:
         result = self._last_result = outcome.result
-        self._reach.note(self.owned.server_id, result)
+        self._reach.note(self.owned.server_id, result, self)
         self._is_reached = result is OrderResult.DONE
         if result is OrderResult.DONE:
             self._bounds.close_answered(self.owned, hold_s)
             if not self.is_granted:
                 self.is_granted = True
                 self._log.log(
-                    "range:granted", hold_s=hold_s, has_handover=self._handover is not None
+                    "range:granted", hold_s=hold_s, has_handover=self._former.handover is not None
                 )
                 self._on_granted()
-            self._handover = None
+            self._former.handover = None
             return self._until_renewal_s()
         if result is OrderResult.UNANSWERED:
             self._bounds.close_unanswered(self.owned)
         else:
             self._bounds.close_not_taken(self.owned)
         if outcome.is_from_other(self.owned.server_id):
-            self._note_replaced(self.owned.server_id, outcome)
+            by_server_id = outcome.answering_id or ""
+            sign = ReplacementSign.ORDER
+            self._servers.note_replaced(self.owned.server_id, by_server_id, sign)
         if result is OrderResult.FENCED:
             self.wants_token = True
             self.is_granted = False
@@ -265,6 +217,3 @@
         # Rounding may leave less than the clock can count: the same instant would come again and
         # again where time passes only in sleeps.
         return max(MIN_PAUSE_S, left_s)
-
-    def _note_replaced(self, server_id: str, outcome: OrderOutcome) -> None:
-        self._servers.note_replaced(server_id, outcome.answering_id or "", ReplacementSign.ORDER)
--- a/indigoworks/ownership/range_move.py
+++ b/indigoworks/ownership/range_move.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from indigoworks.ownership.owned_range import OwnedRange
+
 
 @dataclass(frozen=True, slots=True)
 class RangeMove:
@@ -12,3 +14,8 @@
     from_server: str
     to_server: str
     reason: str
+
+    def takes_from(self, owned: OwnedRange) -> bool:
+        """Tell whether any key of a range goes from its owner."""
+        is_inside = self.first <= owned.last and owned.first <= self.last
+        return is_inside and self.from_server == owned.server_id
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -1,6 +1,7 @@
 """Whether orders reach servers, as the leader sees it."""
 
 import asyncio
+from dataclasses import dataclass
 
 from eliot import log_message
 
@@ -21,6 +22,27 @@
 that one late."""
 
 
+SILENT_ORDERS = 2
+"""After so many orders in a row that it accepted and left unanswered a server may stand still."""
+
+_FAILURES = frozenset(
+    {
+        OrderResult.NOT_SENT,
+        OrderResult.REFUSED_CONNECTION,
+        OrderResult.UNANSWERED,
+        OrderResult.OTHER_SERVER,
+    }
+)
+
+
+@dataclass(slots=True)
+class _Silence:
+    """Orders in a row that were left unanswered; `asker` sends the only grant meanwhile."""
+
+    orders: int = 0
+    asker: object = None
+
+
 class ServerReach:
     """Orders in a row that did not reach a server, over all of its ranges.
 
@@ -34,6 +56,8 @@
         self._failures: dict[str, int] = {}
         self._first_failure_s: dict[str, float] = {}
         self._unanswered_s: dict[str, float] = {}
+        self._silence: dict[str, _Silence] = {}
+        self._refused_since_s: dict[str, float] = {}
 
     def line(self, server_id: str) -> asyncio.Lock:
         """Return the lock under which grants to a server go, one after the other.
@@ -43,13 +67,16 @@
         """
         return self._lines.setdefault(server_id, asyncio.Lock())
 
-    def note(self, server_id: str, result: OrderResult) -> None:
-        """Take the result of an order; one that was withheld says nothing of the server."""
+    def note(self, server_id: str, result: OrderResult, sender: object = None) -> None:
+        """Take the result of an order; one that was withheld says nothing of the server.
+
+        :param sender: keeper of the range that was granted; None: the order was a release.
+        """
         if result is OrderResult.WITHHELD:
             return
-        if result is OrderResult.UNANSWERED:
-            self._unanswered_s[server_id] = self._clock.now()
-        if result not in (OrderResult.NOT_SENT, OrderResult.UNANSWERED, OrderResult.OTHER_SERVER):
+        self._note_silence(server_id, result, sender)
+        self._note_refusal(server_id, result)
+        if result not in _FAILURES:
             if self._failures.pop(server_id, None) is not None:
                 failed_s = self._clock.now() - self._first_failure_s.pop(server_id)
                 self._log("reach:regained", server_id, result, round(failed_s, 3))
@@ -59,6 +86,53 @@
         if count == 1:
             self._log("reach:failed", server_id, result, 0.0)
 
+    def _note_silence(self, server_id: str, result: OrderResult, sender: object) -> None:
+        if result is OrderResult.UNANSWERED:
+            self._unanswered_s[server_id] = self._clock.now()
+            silence = self._silence.setdefault(server_id, _Silence())
+            silence.orders += 1
+            silence.asker = silence.asker or sender
+        elif result in (OrderResult.NOT_SENT, OrderResult.REFUSED_CONNECTION):
+            # A connection that does not come about right after the first silence: a path was cut.
+            # Later it may as well be that the queue of a process that stands still is full.
+            if not self.accepts_silently(server_id):
+                self._silence.pop(server_id, None)
+        else:
+            self._silence.pop(server_id, None)
+
+    def _note_refusal(self, server_id: str, result: OrderResult) -> None:
+        if result is OrderResult.REFUSED_CONNECTION:
+            self._refused_since_s.setdefault(server_id, self._clock.now())
+        else:
+            self._refused_since_s.pop(server_id, None)
+
+    def may_grant(self, server_id: str, sender: object) -> bool:
+        """Tell whether a keeper may grant its range to a server now.
+
+        While a server leaves an order unanswered the same one alone is sent again, to see whether
+        it answers: its other ranges are left without an order that it might take late.
+        """
+        silence = self._silence.get(server_id)
+        return silence is None or silence.asker in (None, sender)
+
+    def drop_sender(self, server_id: str, sender: object) -> None:
+        """Take note that a keeper grants no more: another one may ask a silent server."""
+        silence = self._silence.get(server_id)
+        if silence is not None and silence.asker is sender:
+            silence.asker = None
+
+    def accepts_silently(self, server_id: str) -> bool:
+        """Tell whether the server accepts connections and does not answer on them.
+
+        Its process may stand still: what it was sent waits for it, for however long.
+        """
+        silence = self._silence.get(server_id)
+        return silence is not None and silence.orders >= SILENT_ORDERS
+
+    def refused_since_s(self, server_id: str) -> float | None:
+        """Return since when nobody listens at the server's address; None: somebody may."""
+        return self._refused_since_s.get(server_id)
+
     def is_suspect(self, server_id: str) -> bool:
         """Tell whether the last order did not reach the server: it gets no further ranges."""
         return server_id in self._failures
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -153,6 +153,7 @@
             # What a known leader granted to the owner has its bound.
             if not is_known or server_id != owned.server_id:
                 self._bounds.note_possible(server_id, owned, until_s)
+                self._bounds.note_inherited(server_id, owned.first, owned.last)
 
     async def _release_elsewhere(
         self, service: str, unsure: Sequence[OwnedRange], holders: frozenset[str], token: int
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -22,7 +22,7 @@
 """Heartbeats within which every living server is back in the list after a trouble of the store."""
 
 LATE_TROUBLE_S = 1.0
-"""A call that fails is noticed so much later than the trouble began."""
+"""A call that fails is noticed so late after the trouble began."""
 
 TROUBLE_MARGIN_S = 1.0
 """Added to that time."""
@@ -36,9 +36,8 @@
 MOVE_AWAY_S = 1.0
 """After this process has learnt of an evacuation, owners in the zone serve their keys for so long
 while these move, and so does an owner whose answer says that it leaves while its entry does not:
-2 s after it (the platform's `drain`) nothing may be sent there any more. An evacuation must be in
-force everywhere 5 s after it was accepted (the platform's `evacuate`); processes that read it last
-do so about 1 s after it was accepted."""
+2 s after it nothing may be sent there any more. An evacuation must be in force everywhere 5 s after
+it was accepted; processes that read it last do so about 1 s after that."""
 
 
 class ServerList:
@@ -81,7 +80,7 @@
             self._note_older_word(record, earlier)
             return
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
-            # What another life asked for concerns this one no more, nor does its end.
+            # The wishes and the end of another life concern this one no more.
             self.notices.forget(record.server_id)
             self._replaced.forget(record.server_id)
         self._listed[record.server_id] = record
@@ -112,10 +111,7 @@
             self.remove(server_id)
 
     def note_replaced(self, server_id: str, by_server_id: str, sign: ReplacementSign) -> None:
-        """Take note that another server answers at the address of `server_id`: it is gone.
-
-        The list may say so much later, when the store is out of reach.
-        """
+        """Take note that another server answers at the address of `server_id`: it is gone."""
         self._replaced.add(server_id, by_server_id, sign)
 
     def take_notice(self, server_id: str, notice: ServerNotice) -> None:
@@ -138,9 +134,14 @@
             return True
         record = self.get(server_id)
         holder = None if record is None else self.holder_of_address(record)
-        if holder is not None:
-            self._replaced.tell(server_id, holder.server_id, ReplacementSign.LIST)
-        return holder is not None
+        if holder is None:
+            return False
+        self._replaced.tell(server_id, holder.server_id, ReplacementSign.LIST)
+        return True
+
+    def is_listed(self, server_id: str) -> bool:
+        """Tell whether the list has the server's entry."""
+        return server_id in self._listed
 
     def usable(self, service: str) -> Iterable[ServerRecord]:
         """Return the servers of `service` that may get new work."""
--- a/indigoworks/servers/server_source.py
+++ b/indigoworks/servers/server_source.py
@@ -26,6 +26,10 @@
         """Return a server that is listed or was so a short time ago, leaving ones included."""
         ...
 
+    def is_listed(self, server_id: str) -> bool:
+        """Tell whether the list has the server's entry."""
+        ...
+
     def is_usable(self, server_id: str) -> bool:
         """Tell whether the server may get new work."""
         ...
--- a/indigoworks_lab/control_simulation/broken_control_rules.py
+++ b/indigoworks_lab/control_simulation/broken_control_rules.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from indigoworks.ownership import table_editor, table_writer
+from indigoworks.ownership.former_owners import FormerOwners
 from indigoworks.ownership.group_leader import GroupLeader
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.leadership import Leadership
@@ -23,7 +24,7 @@
 from indigoworks_lab.simulation.broken_rules.broken_rule import Replacement
 
 
-async def _rule_out_nobody(_keeper: RangeKeeper, _former: str) -> None:
+async def _rule_out_nobody(_owners: FormerOwners) -> None:
     """Take every former owner for gone."""
 
 
@@ -60,7 +61,7 @@
             "grant-without-ruling-out",
             "A range is granted while its former owner may still hold it.",
             overlap_checker.CHECKER,
-            lambda: [Replacement(RangeKeeper, "_rule_out", _rule_out_nobody)],
+            lambda: [Replacement(FormerOwners, "rule_out_all", _rule_out_nobody)],
             CUT,
             (FaultKind.SERVER_CUT_FROM_LEADER, 10.0, 5.0),
         ),
@@ -68,7 +69,7 @@
             "grant-while-work-runs",
             "As above; the former owner still works on requests.",
             work_checker.CHECKER,
-            lambda: [Replacement(RangeKeeper, "_rule_out", _rule_out_nobody)],
+            lambda: [Replacement(FormerOwners, "rule_out_all", _rule_out_nobody)],
             CUT,
         ),
         broken_control_rule(
--- a/indigoworks_lab/control_simulation/node_orders.py
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -68,8 +68,9 @@
         timeout_s: float,
         may_send: MaySend,
     ) -> OrderOutcome:
-        if not await self._connects(server):
-            return OrderOutcome(OrderResult.NOT_SENT)
+        failure = await self._connection_failure(server)
+        if failure is not None:
+            return OrderOutcome(failure)
         if not may_send():
             return OrderOutcome(OrderResult.WITHHELD)
         self._on_order(self._boot)
@@ -83,11 +84,11 @@
         finally:
             transit.is_given_up = True
 
-    async def _connects(self, server: ServerRecord) -> bool:
+    async def _connection_failure(self, server: ServerRecord) -> OrderResult | None:
         connected: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._run_outside(self._carrier.connect(self._node, server, connected))
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                return await connected
+                return None if await connected else OrderResult.REFUSED_CONNECTION
         except TimeoutError:
-            return False
+            return OrderResult.NOT_SENT
