Command owners-story: how the owner of a key changed, and what speaks against each change

Ruled out: releases that are sent again after 0.8 s as a sign of a late grant; they are counted apart (`unanswered_releases`). A bound in the row that ends before the longest possible one of a predecessor as a fault of its own: it has a doubt of its own kind. Before: no command and no scenario on range:passed. Commands may have a dash.

--- /dev/null
+++ b/features/gateway_owner_lines.feature
@@ -0,0 +1,119 @@
+Feature: Log lines that tell why a range passed from one server to another
+
+  Scenario: A sound passing names its proof, and nothing speaks against it
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    When "a" answers the release of the gateway owner lines keys
+    Then the one gateway owner lines passing from "a" to "b" is by "released"
+    And it names the former token 4 and how long the hold of "a" would have lasted
+    And the gateway owners' story of key 150 doubts nothing
+
+  Scenario: A sound passing by the end of the hold names whose bound it was
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    When "a" is out of reach until its gateway owner lines hold has ended
+    Then the one gateway owner lines passing from "a" to "b" is by "own_bound"
+    And it names the epoch of this leader and a bound that has ended
+    And the gateway owners' story of key 150 doubts nothing
+
+  Scenario: A passing by the bound in the row while the leader's own still runs is told from others
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And the gateway owner lines keeper takes each bound in a row for past
+    When "a" is out of reach for the gateway owner lines
+    Then the one gateway owner lines passing from "a" to "b" is by "row_bound"
+    And the gateway owners' story of key 150 doubts only "bound_runs"
+
+  Scenario: A hold of an earlier epoch that no bound of the current one covers is told from others
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And the gateway owner lines leader leads anew, and its predecessor's bound has ended
+    When "a" is out of reach for the gateway owner lines
+    Then the one gateway owner lines passing from "a" to "b" is by "predecessor_bound"
+    And the gateway owners' story of key 150 doubts only "bound_runs"
+
+  Scenario: A passing by the bound in the row of a leader that reckons with the worst is told apart
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And the gateway owner lines leader is new, and its predecessor's bound ends after the row's
+    When "a" is out of reach until its gateway owner lines hold has ended
+    Then the one gateway owner lines passing from "a" to "b" is by "row_bound"
+    And the gateway owners' story of key 150 doubts only "predecessor_may_have_granted"
+
+  Scenario: A release that is answered late is no unanswered grant
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    When "a" leaves one gateway owner lines release unanswered and answers the next
+    Then the one gateway owner lines passing from "a" to "b" is by "released"
+    And it names one release without an answer
+    And the gateway owners' story of key 150 doubts nothing
+
+  Scenario: A store whose clock has jumped is told from others
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And the gateway owner lines readings of the store's clock jump by 20 s
+    When "a" answers the release of the gateway owner lines keys
+    Then the gateway owners' story of key 150 doubts only "clock_jumped"
+
+  Scenario: A grant that was sent and not answered before the keys passed is told from others
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And "a" has left 3 gateway owner lines grants unanswered
+    When "a" answers the release of the gateway owner lines keys
+    Then the gateway owners' story of key 150 doubts only "order_unanswered"
+    And the gateway owner lines tell of 3 unanswered grants to "a" until it answers again
+
+  Scenario: A server that is silent for minutes has few lines
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And "a" has left 300 gateway owner lines grants unanswered
+    When "a" answers the release of the gateway owner lines keys
+    Then the gateway owner lines tell of 300 unanswered grants to "a" until it answers again
+
+  Scenario Outline: An order of a leader that has <what> is told from others
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And the gateway owner lines leader has <what> and gives orders nevertheless
+    When "a" answers the release of the gateway owner lines keys
+    Then the gateway owners' story of key 150 doubts only "old_proof"
+    And the gateway owner lines name the state "<state>" of the leader, and no age where it has none
+
+    Examples:
+      | what                 | state    |
+      | lost the leadership  | lost     |
+      | resigned             | resigned |
+      | an old proof         | leads    |
+
+  Scenario: A grant that is refused after the leadership was lost names no age of a proof
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And the gateway owner lines leader has lost the leadership and gives orders nevertheless
+    When "b" refuses the gateway owner lines grant for a higher token
+    Then the gateway owner lines tell of a refused grant in the state "lost" without an age
+
+  Scenario Outline: A server that counts as gone by <answer> is told from others
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    When the gateway owner lines take "a" for gone by <answer>
+    Then the one gateway owner lines passing from "a" to "b" is by "server_replaced"
+    And the gateway owner lines name the sign "<sign>" once
+    And the gateway owners' story of key 150 doubts only "<doubt>"
+
+    Examples:
+      | answer                  | sign             | doubt          |
+      | an order without id     | order_without_id | unnamed_server |
+      | an order with an id     | order            | nothing        |
+      | the list of servers     | list             | nothing        |
+
+  Scenario: A release that another server answers names it
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    When server "c" answers the release of the gateway owner lines keys of "a"
+    Then the one gateway owner lines passing from "a" to "b" is by "order_misdirected"
+    And the gateway owner lines name the sign "order" once
+
+  Scenario: A range that passes although nobody asked is told from others
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    And the gateway owner lines keeper rules out nobody
+    When "a" is out of reach for the gateway owner lines
+    Then the gateway owners' story of key 150 doubts only "no_proof"
+
+  Scenario: Whoever begins to act as leader says for what it waits
+    Given a gateway control group whose store loses the answer of write 0
+    And gateway control rows of an earlier leader with servers "a" and "b"
+    And the gateway owner lines are kept
+    When the gateway control member finds no leader
+    Then the gateway control member leads
+    And the gateway owner lines tell of one leader that waits for its predecessor of epoch 3
+    And a gateway owner lines leader that is replaced names its open orders
+
+  Scenario: A missing log and a key without lines are told as such
+    Then the gateway owners' story of a missing log is refused with a remedy
+    And the gateway owners' story of key 7 says that no line is on it
--- a/features/platform_folder_orders.feature
+++ b/features/platform_folder_orders.feature
@@ -22,6 +22,12 @@
       | never answers        | UNANSWERED   |
       | does not listen      | NOT_SENT     |
 
+  Scenario: An answer that names its server says who answers
+    Given a platform folder server that answers 421 as i-9
+    When the platform folder sends a grant
+    Then the platform folder's order ends as OTHER_SERVER
+    And the platform folder's order was answered by "i-9"
+
   Scenario: An order that is given up is broken off
     Given a platform folder server that never answers
     When the platform folder sends a grant
--- a/features/steps/platform_folder_order_steps.py
+++ b/features/steps/platform_folder_order_steps.py
@@ -54,10 +54,14 @@
             writer.close()
 
     async def _answer(self, writer) -> None:
-        verb, _, status = self.behaviour.partition(" ")
+        verb, _, answer = self.behaviour.partition(" ")
+        status, _, answering_id = answer.partition(" as ")
         if verb == "answers":
             handover = f"{HEADER_NAMES.handover}: h-{len(self.orders)}\r\n"
-            head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{handover}\r\n"
+            named = (
+                f"{HEADER_NAMES.answering_server_id}: {answering_id}\r\n" if answering_id else ""
+            )
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{handover}{named}\r\n"
             writer.write(head.encode())
             await writer.drain()
 
@@ -101,6 +105,11 @@
     assert context.platform_outcomes[1].handover == "h-2"
 
 
+@then('the platform folder\'s order was answered by "{server_id}"')
+def answered_by(context, server_id):
+    assert context.platform_outcome.answering_id == server_id, context.platform_outcome
+
+
 @then("the platform folder server read both under the platform's names, on 2 connections")
 def read_both(context):
     server = context.platform_server
--- a/indigoworks/cli/arguments.py
+++ b/indigoworks/cli/arguments.py
@@ -26,10 +26,12 @@
     path: list[str] = []
     place: object = root
     for argument in arguments:
-        if argument.startswith("_") or not hasattr(type(place), argument):
+        # fire takes dashes in the name of a command for underscores.
+        name = argument.replace("-", "_")
+        if name.startswith("_") or not hasattr(type(place), name):
             break
         path.append(argument)
-        place = getattr(place, argument)
+        place = getattr(place, name)
         if callable(place):
             break
     return path
--- a/indigoworks/cli/commands.py
+++ b/indigoworks/cli/commands.py
@@ -196,3 +196,15 @@
         from indigoworks.cli.losses_command import tell_losses
 
         return PendingCommand(lambda: tell_losses(log, window_s))
+
+    def owners_story(self, service: str, key: str, *, log: str) -> PendingCommand:
+        """Print how the owner of a key changed, and what speaks against each change.
+
+        Args:
+            service: name of the service.
+            key: number of the key, as the lines on requests name it.
+            log: file that holds the lines of one or several gateways, in any order.
+        """
+        from indigoworks.cli.owners_story_command import tell_owners_story
+
+        return PendingCommand(lambda: tell_owners_story(service, key, log))
--- /dev/null
+++ b/indigoworks/owners_story/doubt_kind.py
@@ -0,0 +1,23 @@
+"""What speaks against a passing of keys."""
+
+from enum import Enum
+
+
+class DoubtKind(Enum):
+    """Reasons to doubt that nobody else held the keys."""
+
+    BOUND_RUNS = "bound_runs"
+    """A bound has ended, and another one on the same hold has not."""
+    PREDECESSOR_MAY_HAVE_GRANTED = "predecessor_may_have_granted"
+    """The bound in the row has ended, and that of earlier leaders' grants has not, which is the
+    longest possible and may be longer than any hold was."""
+    CLOCK_JUMPED = "clock_jumped"
+    """The readings of how the store's clock stands to ours contradict each other."""
+    ORDER_UNANSWERED = "order_unanswered"
+    """The former owner left grants of the keys unanswered and may take them late."""
+    OLD_PROOF = "old_proof"
+    """Whoever gave the order might not act as leader any more."""
+    UNNAMED_SERVER = "unnamed_server"
+    """A server counts as gone by an answer that does not say who gave it."""
+    NO_PROOF = "no_proof"
+    """Nobody asked whether the former owner still held the keys."""
--- /dev/null
+++ b/indigoworks/owners_story/line_doubts.py
@@ -0,0 +1,63 @@
+"""Finds what speaks against a passing of keys in one line of a log."""
+
+from collections.abc import Iterator, Sequence
+
+from indigoworks.owners_story.doubt import Doubt
+from indigoworks.owners_story.doubt_kind import DoubtKind
+from indigoworks.ownership.leader_lease import LEADER_LEASE_S
+from indigoworks.request_story.log_line import LogLine
+
+PASSED = "range:passed"
+
+BOUND_PROOFS = ("row_bound", "own_bound", "predecessor_bound", "no_bound")
+
+ROW_LATER_S = 0.5
+"""The bound in the row ends so much later than the one that it was made from: it counts with the
+way to the store and back."""
+
+
+def doubts_of(line: LogLine) -> Sequence[Doubt]:
+    """Return what speaks against a line; nothing for one that tells of no passing or order."""
+    if line.message_type == PASSED:
+        return [*_of_bounds(line), *_of_passing(line), *_of_leader(line)]
+    if line.message_type == "order:old_proof":
+        return list(_of_leader(line))
+    if line.message_type == "server:replaced" and line.fields.get("sign") == "order_without_id":
+        return [Doubt(DoubtKind.UNNAMED_SERVER, "status 421 that names no server")]
+    return ()
+
+
+def _of_bounds(line: LogLine) -> Iterator[Doubt]:
+    proof = line.fields.get("proof")
+    if proof not in BOUND_PROOFS:
+        return
+    for bound, least_s in (("own", 0.0), ("predecessor", 0.0), ("row", ROW_LATER_S)):
+        left_s = _number(line, f"{bound}_left_s")
+        if left_s is not None and left_s > least_s:
+            kind = DoubtKind.BOUND_RUNS
+            if (proof, bound) == ("row_bound", "predecessor"):
+                kind = DoubtKind.PREDECESSOR_MAY_HAVE_GRANTED
+            yield Doubt(kind, f"by {proof}, {bound} bound has {left_s} s left")
+
+
+def _of_passing(line: LogLine) -> Iterator[Doubt]:
+    if line.fields.get("proof") == "none":
+        yield Doubt(DoubtKind.NO_PROOF, "the former owner was not ruled out")
+    spread_s = _number(line, "clocks_spread_s")
+    if spread_s is not None and spread_s < 0:
+        yield Doubt(DoubtKind.CLOCK_JUMPED, f"readings contradict each other by {-spread_s} s")
+    unanswered = _number(line, "unanswered")
+    if unanswered:
+        oldest_s = line.fields.get("oldest_unanswered_s")
+        yield Doubt(DoubtKind.ORDER_UNANSWERED, f"{unanswered:g}, the oldest {oldest_s} s ago")
+
+
+def _of_leader(line: LogLine) -> Iterator[Doubt]:
+    age_s, state = _number(line, "proof_age_s"), line.fields.get("proof_state")
+    if age_s is None or age_s > LEADER_LEASE_S or state != "leads":
+        yield Doubt(DoubtKind.OLD_PROOF, f"proof of {age_s} s, state {state}")
+
+
+def _number(line: LogLine, name: str) -> float | None:
+    value = line.fields.get(name)
+    return float(value) if isinstance(value, (int, float)) else None
--- a/indigoworks/ownership/order_watch.py
+++ b/indigoworks/ownership/order_watch.py
@@ -50,17 +50,20 @@
         self._unanswered.drop_old(self._clock.now())
         return self._unanswered.count()
 
-    def on_keys(self, server_id: str, first: int, last: int) -> tuple[int, float | None]:
-        """Return how many orders on keys a server has not answered, and the age of the oldest.
+    def on_keys(self, kind: str, server_id: str, first: int, last: int) -> tuple[int, float | None]:
+        """Return how many orders of a kind on keys a server has not answered, and the age of the
+        oldest.
 
         Those that are under way count.
         """
         self._unanswered.drop_old(self._clock.now())
-        count, oldest_s = self._unanswered.on_keys(server_id, first, last)
+        count, oldest_s = self._unanswered.on_keys(kind, server_id, first, last)
         sent_s = [
             each.sent_s
             for each in self._under_way
-            if each.server_id == server_id and each.first <= last and first <= each.last
+            if (each.kind, each.server_id) == (kind, server_id)
+            and each.first <= last
+            and first <= each.last
         ]
         if oldest_s is not None:
             sent_s.append(oldest_s)
--- a/indigoworks/ownership/range_log.py
+++ b/indigoworks/ownership/range_log.py
@@ -138,7 +138,8 @@
 
     def _log_passed(self, former: FormerOwner, passing: _Passing) -> None:
         now_s = self._clock.now()
-        unanswered, oldest_s = self._orders.on_keys(former.server_id, *self._keys())
+        grants, oldest_s = self._orders.on_keys("grant", former.server_id, *self._keys())
+        releases, _ = self._orders.on_keys("release", former.server_id, *self._keys())
         bound_of, bound_epoch = self._bound_of(passing.proof)
         self.log(
             "range:passed",
@@ -152,7 +153,8 @@
             predecessor_left_s=left_s(passing.predecessor_until_s, now_s),
             row_left_s=left_s(passing.row_until_s, now_s),
             clocks_spread_s=passing.clocks_spread_s,
-            unanswered=unanswered,
+            unanswered=grants,
+            unanswered_releases=releases,
             oldest_unanswered_s=oldest_s,
         )
 
--- a/indigoworks/ownership/unanswered_orders.py
+++ b/indigoworks/ownership/unanswered_orders.py
@@ -44,12 +44,14 @@
         """Return how many are known, of all servers."""
         return sum(each.count for each in self._counts.values())
 
-    def on_keys(self, server_id: str, first: int, last: int) -> tuple[int, float | None]:
-        """Return how many orders to a server touch keys, and when the oldest was sent."""
+    def on_keys(self, kind: str, server_id: str, first: int, last: int) -> tuple[int, float | None]:
+        """Return how many orders of a kind touch keys, and when the oldest was sent."""
         found = [
             each
-            for (_, server, order_first, order_last, _), each in self._counts.items()
-            if server == server_id and order_first <= last and first <= order_last
+            for (known_kind, server, order_first, order_last, _), each in self._counts.items()
+            if (known_kind, server) == (kind, server_id)
+            and order_first <= last
+            and first <= order_last
         ]
         return (
             sum(each.count for each in found),
