--- a/indigoworks/ownership/range_log.py
+++ b/indigoworks/ownership/range_log.py
@@ -129,7 +129,8 @@
 
     def _log_passed(self, former: FormerOwner, passing: _Passing) -> None:
         now_s = self._clock.now()
-        unanswered, oldest_s = self._orders.on_keys(former.server_id, *self._keys())
+        grants, oldest_s = self._orders.on_keys("grant", former.server_id, *self._keys())
+        releases, _ = self._orders.on_keys("release", former.server_id, *self._keys())
         bound_of, bound_epoch = self._bound_of(passing.proof)
         self.log(
             "range:passed",
@@ -141,7 +142,8 @@
             bound_epoch=bound_epoch,
             own_left_s=left_s(passing.own_until_s, now_s),
             predecessor_left_s=left_s(passing.predecessor_until_s, now_s),
-            unanswered=unanswered,
+            unanswered=grants,
+            unanswered_releases=releases,
             oldest_unanswered_s=oldest_s,
         )
 
