Rows of the group that were not followed; leases of the controllers and proofs in the log beside the table

Cause: an era's end counts as followed by the store's newest answer to any question. Ruled out: by the scenario's first form, in which another rule (nobody acted) hid it.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -97,3 +97,6 @@
     Given a gateway owner world of a new era, in which silent "b" has all keys by a lost move
     When 8 s of gateway owner time pass
     Then no two gateway owners held one key
+
+  Scenario: Rows that were not followed are not known
+    Then gateway owner proofs: an answer to another question does not show that rows were followed
--- a/features/steps/gateway_owner_bound_steps.py
+++ b/features/steps/gateway_owner_bound_steps.py
@@ -100,6 +100,16 @@
     assert left_s >= longer_s, left_s
 
 
+@then("gateway owner proofs: an answer to another question does not show that rows were followed")
+def step_not_followed(context):
+    world = ProofWorld("a")
+    world.name_leader(4, "n2", "boot-9")
+    world.clock._now_s += 60.0
+    world.health.note_answer(world.clock.now(), world.clock.now())
+    world.health.eras.note(1)
+    assert not world.leadership.knows_former_era(0)
+
+
 @then("gateway owner proofs: for all beats holds and ages come out no shorter than they went in")
 def step_rounding(context):
     @for_all(strategies.floats(0.0, 100.0), strategies.floats(0.0, 100.0))
