--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -173,7 +173,7 @@
             self._bounds.close_below(former, release.first, release.last, release.token)
             self._handover = outcome.handover or self._handover
             return PassingProof.RELEASED
-        if outcome.result is OrderResult.OTHER_SERVER:
+        if outcome.is_from_other(former):
             self._note_replaced(former, outcome)
             return PassingProof.ORDER_MISDIRECTED
         return None
@@ -185,7 +185,9 @@
             with self._log.order(
                 "release", record.server_id, release.token, RELEASE_AGAIN_S
             ) as order:
-                outcome = await self._orders.release(record, release, RELEASE_AGAIN_S)
+                outcome = await self._orders.release(
+                    record, release, RELEASE_AGAIN_S, self._leadership.may_act
+                )
                 order.result = outcome.result
             is_answered = outcome.result is not OrderResult.UNANSWERED
             if is_answered or self._clock.now() >= until_s or not self._leadership.may_act():
@@ -202,7 +204,7 @@
         record = self._servers.get(self.owned.server_id)
         if record is None:
             return RETRY_S
-        if self._is_quiet or not self._leadership.may_act():
+        if not self._may_send():
             return RETRY_S
         hold_s = self._policy.hold_s(self._reach.is_doubtful(self.owned.server_id))
         grant = KeyGrant(
@@ -217,7 +219,7 @@
             with self._log.order(
                 "grant", record.server_id, grant.token, ORDER_TIMEOUT_S, hold_s
             ) as order:
-                outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S)
+                outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S, self._may_send)
                 order.result = outcome.result
         except asyncio.CancelledError:
             self._bounds.close_unanswered(self.owned)
@@ -226,6 +228,9 @@
             self._no_order.set()
         return self._note_outcome(outcome, hold_s)
 
+    def _may_send(self) -> bool:
+        return not self._is_quiet and self._leadership.may_act()
+
     def _note_outcome(self, outcome: OrderOutcome, hold_s: float) -> float:
         result = self._last_result = outcome.result
         self._reach.note(self.owned.server_id, result)
@@ -244,7 +249,7 @@
             self._bounds.close_unanswered(self.owned)
         else:
             self._bounds.close_not_taken(self.owned)
-        if result is OrderResult.OTHER_SERVER:
+        if outcome.is_from_other(self.owned.server_id):
             self._note_replaced(self.owned.server_id, outcome)
         if result is OrderResult.FENCED:
             self.wants_token = True
@@ -262,5 +267,4 @@
         return max(MIN_PAUSE_S, left_s)
 
     def _note_replaced(self, server_id: str, outcome: OrderOutcome) -> None:
-        sign = ReplacementSign.of_order(outcome.answering_id)
-        self._servers.note_replaced(server_id, outcome.answering_id or "", sign)
+        self._servers.note_replaced(server_id, outcome.answering_id or "", ReplacementSign.ORDER)
