--- /dev/null
+++ b/features/steps/gateway_owner_proof_steps.py
@@ -0,0 +1,140 @@
+"""Steps that break on purpose what the ends of holds rest on."""
+
+from behave import given, then, when
+from gateway_control_world import HOLD_MAX_S, SERVICE
+from gateway_owner_proof_world import ProofWorld
+
+# isort: split
+
+from indigoworks.ownership.key_grant import KeyGrant
+from indigoworks.ownership.ownership_table import KEY_COUNT
+
+DRIFT = 50e-6
+"""By which two steady clocks may well differ."""
+
+SERVED_S = 8.0
+"""Within it a sound leader gives keys away whose owner fell silent."""
+
+
+@given('a gateway owner world in which "{name}" has all keys')
+def step_world(context, name):
+    async def build():
+        context.proof = ProofWorld(name)
+        await context.proof.lead()
+        await context.proof.pass_time(1.0)
+
+    context.run_async(build())
+    step_holds(context, name)
+
+
+@given('a gateway owner world without a table in which "{name}" holds all keys')
+def step_no_table(context, name):
+    async def build():
+        context.proof = ProofWorld()
+        context.proof.orders.take(name, KeyGrant(0, KEY_COUNT - 1, 900, HOLD_MAX_S))
+        await context.proof.lead()
+
+    context.run_async(build())
+
+
+@given('a gateway owner world of a new era, in which silent "{name}" has all keys by a lost move')
+def step_lost_move(context, name):
+    """The copy gives them to "a", whose hold had passed before the move."""
+
+    async def build():
+        context.proof = ProofWorld("a", era=1)
+        context.proof.orders.silent.add(name)
+        context.proof.orders.take(name, KeyGrant(0, KEY_COUNT - 1, 8, HOLD_MAX_S))
+        await context.proof.lead()
+
+    context.run_async(build())
+
+
+@given("gateway owners that remember tokens of grants{others}")
+def step_memory(context, others):
+    context.proof.orders.remembers_releases = others == " and releases"
+
+
+@when("the gateway owner leader is suspended for {duration_s:g} s")
+def step_suspended(context, duration_s):
+    context.proof.lost_s += duration_s
+    step_jump(context, duration_s)
+
+
+@when("the gateway owner store's clock jumps by {jump_s:g} s")
+def step_jump(context, jump_s):
+    context.proof.store.shift_s += jump_s
+    context.run_async(context.proof.pass_time(1.0))
+
+
+@when("the gateway owner store's clock drifts for a day")
+def step_drift(context):
+    """The store answers every minute; nothing else happens in that day."""
+    for _ in range(24 * 60):
+        context.proof.clock._now_s += 60.0
+        context.proof.store.shift_s += 60.0 * DRIFT
+        context.proof.read()
+    step_jump(context, 0.0)
+
+
+@when('gateway owner "{name}" falls silent after its answer')
+def step_silent(context, name):
+    """It leaves as well, so that no order is sent to it between the two: its hold has an end."""
+    context.proof.orders.silent.add(name)
+    context.proof.list_server(name, 50, is_draining=True)
+
+
+@when('gateway owner "{name}" leaves a grant unanswered and falls silent')
+def step_unanswered(context, name):
+    context.run_async(context.proof.leave_unanswered(name))
+    step_silent(context, name)
+
+
+@when('gateway owner "{name}" leaves a grant unanswered and is told to release its keys')
+def step_released(context, name):
+    step_unanswered(context, name)
+    context.proof.orders.silent.remove(name)
+
+
+@when('gateway owner "{name}" falls silent and leaves while another process leads for a moment')
+def step_other_leads(context, name):
+    world = context.proof
+
+    async def run():
+        await world.leave_unanswered(name)
+        world.name_leader(4, "n2", "boot-9")
+        other = world.leadership.row
+        world.hear(1, "boot-9", 4, hold_s=0.0)
+        await world.pass_time(1.0)
+        step_silent(context, name)
+        world.name_leader(5)
+        world.hear(2, "boot-9", 5)
+        await world.lead(other)
+
+    context.run_async(run())
+
+
+@when("{duration_s:g} s of gateway owner time pass")
+def step_time(context, duration_s):
+    context.run_async(context.proof.pass_time(duration_s))
+
+
+@when("waiting gateway owner grants are taken {late_s:g} s later")
+def step_take_waiting(context, late_s):
+    step_time(context, late_s)
+    assert context.proof.orders.take_waiting()
+    step_time(context, SERVED_S)
+
+
+@then("no two gateway owners held one key")
+def step_no_overlap(context):
+    for keeper in context.proof.keepers._of(SERVICE):
+        assert not keeper.task.done(), keeper.task
+    overlap_s = context.proof.orders.overlap_s()
+    assert overlap_s <= 1e-6, f"two held one key for {overlap_s:.2f} s"
+
+
+@then('gateway owner "{name}" holds all keys')
+def step_holds(context, name):
+    orders = context.proof.orders
+    assert all(orders.holds(name, key) for key in range(KEY_COUNT)), orders.spans[-3:]
