A late report of a gateway's earlier life says nothing of the newer one

Callers would see: two holders of a key after a restart of a leader in a large group, where hubs hand reports on up to a second late. Cause: the boot of whatever report came last was taken for the node's newest; a leader of the newer boot then counted as one that acts no more, and its bound ended at once. Why this works: a boot that another one of the same node has followed is over for good; boots are random and never come again. Evidence: gateway_owner_proofs.feature, 'A late report of an earlier life is no proof', failed before and passes.

--- a/indigoworks/ownership/leader_signs.py
+++ b/indigoworks/ownership/leader_signs.py
@@ -18,10 +18,16 @@
         self._beat_s = float("-inf")
         self._epochs: dict[str, int] = {}
         self._boots: dict[str, str] = {}
+        self._ended_boots: set[tuple[str, str]] = set()
 
     def note(self, report: PeerReport) -> None:
-        """Take a report of a peer."""
-        if self._boots.get(report.node) != report.boot:
+        """Take a report of a peer; one of an earlier life that comes late says nothing."""
+        if (report.node, report.boot) in self._ended_boots:
+            return
+        known_boot = self._boots.get(report.node)
+        if known_boot != report.boot:
+            if known_boot is not None:
+                self._ended_boots.add((report.node, known_boot))
             self._boots[report.node] = report.boot
             self._epochs[report.node] = 0
         self._epochs[report.node] = max(self._epochs[report.node], report.epoch)
