Ages and holds in a leader's beat are rounded up

Callers would see: nothing by itself (0.5 ms). Cause: rounding to the nearest millisecond told a hold shorter than it is. Why this works: whoever reads a beat waits for the time that it tells; rounded up it is never shorter.

--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -1,5 +1,6 @@
 """Reports as datagrams."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -127,9 +128,9 @@
 
 def _encode_beat(beat: LeaderBeat, message: PeerReportMessage) -> None:
     message.leader.epoch = beat.epoch
-    message.leader.proof_age_ms = _milliseconds(beat.proof_age_s)
-    message.leader.hold_ms = _milliseconds(beat.hold_s)
-    message.leader.earlier_hold_ms = _milliseconds(beat.earlier_hold_s)
+    message.leader.proof_age_ms = _milliseconds_up(beat.proof_age_s)
+    message.leader.hold_ms = _milliseconds_up(beat.hold_s)
+    message.leader.earlier_hold_ms = _milliseconds_up(beat.earlier_hold_s)
     for each in beat.pending:
         message.leader.pending.add(
             service=each.service, first=each.first, last=each.last, token=each.token
@@ -151,3 +152,8 @@
 
 def _milliseconds(duration_s: float) -> int:
     return min(MAX_AGE_MS, max(0, round(min(duration_s, MAX_AGE_MS) * MS_PER_S)))
+
+
+def _milliseconds_up(duration_s: float) -> int:
+    """Round up: others wait for this time to pass."""
+    return min(MAX_AGE_MS, max(0, math.ceil(min(duration_s, MAX_AGE_MS) * MS_PER_S)))
