A successor waits for holds as long as its predecessor told of, whatever its own settings say

Callers would see: two holders of a key for as long as two gateways' longest holds differ, after a change of that setting and a loss of the leader in trouble. Cause: of a predecessor whose proof had grown old, holds up to the successor's own longest one were waited for. Why this works: what it told of it may have granted again; the longer of the two counts. Evidence: gateway_owner_proofs.feature, 'A leader may grant for longer than its successor's settings say', failed before and passes.

--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -64,7 +64,8 @@
         long_from_s = self._signs.proved_s(epoch) + TROUBLE_S - BEAT_DELAY_S
         if long_from_s == float("-inf"):
             return longest_unheard_s(hold_max_s)
-        longest_s = HOLD_S if acts_until_s < long_from_s else max(HOLD_S, hold_max_s)
         told_s = self._signs.announced_hold_s(epoch)
+        # Its settings may allow longer holds than ours: what it told of it may grant again.
+        longest_s = HOLD_S if acts_until_s < long_from_s else max(HOLD_S, hold_max_s, told_s)
         # Servers that took orders late when the beat was sent may have gone on so.
         return max(longest_s, told_s) if told_s > LATE_ORDER_S else longest_s
