Of two servers at an address the one that started later is the living one

Callers would see: keys taken from a living server at once, beside its hold, where an ended server's last entry was written after the new one's first. Cause: the order in which entries were first seen told which of two servers at one address came later. Why this works: entries name the start of their life; where both do, that decides. Evidence: gateway_owner_proofs.feature, 'An entry that was written late says nothing of the server in its place', failed before and passes.

--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -217,32 +217,33 @@
 
     def get(self, server_id: str) -> ServerRecord | None:
         """Return a server that is listed or was so a short time ago, leaving ones included."""
-        record = self._listed.get(server_id)
-        if record is not None:
-            return record
+        if server_id in self._listed:
+            return self._listed[server_id]
         vanished = self._vanished.get(server_id)
         return None if vanished is None else vanished[0]
 
     def holder_of_address(self, record: ServerRecord) -> ServerRecord | None:
         """Return the listed server that came to the address of `record` after it, if there is one.
 
-        The entry of a server that has ended stays listed for some heartbeats beside that of the one
-        that was started in its place: only the later of two says anything of the earlier.
+        The entry of an ended server stays listed for some heartbeats beside that of the one in its
+        place: only the later says anything of the earlier.
         """
-        own_first = self._first_versions.get(record.server_id, record.version)
-        later = [
-            each
-            for each in self._listed.values()
-            if each.address == record.address and self._first_versions[each.server_id] > own_first
-        ]
+        at_address = [each for each in self._listed.values() if each.address == record.address]
+        later = [each for each in at_address if self._came_after(each, record)]
         return max(later, key=lambda each: each.version, default=None)
 
+    def _came_after(self, one: ServerRecord, other: ServerRecord) -> bool:
+        if 0 < one.started_ms != other.started_ms > 0:
+            return one.started_ms > other.started_ms
+        other_first = self._first_versions.get(other.server_id, other.version)
+        return self._first_versions[one.server_id] > other_first
+
     def service_at(self, host: str) -> str | None:
         """Return the service of the server that was listed last at an address; None: none was."""
         return self._services_at.get(host)
 
     def is_empty(self) -> bool:
-        """Tell whether no server was ever listed."""
+        """Tell whether no server was listed."""
         return not self._listed and not self._vanished
 
     def forget_old(self) -> None:
