Whether an era was followed to its end is told by the group's own rows

Callers would see: two holders of a key after the store came back from a copy, where a gateway had lost the feed of the group's rows and heard others. Cause: any answer of the store within the last 3 s, to whatever question, counted as having followed the rows of owners until the era ended. Why this works: the time of the newest answer on the group's rows themselves counts. Evidence: gateway_owner_proofs.feature, 'Rows that were not followed are not known', failed before and passes.

--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -78,6 +78,7 @@
         self._row_seen_s = self.era_seen_s = self.others_led_until_s = clock.now()
         self.has_read = self._has_read_era = False
         self._proof_s: float | None = None
+        self._followed_s = float("-inf")
         self._acting_epoch: int | None = None
         self._changed = asyncio.Event()
         self._is_resigned = False
@@ -100,6 +101,7 @@
         if not self.has_read:
             self.era_seen_s = self.others_led_until_s = self._clock.now()
         self.has_read = self._has_read_era = True
+        self._followed_s = max(self._followed_s, true_at_s)
         if self._names_us() and (self._proof_s is None or true_at_s > self._proof_s):
             self._proof_s = true_at_s
 
@@ -122,7 +124,7 @@
         log_acting(epoch, before, bounds, self.led_former_era(self.era - 1), self._clock.now())
 
     def _begin_era(self) -> None:
-        is_fresh = self._has_read_era and self._health.proof_age_s() <= HOLD_S
+        is_fresh = self._has_read_era and self._clock.now() - self._followed_s <= HOLD_S
         newest = max(self._acted_last(), self.former.row, key=lambda each: each.version)
         is_led = self.may_act() and self.is_acting()
         self.former = FormerEra(newest, is_led, is_fresh)
@@ -157,8 +159,7 @@
     def _acted_last(self) -> LeaderRow:
         """Return the newest row whose leader may have given orders.
 
-        The row may name this process before it knows of that, or in the very moment in which the
-        era ends: then the leader before it acted last.
+        The row may name this process before it knows of that: then the one before acted last.
         """
         return self.predecessor if self._names_us() and not self.is_acting() else self._row
 
