--- a/features/control_simulation_machines.feature
+++ b/features/control_simulation_machines.feature
@@ -8,3 +8,11 @@
       | direction |
       | forward   |
       | backward  |
+
+  Scenario: No server is granted keys early by a leader whose machine was suspended before it led
+    When control simulation suspends a machine with its clock that leads later
+    Then control simulation found nothing in any of the runs
+
+  Scenario: A leader whose machine was suspended sends no order under a lease that ended meanwhile
+    When control simulation suspends the leader with its clock beyond its lease
+    Then control simulation found nothing in any of the runs
--- a/features/steps/control_simulation_machine_steps.py
+++ b/features/steps/control_simulation_machine_steps.py
@@ -27,6 +27,8 @@
 }
 """By seed; ranges move for load in each run."""
 
+SUSPENDED_SEEDS = (1, 2, 3)
+
 
 @when(
     "control simulation lets the store's clock jump {direction} beside moves, leaving servers and"
@@ -37,6 +39,27 @@
     context.reports = [run_faults(seed, jump, *BESIDE_JUMPS[seed]) for seed in BESIDE_JUMPS]
 
 
-def run_faults(seed, *faults):
+@when("control simulation suspends a machine with its clock that leads later")
+def step_suspended_before(context):
+    faults = (
+        DrawnFault(FaultKind.NODE_CLOCK_STOPS, 0.5, 4.0),
+        DrawnFault(FaultKind.LEADER_KILLED, 6.0, 11.0),
+    )
+    context.reports = [run_faults(seed, *faults, nodes=2) for seed in SUSPENDED_SEEDS]
+
+
+@when("control simulation suspends the leader with its clock beyond its lease")
+def step_suspended_leader(context):
+    """In the second run it stays cut off from store and peers for a while."""
+    cut_off = (
+        DrawnFault(FaultKind.LEADER_CUT_FROM_STORE, 0.9, 11.0),
+        DrawnFault(FaultKind.LEADER_CUT_FROM_PEERS, 0.9, 11.0),
+        DrawnFault(FaultKind.LEADER_CLOCK_STOPS, 1.0, 5.0),
+    )
+    alone = run_faults(1, DrawnFault(FaultKind.LEADER_CLOCK_STOPS, 1.0, 9.0))
+    context.reports = [alone, run_faults(5, *cut_off)]
+
+
+def run_faults(seed, *faults, nodes=NODES):
     """Run a seed under faults."""
-    return run_control_seed(seed, ControlPlan(NODES, SERVERS, faults))
+    return run_control_seed(seed, ControlPlan(nodes, SERVERS, faults))
--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -42,6 +42,8 @@
 
     STORE_CLOCK_JUMPS_FORWARD = "store's steady clock jumps forward"
     STORE_CLOCK_JUMPS_BACKWARD = "store's steady clock jumps backward"
+    NODE_CLOCK_STOPS = "node that does not lead suspended with its clock"
+    LEADER_CLOCK_STOPS = "leader suspended with its clock"
 
 
 _NOT_DRAWN = frozenset(
@@ -51,6 +53,8 @@
         FaultKind.STORE_RETURNS_FROM_COPY,
         FaultKind.STORE_CLOCK_JUMPS_FORWARD,
         FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
+        FaultKind.NODE_CLOCK_STOPS,
+        FaultKind.LEADER_CLOCK_STOPS,
     }
 )
 
--- a/indigoworks_lab/control_simulation/node_fault_actions.py
+++ b/indigoworks_lab/control_simulation/node_fault_actions.py
@@ -19,8 +19,10 @@
         FaultKind.LEADER_KILLED,
         FaultKind.LEADER_STOPPED,
         FaultKind.LEADER_FROZEN,
+        FaultKind.LEADER_CLOCK_STOPS,
     }
 )
+SUSPENDED = frozenset({FaultKind.NODE_CLOCK_STOPS, FaultKind.LEADER_CLOCK_STOPS})
 
 
 class NodeFaultActions:
@@ -59,13 +61,16 @@
             await asyncio.sleep(duration_s)
             self._links.slow_s.pop(node.name, None)
         else:
-            await self._freeze(node, duration_s)
+            await self._freeze(node, duration_s, kind in SUSPENDED)
 
     def _pick(self, kind: FaultKind) -> SimulatedNode | None:
         leader = self._deployment.leader() if kind in OF_LEADER else None
         nodes = self._deployment.living_nodes()
         if leader is not None:
             return leader
+        if kind is FaultKind.NODE_CLOCK_STOPS:
+            leader = self._deployment.leader()
+            nodes = [node for node in nodes if node is not leader]
         return self._random.choice(nodes) if nodes else None
 
     async def _cut(self, node: SimulatedNode, others: list[str], duration_s: float) -> None:
@@ -88,11 +93,14 @@
         await asyncio.sleep(min(STOP_S, duration_s))
         await self._kill(node, max(0.0, duration_s - STOP_S))
 
-    async def _freeze(self, node: SimulatedNode, duration_s: float) -> None:
+    async def _freeze(self, node: SimulatedNode, duration_s: float, is_suspended: bool) -> None:
+        """Stop a process; `is_suspended`: its steady clock stands still as well."""
         if node.process.is_frozen:
             return
         node.process.freeze()
         await asyncio.sleep(duration_s)
+        if is_suspended:
+            node.stand_still(duration_s)
         if node.process.is_alive:
             self._links.note_thaw(node.name, self._deployment.loop.time())
             node.process.thaw()
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -116,6 +116,10 @@
         self.process.spawn(self._exchange.run())
         self.process.spawn(self.control.member.run())
 
+    def stand_still(self, duration_s: float) -> None:
+        """Let the clock lose the time for which the machine was suspended until now."""
+        self._clock.stand_still(duration_s)
+
     def can_send(self, key: int) -> bool:
         """Tell whether a request for a key would go out at once."""
         return self._lookup.find(SERVICE, key).state is OwnerState.READY
--- a/indigoworks_lab/simulation/core/host_clock.py
+++ b/indigoworks_lab/simulation/core/host_clock.py
@@ -35,6 +35,10 @@
         """Return the reading of the clock, in seconds."""
         return self._offset_s + self._rate * self._loop.time()
 
+    def stand_still(self, duration_s: float) -> None:
+        """Lose so many seconds of true time, as on a machine that was suspended until now."""
+        self._offset_s -= self._rate * duration_s
+
     def true_time(self, reading_s: float) -> float:
         """Return the true time at which this clock shows `reading_s`."""
         return (reading_s - self._offset_s) / self._rate
