Simulation: a server's process is paused while its kernel accepts orders and requests (failing, listed)

Cause: a dark server woke with nothing in its queue, and no order was late by more than 12 s. Before: no fault kind of this sort. Conclusion: LATE_ORDER_S is no bound of a paused process. A pause of the receiver excuses nothing here; the users' rule names the sender's thaw and the link's heal. For the half second of holding together it also leaves out grants received late; the checker does not: it judges more strictly.

--- /dev/null
+++ b/features/control_simulation_broken_machines.feature
@@ -0,0 +1,9 @@
+Feature: The checkers of the control simulation see rules broken on purpose on machines that do not run evenly
+
+  Scenario Outline: The checkers of the control simulation find <rule>
+    When control simulation runs with the broken rule "<rule>"
+    Then control simulation caught it and passed the sound rule on the same seed
+
+    Examples:
+      | rule                        |
+      | orders-to-paused-as-answered |
--- a/features/control_simulation_machines.feature
+++ b/features/control_simulation_machines.feature
@@ -16,3 +16,11 @@
   Scenario: A leader whose machine was suspended sends no order under a lease that ended meanwhile
     When control simulation suspends the leader with its clock beyond its lease
     Then control simulation found nothing in any of the runs
+
+  Scenario: Servers that are paused for shorter than their orders count take back no keys
+    When control simulation pauses servers for 1 s to 15 s
+    Then control simulation found nothing in any of the runs
+
+  Scenario: Servers that are paused for longer than their orders count take back no keys
+    When control simulation pauses servers for 18 s and 25 s
+    Then control simulation found nothing in any of the runs
--- a/features/steps/control_simulation_machine_steps.py
+++ b/features/steps/control_simulation_machine_steps.py
@@ -28,6 +28,14 @@
 """By seed; ranges move for load in each run."""
 
 SUSPENDED_SEEDS = (1, 2, 3)
+PAUSED_SEEDS = (1, 2, 3)
+SHORT_PAUSES = (
+    ((1.0, 1.0), (4.0, 2.0), (8.0, 3.0)),
+    ((1.0, 5.0), (9.0, 5.0)),
+    ((1.0, 15.0), (3.0, 14.0)),
+)
+LONG_PAUSES = {3: 18.0, 7: 18.0, 2: 25.0, 5: 25.0}
+"""By seed."""
 
 
 @when(
@@ -60,6 +68,23 @@
     context.reports = [alone, run_faults(5, *cut_off)]
 
 
+@when("control simulation pauses servers for 1 s to 15 s")
+def step_short_pauses(context):
+    context.reports = [
+        run_faults(seed, *(DrawnFault(FaultKind.SERVER_PAUSED, *pause) for pause in pauses))
+        for pauses in SHORT_PAUSES
+        for seed in PAUSED_SEEDS
+    ]
+
+
+@when("control simulation pauses servers for 18 s and 25 s")
+def step_long_pauses(context):
+    context.reports = [
+        run_faults(seed, DrawnFault(FaultKind.SERVER_PAUSED, 1.0, pause_s))
+        for seed, pause_s in LONG_PAUSES.items()
+    ]
+
+
 def run_faults(seed, *faults, nodes=NODES):
     """Run a seed under faults."""
     return run_control_seed(seed, ControlPlan(nodes, SERVERS, faults))
--- a/indigoworks_lab/control_simulation/broken_control_rules.py
+++ b/indigoworks_lab/control_simulation/broken_control_rules.py
@@ -17,6 +17,7 @@
     work_checker,
 )
 from indigoworks_lab.control_simulation.broken_control_rule import broken_control_rule
+from indigoworks_lab.control_simulation.broken_machine_rules import BROKEN_MACHINE_RULES
 from indigoworks_lab.control_simulation.broken_order_rules import BROKEN_ORDER_RULES
 from indigoworks_lab.control_simulation.broken_row_rules import BROKEN_ROW_RULES
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
@@ -121,5 +122,6 @@
         ),
         *BROKEN_ORDER_RULES,
         *BROKEN_ROW_RULES,
+        *BROKEN_MACHINE_RULES,
     )
 }
--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -44,6 +44,7 @@
     STORE_CLOCK_JUMPS_BACKWARD = "store's steady clock jumps backward"
     NODE_CLOCK_STOPS = "node that does not lead suspended with its clock"
     LEADER_CLOCK_STOPS = "leader suspended with its clock"
+    SERVER_PAUSED = "server process paused, its kernel accepts"
 
 
 _NOT_DRAWN = frozenset(
@@ -55,6 +56,7 @@
         FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
         FaultKind.NODE_CLOCK_STOPS,
         FaultKind.LEADER_CLOCK_STOPS,
+        FaultKind.SERVER_PAUSED,
     }
 )
 
--- a/indigoworks_lab/control_simulation/node_orders.py
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -1,7 +1,7 @@
 """The port through which one node's orders reach the simulated servers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from indigoworks.ownership.key_grant import KeyGrant
@@ -9,7 +9,11 @@
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
 from indigoworks.ownership.server_orders import TakeNotice
 from indigoworks.servers.server_record import ServerRecord
-from indigoworks_lab.control_simulation.order_carrier import OrderCarrier, OrderTransit
+from indigoworks_lab.control_simulation.order_carrier import (
+    OrderCarrier,
+    OrderTransit,
+    ServerOperation,
+)
 from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
 
 CONNECT_TIMEOUT_S = 0.3
@@ -42,8 +46,7 @@
     async def grant(self, server: ServerRecord, grant: KeyGrant, timeout_s: float) -> OrderOutcome:
         """Grant keys, or renew the same grant."""
 
-        async def operation(target: SimulatedServer) -> OrderOutcome:
-            is_excused = self._carrier.is_excused(self._node, target)
+        async def operation(target: SimulatedServer, is_excused: bool) -> OrderOutcome:
             return target.grant(grant, is_excused)
 
         async with self._lines.setdefault(server.server_id, asyncio.Lock()):
@@ -54,7 +57,7 @@
     ) -> OrderOutcome:
         """Release keys."""
 
-        async def operation(target: SimulatedServer) -> OrderOutcome:
+        async def operation(target: SimulatedServer, _is_excused: bool) -> OrderOutcome:
             return await target.release(release)
 
         return await self._order(server, operation, timeout_s)
@@ -62,7 +65,7 @@
     async def _order(
         self,
         server: ServerRecord,
-        operation: Callable[[SimulatedServer], Awaitable[OrderOutcome]],
+        operation: ServerOperation,
         timeout_s: float,
     ) -> OrderOutcome:
         self._on_order(self._boot)
--- a/indigoworks_lab/control_simulation/order_carrier.py
+++ b/indigoworks_lab/control_simulation/order_carrier.py
@@ -14,6 +14,9 @@
 
 POLL_S = 0.05
 
+ServerOperation = Callable[[SimulatedServer, bool], Awaitable[OrderOutcome]]
+"""What an order does at a server; the flag: the rules do not count it."""
+
 
 @dataclass
 class OrderTransit:
@@ -41,7 +44,7 @@
         self._server_at = server_at
         self._random = random
 
-    def is_excused(self, node: str, target: SimulatedServer) -> bool:
+    def _is_excused(self, node: str, target: SimulatedServer) -> bool:
         """Tell whether the rules do not count an order that arrives now."""
         return self._links.is_excused(node, str(target.address), self._loop.time())
 
@@ -53,14 +56,17 @@
         await asyncio.sleep(self._links.latency_s(node, address))
         if self._links.is_cut(node, address):
             return
+        target = self._server_at(address)
+        if target is not None and not target.queue.accepts():
+            return
         if not connected.done():
-            connected.set_result(self._server_at(address) is not None)
+            connected.set_result(target is not None)
 
     async def carry(
         self,
         node: str,
         server: ServerRecord,
-        operation: Callable[[SimulatedServer], Awaitable[OrderOutcome]],
+        operation: ServerOperation,
         transit: OrderTransit,
     ) -> None:
         """Bring an order to whoever listens at the address, and the answer back."""
@@ -69,7 +75,7 @@
         await asyncio.sleep(self._links.latency_s(node, address))
         if not await self._passes(node, address, transit):
             return
-        outcome = await self._carried_out(address, server.server_id, operation)
+        outcome = await self._carried_out(node, server, operation)
         await asyncio.sleep(self._links.latency_s(node, address))
         if await self._passes(node, address, transit) and outcome is not None:
             _settle(transit, outcome)
@@ -83,14 +89,20 @@
 
     async def _carried_out(
         self,
-        address: str,
-        server_id: str,
-        operation: Callable[[SimulatedServer], Awaitable[OrderOutcome]],
+        node: str,
+        server: ServerRecord,
+        operation: ServerOperation,
     ) -> OrderOutcome | None:
-        target = self._server_at(address)
+        target = self._server_at(str(server.address))
         if target is None:
             return OrderOutcome(OrderResult.UNANSWERED)
-        if target.server_id != server_id:
+        # A pause of the receiver excuses nothing: an order that waited there is excused only where
+        # it also reached the machine in time after a heal or a thaw.
+        is_excused = self._is_excused(node, target)
+        has_waited = await target.queue.turn()
+        if has_waited and not target.is_up:
+            return OrderOutcome(OrderResult.UNANSWERED)
+        if target.server_id != server.server_id:
             return OrderOutcome(OrderResult.OTHER_SERVER)
         is_late = self._random.random() < self.faults.late_ratio
         is_lost = self._random.random() < self.faults.lost_ratio
@@ -98,7 +110,8 @@
             await asyncio.sleep(self._random.uniform(*LATE_ORDER_S))
             if not target.is_up:
                 return None
-        outcome = await operation(target)
+        is_excused = self._is_excused(node, target) and (is_excused or not has_waited)
+        outcome = await operation(target, is_excused)
         if is_late or is_lost:
             return None
         return outcome if target.is_up else OrderOutcome(OrderResult.UNANSWERED)
--- a/indigoworks_lab/control_simulation/request_carrier.py
+++ b/indigoworks_lab/control_simulation/request_carrier.py
@@ -29,6 +29,10 @@
         if self._links.is_cut(node, address):
             return
         target = self._server_at(address)
+        if target is not None:
+            if not target.queue.accepts():
+                return
+            await target.queue.turn()
         is_meant = target is not None and target.server_id == server.server_id
         is_served = is_meant and target is not None and await target.work(key, duration_s)
         await asyncio.sleep(self._links.latency_s(node, address))
--- a/indigoworks_lab/control_simulation/server_fault_actions.py
+++ b/indigoworks_lab/control_simulation/server_fault_actions.py
@@ -10,6 +10,12 @@
 
 LATE_RATIO = 0.15
 LOST_RATIO = 0.3
+BACKLOGS = (4, 16, 128)
+"""Connections that the kernel of a paused server accepts."""
+
+REORDERED_SHARE = 0.5
+"""So often a server that goes on takes up what waited in another order than it arrived."""
+
 MIN_STABLE = 2
 MAX_SERVERS = 7
 
@@ -58,6 +64,8 @@
             self._links.darken(address)
             await asyncio.sleep(duration_s)
             self._links.lighten(address, self._deployment.loop.time())
+        elif kind is FaultKind.SERVER_PAUSED:
+            await self._pause(server, duration_s)
         else:
             await self._cut(address, self._other_end(kind), duration_s)
 
@@ -69,6 +77,12 @@
             return leader.name
         return self._random.choice(list(self._deployment.nodes))
 
+    async def _pause(self, server: SimulatedServer, duration_s: float) -> None:
+        is_reordered = self._random.random() < REORDERED_SHARE
+        server.queue.pause(self._random.choice(BACKLOGS))
+        await asyncio.sleep(duration_s)
+        server.queue.resume(self._random if is_reordered else None)
+
     async def _cut(self, address: str, other: str, duration_s: float) -> None:
         self._links.cut(address, other)
         await asyncio.sleep(duration_s)
--- a/indigoworks_lab/control_simulation/server_fleet.py
+++ b/indigoworks_lab/control_simulation/server_fleet.py
@@ -86,6 +86,7 @@
         server.is_draining = True
         self._write(server)
         await asyncio.sleep(DRAIN_S + self._random.uniform(0.0, MAX_LONGER_S))
+        await server.queue.turn()
         server.end()
         self._remove(server.server_id)
 
@@ -94,6 +95,7 @@
         self._silent.add(server.server_id)
         self._remove(server.server_id)
         await asyncio.sleep(DRAIN_S + self._random.uniform(0.0, MAX_LONGER_S))
+        await server.queue.turn()
         server.end()
 
     async def reap(self) -> None:
@@ -124,7 +126,7 @@
             await asyncio.sleep(HEARTBEAT_S * self._random.uniform(0.9, 1.0))
 
     def _write(self, server: SimulatedServer) -> None:
-        if not self._store.is_reachable(str(server.address)):
+        if server.queue.is_paused or not self._store.is_reachable(str(server.address)):
             return
         sequence = self._sequences[server.server_id] = self._sequences.get(server.server_id, 0) + 1
         self._store.rows.put(SERVERS_TABLE, server.server_id, encode_server(server, sequence))
--- a/indigoworks_lab/control_simulation/simulated_server.py
+++ b/indigoworks_lab/control_simulation/simulated_server.py
@@ -10,6 +10,7 @@
 from indigoworks_lab.control_simulation.interval_map import IntervalMap, Piece
 from indigoworks_lab.control_simulation.running_work import RunningWork
 from indigoworks_lab.control_simulation.server_listener import ServerListener
+from indigoworks_lab.control_simulation.server_queue import ServerQueue
 
 NOTHING = HeldKeys(0, float("-inf"), float("-inf"))
 """What a server holds of a key that it was never granted."""
@@ -20,6 +21,8 @@
 
     :param clock_factor: true seconds that a second of its clock for leases takes, 1 to 1.02.
     :ivar is_up: False once the process has ended.
+    :ivar queue: orders and requests wait there while the process stands still; its clock for
+        leases goes on.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         self._held: IntervalMap[HeldKeys] = IntervalMap(NOTHING)
         self._seen: IntervalMap[int] = IntervalMap(0)
         self._handovers = 0
+        self.queue = ServerQueue(loop)
 
     # ---- orders ----
 
@@ -92,6 +96,7 @@
         while self.is_up and now_s < min(end_s, work.lease.until_s):
             await asyncio.sleep(min(end_s, work.lease.until_s) - now_s)
             now_s = self._loop.time()
+        await self.queue.turn()
         self.running.remove(work)
         work.done.set()
         return self.is_up and now_s >= end_s
