--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -42,6 +42,9 @@
 
     STORE_CLOCK_JUMPS_FORWARD = "store's steady clock jumps forward"
     STORE_CLOCK_JUMPS_BACKWARD = "store's steady clock jumps backward"
+    NODE_CLOCK_STOPS = "node that does not lead stands still, and its clock"
+    LEADER_SUSPENDED = "leader's machine suspended"
+    SERVER_PAUSED = "server process paused, its kernel accepts"
 
 
 _NOT_DRAWN = frozenset(
@@ -51,6 +54,9 @@
         FaultKind.STORE_RETURNS_FROM_COPY,
         FaultKind.STORE_CLOCK_JUMPS_FORWARD,
         FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
+        FaultKind.NODE_CLOCK_STOPS,
+        FaultKind.LEADER_SUSPENDED,
+        FaultKind.SERVER_PAUSED,
     }
 )
 
