A server that took an order and has not answered since is never ruled out by time

Callers would see: two servers run requests on the same keys after a server stood still for longer than 17 s. (1) That further connections did not come about right after the first silence was taken for a cut path; the queue of a process that stands still may just be full (backlogs of 5 are usual). (2) Whether a server is silent was told by whole series of releases, of which a leaving owner got one. (3) A former owner whose address a new leader does not know counted as asked. (4) A release ended what an earlier leader may have under way. Why this works: one order that was sent and not answered is enough, and only an answer takes it back, or a port that refuses with an entry that is gone, and then the longest late hold. Where an earlier leader may have left grants unanswered (it told of such, or was never heard) a range whose only former owner answers goes back to it under a new token first. Conclusion: what is left of time as a proof: a server that left no order unanswered, and inherited ranges with several former owners.

--- a/features/gateway_owner_lines.feature
+++ b/features/gateway_owner_lines.feature
@@ -36,7 +36,7 @@
   Scenario: A grant that was sent and not answered before the keys passed is told from others
     Given a gateway owner lines keeper of keys that "a" holds under token 4
     And "a" has left 1 gateway owner lines grants unanswered
-    When "a" is out of reach until its late gateway owner lines grant has ended
+    When "a" has ended, until its late gateway owner lines grant has ended as well
     Then the one gateway owner lines passing from "a" to "b" is by "own_bound"
     And it names 1 grants without an answer
     And the gateway owners' story of key 150 doubts only "order_unanswered"
--- a/features/steps/gateway_control_steps.py
+++ b/features/steps/gateway_control_steps.py
@@ -98,9 +98,9 @@
     note = world.reach.note
     context.control_results = []
 
-    def note_and_keep(server_id, result):
+    def note_and_keep(server_id, result, *sender):
         context.control_results.append((server_id, result))
-        note(server_id, result)
+        note(server_id, result, *sender)
 
     world.reach.note = note_and_keep
     step_leave(context, name)
--- a/features/steps/gateway_owner_lines_steps.py
+++ b/features/steps/gateway_owner_lines_steps.py
@@ -109,9 +109,11 @@
     context.run_async(context.owners.pass_on(2 * HOLD_S, is_proved=True))
 
 
-@when('"a" is out of reach until its late gateway owner lines grant has ended')
+@when('"a" has ended, until its late gateway owner lines grant has ended as well')
 def step_late_ends(context):
-    context.owners.orders.outcomes["a"] = NOT_SENT
+    """Nobody listens at its address, and its entry goes."""
+    context.owners.orders.outcomes["a"] = OrderOutcome(OrderResult.REFUSED_CONNECTION)
+    context.owners.servers.remove("a")
     context.run_async(context.owners.pass_on(LATE_ORDER_S + 2 * HOLD_S, is_proved=True))
 
 
--- a/indigoworks/ownership/former_owners.py
+++ b/indigoworks/ownership/former_owners.py
@@ -62,6 +62,7 @@
         self._reach = reach
         self._log = log
         self._clock = clock
+        self._unasked_until_s = float("-inf")
         self._released: set[str] = set()
         self.handover: str | None = None
         self.answers_late: str | None = None
@@ -74,6 +75,7 @@
 
     async def _rule_out(self, former: FormerOwner) -> None:
         started_s = self._clock.now()
+        self._unasked_until_s = self._unasked_until(former.server_id)
         is_asked = is_logged = False
         while True:
             self._log.look_at(former)
@@ -116,12 +118,27 @@
         Its process may stand still for however long; a hold begins when the order is taken. It has
         ended where nobody listens any more and its entry is gone.
         """
-        if not self._reach.accepts_silently(server_id):
+        if self._servers.get(server_id) is None:
+            return self._unasked_until_s
+        if not self._reach.is_silent(server_id):
             return float("-inf")
         refused_s = self._reach.refused_since_s(server_id)
         if refused_s is None or self._servers.is_listed(server_id):
             return float("inf")
-        return refused_s + longest_unheard_s(self._policy.longest_max_s) * CLOCK_FACTOR
+        return refused_s + self._longest_s()
+
+    def _unasked_until(self, server_id: str) -> float:
+        """Return until when a server may hold keys whose address is not known.
+
+        Its bound has been noted when the table was recovered, or it is that of a leader which was
+        never heard.
+        """
+        if self._bounds.own_until_s(server_id, *self._keys()) > float("-inf"):
+            return float("-inf")
+        return self._clock.now() + self._longest_s()
+
+    def _longest_s(self) -> float:
+        return longest_unheard_s(self._policy.longest_max_s) * CLOCK_FACTOR
 
     async def release(self, server_id: str) -> PassingProof | None:
         """Have a server give the keys up; None: that does not show that it holds none."""
@@ -144,12 +161,25 @@
     ) -> PassingProof | None:
         self._bounds.close_released(server_id, *self._keys(), release.token)
         self.handover = outcome.handover or self.handover
-        if not self._bounds.may_be_late(server_id, *self._keys()):
+        is_late = self._bounds.may_be_late(server_id, *self._keys())
+        if not is_late and not self._may_have_inherited(server_id):
             return PassingProof.RELEASED
         self._released.add(server_id)
         self.answers_late = server_id
+        # The earlier leader has granted the keys to one of the two. The range goes back to the
+        # former owner; that its present one be fenced first as well would never end.
+        self._bounds.drop_inherited(self._owned.server_id, *self._keys())
         return None
 
+    def _may_have_inherited(self, server_id: str) -> bool:
+        """Tell whether a server that has released the keys may take an earlier leader's grant.
+
+        Not where several servers may hold them: it is not known to whom they were granted.
+        """
+        if len(self._owned.former) > 1 or not self._bounds.predecessor_may_be_late:
+            return False
+        return self._bounds.is_inherited(server_id, *self._keys())
+
     async def _answered_release(self, record: ServerRecord, release: KeyRelease) -> OrderOutcome:
         """Send a release until it is answered, at most for RELEASE_TIMEOUT_S."""
         until_s = self._clock.now() + RELEASE_TIMEOUT_S
@@ -162,6 +192,8 @@
                 )
                 order.result = outcome.result
             is_answered = outcome.result is not OrderResult.UNANSWERED
+            if not is_answered:
+                self._reach.note_silent(record.server_id)
             if is_answered or self._clock.now() >= until_s or not self._leadership.may_act():
                 return outcome
 
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -53,6 +53,8 @@
     A grant is noted before it is sent, with the bound that stands if its answer is never seen. One
     that was not answered stays possible until a server has answered an order under a higher token
     on the same keys: it refuses the earlier one from then on.
+
+    :ivar predecessor_may_be_late: servers may have left grants of earlier leaders unanswered.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -64,12 +66,15 @@
         self._past_s: dict[_Hold, float] = {}
         self._predecessor_s = float("inf")
         self._inherited = KeySpans()
+        self.predecessor_may_be_late = False
 
-    def start_epoch(self, predecessor_until_s: float) -> None:
+    def start_epoch(self, predecessor_until_s: float, may_be_late: bool = False) -> None:
         """Begin as a new leader; what this process granted as an earlier one may still hold.
 
         :param predecessor_until_s: bound of what earlier leaders granted, as known now.
+        :param may_be_late: servers may have left grants of theirs unanswered.
         """
+        self.predecessor_may_be_late = may_be_late
         self._inherited = KeySpans()
         self._predecessor_s = predecessor_until_s
 
@@ -125,6 +130,10 @@
         """Take note that earlier leaders may have sent the server grants of keys."""
         self._inherited.add(server_id, first, last)
 
+    def drop_inherited(self, server_id: str, first: int, last: int) -> None:
+        """Take note that no grant of these keys by an earlier leader is on its way to a server."""
+        self._inherited.remove(server_id, first, last)
+
     def is_inherited(self, server_id: str, first: int, last: int) -> bool:
         """Tell whether grants of any of the keys by earlier leaders may be on their way.
 
--- a/indigoworks/ownership/leader_signs.py
+++ b/indigoworks/ownership/leader_signs.py
@@ -91,6 +91,15 @@
             return float("-inf")
         return self._beat_s + self._beat.earlier_hold_s
 
+    def announced_earlier_hold_s(self, epoch: int) -> float:
+        """Return how long holds of leaders before that of `epoch` may last, as it told last.
+
+        Minus infinity: it was not heard.
+        """
+        if self._beat is None or self._beat.epoch != epoch:
+            return float("-inf")
+        return self._beat.earlier_hold_s
+
     def proved_s(self, epoch: int) -> float:
         """Return the time of the newest proof of which the leader of `epoch` told.
 
--- a/indigoworks/ownership/order_outcome.py
+++ b/indigoworks/ownership/order_outcome.py
@@ -25,6 +25,16 @@
     UNANSWERED = "unanswered"
     """It may have been carried out, or may be so seconds later."""
 
+    @property
+    def is_answer(self) -> bool:
+        """Tell whether somebody at the server's address answered."""
+        return self not in (
+            OrderResult.NOT_SENT,
+            OrderResult.REFUSED_CONNECTION,
+            OrderResult.WITHHELD,
+            OrderResult.UNANSWERED,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class OrderOutcome:
--- a/indigoworks/ownership/order_watch.py
+++ b/indigoworks/ownership/order_watch.py
@@ -75,7 +75,7 @@
     def _note_end(self, order: SentOrder, proof: LeaderProof) -> None:
         if order.result is None or order.result is OrderResult.UNANSWERED:
             self._note_unanswered(order, proof)
-        elif order.result is not OrderResult.NOT_SENT:
+        elif order.result.is_answer:
             self._note_answer(order.server_id)
             self._note_proof("ended", order, proof)
 
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -22,9 +22,6 @@
 that one late."""
 
 
-SILENT_ORDERS = 2
-"""After so many orders in a row that it accepted and left unanswered a server may stand still."""
-
 _FAILURES = frozenset(
     {
         OrderResult.NOT_SENT,
@@ -37,9 +34,8 @@
 
 @dataclass(slots=True)
 class _Silence:
-    """Orders in a row that were left unanswered; `asker` sends the only grant meanwhile."""
+    """Time since an order was left unanswered; `asker` sends the only grant meanwhile."""
 
-    orders: int = 0
     asker: object = None
 
 
@@ -90,14 +86,8 @@
         if result is OrderResult.UNANSWERED:
             self._unanswered_s[server_id] = self._clock.now()
             silence = self._silence.setdefault(server_id, _Silence())
-            silence.orders += 1
             silence.asker = silence.asker or sender
-        elif result in (OrderResult.NOT_SENT, OrderResult.REFUSED_CONNECTION):
-            # A connection that does not come about right after the first silence: a path was cut.
-            # Later it may as well be that the queue of a process that stands still is full.
-            if not self.accepts_silently(server_id):
-                self._silence.pop(server_id, None)
-        else:
+        elif result.is_answer:
             self._silence.pop(server_id, None)
 
     def _note_refusal(self, server_id: str, result: OrderResult) -> None:
@@ -106,6 +96,10 @@
         else:
             self._refused_since_s.pop(server_id, None)
 
+    def note_silent(self, server_id: str) -> None:
+        """Take note that a server has not answered a release yet."""
+        self._silence.setdefault(server_id, _Silence())
+
     def may_grant(self, server_id: str, sender: object) -> bool:
         """Tell whether a keeper may grant its range to a server now.
 
@@ -121,13 +115,13 @@
         if silence is not None and silence.asker is sender:
             silence.asker = None
 
-    def accepts_silently(self, server_id: str) -> bool:
-        """Tell whether the server accepts connections and does not answer on them.
+    def is_silent(self, server_id: str) -> bool:
+        """Tell whether the server took an order's bytes, and has answered no order since.
 
-        Its process may stand still: what it was sent waits for it, for however long.
+        Its process may stand still: what it was sent waits for it, for however long. That further
+        connections do not come about says nothing: its queue may be full.
         """
-        silence = self._silence.get(server_id)
-        return silence is not None and silence.orders >= SILENT_ORDERS
+        return server_id in self._silence
 
     def refused_since_s(self, server_id: str) -> float | None:
         """Return since when nobody listens at the server's address; None: somebody may."""
--- a/indigoworks_lab/control_simulation/broken_control_rules.py
+++ b/indigoworks_lab/control_simulation/broken_control_rules.py
@@ -4,9 +4,9 @@
 
 from indigoworks.ownership import table_editor, table_writer
 from indigoworks.ownership.former_owners import FormerOwners
-from indigoworks.ownership.group_leader import GroupLeader
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.leadership import Leadership
+from indigoworks.ownership.owner_candidates import OwnerCandidates
 from indigoworks.ownership.range_keeper import RangeKeeper
 from indigoworks.rowstore.transaction import Transaction
 from indigoworks_lab.control_simulation import (
@@ -41,7 +41,7 @@
     return Transaction(era, part, (), puts)
 
 
-def _no_leavers(_leader: GroupLeader, _service: str, _table: Any) -> dict[str, str]:
+def _no_leavers(_candidates: OwnerCandidates, _table: Any) -> dict[str, str]:
     return {}
 
 
@@ -118,7 +118,7 @@
             "keep-leavers",
             "Ranges of servers that left stay where they are.",
             recovery_checker.CHECKER,
-            lambda: [Replacement(GroupLeader, "_leavers", _no_leavers)],
+            lambda: [Replacement(OwnerCandidates, "leavers", _no_leavers)],
             (FaultKind.SERVER_CRASHED, 1.0, 0.0),
         ),
         *BROKEN_ORDER_RULES,
