--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -48,6 +48,17 @@
     And waiting gateway owner grants are taken 12 s later
     Then no two gateway owners held one key
 
+  Scenario Outline: A grant of the leader before is taken late by a server that <state>
+    Given a gateway owner world of a new leader, with a grant on its way to "a", which <state>
+    When waiting gateway owner grants are taken 5 s later
+    Then no two gateway owners held one key
+
+    Examples:
+      | state                                       |
+      | answers releases and forgets their tokens   |
+      | stands still                                |
+      | stands still and is listed no more          |
+
   Scenario: A leader's beat tells of what earlier leaders granted
     Then gateway owner proofs: what a leader waits for is in the bound of who follows it
 
--- a/features/steps/gateway_owner_proof_steps.py
+++ b/features/steps/gateway_owner_proof_steps.py
@@ -6,8 +6,10 @@
 
 # isort: split
 
+from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.ownership_table import KEY_COUNT
+from indigoworks.servers.server_list import REMEMBERED_S
 
 DRIFT = 50e-6
 """By which two steady clocks may well differ."""
@@ -50,6 +52,32 @@
     context.run_async(build())
 
 
+@given('a gateway owner world of a new leader, with a grant on its way to "a", which {state}')
+def step_inherited(context, state):
+    """The leader before was heard, acts no more and has told of no late grant."""
+
+    async def build():
+        world = context.proof = ProofWorld("a")
+        world.list_server("a", 50, is_draining=True)
+        if "is listed no more" in state:
+            world.servers.remove("a")
+            world.clock._now_s += REMEMBERED_S + 1.0
+            world.servers.forget_old()
+        world.name_leader(4, "n2", "boot-9")
+        before = world.leadership.row
+        world.hear(1, "boot-9", 4, hold_s=HOLD_S)
+        owned = world.tables.table(SERVICE).ranges[0]
+        world.orders.waiting = [("a", KeyGrant(owned.first, owned.last, owned.token, HOLD_S))]
+        if "stands still" in state:
+            world.orders.silent.add("a")
+        world.orders.remembers_releases = False
+        world.name_leader(5)
+        world.hear(2, "boot-9", 5)
+        await world.lead(before)
+
+    context.run_async(build())
+
+
 @given("gateway owners that remember tokens of grants{others}")
 def step_memory(context, others):
     context.proof.orders.remembers_releases = others == " and releases"
