Two proofs that the last mends rest on: boots heard out of order, starts by two machines' time of day

Cause: a boot counts as ended by the order in which reports come; a start by a machine's clock orders two servers at one address. Ruled out: as faults of before: a report of the newer boot restored it, and versions ordered the entries.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -77,6 +77,9 @@
   Scenario: A late report of an earlier life is no proof
     Then gateway owner proofs: a report of an earlier boot ends no later one
 
+  Scenario: A late report of an earlier life that was never heard does not silence the node
+    Then gateway owner proofs: a node is heard on after a late report of a life that was never heard
+
   Scenario: A leader that resigned is not armed again
     Then gateway owner proofs: an answer that was under way arms no leader that resigns
 
@@ -99,6 +102,9 @@
   Scenario: An entry that was written late says nothing of the server in its place
     Then gateway owner proofs: an ended server's late entry does not end the one at its address
 
+  Scenario: The time of day of an ended server's machine says nothing of the server in its place
+    Then gateway owner proofs: a start by a clock that is ahead does not end the one at its address
+
   Scenario: A service whose table is lost is granted to nobody while servers may hold its keys
     Given a gateway owner world without a table in which "a" holds all keys
     When 2 s of gateway owner time pass
--- a/features/steps/gateway_owner_bound_steps.py
+++ b/features/steps/gateway_owner_bound_steps.py
@@ -135,6 +135,17 @@
     assert not bound_of(world).acts_no_more()
 
 
+@then("gateway owner proofs: a node is heard on after a late report of a life that was never heard")
+def step_unheard_boot(context):
+    world = ProofWorld("a")
+    world.hear(1, "boot-9", 4, hold_s=HOLD_S)
+    world.hear(10, "boot-8", 3, age_s=0.9)
+    world.clock._now_s += 1.0
+    world.hear(2, "boot-9", 4, hold_s=HOLD_S)
+    assert world.leadership.signs.beat_age_s(4) == 0.0, world.leadership.signs.beat_age_s(4)
+    assert not bound_of(world).acts_no_more()
+
+
 @then("gateway owner proofs: an answer that was under way arms no leader that resigns")
 def step_resign(context):
     async def run():
@@ -209,11 +220,20 @@
     assert not context.platform_outcome.is_from_other(context.platform_record.server_id)
 
 
+def is_new_gone(new, ended):
+    """Tell whether a living server counts as gone; both entries: version, Unix ms of the start."""
+    clock = ManualClock()
+    servers, address = ServerList(StoreHealth(clock), 1.0, clock), Address(HOST, 1)
+    for name, (version, started_ms) in sorted({"new": new, "ended": ended}.items()):
+        servers.put(make_record(name, address, version, started_ms=started_ms, sequence=1))
+    return servers.is_gone("new")
+
+
 @then("gateway owner proofs: an ended server's late entry does not end the one at its address")
 def step_late_entry(context):
-    clock = ManualClock()
-    servers = ServerList(StoreHealth(clock), 1.0, clock)
-    address = Address(HOST, 1)
-    servers.put(make_record("new", address, 10, started_ms=2000, sequence=1))
-    servers.put(make_record("ended", address, 12, started_ms=1000, sequence=9))
-    assert not servers.is_gone("new"), "the living server counts as ended"
+    assert not is_new_gone(new=(10, 2000), ended=(12, 1000))
+
+
+@then("gateway owner proofs: a start by a clock that is ahead does not end the one at its address")
+def step_start_ahead(context):
+    assert not is_new_gone(new=(12, 2000), ended=(10, 4000))
