Simulation: forgotten releases, stops before an order's bytes, chains of leaders, 421 without an id

Cause: servers remembered each release's token, no process stood still between its check and the bytes of an order, leaders were lost one at a time, and 421 always came from another server. Before: no fault kinds of this sort.

--- a/features/control_simulation_machines.feature
+++ b/features/control_simulation_machines.feature
@@ -24,3 +24,24 @@
   Scenario: Servers that are paused for longer than their orders count take back no keys
     When control simulation pauses servers for 18 s and 25 s
     Then control simulation found nothing in any of the runs
+
+  Scenario: Servers that forget the tokens of releases take back no keys by late orders
+    When control simulation lets servers forget the tokens of releases while orders are late
+    Then control simulation found nothing in any of the runs
+
+  Scenario Outline: A leader that stands still between its check and an order's bytes sends nothing of before: <how>
+    When control simulation lets the leader stand still before orders' bytes because it is <how>
+    Then control simulation found nothing in any of the runs
+
+    Examples:
+      | how    |
+      | frozen |
+      | late   |
+
+  Scenario: Leaders that are lost one after the other hand on what each has granted
+    When control simulation loses leaders in a chain after trouble of the store with a dark server
+    Then control simulation found nothing in any of the runs
+
+  Scenario: A server that answers 421 and names no other keeps its keys until its holds have ended
+    When control simulation lets servers answer 421 to orders and name no other server
+    Then control simulation found nothing in any of the runs
--- a/features/steps/control_simulation_machine_steps.py
+++ b/features/steps/control_simulation_machine_steps.py
@@ -34,6 +34,12 @@
     ((1.0, 5.0), (9.0, 5.0)),
     ((1.0, 15.0), (3.0, 14.0)),
 )
+FORGETTING_SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
+BEFORE_BYTES = {
+    "frozen": FaultKind.LEADER_FROZEN_BEFORE_BYTES,
+    "late": FaultKind.LEADER_LATE_BEFORE_BYTES,
+}
 LONG_PAUSES = {3: 18.0, 7: 18.0, 2: 25.0, 5: 25.0}
 """By seed."""
 
@@ -85,6 +91,46 @@
     ]
 
 
+@when("control simulation lets servers forget the tokens of releases while orders are late")
+def step_forgotten_releases(context):
+    late = DrawnFault(FaultKind.ORDERS_LATE, 0.5, 16.0)
+    plan = ControlPlan(NODES, SERVERS, (late,), forgets_releases=True)
+    context.reports = [run_control_seed(seed, plan) for seed in FORGETTING_SEEDS]
+
+
+@when("control simulation lets the leader stand still before orders' bytes because it is {how}")
+def step_before_bytes(context, how):
+    """With it the leader is lost: cut off from the store, and from all others as well."""
+    still = DrawnFault(BEFORE_BYTES[how], 1.0, 15.0)
+    cut = DrawnFault(FaultKind.LEADER_CUT_FROM_STORE, 2.0, 8.0)
+    alone = DrawnFault(FaultKind.LEADER_CUT_FROM_PEERS, 2.0, 8.0)
+    plans = ((still,), (still, cut), (still, cut, alone))
+    context.reports = [run_faults(seed, *faults) for faults in plans for seed in SEEDS]
+
+
+@when("control simulation loses leaders in a chain after trouble of the store with a dark server")
+def step_chain(context):
+    trouble = DrawnFault(FaultKind.STORE_REFUSING, 0.0, 3.0)
+    late = DrawnFault(FaultKind.ORDERS_ALL_LATE, 2.5, 0.5)
+    dark = DrawnFault(FaultKind.SERVER_DARK, 2.9, 14.0)
+    chain = DrawnFault(FaultKind.LEADERS_LOST_IN_CHAIN, 3.0, 10.0)
+    plans = ((trouble, dark, chain), (trouble, late, dark, chain))
+    context.reports = [run_faults(seed, *faults) for faults in plans for seed in SEEDS]
+
+
+@when("control simulation lets servers answer 421 to orders and name no other server")
+def step_misdirected(context):
+    long = (
+        DrawnFault(FaultKind.SERVER_MISDIRECTED, 1.0, 6.0),
+        DrawnFault(FaultKind.SERVER_MISDIRECTED, 9.0, 2.0),
+    )
+    short = (
+        DrawnFault(FaultKind.SERVER_MISDIRECTED, 1.0, 0.4),
+        DrawnFault(FaultKind.SERVER_MISDIRECTED, 5.0, 0.8),
+    )
+    context.reports = [run_faults(seed, *faults) for faults in (long, short) for seed in SEEDS]
+
+
 def run_faults(seed, *faults, nodes=NODES):
     """Run a seed under faults."""
     return run_control_seed(seed, ControlPlan(nodes, SERVERS, faults))
--- a/indigoworks_lab/control_simulation/control_plan.py
+++ b/indigoworks_lab/control_simulation/control_plan.py
@@ -22,12 +22,14 @@
     """Size of the deployment, and the faults; all end FAULTS_S after the calm beginning.
 
     :ivar hold_max_s: longest hold that servers accept.
+    :ivar forgets_releases: servers do not remember the token of a release.
     """
 
     nodes: int
     servers: int
     faults: tuple[DrawnFault, ...]
     hold_max_s: float = HOLD_MAX_S
+    forgets_releases: bool = False
 
 
 def draw_plan(seed: int, kinds: tuple[FaultKind, ...] = DRAWN_KINDS) -> ControlPlan:
--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -45,6 +45,10 @@
     NODE_CLOCK_STOPS = "node that does not lead stands still, and its clock"
     LEADER_SUSPENDED = "leader's machine suspended"
     SERVER_PAUSED = "server process paused, its kernel accepts"
+    SERVER_MISDIRECTED = "server answers 421 to orders and names no other"
+    LEADER_FROZEN_BEFORE_BYTES = "leader frozen between connection and bytes"
+    LEADER_LATE_BEFORE_BYTES = "leader's loop late between connection and bytes"
+    LEADERS_LOST_IN_CHAIN = "leaders lost one after the other"
 
 
 _NOT_DRAWN = frozenset(
@@ -57,6 +61,10 @@
         FaultKind.NODE_CLOCK_STOPS,
         FaultKind.LEADER_SUSPENDED,
         FaultKind.SERVER_PAUSED,
+        FaultKind.SERVER_MISDIRECTED,
+        FaultKind.LEADER_FROZEN_BEFORE_BYTES,
+        FaultKind.LEADER_LATE_BEFORE_BYTES,
+        FaultKind.LEADERS_LOST_IN_CHAIN,
     }
 )
 
--- a/indigoworks_lab/control_simulation/node_fault_actions.py
+++ b/indigoworks_lab/control_simulation/node_fault_actions.py
@@ -4,6 +4,7 @@
 
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.run_outside import run_outside
 from indigoworks_lab.control_simulation.simulated_node import SimulatedNode
 from indigoworks_lab.control_simulation.simulated_store import STORE
 
@@ -20,8 +21,19 @@
         FaultKind.LEADER_STOPPED,
         FaultKind.LEADER_FROZEN,
         FaultKind.LEADER_SUSPENDED,
+        FaultKind.LEADER_FROZEN_BEFORE_BYTES,
+        FaultKind.LEADER_LATE_BEFORE_BYTES,
     }
 )
+BEFORE_BYTES = frozenset({FaultKind.LEADER_FROZEN_BEFORE_BYTES, FaultKind.LEADER_LATE_BEFORE_BYTES})
+STALLED_RATIO = 0.2
+"""Share of a leader's orders before whose bytes its process stands still."""
+
+CHAIN_PAUSE_S = (0.6, 2.5)
+"""Time from the loss of one leader to that of the next."""
+
+AWAY_S = (0.4, 4.0)
+"""Time for which a leader of a chain is away."""
 
 
 class NodeFaultActions:
@@ -43,6 +55,9 @@
             nodes = self._deployment.living_nodes()
             await asyncio.gather(*(self._kill(node, duration_s) for node in nodes))
             return
+        if kind is FaultKind.LEADERS_LOST_IN_CHAIN:
+            await self._lose_leaders(duration_s)
+            return
         node = self._pick(kind)
         if node is None:
             return
@@ -55,6 +70,11 @@
             await self._kill(node, duration_s)
         elif kind is FaultKind.LEADER_STOPPED:
             await self._stop(node, duration_s)
+        elif kind in BEFORE_BYTES:
+            node.stall.is_freeze = kind is FaultKind.LEADER_FROZEN_BEFORE_BYTES
+            node.stall.ratio = STALLED_RATIO
+            await asyncio.sleep(duration_s)
+            node.stall.ratio = 0.0
         elif kind is FaultKind.MACHINES_SLOW:
             self._links.slow_s[node.name] = SLOW_S
             await asyncio.sleep(duration_s)
@@ -79,6 +99,25 @@
         for other in others:
             self._links.heal(node.name, other, self._deployment.loop.time())
 
+    async def _lose_leaders(self, duration_s: float) -> None:
+        """Lose leader after leader: killed, cut off or stopped; one that was cut off may lead
+        again."""
+        loop = self._deployment.loop
+        until_s = loop.time() + duration_s
+        losses = []
+        while loop.time() < until_s:
+            leader = self._deployment.leader()
+            if leader is not None:
+                away_s = min(self._random.uniform(*AWAY_S), max(0.0, until_s - loop.time()))
+                loss = self._random.choice((self._kill, self._cut_off, self._stop))
+                losses.append(run_outside(loop, loss(leader, away_s)))
+            await asyncio.sleep(self._random.uniform(*CHAIN_PAUSE_S))
+        await asyncio.gather(*losses)
+
+    async def _cut_off(self, node: SimulatedNode, duration_s: float) -> None:
+        others = [name for name in self._deployment.nodes if name != node.name]
+        await self._cut(node, [STORE, *others], duration_s)
+
     async def _kill(self, node: SimulatedNode, duration_s: float) -> None:
         """Kill a process; a new one starts on its machine after the time."""
         if not node.process.is_alive:
--- a/indigoworks_lab/control_simulation/node_orders.py
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -14,6 +14,7 @@
     OrderTransit,
     ServerOperation,
 )
+from indigoworks_lab.control_simulation.send_stall import SendStall
 from indigoworks_lab.control_simulation.simulated_server import SimulatedServer
 
 CONNECT_TIMEOUT_S = 0.3
@@ -31,12 +32,14 @@
         boot: str,
         carrier: OrderCarrier,
         on_order: Callable[[str], None],
+        stall: SendStall,
         run_outside: Callable[[Coroutine[Any, Any, None]], object],
     ) -> None:
         self._node = node
         self._boot = boot
         self._carrier = carrier
         self._on_order = on_order
+        self._stall = stall
         self._run_outside = run_outside
         self._lines: dict[str, asyncio.Lock] = {}
 
@@ -73,6 +76,7 @@
     ) -> OrderOutcome:
         if not await self._connects(server):
             return OrderOutcome(OrderResult.NOT_SENT)
+        await self._stall.before_bytes()
         if not may_send():
             return OrderOutcome(OrderResult.WITHHELD)
         self._on_order(self._boot)
--- a/indigoworks_lab/control_simulation/order_carrier.py
+++ b/indigoworks_lab/control_simulation/order_carrier.py
@@ -104,6 +104,8 @@
             return OrderOutcome(OrderResult.UNANSWERED)
         if target.server_id != server.server_id:
             return OrderOutcome(OrderResult.OTHER_SERVER, answering_id=target.server_id)
+        if target.is_misdirected:
+            return OrderOutcome(OrderResult.OTHER_SERVER)
         is_late = self._random.random() < self.faults.late_ratio
         is_lost = self._random.random() < self.faults.lost_ratio
         if is_late:
--- a/indigoworks_lab/control_simulation/run_control_seed.py
+++ b/indigoworks_lab/control_simulation/run_control_seed.py
@@ -41,6 +41,7 @@
 
 def _run_on(loop: FaultyLoop, seed: int, plan: ControlPlan) -> ControlReport:
     deployment = ControlDeployment(loop, seed, plan.nodes, plan.servers, plan.hold_max_s)
+    deployment.fleet.forgets_releases = plan.forgets_releases
     main = loop.create_task(_scenario(deployment, plan))
     loop.run_until_complete(main)
     audit = deployment.audit
--- a/indigoworks_lab/control_simulation/server_fault_actions.py
+++ b/indigoworks_lab/control_simulation/server_fault_actions.py
@@ -64,6 +64,10 @@
             self._links.darken(address)
             await asyncio.sleep(duration_s)
             self._links.lighten(address, self._deployment.loop.time())
+        elif kind is FaultKind.SERVER_MISDIRECTED:
+            server.is_misdirected = True
+            await asyncio.sleep(duration_s)
+            server.is_misdirected = False
         elif kind is FaultKind.SERVER_PAUSED:
             await self._pause(server, duration_s)
         else:
--- a/indigoworks_lab/control_simulation/server_fleet.py
+++ b/indigoworks_lab/control_simulation/server_fleet.py
@@ -24,6 +24,8 @@
     """Starts and ends servers; each writes its entry every HEARTBEAT_S.
 
     An entry that was not written for SILENT_HEARTBEATS disappears, also while the store is down.
+
+    :ivar forgets_releases: servers that start do not remember the tokens of releases.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         random: Random,
         run: Callable[[Coroutine[Any, Any, None]], object],
     ) -> None:
+        self.forgets_releases = False
         self.servers: dict[str, SimulatedServer] = {}
         self._loop = loop
         self._links = links
@@ -58,6 +61,7 @@
             self._random.choice((1.0, MAX_SLOW_CLOCK, self._random.uniform(1.0, MAX_SLOW_CLOCK))),
             self._loop,
             self._listener,
+            self.forgets_releases,
         )
         self.servers[server.server_id] = server
         self._by_address[str(server.address)] = server
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -29,6 +29,7 @@
 from indigoworks_lab.control_simulation.node_orders import NodeOrders
 from indigoworks_lab.control_simulation.node_store import NodeStore
 from indigoworks_lab.control_simulation.node_world import NodeWorld
+from indigoworks_lab.control_simulation.send_stall import SendStall
 from indigoworks_lab.control_simulation.server_entry import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -50,6 +51,7 @@
     """Builds and starts the parts that `indigoworks/gateway/gateway.py` does.
 
     :ivar tables: the owners as this node knows them.
+    :ivar stall: stops the process before an order's bytes go out.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self._directory = PeerDirectory(settings.node)
         self._board = ServerBoard(self._peers, self._clock)
         self._sampler = KeySampler()
+        self.stall = SendStall(process, world, random)
         self._sequence = 0
         self._reported_loads: object = ()
         self._ports = self._make_ports()
@@ -162,7 +165,12 @@
             self.name, self.boot, world.store, health, self._clock, world.audit, world.run_outside
         )
         orders = NodeOrders(
-            self.name, self.boot, world.orders, world.audit.ordering, world.run_outside
+            self.name,
+            self.boot,
+            world.orders,
+            world.audit.ordering,
+            self.stall,
+            world.run_outside,
         )
         return PlatformPorts(
             names=HeaderNames(*([""] * 8)),
--- a/indigoworks_lab/control_simulation/simulated_server.py
+++ b/indigoworks_lab/control_simulation/simulated_server.py
@@ -20,6 +20,8 @@
     """One life of a server process.
 
     :param clock_factor: true seconds that a second of its clock for leases takes, 1 to 1.02.
+    :param forgets_releases: only the tokens of grants count as seen.
+    :ivar is_misdirected: it answers 421 to orders and names no id, and goes on.
     :ivar is_up: False once the process has ended.
     :ivar queue: orders and requests wait there while the process stands still; its clock for
         leases goes on.
@@ -33,16 +35,19 @@
         clock_factor: float,
         loop: asyncio.AbstractEventLoop,
         listener: ServerListener,
+        forgets_releases: bool = False,
     ) -> None:
         self.server_id = server_id
         self.address = address
         self.slots = slots
         self.is_up = True
         self.is_draining = False
+        self.is_misdirected = False
         self.running: list[RunningWork] = []
         self._clock_factor = clock_factor
         self._loop = loop
         self._listener = listener
+        self._forgets_releases = forgets_releases
         self._held: IntervalMap[HeldKeys] = IntervalMap(NOTHING)
         self._seen: IntervalMap[int] = IntervalMap(0)
         self._handovers = 0
@@ -74,7 +79,7 @@
         first, last = release.first, release.last
         self._held.set(first, last, NOTHING)
         for piece in list(self._seen.pieces(first, last)):
-            if piece.value < release.token:
+            if piece.value < release.token and not self._forgets_releases:
                 self._seen.set(piece.first, piece.last, release.token)
         for work in [each for each in self.running if first <= each.key <= last]:
             await work.done.wait()
