--- a/features/control_simulation_broken_machines.feature
+++ b/features/control_simulation_broken_machines.feature
@@ -8,3 +8,7 @@
       | rule                         |
       | orders-to-paused-as-answered |
       | clock-without-suspension     |
+      | release-closes-late-grants   |
+      | look-before-connection       |
+      | any-421-ends-a-server        |
+      | earlier-grants-untold        |
--- a/indigoworks_lab/control_simulation/broken_control_rule.py
+++ b/indigoworks_lab/control_simulation/broken_control_rule.py
@@ -29,8 +29,10 @@
     *faults: tuple[FaultKind, float, float],
     nodes: int = 3,
     servers: int = 4,
+    forgets_releases: bool = False,
 ) -> BrokenControlRule:
     """Return a broken rule; `faults` are kind, start and duration in seconds."""
     rule = BrokenRule(name, text, replacements, "", (checker,))
     drawn = tuple(DrawnFault(*fault) for fault in faults)
-    return BrokenControlRule(rule, ControlPlan(nodes, servers, drawn), checker)
+    plan = ControlPlan(nodes, servers, drawn, forgets_releases=forgets_releases)
+    return BrokenControlRule(rule, plan, checker)
--- a/indigoworks_lab/control_simulation/broken_machine_rules.py
+++ b/indigoworks_lab/control_simulation/broken_machine_rules.py
@@ -1,18 +1,50 @@
 """Broken rules that show on machines whose processes and clocks do not run evenly."""
 
 from indigoworks.ownership import hold_bounds
+from indigoworks.ownership.hold_bounds import HoldBounds, _take_below
+from indigoworks.ownership.key_grant import KeyGrant
+from indigoworks.ownership.leader_signs import LeaderSigns
+from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.ownership.server_orders import MaySend
+from indigoworks.servers.server_record import ServerRecord
 from indigoworks_lab.control_simulation import lease_checker, overlap_checker
 from indigoworks_lab.control_simulation.broken_control_rule import broken_control_rule
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
 from indigoworks_lab.control_simulation.node_clock import NodeClock
+from indigoworks_lab.control_simulation.node_orders import NodeOrders
 from indigoworks_lab.simulation.broken_rules.broken_rule import Replacement
 from indigoworks_lab.simulation.core.host_clock import HostClock
 
+_grant = NodeOrders.grant
+
 
 def _now_without_suspension(clock: NodeClock) -> float:
     return HostClock.now(clock) - clock._suspended_s
 
 
+def _close_late(bounds: HoldBounds, server_id: str, first: int, last: int, token: int) -> None:
+    for known in (bounds._settled_s, bounds._open_s, bounds._late_s, bounds._past_s):
+        _take_below(known, server_id, first, last, token)
+
+
+async def _look_before_connection(
+    orders: NodeOrders,
+    server: ServerRecord,
+    grant: KeyGrant,
+    timeout_s: float,
+    _may_send: MaySend,
+) -> OrderOutcome:
+    return await _grant(orders, server, grant, timeout_s, lambda: True)
+
+
+def _is_any_other(outcome: OrderOutcome, _server_id: str) -> bool:
+    return outcome.result is OrderResult.OTHER_SERVER
+
+
+def _nothing_earlier(_signs: LeaderSigns, _epoch: int) -> float:
+    return float("-inf")
+
+
 BROKEN_MACHINE_RULES = (
     broken_control_rule(
         "orders-to-paused-as-answered",
@@ -29,4 +61,38 @@
         lambda: [Replacement(NodeClock, "now", _now_without_suspension)],
         (FaultKind.LEADER_SUSPENDED, 1.0, 9.0),
     ),
+    broken_control_rule(
+        "release-closes-late-grants",
+        "An answered release rules out grants that a server may take late.",
+        overlap_checker.CHECKER,
+        lambda: [Replacement(HoldBounds, "close_released", _close_late)],
+        (FaultKind.ORDERS_LATE, 0.5, 16.0),
+        forgets_releases=True,
+    ),
+    broken_control_rule(
+        "look-before-connection",
+        "Whether a grant may be sent is not asked again when its connection has come about.",
+        lease_checker.CHECKER,
+        lambda: [Replacement(NodeOrders, "grant", _look_before_connection)],
+        (FaultKind.LEADER_LATE_BEFORE_BYTES, 1.0, 15.0),
+        (FaultKind.LEADER_CUT_FROM_STORE, 2.0, 8.0),
+        (FaultKind.LEADER_CUT_FROM_PEERS, 2.0, 8.0),
+    ),
+    broken_control_rule(
+        "any-421-ends-a-server",
+        "A server that answers 421 is taken for gone, whoever it says that it is.",
+        overlap_checker.CHECKER,
+        lambda: [Replacement(OrderOutcome, "is_from_other", _is_any_other)],
+        (FaultKind.SERVER_MISDIRECTED, 1.0, 6.0),
+    ),
+    broken_control_rule(
+        "earlier-grants-untold",
+        "A successor does not hear of what leaders before its predecessor granted.",
+        overlap_checker.CHECKER,
+        lambda: [Replacement(LeaderSigns, "announced_earlier_until_s", _nothing_earlier)],
+        (FaultKind.STORE_REFUSING, 0.0, 3.0),
+        (FaultKind.ORDERS_ALL_LATE, 2.5, 0.5),
+        (FaultKind.SERVER_DARK, 2.9, 14.0),
+        (FaultKind.LEADERS_LOST_IN_CHAIN, 3.0, 10.0),
+    ),
 )
--- a/indigoworks_lab/control_simulation/control_report.py
+++ b/indigoworks_lab/control_simulation/control_report.py
@@ -40,6 +40,8 @@
     def text(self) -> str:
         """Return the findings and the faults of the run."""
         lines = [f"seed {self.seed}: {self.plan.nodes} nodes, {self.plan.servers} servers"]
+        if self.plan.forgets_releases:
+            lines.append("  servers forget the tokens of releases")
         for fault in self.plan.faults:
             lines.append(f"  {fault.start_s:6.2f} s {fault.duration_s:5.2f} s {fault.kind.value}")
         lines += [f"  {each}" for each in (*self.violations, *self.failures)]
--- a/indigoworks_lab/control_simulation/explore.py
+++ b/indigoworks_lab/control_simulation/explore.py
@@ -11,6 +11,7 @@
 from indigoworks_lab.control_simulation.control_plan import ControlPlan, draw_plan, with_returns
 from indigoworks_lab.control_simulation.control_report import ControlReport
 from indigoworks_lab.control_simulation.control_trace import trace_seed
+from indigoworks_lab.control_simulation.machine_plan import with_machines
 from indigoworks_lab.control_simulation.run_control_seed import run_control_seed
 from indigoworks_lab.simulation.worker_processes import worker_processes
 
@@ -19,7 +20,12 @@
 
 
 def explore(
-    seeds: int = 20, first: int = 1, jobs: int = 2, trace: int = 0, returns: bool = True
+    seeds: int = 20,
+    first: int = 1,
+    jobs: int = 2,
+    trace: int = 0,
+    returns: bool = True,
+    machines: float = 0.0,
 ) -> int:
     """Run seeds and print those that broke a rule, with their faults.
 
@@ -28,15 +34,17 @@
     :param jobs: processes to run in.
     :param trace: run only this seed and print the log of all nodes with the virtual time.
     :param returns: the store also comes back from a copy; without, the other faults are the same.
+    :param machines: clocks, processes and servers do not run evenly; servers pause for at most so
+        many seconds; 0: they all do.
     :returns: exit code: 0 nothing found, 1 found.
     """
     if trace:
-        report = trace_seed(trace, draw(trace, returns))
+        report = trace_seed(trace, draw(trace, returns, machines))
         print(report.text())
         return 0 if report.is_ok else EXIT_FOUND
     started_s = time.monotonic()
     reports: list[ControlReport] = []
-    for report in _reports(range(first, first + seeds), jobs, returns):
+    for report in _reports(range(first, first + seeds), jobs, returns, machines):
         reports.append(report)
         if not report.is_ok:
             print(report.text(), flush=True)
@@ -46,19 +54,23 @@
     return EXIT_FOUND if any(not report.is_ok for report in reports) else 0
 
 
-def draw(seed: int, returns: bool) -> ControlPlan:
+def draw(seed: int, returns: bool, machines: float = 0.0) -> ControlPlan:
     """Return the plan of a seed."""
     plan = draw_plan(seed)
-    return with_returns(plan, seed) if returns else plan
+    if returns:
+        plan = with_returns(plan, seed)
+    return with_machines(plan, seed, machines) if machines else plan
 
 
-def _reports(seeds: range, jobs: int, returns: bool) -> Iterator[ControlReport]:
+def _reports(seeds: range, jobs: int, returns: bool, machines: float) -> Iterator[ControlReport]:
     if jobs <= 1:
         for seed in seeds:
-            yield run_control_seed(seed, draw(seed, returns))
+            yield run_control_seed(seed, draw(seed, returns, machines))
         return
     with worker_processes(jobs) as workers:
-        running = [workers.submit(run_control_seed, seed, draw(seed, returns)) for seed in seeds]
+        running = [
+            workers.submit(run_control_seed, seed, draw(seed, returns, machines)) for seed in seeds
+        ]
         for done in as_completed(running):
             yield done.result()
 
@@ -95,9 +107,14 @@
 
 
 def _explore_and_exit(
-    seeds: int = 20, first: int = 1, jobs: int = 2, trace: int = 0, returns: bool = True
+    seeds: int = 20,
+    first: int = 1,
+    jobs: int = 2,
+    trace: int = 0,
+    returns: bool = True,
+    machines: float = 0.0,
 ) -> None:
-    sys.exit(explore(seeds, first, jobs, trace, returns))
+    sys.exit(explore(seeds, first, jobs, trace, returns, machines))
 
 
 if __name__ == "__main__":
