A server at an address has ended only where start and order of entries agree

Cause: brought by: the starts that two entries name were compared alone, and they are read from two machines' clocks. Why this works: who came later by its first entry and does not name an earlier start is the later one; where the two disagree nobody counts as ended, and keys wait for another proof.

--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -233,8 +233,9 @@
         return max(later, key=lambda each: each.version, default=None)
 
     def _came_after(self, one: ServerRecord, other: ServerRecord) -> bool:
-        if 0 < one.started_ms != other.started_ms > 0:
-            return one.started_ms > other.started_ms
+        """Tell whether the start that entries name, where they do, and their order say so."""
+        if 0 < one.started_ms < other.started_ms:
+            return False
         other_first = self._first_versions.get(other.server_id, other.version)
         return self._first_versions[one.server_id] > other_first
 
