Which of a gateway's lives is the newer one is not told by one report

Callers would see: a leader taken for replaced by a late report of its gateway's earlier life, for good: its beats were passed over and its bound ended. Why this works: another life has followed where the store lists it, or where it is heard while this one has been silent for longer than a report can be late; nothing is for ever, and a beat counts by its epoch. A leader of which no report was heard is known to be over by the list alone.

--- a/indigoworks/ownership/leader_signs.py
+++ b/indigoworks/ownership/leader_signs.py
@@ -6,6 +6,12 @@
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.exchange.peer_view import PeerView
 
+LATE_REPORT_S = 1.2
+"""A report that hubs hand on is heard no later than so long after it was sent."""
+
+_Life = tuple[str, str]
+"""Node and boot of a process."""
+
 
 class LeaderSigns:
     """Newest beat heard, and what peers say that they heard."""
@@ -16,21 +22,14 @@
         self._clock = clock
         self._beat: LeaderBeat | None = None
         self._beat_s = float("-inf")
-        self._epochs: dict[str, int] = {}
-        self._boots: dict[str, str] = {}
-        self._ended_boots: set[tuple[str, str]] = set()
+        self._epochs: dict[_Life, int] = {}
+        self._heard_s: dict[_Life, float] = {}
 
     def note(self, report: PeerReport) -> None:
-        """Take a report of a peer; one of an earlier life that comes late says nothing."""
-        if (report.node, report.boot) in self._ended_boots:
-            return
-        known_boot = self._boots.get(report.node)
-        if known_boot != report.boot:
-            if known_boot is not None:
-                self._ended_boots.add((report.node, known_boot))
-            self._boots[report.node] = report.boot
-            self._epochs[report.node] = 0
-        self._epochs[report.node] = max(self._epochs[report.node], report.epoch)
+        """Take a report of a peer."""
+        life = (report.node, report.boot)
+        self._epochs[life] = max(self._epochs.get(life, 0), report.epoch)
+        self._heard_s[life] = self._clock.now()
         beat = report.leader
         if beat is not None and (self._beat is None or beat.epoch >= self._beat.epoch):
             self._beat = beat
@@ -91,15 +90,6 @@
             return float("-inf")
         return self._beat_s + self._beat.earlier_hold_s
 
-    def announced_earlier_hold_s(self, epoch: int) -> float:
-        """Return how long holds of leaders before that of `epoch` may last, as it told last.
-
-        Minus infinity: it was not heard.
-        """
-        if self._beat is None or self._beat.epoch != epoch:
-            return float("-inf")
-        return self._beat.earlier_hold_s
-
     def proved_s(self, epoch: int) -> float:
         """Return the time of the newest proof of which the leader of `epoch` told.
 
@@ -114,10 +104,18 @@
 
         It says itself that it follows a later epoch, or its node runs under another boot.
         """
-        heard_boot = self._boots.get(node)
-        if heard_boot is not None and heard_boot != boot:
-            return True
         listed_boot = self._directory.boot_of(node)
         if listed_boot is not None and listed_boot != boot:
             return True
-        return heard_boot == boot and self._epochs.get(node, 0) > epoch
+        return self._epochs.get((node, boot), 0) > epoch or self._is_followed(node, boot)
+
+    def _is_followed(self, node: str, boot: str) -> bool:
+        """Tell whether another life of a node is heard and this one has not been for a while.
+
+        A report that was handed on may come late: by itself it does not tell which life is newer.
+        """
+        own_s = self._heard_s.get((node, boot))
+        if own_s is None:
+            return False
+        lives = [life for life in self._heard_s if life[0] == node and life[1] != boot]
+        return any(self._heard_s[life] - own_s > LATE_REPORT_S for life in lives)
