A range whose former owner has orders of an earlier leader goes back to it, whatever that leader told

Callers would see: two holders of a key after a change of leader, where a server forgets the tokens of releases. Cause: a release ended what an earlier leader might have under way unless that one told of unanswered grants; those of its last moments are in no beat. Why this works: the former owner is granted its keys under a new token first, at once, and refuses earlier grants from then on; the range moves again after that.

--- a/indigoworks/ownership/former_owners.py
+++ b/indigoworks/ownership/former_owners.py
@@ -176,9 +176,8 @@
 
         Not where several servers may hold them: it is not known to whom they were granted.
         """
-        if len(self._owned.former) > 1 or not self._bounds.predecessor_may_be_late:
-            return False
-        return self._bounds.is_inherited(server_id, *self._keys())
+        is_only = len(self._owned.former) == 1
+        return is_only and self._bounds.is_inherited(server_id, *self._keys())
 
     async def _answered_release(self, record: ServerRecord, release: KeyRelease) -> OrderOutcome:
         """Send a release until it is answered, at most for RELEASE_TIMEOUT_S."""
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -107,8 +107,7 @@
         epoch = self._leadership.row.epoch
         await self._writer.read_again()
         if not self._leadership.led_former_era(self._leadership.era - 1):
-            until_s = self._predecessor_until_s(before)
-            self._bounds.start_epoch(until_s, before.may_be_late())
+            self._bounds.start_epoch(self._predecessor_until_s(before))
         self._leadership.start_acting(epoch, before, self._bounds, self._reach.orders)
         try:
             while self._leads(epoch) and not await self._take_tables():
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -53,8 +53,6 @@
     A grant is noted before it is sent, with the bound that stands if its answer is never seen. One
     that was not answered stays possible until a server has answered an order under a higher token
     on the same keys: it refuses the earlier one from then on.
-
-    :ivar predecessor_may_be_late: servers may have left grants of earlier leaders unanswered.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -66,15 +64,12 @@
         self._past_s: dict[_Hold, float] = {}
         self._predecessor_s = float("inf")
         self._inherited = KeySpans()
-        self.predecessor_may_be_late = False
 
-    def start_epoch(self, predecessor_until_s: float, may_be_late: bool = False) -> None:
+    def start_epoch(self, predecessor_until_s: float) -> None:
         """Begin as a new leader; what this process granted as an earlier one may still hold.
 
         :param predecessor_until_s: bound of what earlier leaders granted, as known now.
-        :param may_be_late: servers may have left grants of theirs unanswered.
         """
-        self.predecessor_may_be_late = may_be_late
         self._inherited = KeySpans()
         self._predecessor_s = predecessor_until_s
 
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -38,14 +38,6 @@
         row = self.row
         return row.node == "" or self._signs.acts_no_more(row.node, row.boot, row.epoch)
 
-    def may_be_late(self) -> bool:
-        """Tell whether servers may have left grants of earlier leaders unanswered."""
-        told_s = max(
-            self._signs.announced_hold_s(self.row.epoch),
-            self._signs.announced_earlier_hold_s(self.row.epoch),
-        )
-        return self.row.version != NO_VERSION and not 0.0 <= told_s <= LATE_ORDER_S
-
     def until_s(self, now_s: float, hold_max_s: float) -> float:
         """Return the bound as known at `now_s`; minus infinity: there was no predecessor.
 
