Soak of real processes for servers that hold keys, with checkers that read the servers' records

Cause: no test had keyed servers in processes of their own, frozen processes, cut links, or a store whose clock jumps as its process starts again; none of the soak's checkers judged OWNER. Before: scripts/gateway-soak has eight checkers, none of ownership.

--- a/features/steps/gateway_soak_command.py
+++ b/features/steps/gateway_soak_command.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from gateway_soak_world import GATEWAYS, SERVERS, SoakWorld
+from key_soak_command import main as key_main
 
 from indigoworks_lab.gateway_soak.check_soak import check_soak
 from indigoworks_lab.gateway_soak.draw_limits import draw_limits
@@ -24,10 +25,14 @@
 ROOT = Path(__file__).parents[2]
 LOGS = ROOT / "run" / "gateway-soak"
 MAX_SHOWN = 4
+KEYS = "--keys"
+"""Chooses the soak of servers that hold keys."""
 
 
 def main(arguments) -> int:
     """Run the seeds; exit code 1 if anything broke."""
+    if KEYS in arguments:
+        return key_main([each for each in arguments if each != KEYS])
     parser = argparse.ArgumentParser(prog="scripts/gateway-soak", description=__doc__)
     parser.add_argument("--seeds", type=int, default=1, help="how many")
     parser.add_argument("--first", type=int, default=1, help="the first one")
--- a/features/steps/gateway_soak_gateway.py
+++ b/features/steps/gateway_soak_gateway.py
@@ -20,11 +20,12 @@
 
 class SoakGateway:
     """:param lives: gets each process.
+    :param fields: of the settings file, in place of those of other soaks.
 
     :ivar life: number of the newest process, from 1.
     """
 
-    def __init__(self, name, ports, store, folder, lives) -> None:
+    def __init__(self, name, ports, store, folder, lives, **fields) -> None:
         self.name = name
         self.address = Address(LOOPBACK, ports.next_port())
         self.readiness = Address(LOOPBACK, ports.next_port())
@@ -33,7 +34,7 @@
         self.life = 0
         self.is_restarting = False
         self.process = None
-        self._settings = settings(self, store, GRACE_S)
+        self._settings = {**settings(self, store, GRACE_S), **fields}
         self.path = folder / f"{name}.settings"
         self._folder = folder
         self._lives = lives
--- /dev/null
+++ b/features/steps/key_soak_events.py
@@ -0,0 +1,268 @@
+"""Events of a soak of servers that hold keys."""
+
+import asyncio
+
+from gateway_soak_gateway import GRACE_S
+
+from indigoworks_lab.client.polling import becomes_true
+from indigoworks_lab.gateway_soak.gateway_waits import is_ready
+from indigoworks_lab.gateway_soak.healed_path import HealedPath
+from indigoworks_lab.gateway_soak.key_event_kind import KeyEventKind
+
+STORE_MODES = ("slow", "down", "loses")
+JUMPS_S = (20.0, -20.0)
+MAX_LEADERS = 3
+LEAVE_LIMIT_S = 14.0
+START_TIMEOUT_S = 40.0
+RESTART_S = 1.0
+STUTTER_S = (0.02, 0.25)
+"""Shares of time that a process on a busy machine gets none, one after the other with such that it
+gets. It was not frozen by anybody: nothing is excused for it."""
+
+NO_SERVER = ""
+
+
+class KeySoakEvents:
+    """Does to a world what its plan says.
+
+    :ivar healed: gateways that were thawed and links that healed so far.
+    """
+
+    def __init__(self, world) -> None:
+        self.healed = []
+        self._world = world
+        self._frozen = set()
+        self._disturbed = {}
+        self._actions = {
+            KeyEventKind.PAUSE_SERVER: self._pause_server,
+            KeyEventKind.LONG_PAUSE_SERVER: self._pause_server,
+            KeyEventKind.PAUSE_LEADER: self._pause_leader,
+            KeyEventKind.PAUSE_GATEWAY: self._pause_gateway,
+            KeyEventKind.STOP_LEADERS: self._end_leaders,
+            KeyEventKind.KILL_LEADERS: self._end_leaders,
+            KeyEventKind.KILL_SERVER: self._end_server,
+            KeyEventKind.RESTART_SERVER: self._end_server,
+            KeyEventKind.LEAVE_SERVER: self._leave,
+            KeyEventKind.STORE: self._trouble,
+            KeyEventKind.STORE_CLOCK: self._jump,
+            KeyEventKind.STORE_RETURN: self._return,
+            KeyEventKind.SERVER_LINK: self._cut_links,
+            KeyEventKind.SERVER_LINKS: self._cut_links,
+            KeyEventKind.STORE_LINK: self._cut_links,
+            KeyEventKind.LEADER_LINKS: self._cut_links,
+            KeyEventKind.BUSY: self._stutter,
+            KeyEventKind.HOT: self._move_load,
+        }
+
+    async def play(self, plan) -> None:
+        """Begin each event at its time."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        for event in plan:
+            await asyncio.sleep(max(0.0, started_s + event.at_s - loop.time()))
+            self._world.spawn(self._actions[event.kind](event))
+
+    async def heal_all(self) -> None:
+        """End all pauses and cuts."""
+        for gateway in list(self._frozen):
+            self._thaw(gateway)
+        for server in self._world.servers:
+            server.thaw()
+        for key in list(self._disturbed):
+            await self._heal(*key)
+
+    def end(self) -> None:
+        """Stop disturbing, so that processes can be ended."""
+        self._actions = dict.fromkeys(self._actions, self._nothing)
+
+    async def _nothing(self, event) -> None:
+        pass
+
+    # ---- choices ----
+
+    def _gateway(self, draw):
+        return self._world.gateways[int(draw * len(self._world.gateways))]
+
+    def _server(self, draw):
+        return self._world.servers[int(draw * len(self._world.servers))]
+
+    def _leader(self):
+        row = self._world.store.leader()
+        return next((each for each in self._world.gateways if row and each.name == row.node), None)
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _source(self, gateway) -> str:
+        return self._world.source(self._world.gateways.index(gateway))
+
+    # ---- pauses ----
+
+    async def _pause_server(self, event) -> None:
+        server = self._server(event.draws[0])
+        if server.is_stopped or server.is_changing:
+            return
+        server.freeze()
+        await asyncio.sleep(event.duration_s)
+        server.thaw()
+
+    async def _pause_leader(self, event) -> None:
+        leader = self._leader()
+        if leader is not None:
+            await self._freeze(leader, event.duration_s)
+
+    async def _pause_gateway(self, event) -> None:
+        await self._freeze(self._gateway(event.draws[0]), event.duration_s)
+
+    async def _freeze(self, gateway, duration_s) -> None:
+        if gateway in self._frozen or gateway.is_restarting:
+            return
+        self._frozen.add(gateway)
+        gateway.process.freeze()
+        await asyncio.sleep(duration_s)
+        self._thaw(gateway)
+
+    def _thaw(self, gateway) -> None:
+        if gateway in self._frozen:
+            self._frozen.discard(gateway)
+            self.healed.append(HealedPath(self._source(gateway), self._now_s()))
+            gateway.process.thaw()
+
+    async def _stutter(self, event) -> None:
+        """Let all processes of gateways and servers stand still for moments."""
+        gateways = [(each, each.process) for each in self._world.gateways]
+        servers = [(each, each.process) for each in self._world.servers]
+        until_s = self._now_s() + event.duration_s
+        first, last = STUTTER_S
+        works = (
+            self._stutter_one(owner, process, until_s, first + (last - first) * event.draws[0])
+            for owner, process in (*gateways, *servers)
+        )
+        await asyncio.gather(*works)
+
+    async def _stutter_one(self, owner, process, until_s, moment_s) -> None:
+        while self._now_s() < until_s:
+            if owner not in self._frozen and not getattr(owner, "is_stopped", False):
+                process.freeze()
+                try:
+                    await asyncio.sleep(moment_s)
+                finally:
+                    if owner not in self._frozen and not getattr(owner, "is_stopped", False):
+                        process.thaw()
+            await asyncio.sleep(moment_s)
+
+    # ---- ends of processes ----
+
+    async def _end_leaders(self, event) -> None:
+        for _ in range(1 + int(event.draws[0] * MAX_LEADERS)):
+            leader = self._leader()
+            if leader is not None and not leader.is_restarting:
+                leader.is_restarting = True
+                self._thaw(leader)
+                self._world.spawn(self._end_gateway(leader, event.kind, event.draws[1]))
+            await asyncio.sleep(event.duration_s)
+
+    async def _end_gateway(self, gateway, kind, draw) -> None:
+        if kind is KeyEventKind.KILL_LEADERS:
+            gateway.kill()
+            await gateway.ended()
+        else:
+            await asyncio.wait_for(gateway.stop(), 2 * GRACE_S)
+        await asyncio.sleep(draw * RESTART_S)
+        gateway.start()
+        await becomes_true(lambda: is_ready(gateway), START_TIMEOUT_S)
+        gateway.is_restarting = False
+
+    async def _end_server(self, event) -> None:
+        server = self._server(event.draws[0])
+        if server.is_changing:
+            return
+        server.is_changing = True
+        server.kill()
+        await asyncio.sleep(event.duration_s)
+        server.start(is_same=event.kind is KeyEventKind.RESTART_SERVER)
+        await self._open_links(server)
+        server.is_changing = False
+
+    async def _leave(self, event) -> None:
+        server = self._server(event.draws[0])
+        if server.is_changing or server.is_stopped:
+            return
+        server.is_changing = True
+        server.process.terminate()
+        await becomes_true(lambda: _has_ended(server.process), LEAVE_LIMIT_S)
+        server.kill()
+        server.start()
+        await self._open_links(server)
+        server.is_changing = False
+
+    async def _open_links(self, server) -> None:
+        for name, link in server.links.items():
+            if (server.place, name) not in self._disturbed:
+                await link.open()
+
+    # ---- the store ----
+
+    async def _trouble(self, event) -> None:
+        mode = STORE_MODES[int(event.draws[0] * len(STORE_MODES))]
+        await self._world.store.trouble(mode, event.duration_s)
+
+    async def _jump(self, event) -> None:
+        jump_s = JUMPS_S[int(event.draws[0] * len(JUMPS_S))]
+        await self._world.store.start_again(event.duration_s, jump_s)
+
+    async def _return(self, event) -> None:
+        await self._world.store.return_from_copy(event.duration_s, event.draws[0] * RESTART_S)
+
+    # ---- links ----
+
+    async def _cut_links(self, event) -> None:
+        names = [each.name for each in self._world.gateways]
+        places = [each.place for each in self._world.servers]
+        gateway = self._gateway(event.draws[0])
+        server = self._server(event.draws[1])
+        if event.kind is KeyEventKind.LEADER_LINKS:
+            gateway = self._leader() or gateway
+        keys = {
+            KeyEventKind.SERVER_LINK: [(server.place, gateway.name)],
+            KeyEventKind.SERVER_LINKS: [(server.place, name) for name in names],
+            KeyEventKind.STORE_LINK: [(None, gateway.name)],
+            KeyEventKind.LEADER_LINKS: [(each, gateway.name) for each in (None, *places)],
+        }[event.kind]
+        begun = [key for key in keys if key not in self._disturbed]
+        for key in begun:
+            self._disturbed[key] = event
+            link = self._find(*key)
+            if event.draws[2] < 1 / 3:
+                link.cut()
+            else:
+                link.fall_silent(delivers=event.draws[2] < 2 / 3)
+        await asyncio.sleep(event.duration_s)
+        for key in begun:
+            await self._heal(*key)
+
+    def _find(self, place, name):
+        world = self._world
+        return world.store_links[name] if place is None else world.servers[place].links[name]
+
+    async def _heal(self, place, name) -> None:
+        if self._disturbed.pop((place, name), None) is None:
+            return
+        link = self._find(place, name)
+        if place is not None:
+            server = self._world.servers[place]
+            gateway = next(each for each in self._world.gateways if each.name == name)
+            path = HealedPath(self._source(gateway), self._now_s(), server.server_id)
+            self.healed.append(path)
+        link.speak()
+        if place is None or not self._world.servers[place].is_changing:
+            await link.open()
+
+    # ---- load ----
+
+    async def _move_load(self, event) -> None:
+        self._world.keys.move()
+
+
+async def _has_ended(process) -> bool:
+    return process.exit_code() is not None
--- /dev/null
+++ b/features/steps/key_soak_world.py
@@ -0,0 +1,166 @@
+"""A soak of gateways and servers that hold keys, each a process of its own."""
+
+import asyncio
+import json
+from collections import Counter
+from random import Random
+
+from gateway_soak_documents import configuration
+from gateway_soak_gateway import SoakGateway
+from gateway_soak_ports import HeldPorts
+from key_soak_events import KeySoakEvents
+from key_soak_server import HEARTBEAT_S, HOLD_MAX_S, KeySoakServer
+from key_soak_store import KeySoakStore
+from platform_folder_store_stand_in import FOLDER  # noqa: F401 - makes header_names importable
+
+from header_names import HEADER_NAMES  # isort: skip
+
+from indigoworks_lab.client.polling import becomes_true
+from indigoworks_lab.gateway_soak.gateway_waits import is_ready
+from indigoworks_lab.gateway_soak.hot_keys import HotKeys
+from indigoworks_lab.gateway_soak.key_caller import KeyCaller
+from indigoworks_lab.gateway_soak.key_history import KeyHistory
+from indigoworks_lab.gateway_soak.key_link import KeyLink
+
+GATEWAYS = 4
+SERVERS = 5
+CALLERS = 10
+"""For each gateway."""
+
+START_TIMEOUT_S = 40.0
+SERVED_TIMEOUT_S = 20.0
+SETTLE_S = 5.0
+POLL_S = 0.01
+IDLE_TIMEOUT_S = 30.0
+BODY_BYTES = 64 * 1024
+MS_PER_S = 1000.0
+
+
+class KeySoakWorld:
+    """:param faults: of all servers, see KeyServerSettings.
+
+    :ivar history: what the servers recorded, once `run` has returned.
+    :ivar statuses: counts the callers' answers.
+    :ivar most_lag_s: longest time by which the soak's own loop was late.
+    """
+
+    def __init__(self, seed, folder, gateways=GATEWAYS, servers=SERVERS, **faults) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self.statuses = Counter()
+        self.most_lag_s = 0.0
+        self._random = Random(f"world {seed}")
+        self._ports = HeldPorts()
+        self.store = KeySoakStore(Random(seed), HEARTBEAT_S)
+        self.store_port = self.store.start().port
+        self.keys = HotKeys(Random(f"keys {seed}"))
+        self.store_links = {}
+        self.gateways = []
+        for number in range(gateways):
+            name = f"g{number}"
+            link = self._link(number, self.store.start_for(name))
+            self.store_links[name] = link
+            made = SoakGateway(
+                name,
+                self._ports,
+                link.address,
+                folder,
+                [],
+                server_heartbeat_ms=HEARTBEAT_S * MS_PER_S,
+                hold_max_ms=HOLD_MAX_S * MS_PER_S,
+            )
+            self.gateways.append(made)
+        self.servers = []
+        for place in range(servers):
+            port = self._ports.next_port()
+            made = KeySoakServer(place, port, self.store_port, folder, self._random, **faults)
+            for number, gateway in enumerate(self.gateways):
+                link = self._link(number, port)
+                made.links[gateway.name] = link
+                self.store.link_ports[gateway.name, port] = link.address.port
+            self.servers.append(made)
+        self.events = KeySoakEvents(self)
+        self._tasks = []
+
+    def _link(self, number, target_port) -> KeyLink:
+        return KeyLink(self._ports.next_port(), target_port, self.source(number))
+
+    @staticmethod
+    def source(number) -> str:
+        """Return the address from which servers see orders of a gateway come."""
+        return f"127.0.1.{number + 1}"
+
+    async def run(self, plan, seconds) -> None:
+        """Play `plan`, heal all, look on for a little; ends every process that it started."""
+        try:
+            await self._start()
+            playing = self.spawn(self.events.play(plan))
+            await asyncio.sleep(seconds)
+            playing.cancel()
+            await self.events.heal_all()
+            await asyncio.sleep(SETTLE_S)
+            self._finish()
+        finally:
+            self.events.end()
+            for task in self._tasks:
+                task.cancel()
+            for process in (*self.gateways, *(each.process for each in self.servers)):
+                if process is not None:
+                    process.end()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            for link in self._links():
+                link.cut()
+            self._ports.close()
+
+    def _links(self):
+        return (
+            *self.store_links.values(),
+            *(link for each in self.servers for link in each.links.values()),
+        )
+
+    def spawn(self, work):
+        """Run work beside; it ends with the soak."""
+        task = asyncio.ensure_future(work)
+        self._tasks.append(task)
+        return task
+
+    async def _start(self) -> None:
+        document = json.loads(configuration(1, [1], 0, IDLE_TIMEOUT_S, BODY_BYTES))
+        document["services"][0]["sharded"] = True
+        self.store.put("op", "", "config", json.dumps(document).encode())
+        for link in self._links():
+            await link.open()
+        self.spawn(self.store.let_entries_lapse())
+        self.spawn(self._watch_lag())
+        for server in self.servers:
+            server.start()
+        for gateway in self.gateways:
+            gateway.start()
+        for gateway in self.gateways:
+            assert await becomes_true(lambda g=gateway: is_ready(g), START_TIMEOUT_S), gateway.name
+        for gateway in self.gateways:
+            for number in range(CALLERS):
+                name = f"{gateway.name}c{number}"
+                random = Random(f"{self._random.random()}{name}")
+                caller = KeyCaller(
+                    name, gateway, HEADER_NAMES, "/safe1/", self.keys, random, self.statuses
+                )
+                self.spawn(caller.run())
+        assert await becomes_true(self._is_served, SERVED_TIMEOUT_S), self.statuses
+
+    async def _is_served(self) -> bool:
+        return self.statuses[200] > 0
+
+    def _finish(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        lives = [life for each in self.servers for life in each.lives(now_s)]
+        woken_s = {}
+        for each in self.servers:
+            woken_s.update(each.woken_s)
+        self.history = KeyHistory(lives, self.events.healed, woken_s)
+
+    async def _watch_lag(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + POLL_S
+            await asyncio.sleep(POLL_S)
+            self.most_lag_s = max(self.most_lag_s, loop.time() - due_s)
--- a/features/steps/platform_folder_store_stand_in.py
+++ b/features/steps/platform_folder_store_stand_in.py
@@ -69,10 +69,13 @@
 
     def remove(self, table: str, part: str, key: str) -> None:
         self.version += 1
-        del self.rows[(table, part, key)]
-        self.changes.append(
-            {"table": table, "part": part, "key": key, "ver": self.version, "gone": True}
-        )
+        self._remove(table, part, key)
+
+    def _remove(self, table, part, key) -> None:
+        if self.rows.pop((table, part, key), None) is not None:
+            self.changes.append(
+                {"table": table, "part": part, "key": key, "ver": self.version, "gone": True}
+            )
 
     def copy(self) -> StoreCopy:
         """Return all that is kept now."""
@@ -163,6 +166,8 @@
         for each in document["put"]:
             value = base64.b64decode(each["value"], validate=True)
             self._put(each["table"], each["part"], each["key"], value)
+        for each in document["remove"]:
+            self._remove(each["table"], each["part"], each["key"])
         return 200, {}
 
     def _is_met(self, expected) -> bool:
--- /dev/null
+++ b/indigoworks_lab/gateway_soak/key_link.py
@@ -0,0 +1,101 @@
+"""The path from one process to another, which can be cut or fall silent."""
+
+import asyncio
+from contextlib import suppress
+
+from indigoworks.common.address import Address
+from indigoworks_lab.launcher.free_ports import LOOPBACK
+
+PIECE_BYTES = 64 * 1024
+BACKLOG = 512
+
+
+class KeyLink:
+    """Listens where the caller connects to and hands bytes on to the target.
+
+    :param source: address that the target sees as the caller's, so that it knows who it is.
+    """
+
+    def __init__(self, listen_port: int, target_port: int, source: str) -> None:
+        self.address = Address(LOOPBACK, listen_port)
+        self._target_port = target_port
+        self._source = source
+        self._passing = asyncio.Event()
+        self._passing.set()
+        self._delivers = True
+        self._listener: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self) -> None:
+        """Take connections."""
+        if self._listener is None:
+            self._listener = await asyncio.start_server(
+                self._serve, LOOPBACK, self.address.port, backlog=BACKLOG, reuse_address=True
+            )
+
+    def cut(self) -> None:
+        """Reset all connections and refuse new ones until `open`."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for task in list(self._tasks):
+            task.cancel()
+
+    def fall_silent(self, delivers: bool) -> None:
+        """Take connections and bytes, and hold them back until `speak`.
+
+        :param delivers: what a caller sent before it gave up is handed on then.
+        """
+        self._passing.clear()
+        self._delivers = delivers
+
+    def speak(self) -> None:
+        """Hand on again."""
+        self._passing.set()
+
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether bytes are held back."""
+        return not self._passing.is_set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        far_writer = None
+        # A cut cancels: then the connection ends like one that was reset.
+        with suppress(OSError, asyncio.CancelledError):
+            try:
+                await self._pass(reader)
+                far_reader, far_writer = await asyncio.open_connection(
+                    LOOPBACK, self._target_port, local_addr=(self._source, 0)
+                )
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._hand_on(reader, far_writer))
+                    group.create_task(self._hand_on(far_reader, writer))
+            except* OSError:
+                pass
+            finally:
+                self._tasks.discard(task)
+                writer.transport.abort()
+                if far_writer is not None:
+                    far_writer.transport.abort()
+
+    async def _hand_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            piece = await reader.read(PIECE_BYTES)
+            await self._pass(reader)
+            if not piece:
+                # Either end closes the whole connection: nobody here closes one side only.
+                raise ConnectionResetError
+            writer.write(piece)
+            await writer.drain()
+
+    async def _pass(self, reader: asyncio.StreamReader) -> None:
+        """Wait until bytes pass."""
+        if self._passing.is_set():
+            return
+        await self._passing.wait()
+        error = reader.exception()
+        if error is not None and not self._delivers:
+            raise ConnectionResetError
--- /dev/null
+++ b/indigoworks_lab/gateway_soak/key_server_settings.py
@@ -0,0 +1,46 @@
+"""What a process of a server that holds keys learns at its start."""
+
+import json
+from dataclasses import asdict, dataclass
+
+
+@dataclass(frozen=True)
+class KeyServerSettings:
+    """Names of headers are the platform's; the others are ours.
+
+    :ivar record_path: file that gets one line for each event.
+    :ivar store_port: where it writes its entry; 0: nowhere.
+    :ivar clock_factor: true seconds that a second of its clock for holds takes, 1 to 1.02.
+    :ivar hold_max_s: longest hold that it accepts.
+    :ivar forgets_release_tokens: the token of a release does not count as seen.
+    :ivar forgets_all_tokens: it refuses no grant; for showing that the checkers find it.
+    """
+
+    server_id: str
+    service: str
+    zone: str
+    port: int
+    store_port: int
+    record_path: str
+    heartbeat_s: float
+    slots: int
+    clock_factor: float
+    hold_max_s: float
+    request_id_header: str
+    server_id_header: str
+    answering_id_header: str
+    not_run_header: str
+    key_header: str
+    handover_header: str
+    signature_header: str
+    forgets_release_tokens: bool = False
+    forgets_all_tokens: bool = False
+
+    def to_text(self) -> str:
+        """Return them as JSON."""
+        return json.dumps(asdict(self))
+
+    @classmethod
+    def from_text(cls, text: str) -> "KeyServerSettings":
+        """Read what `to_text` wrote."""
+        return cls(**json.loads(text))
