--- a/features/steps/key_soak_world.py
+++ b/features/steps/key_soak_world.py
@@ -89,11 +89,16 @@
         """Return the address from which servers see orders of a gateway come."""
         return f"127.0.1.{number + 1}"
 
-    async def run(self, plan, seconds) -> None:
-        """Play `plan`, heal all, look on for a little; ends every process that it started."""
+    async def run(self, plan, seconds, besides=None) -> None:
+        """Play `plan`, heal all, look on for a little; ends every process that it started.
+
+        :param besides: more that is done to the world, once keys are served.
+        """
         try:
             await self._start()
             playing = self.spawn(self.events.play(plan))
+            if besides is not None:
+                await besides(self)
             await asyncio.sleep(seconds)
             playing.cancel()
             await self.events.heal_all()
--- a/indigoworks_lab/gateway_soak/check_owner.py
+++ b/indigoworks_lab/gateway_soak/check_owner.py
@@ -151,8 +151,8 @@
                 if piece.value >= grant.token:
                     text = (
                         f"{life.name} took keys {piece.first}-{piece.last}"
-                        f" ({history.grant_text(life, grant)}); {other} had them under {piece.value}"
-                        f"{history.awake_text(life, grant.at_s)}"
+                        f" ({history.grant_text(life, grant)}); {other} had them under"
+                        f" {piece.value}{history.awake_text(life, grant.at_s)}"
                     )
                     yield Violation("owner_token", grant.at_s, text)
         own.set(grant.first, grant.last, grant.token)
--- a/indigoworks_lab/gateway_soak/key_book.py
+++ b/indigoworks_lab/gateway_soak/key_book.py
@@ -32,11 +32,9 @@
     """Grants, releases and work of one life of a server.
 
     :ivar forgets_release_tokens: the token of a release does not count as seen.
-    :ivar forgets_all_tokens: no grant is refused.
     """
 
     forgets_release_tokens: bool = False
-    forgets_all_tokens: bool = False
     _held: IntervalMap[KeyLease] = field(default_factory=lambda: IntervalMap(NOTHING))
     _seen: IntervalMap[int] = field(default_factory=lambda: IntervalMap(0))
     _work: dict[int, KeyWork] = field(default_factory=dict)
@@ -44,8 +42,7 @@
 
     def take(self, first: int, last: int, token: int, until_s: float) -> bool:
         """Take a grant; False where a higher token was seen on one of the keys."""
-        is_below = any(each.value > token for each in self._seen.pieces(first, last))
-        if is_below and not self.forgets_all_tokens:
+        if any(each.value > token for each in self._seen.pieces(first, last)):
             return False
         lease = KeyLease(token, until_s)
         self._held.set(first, last, lease)
--- a/indigoworks_lab/gateway_soak/key_server.py
+++ b/indigoworks_lab/gateway_soak/key_server.py
@@ -38,7 +38,7 @@
     def __init__(self, settings: KeyServerSettings, write: Callable[[KeyEvent], None]) -> None:
         self._settings = settings
         self._write = write
-        self._book = KeyBook(settings.forgets_release_tokens, settings.forgets_all_tokens)
+        self._book = KeyBook(settings.forgets_release_tokens)
 
     def holds_any(self) -> bool:
         """Tell whether any key is held now."""
--- a/indigoworks_lab/gateway_soak/key_server_settings.py
+++ b/indigoworks_lab/gateway_soak/key_server_settings.py
@@ -13,7 +13,6 @@
     :ivar clock_factor: true seconds that a second of its clock for holds takes, 1 to 1.02.
     :ivar hold_max_s: longest hold that it accepts.
     :ivar forgets_release_tokens: the token of a release does not count as seen.
-    :ivar forgets_all_tokens: it refuses no grant; for showing that the checkers find it.
     """
 
     server_id: str
@@ -34,7 +33,6 @@
     handover_header: str
     signature_header: str
     forgets_release_tokens: bool = False
-    forgets_all_tokens: bool = False
 
     def to_text(self) -> str:
         """Return them as JSON."""
