--- a/features/steps/key_soak_command.py
+++ b/features/steps/key_soak_command.py
@@ -34,6 +34,7 @@
     parser.add_argument(
         "--kinds", nargs="*", choices=kinds, default=[], help="of events; no: drawn"
     )
+    parser.add_argument("--without", nargs="*", choices=kinds, default=[], help="of events")
     parser.add_argument("--forget-releases", action="store_true", help="servers forget tokens")
     parser.add_argument("--keep", action="store_true", help="keep logs also where nothing broke")
     chosen = parser.parse_args(arguments)
@@ -48,7 +49,9 @@
     """Run one seed, print its line, and return whether anything broke."""
     folder = _free_folder(seed)
     kinds = [KeyEventKind[each.upper()] for each in chosen.kinds]
-    plan = draw_key_plan(Random(seed), chosen.seconds, kinds)
+    drawn = draw_key_plan(Random(seed), chosen.seconds, kinds)
+    left_out = [KeyEventKind[each.upper()] for each in chosen.without]
+    plan = [each for each in drawn if each.kind not in left_out]
     world = asyncio.run(soak(seed, folder, chosen, plan))
     history = world.history
     violations = check_owner(history)
