Soak of key servers: gateways are told apart by their source address

Cause: links for each gateway need entries that name other addresses to each, and gateways tell each other of entries: orders went over another gateway's link, and thaws and healed links were put down to the wrong sender. After: one link to each server and to the store, with a gate for each caller's loopback address.

--- a/features/steps/gateway_soak_gateway.py
+++ b/features/steps/gateway_soak_gateway.py
@@ -23,6 +23,7 @@
     :param fields: of the settings file, in place of those of other soaks.
 
     :ivar life: number of the newest process, from 1.
+    :ivar variables: of the environment (NAME=VALUE), beside those that every process has.
     """
 
     def __init__(self, name, ports, store, folder, lives, **fields) -> None:
@@ -32,6 +33,7 @@
         self.peer_port = ports.next_port()
         self.metrics_port = ports.next_port()
         self.life = 0
+        self.variables = ()
         self.is_restarting = False
         self.process = None
         self._settings = {**settings(self, store, GRACE_S), **fields}
@@ -43,7 +45,7 @@
     def start(self) -> None:
         """Write the settings file and start a process; its ports are free."""
         self.write_settings()
-        self.spawn()
+        self.spawn(*self.variables)
 
     def spawn(self, *variables) -> None:
         """Start a process with the settings file as it is, and more variables (NAME=VALUE)."""
--- a/features/steps/key_soak_store.py
+++ b/features/steps/key_soak_store.py
@@ -1,16 +1,12 @@
 """The platform's store of a soak of servers that hold keys."""
 
 import asyncio
-import base64
-import json
 
 from gateway_soak_store import MS_PER_S, SoakStore
-from tornado.netutil import bind_sockets
 
 from indigoworks.ownership.control_group import CONTROL_TABLE, part_of
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.rowstore.store_version import NO_VERSION
-from indigoworks_lab.launcher.free_ports import LOOPBACK
 
 SERVERS_TABLE = "servers"
 LAPSE_HEARTBEATS = 3
@@ -18,28 +14,14 @@
 
 
 class KeySoakStore(SoakStore):
-    """Lets entries lapse, shows each gateway servers behind that gateway's own links, and starts
-    again with another reading of its clock.
-
-    :ivar link_ports: by gateway and a server's own port, the port of the link between the two.
-    """
+    """Lets entries lapse, and starts again with another reading of its clock."""
 
     def __init__(self, random, heartbeat_s) -> None:
         super().__init__(random)
-        self.link_ports = {}
         self._heartbeat_s = heartbeat_s
-        self._gateways = {}
         self._written_s = {}
         self._jump_ms = 0.0
 
-    def start_for(self, gateway) -> int:
-        """Listen at one more port, for one gateway."""
-        listeners = bind_sockets(0, LOOPBACK)
-        port = listeners[0].getsockname()[1]
-        self._gateways[port] = gateway
-        self._server.add_sockets(listeners)
-        return port
-
     def leader(self) -> LeaderRow | None:
         """Return the newest row of the leader."""
         found = self.rows.get((CONTROL_TABLE, part_of(self.era), LEADER_KEY))
@@ -76,18 +58,3 @@
         if table == SERVERS_TABLE:
             self._written_s[key] = asyncio.get_running_loop().time()
         super()._put(table, part, key, value)
-
-    async def _send(self, request, stream, status, document) -> None:
-        gateway = self._gateways.get(stream.socket.getsockname()[1])
-        if gateway is not None and document.get("rows"):
-            rows = [self._behind_links(gateway, each) for each in document["rows"]]
-            document = {**document, "rows": rows}
-        await super()._send(request, stream, status, document)
-
-    def _behind_links(self, gateway, row):
-        if row["table"] != SERVERS_TABLE or row.get("gone"):
-            return row
-        entry = json.loads(base64.b64decode(row["value"]))
-        port = int(entry["address"].rpartition(":")[2])
-        entry["address"] = f"{LOOPBACK}:{self.link_ports[gateway, port]}"
-        return {**row, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
--- a/features/steps/key_soak_world.py
+++ b/features/steps/key_soak_world.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from gateway_soak_documents import configuration
-from gateway_soak_gateway import SoakGateway
+from gateway_soak_gateway import ROOT, SoakGateway
 from gateway_soak_ports import HeldPorts
 from key_soak_store import KeySoakStore
 from platform_folder_store_stand_in import FOLDER  # noqa: F401 - makes header_names importable
@@ -22,6 +22,8 @@
 from indigoworks_lab.gateway_soak.key_server_place import HEARTBEAT_S, HOLD_MAX_S, KeyServerPlace
 from indigoworks_lab.gateway_soak.key_soak_events import KeySoakEvents
 
+SOURCE_ADDRESS = ROOT / "indigoworks_lab" / "gateway_soak" / "source_address"
+
 GATEWAYS = 4
 SERVERS = 5
 CALLERS = 10
@@ -53,41 +55,36 @@
         self.store = KeySoakStore(Random(seed), HEARTBEAT_S)
         self.store_port = self.store.start().port
         self.keys = HotKeys(Random(f"keys {seed}"))
-        self.store_links = {}
-        self.gateways = []
-        # By gateway, the address from which servers see its orders come.
+        self.store_link = KeyLink(self._ports.next_port(), self.store_port)
+        # By gateway, the address from which its connections come.
         self.sources = {f"g{number}": f"127.0.1.{number + 1}" for number in range(gateways)}
-        for number in range(gateways):
-            name = f"g{number}"
-            link = self._link(name, self.store.start_for(name))
-            self.store_links[name] = link
+        self.gateways = []
+        for name, source in self.sources.items():
             made = SoakGateway(
                 name,
                 self._ports,
-                link.address,
+                self.store_link.address,
                 folder,
                 [],
                 server_heartbeat_ms=HEARTBEAT_S * MS_PER_S,
                 hold_max_ms=HOLD_MAX_S * MS_PER_S,
             )
+            made.variables = (
+                f"PYTHONPATH={ROOT}:{SOURCE_ADDRESS}",
+                f"SOAK_SOURCE_ADDRESS={source}",
+            )
             self.gateways.append(made)
         self.servers = []
         for place in range(servers):
             port = self._ports.next_port()
+            link = KeyLink(self._ports.next_port(), port)
             made = KeyServerPlace(
-                place, port, self.store_port, folder, self._random, HEADER_NAMES, **faults
+                place, port, link, self.store_port, folder, self._random, HEADER_NAMES, **faults
             )
-            for gateway in self.gateways:
-                link = self._link(gateway.name, port)
-                made.links[gateway.name] = link
-                self.store.link_ports[gateway.name, port] = link.address.port
             self.servers.append(made)
         self.events = KeySoakEvents(self)
         self._tasks = []
 
-    def _link(self, name, target_port) -> KeyLink:
-        return KeyLink(self._ports.next_port(), target_port, self.sources[name])
-
     async def run(self, plan, seconds, besides=None) -> None:
         """Play `plan`, heal all, look on for a little; ends every process that it started.
 
@@ -100,7 +97,7 @@
                 await besides(self)
             await asyncio.sleep(seconds)
             playing.cancel()
-            await self.events.heal_all()
+            self.events.heal_all()
             await asyncio.sleep(SETTLE_S)
             self._finish()
         finally:
@@ -113,14 +110,11 @@
                 server.end()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             for link in self._links():
-                link.cut()
+                link.close()
             self._ports.close()
 
     def _links(self):
-        return (
-            *self.store_links.values(),
-            *(link for each in self.servers for link in each.links.values()),
-        )
+        return (self.store_link, *(each.link for each in self.servers))
 
     def spawn(self, work):
         """Run work beside; it ends with the soak."""
@@ -162,8 +156,8 @@
         for each in self.servers:
             woken_s.update(each.woken_s)
             for server_id in each.ids():
-                for name, link in each.links.items():
-                    sent_s[server_id, self.sources[name]] = link.sent_s
+                for source, gate in each.link.gates.items():
+                    sent_s[server_id, source] = gate.sent_s
         names = {source: name for name, source in self.sources.items()}
         self.history = KeyHistory(lives, self.events.healed, woken_s, sent_s, names)
 
--- a/indigoworks_lab/gateway_soak/disturbed_world.py
+++ b/indigoworks_lab/gateway_soak/disturbed_world.py
@@ -49,12 +49,16 @@
 
 
 class DisturbedWorld(Protocol):
-    """All of it; `sources`: by gateway, the address that servers see."""
+    """All of it.
+
+    :ivar sources: by gateway, the address from which its connections come.
+    :ivar store_link: that gateways use.
+    """
 
     gateways: Sequence[DisturbedGateway]
     servers: Sequence[KeyServerPlace]
     store: DisturbedStore
-    store_links: Mapping[str, KeyLink]
+    store_link: KeyLink
     sources: Mapping[str, str]
     keys: HotKeys
 
--- a/indigoworks_lab/gateway_soak/key_link.py
+++ b/indigoworks_lab/gateway_soak/key_link.py
@@ -1,10 +1,12 @@
-"""The path from one process to another, which can be cut or fall silent."""
+"""The path to one process, which can be cut or fall silent for each of its callers."""
 
 import asyncio
 import time
+from collections import defaultdict
 from contextlib import suppress
 
 from indigoworks.common.address import Address
+from indigoworks_lab.gateway_soak.caller_gate import CallerGate
 from indigoworks_lab.launcher.free_ports import LOOPBACK
 
 PIECE_BYTES = 64 * 1024
@@ -12,22 +14,18 @@
 
 
 class KeyLink:
-    """Listens where the caller connects to and hands bytes on to the target.
+    """Listens where callers connect to and hands their bytes on to the target.
 
-    :param source: address that the target sees as the caller's, so that it knows who it is.
-    :ivar sent_s: by the port that the target sees, when the caller had sent something.
+    A caller is known by its loopback address; the target sees the same one.
+
+    :ivar gates: by the caller's address.
     """
 
-    def __init__(self, listen_port: int, target_port: int, source: str) -> None:
+    def __init__(self, listen_port: int, target_port: int) -> None:
         self.address = Address(LOOPBACK, listen_port)
+        self.gates: defaultdict[str, CallerGate] = defaultdict(CallerGate)
         self._target_port = target_port
-        self._source = source
-        self.sent_s: dict[int, list[float]] = {}
-        self._passing = asyncio.Event()
-        self._passing.set()
-        self._delivers = True
         self._listener: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
         """Take connections."""
@@ -36,80 +34,80 @@
                 self._serve, LOOPBACK, self.address.port, backlog=BACKLOG, reuse_address=True
             )
 
-    def cut(self) -> None:
+    def close(self) -> None:
         """Reset all connections and refuse new ones until `open`."""
         if self._listener is not None:
             self._listener.close()
             self._listener = None
-        for task in list(self._tasks):
-            task.cancel()
+        for gate in self.gates.values():
+            gate.reset_all()
+
+    def cut(self, caller: str) -> None:
+        """Reset the caller's connections, also new ones, until `heal`."""
+        self.gates[caller].is_cut = True
+        self.gates[caller].reset_all()
 
-    def fall_silent(self, delivers: bool) -> None:
-        """Take connections and bytes, and hold them back until `speak`.
+    def fall_silent(self, caller: str, delivers: bool) -> None:
+        """Take the caller's connections and bytes, and hold them back until `heal`.
 
-        :param delivers: what a caller sent before it gave up is handed on then.
+        :param delivers: what it sent before it gave up is handed on then.
         """
-        self._passing.clear()
-        self._delivers = delivers
+        self.gates[caller].delivers = delivers
+        self.gates[caller].passing.clear()
 
-    def speak(self) -> None:
+    def heal(self, caller: str) -> None:
         """Hand on again."""
-        self._passing.set()
-
-    @property
-    def is_silent(self) -> bool:
-        """Tell whether bytes are held back."""
-        return not self._passing.is_set()
+        self.gates[caller].is_cut = False
+        self.gates[caller].passing.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        caller = writer.get_extra_info("peername")[0]
+        gate = self.gates[caller]
         task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
+        if gate.is_cut or task is None:
+            writer.transport.abort()
+            return
+        gate.tasks.add(task)
         far_writer = None
         accepted_s = time.monotonic()
         # A cut cancels: then the connection ends like one that was reset.
         with suppress(OSError, asyncio.CancelledError):
             try:
-                await self._pass(reader)
+                await gate.pass_on(reader)
                 far_reader, far_writer = await asyncio.open_connection(
-                    LOOPBACK, self._target_port, local_addr=(self._source, 0)
+                    LOOPBACK, self._target_port, local_addr=(caller, 0)
                 )
                 port = far_writer.get_extra_info("sockname")[1]
-                sent_s = self.sent_s.setdefault(port, [])
                 # A caller sends at once when it has connected.
-                sent_s.append(accepted_s)
+                gate.sent_s.setdefault(port, []).append(accepted_s)
                 async with asyncio.TaskGroup() as group:
-                    group.create_task(self._hand_on(reader, far_writer, sent_s))
-                    group.create_task(self._hand_on(far_reader, writer, []))
+                    group.create_task(_hand_on(gate, reader, far_writer, port))
+                    group.create_task(_hand_on(gate, far_reader, writer))
             except* OSError:
                 pass
             finally:
-                self._tasks.discard(task)
+                gate.tasks.discard(task)
                 writer.transport.abort()
                 if far_writer is not None:
                     far_writer.transport.abort()
 
-    async def _hand_on(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sent_s: list[float]
-    ) -> None:
-        is_first = True
-        while True:
-            piece = await reader.read(PIECE_BYTES)
-            if not is_first:
-                sent_s.append(time.monotonic())
-            is_first = False
-            await self._pass(reader)
-            if not piece:
-                # Either end closes the whole connection: nobody here closes one side only.
-                raise ConnectionResetError
-            writer.write(piece)
-            await writer.drain()
-
-    async def _pass(self, reader: asyncio.StreamReader) -> None:
-        """Wait until bytes pass."""
-        if self._passing.is_set():
-            return
-        await self._passing.wait()
-        error = reader.exception()
-        if error is not None and not self._delivers:
+
+async def _hand_on(
+    gate: CallerGate,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    port: int | None = None,
+) -> None:
+    """:param port: of the caller, where the bytes are the caller's."""
+    is_first = True
+    while True:
+        piece = await reader.read(PIECE_BYTES)
+        if port is not None and not is_first:
+            gate.note_sent(port)
+        is_first = False
+        await gate.pass_on(reader)
+        if not piece:
+            # Either end closes the whole connection: nobody here closes one side only.
             raise ConnectionResetError
+        writer.write(piece)
+        await writer.drain()
--- a/indigoworks_lab/gateway_soak/key_server_entry.py
+++ b/indigoworks_lab/gateway_soak/key_server_entry.py
@@ -62,7 +62,7 @@
         settings = self._settings
         entry = {
             "service": settings.service,
-            "address": f"{LOOPBACK}:{settings.port}",
+            "address": f"{LOOPBACK}:{settings.listed_port}",
             "zone": settings.zone,
             "version": "1",
             "slots": settings.slots,
--- a/indigoworks_lab/gateway_soak/key_server_place.py
+++ b/indigoworks_lab/gateway_soak/key_server_place.py
@@ -25,7 +25,7 @@
 class KeyServerPlace:
     """:ivar server_id: of its newest process, `process`, which `start` starts first.
 
-    :ivar links: by gateway.
+    :ivar link: that gateways use.
     :ivar woken_s: by id, when a process went on after a stop.
     """
 
@@ -36,6 +36,7 @@
         self,
         place: int,
         port: int,
+        link: KeyLink,
         store_port: int,
         folder: Path,
         random: Random,
@@ -44,7 +45,7 @@
     ) -> None:
         self.place = place
         self.port = port
-        self.links: dict[str, KeyLink] = {}
+        self.link = link
         self.woken_s: dict[str, list[float]] = {}
         self.is_stopped = False
         self.is_changing = False
@@ -69,6 +70,7 @@
             service=SERVICE,
             zone=ZONE,
             port=self.port,
+            listed_port=self.link.address.port,
             store_port=self._store_port,
             record_path=str(self._folder / f"{name}.record"),
             heartbeat_s=HEARTBEAT_S,
@@ -97,8 +99,7 @@
         self._lives[-1] = replace(self._lives[-1], ended_s=now_s)
         self.process.end()
         self.is_stopped = False
-        for link in self.links.values():
-            link.cut()
+        self.link.close()
 
     def end(self) -> None:
         """End what still runs."""
--- a/indigoworks_lab/gateway_soak/key_server_settings.py
+++ b/indigoworks_lab/gateway_soak/key_server_settings.py
@@ -8,6 +8,7 @@
 class KeyServerSettings:
     """Names of headers are the platform's; the others are ours.
 
+    :ivar listed_port: port that its entry names: that of the link to it.
     :ivar record_path: file that gets one line for each event.
     :ivar store_port: where it writes its entry; 0: nowhere.
     :ivar clock_factor: true seconds that a second of its clock for holds takes, 1 to 1.02.
@@ -19,6 +20,7 @@
     service: str
     zone: str
     port: int
+    listed_port: int
     store_port: int
     record_path: str
     heartbeat_s: float
--- a/indigoworks_lab/gateway_soak/key_soak_events.py
+++ b/indigoworks_lab/gateway_soak/key_soak_events.py
@@ -43,7 +43,7 @@
         self.healed: list[HealedPath] = []
         self._world = world
         self._frozen: set[DisturbedGateway] = set()
-        self._disturbed: dict[LinkKey, KeyPlanEvent] = {}
+        self._disturbed: set[LinkKey] = set()
         self._actions: dict[KeyEventKind, Action] = {
             KeyEventKind.PAUSE_SERVER: self._pause_server,
             KeyEventKind.LONG_PAUSE_SERVER: self._pause_server,
@@ -73,14 +73,14 @@
             await asyncio.sleep(max(0.0, started_s + event.at_s - loop.time()))
             self._world.spawn(self._actions[event.kind](event))
 
-    async def heal_all(self) -> None:
+    def heal_all(self) -> None:
         """End all pauses and cuts."""
         for gateway in list(self._frozen):
             self._thaw(gateway)
         for server in self._world.servers:
             server.thaw()
         for key in list(self._disturbed):
-            await self._heal(*key)
+            self._heal(*key)
 
     def end(self) -> None:
         """Stop disturbing, so that processes can be ended."""
@@ -196,7 +196,7 @@
         server.kill()
         await asyncio.sleep(event.duration_s)
         server.start(is_same=event.kind is KeyEventKind.RESTART_SERVER)
-        await self._open_links(server)
+        await server.link.open()
         server.is_changing = False
 
     async def _leave(self, event: KeyPlanEvent) -> None:
@@ -208,14 +208,9 @@
         await becomes_true(lambda: _has_ended(server.process), LEAVE_LIMIT_S)
         server.kill()
         server.start()
-        await self._open_links(server)
+        await server.link.open()
         server.is_changing = False
 
-    async def _open_links(self, server: KeyServerPlace) -> None:
-        for name, link in server.links.items():
-            if (server.place, name) not in self._disturbed:
-                await link.open()
-
     # ---- the store ----
 
     async def _trouble(self, event: KeyPlanEvent) -> None:
@@ -245,33 +240,29 @@
             KeyEventKind.LEADER_LINKS: [(each, gateway.name) for each in (None, *places)],
         }
         begun = [key for key in chosen[event.kind] if key not in self._disturbed]
-        for key in begun:
-            self._disturbed[key] = event
-            link = self._find(*key)
+        for place, name in begun:
+            self._disturbed.add((place, name))
+            link, caller = self._link(place), self._world.sources[name]
             if event.draws[2] < 1 / 3:
-                link.cut()
+                link.cut(caller)
             else:
-                link.fall_silent(delivers=event.draws[2] < 2 / 3)
+                link.fall_silent(caller, delivers=event.draws[2] < 2 / 3)
         await asyncio.sleep(event.duration_s)
-        for key in begun:
-            await self._heal(*key)
+        for place, name in begun:
+            self._heal(place, name)
 
-    def _find(self, place: int | None, name: str) -> KeyLink:
-        world = self._world
-        return world.store_links[name] if place is None else world.servers[place].links[name]
+    def _link(self, place: int | None) -> KeyLink:
+        return self._world.store_link if place is None else self._world.servers[place].link
 
-    async def _heal(self, place: int | None, name: str) -> None:
-        if self._disturbed.pop((place, name), None) is None:
+    def _heal(self, place: int | None, name: str) -> None:
+        if (place, name) not in self._disturbed:
             return
-        link = self._find(place, name)
+        self._disturbed.discard((place, name))
+        caller = self._world.sources[name]
         if place is not None:
-            server = self._world.servers[place]
-            gateway = next(each for each in self._world.gateways if each.name == name)
-            path = HealedPath(self._world.sources[gateway.name], self._now_s(), server.server_id)
-            self.healed.append(path)
-        link.speak()
-        if place is None or not self._world.servers[place].is_changing:
-            await link.open()
+            server_id = self._world.servers[place].server_id
+            self.healed.append(HealedPath(caller, self._now_s(), server_id))
+        self._link(place).heal(caller)
 
     # ---- load ----
 
