--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -233,9 +233,8 @@
         return max(later, key=lambda each: each.version, default=None)
 
     def _came_after(self, one: ServerRecord, other: ServerRecord) -> bool:
-        """Tell whether the start that entries name, where they do, and their order say so."""
         if 0 < one.started_ms < other.started_ms:
-            return False
+            return False  # Their order says otherwise, perhaps: then neither is known.
         other_first = self._first_versions.get(other.server_id, other.version)
         return self._first_versions[one.server_id] > other_first
 
