--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -42,6 +42,7 @@
     def __init__(self, lost_write, health, clock):
         self.rows = {}
         self.written = []
+        self.on_put = lambda key: None
         self.version = 0
         self.writes = 0
         self.lost_write = lost_write
@@ -51,6 +52,7 @@
 
     def put(self, key, value):
         self.written.append((key, value))
+        self.on_put(key)
         self.version += 1
         self.rows[key] = Row(CONTROL_TABLE, part_of(0), key, value, at(self.version))
 
@@ -99,17 +101,19 @@
     def hear(self, listener):
         self.listener = listener
 
-    async def grant(self, server, grant, timeout_s):
+    async def grant(self, server, grant, timeout_s, may_send):
         self.waiting += 1
         await self.gate.wait()
         self.waiting -= 1
+        if not may_send():
+            return OrderOutcome(OrderResult.WITHHELD)
         self.orders.append(("grant", server.server_id, grant))
         if self.unanswering == server.server_id:
             self.unanswering = None
             return OrderOutcome(OrderResult.UNANSWERED)
         return OrderOutcome(OrderResult.DONE)
 
-    async def release(self, server, release, timeout_s):
+    async def release(self, server, release, timeout_s, may_send):
         self.orders.append(("release", server.server_id, release))
         if self.lost_releases:
             self.lost_releases -= 1
@@ -129,6 +133,8 @@
         self.store = LossyRows(lost_write, self.health, self.clock)
         self.servers = ServerList(self.health, 1.0, self.clock)
         self.orders = WillingServers()
+        self.orders_at_writes = []
+        self.store.on_put = lambda key: self.orders_at_writes.append(len(self.orders.orders))
         self.tables = OwnershipTables()
         self.bounds = HoldBounds(self.clock)
         self.peers = PeerTable(self.clock)
@@ -181,7 +187,6 @@
             self.bounds,
             self.policy,
             self.reach,
-            self.health,
             self.clock,
             lambda: None,
         )
@@ -193,8 +198,6 @@
             self.leadership,
             self.tables,
             self.keepers,
-            self.bounds,
-            self.health,
             self.store,
             self.clock,
             lambda: None,
