--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -22,7 +22,7 @@
 """Heartbeats within which every living server is back in the list after a trouble of the store."""
 
 LATE_TROUBLE_S = 1.0
-"""A call that fails is noticed so much later than the trouble began."""
+"""A call that fails is noticed so late after the trouble began."""
 
 TROUBLE_MARGIN_S = 1.0
 """Added to that time."""
@@ -36,9 +36,8 @@
 MOVE_AWAY_S = 1.0
 """After this process has learnt of an evacuation, owners in the zone serve their keys for so long
 while these move, and so does an owner whose answer says that it leaves while its entry does not:
-2 s after it (the platform's `drain`) nothing may be sent there any more. An evacuation must be in
-force everywhere 5 s after it was accepted (the platform's `evacuate`); processes that read it last
-do so about 1 s after it was accepted."""
+2 s after it nothing may be sent there any more. An evacuation must be in force everywhere 5 s after
+it was accepted; processes that read it last do so about 1 s after that."""
 
 
 class ServerList:
@@ -81,7 +80,7 @@
             self._note_older_word(record, earlier)
             return
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
-            # What another life asked for concerns this one no more, nor does its end.
+            # The wishes and the end of another life concern this one no more.
             self.notices.forget(record.server_id)
             self._replaced.forget(record.server_id)
         self._listed[record.server_id] = record
@@ -112,10 +111,7 @@
             self.remove(server_id)
 
     def note_replaced(self, server_id: str, by_server_id: str, sign: ReplacementSign) -> None:
-        """Take note that another server answers at the address of `server_id`: it is gone.
-
-        The list may say so much later, when the store is out of reach.
-        """
+        """Take note that another server answers at the address of `server_id`: it is gone."""
         self._replaced.add(server_id, by_server_id, sign)
 
     def take_notice(self, server_id: str, notice: ServerNotice) -> None:
@@ -138,9 +134,14 @@
             return True
         record = self.get(server_id)
         holder = None if record is None else self.holder_of_address(record)
-        if holder is not None:
-            self._replaced.tell(server_id, holder.server_id, ReplacementSign.LIST)
-        return holder is not None
+        if holder is None:
+            return False
+        self._replaced.tell(server_id, holder.server_id, ReplacementSign.LIST)
+        return True
+
+    def is_listed(self, server_id: str) -> bool:
+        """Tell whether the list has the server's entry."""
+        return server_id in self._listed
 
     def usable(self, service: str) -> Iterable[ServerRecord]:
         """Return the servers of `service` that may get new work."""
@@ -216,32 +217,33 @@
 
     def get(self, server_id: str) -> ServerRecord | None:
         """Return a server that is listed or was so a short time ago, leaving ones included."""
-        record = self._listed.get(server_id)
-        if record is not None:
-            return record
+        if server_id in self._listed:
+            return self._listed[server_id]
         vanished = self._vanished.get(server_id)
         return None if vanished is None else vanished[0]
 
     def holder_of_address(self, record: ServerRecord) -> ServerRecord | None:
         """Return the listed server that came to the address of `record` after it, if there is one.
 
-        The entry of a server that has ended stays listed for some heartbeats beside that of the one
-        that was started in its place: only the later of two says anything of the earlier.
+        The entry of an ended server stays listed for some heartbeats beside that of the one in its
+        place: only the later says anything of the earlier.
         """
-        own_first = self._first_versions.get(record.server_id, record.version)
-        later = [
-            each
-            for each in self._listed.values()
-            if each.address == record.address and self._first_versions[each.server_id] > own_first
-        ]
+        at_address = [each for each in self._listed.values() if each.address == record.address]
+        later = [each for each in at_address if self._came_after(each, record)]
         return max(later, key=lambda each: each.version, default=None)
 
+    def _came_after(self, one: ServerRecord, other: ServerRecord) -> bool:
+        if 0 < one.started_ms != other.started_ms > 0:
+            return one.started_ms > other.started_ms
+        other_first = self._first_versions.get(other.server_id, other.version)
+        return self._first_versions[one.server_id] > other_first
+
     def service_at(self, host: str) -> str | None:
         """Return the service of the server that was listed last at an address; None: none was."""
         return self._services_at.get(host)
 
     def is_empty(self) -> bool:
-        """Tell whether no server was ever listed."""
+        """Tell whether no server was listed."""
         return not self._listed and not self._vanished
 
     def forget_old(self) -> None:
