--- a/features/steps/control_simulation_machine_steps.py
+++ b/features/steps/control_simulation_machine_steps.py
@@ -27,6 +27,16 @@
 }
 """By seed; ranges move for load in each run."""
 
+SUSPENDED_SEEDS = (1, 2, 3)
+PAUSED_SEEDS = (1, 2, 3)
+SHORT_PAUSES = (
+    ((1.0, 1.0), (4.0, 2.0), (8.0, 3.0)),
+    ((1.0, 5.0), (9.0, 5.0)),
+    ((1.0, 15.0), (3.0, 14.0)),
+)
+LONG_PAUSES = {3: 18.0, 7: 18.0, 2: 25.0, 5: 25.0}
+"""By seed."""
+
 
 @when(
     "control simulation lets the store's clock jump {direction} beside moves, leaving servers and"
@@ -37,6 +47,44 @@
     context.reports = [run_faults(seed, jump, *BESIDE_JUMPS[seed]) for seed in BESIDE_JUMPS]
 
 
-def run_faults(seed, *faults):
+@when("control simulation stops a machine with its clock that leads later")
+def step_suspended_before(context):
+    faults = (
+        DrawnFault(FaultKind.NODE_CLOCK_STOPS, 0.5, 4.0),
+        DrawnFault(FaultKind.LEADER_KILLED, 6.0, 11.0),
+    )
+    context.reports = [run_faults(seed, *faults, nodes=2) for seed in SUSPENDED_SEEDS]
+
+
+@when("control simulation suspends the leader's machine beyond its lease")
+def step_suspended_leader(context):
+    """In the second run it stays cut off from store and peers for a while."""
+    cut_off = (
+        DrawnFault(FaultKind.LEADER_CUT_FROM_STORE, 0.9, 11.0),
+        DrawnFault(FaultKind.LEADER_CUT_FROM_PEERS, 0.9, 11.0),
+        DrawnFault(FaultKind.LEADER_SUSPENDED, 1.0, 5.0),
+    )
+    alone = run_faults(1, DrawnFault(FaultKind.LEADER_SUSPENDED, 1.0, 9.0))
+    context.reports = [alone, run_faults(5, *cut_off)]
+
+
+@when("control simulation pauses servers for 1 s to 15 s")
+def step_short_pauses(context):
+    context.reports = [
+        run_faults(seed, *(DrawnFault(FaultKind.SERVER_PAUSED, *pause) for pause in pauses))
+        for pauses in SHORT_PAUSES
+        for seed in PAUSED_SEEDS
+    ]
+
+
+@when("control simulation pauses servers for 18 s and 25 s")
+def step_long_pauses(context):
+    context.reports = [
+        run_faults(seed, DrawnFault(FaultKind.SERVER_PAUSED, 1.0, pause_s))
+        for seed, pause_s in LONG_PAUSES.items()
+    ]
+
+
+def run_faults(seed, *faults, nodes=NODES):
     """Run a seed under faults."""
-    return run_control_seed(seed, ControlPlan(NODES, SERVERS, faults))
+    return run_control_seed(seed, ControlPlan(nodes, SERVERS, faults))
--- a/indigoworks_lab/control_simulation/node_fault_actions.py
+++ b/indigoworks_lab/control_simulation/node_fault_actions.py
@@ -19,6 +19,7 @@
         FaultKind.LEADER_KILLED,
         FaultKind.LEADER_STOPPED,
         FaultKind.LEADER_FROZEN,
+        FaultKind.LEADER_SUSPENDED,
     }
 )
 
@@ -59,13 +60,16 @@
             await asyncio.sleep(duration_s)
             self._links.slow_s.pop(node.name, None)
         else:
-            await self._freeze(node, duration_s)
+            await self._freeze(node, duration_s, kind)
 
     def _pick(self, kind: FaultKind) -> SimulatedNode | None:
         leader = self._deployment.leader() if kind in OF_LEADER else None
         nodes = self._deployment.living_nodes()
         if leader is not None:
             return leader
+        if kind is FaultKind.NODE_CLOCK_STOPS:
+            leader = self._deployment.leader()
+            nodes = [node for node in nodes if node is not leader]
         return self._random.choice(nodes) if nodes else None
 
     async def _cut(self, node: SimulatedNode, others: list[str], duration_s: float) -> None:
@@ -88,11 +92,15 @@
         await asyncio.sleep(min(STOP_S, duration_s))
         await self._kill(node, max(0.0, duration_s - STOP_S))
 
-    async def _freeze(self, node: SimulatedNode, duration_s: float) -> None:
+    async def _freeze(self, node: SimulatedNode, duration_s: float, kind: FaultKind) -> None:
         if node.process.is_frozen:
             return
         node.process.freeze()
         await asyncio.sleep(duration_s)
+        if kind is FaultKind.NODE_CLOCK_STOPS:
+            node.clock.stand_still(duration_s)
+        elif kind is FaultKind.LEADER_SUSPENDED:
+            node.clock.note_suspended(duration_s)
         if node.process.is_alive:
             self._links.note_thaw(node.name, self._deployment.loop.time())
             node.process.thaw()
