Scenario: a table that the store made only after its return is carried into the new era (fails until it is mended)

Cause: TableWriter.read_former_eras reads the part of the former era as it is after the return. A write of the lost span that the store carries out after it came back from a copy lands there, since the copy still has the versions that its conditions name, under a counter above all that the leader knows. The recovery takes it over the leader's own table: the last owner of a range is named nowhere, neither as owner nor as former owner, while it holds its keys. Conclusion: a real fault that breaks OWNER.

--- a/features/steps/store_from_copy_steps.py
+++ b/features/steps/store_from_copy_steps.py
@@ -17,12 +17,14 @@
 from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
 from indigoworks_lab.control_simulation.fault_injector import FaultInjector
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.request_load import RequestLoad
 from indigoworks_lab.control_simulation.return_faults import RETURN, faults_beside_return
 from indigoworks_lab.control_simulation.run_control_seed import (
     MAX_STEPS,
     make_control_loop,
     run_control_seed,
 )
+from indigoworks_lab.control_simulation.run_outside import run_outside
 from indigoworks_lab.control_simulation.server_entry import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -40,6 +42,14 @@
 SEEDS_BY_AGE_S = {1.0: 1, 3.0: 2, 6.0: 3}
 """Seeds of the runs, by the age of the copy."""
 
+LATE_TABLE_COPY_S = 0.7
+LATE_TABLE_SEEDS = range(1, 17)
+BESIDE_LATE_TABLE = {
+    "a server leaves": FaultKind.SERVER_DRAINING,
+    "a server crashes": FaultKind.SERVER_CRASHED,
+}
+"""What makes the leader move keys while its writes are held back."""
+
 CONFIGURATION = 900
 NEW_CONFIGURATION_S = 0.8
 LOOK_S = 0.05
@@ -59,6 +69,69 @@
     context.reports = [run_control_seed(seed, with_returns(draw_plan(seed), seed))]
 
 
+@when("control simulation makes a table of the lost span only after the return, and {text}")
+def step_table_after_return(context, text):
+    context.carried = {
+        seed: run(seed, BESIDE_LATE_TABLE[text], tables_around_late_one)
+        for seed in LATE_TABLE_SEEDS
+    }
+
+
+async def tables_around_late_one(deployment, kind):
+    """Return the table in force as the store went away, the one made late, and the next one."""
+    faults = (
+        DrawnFault(FaultKind.STORE_WRITES_AFTER_RETURN, 1.5, 0.9),
+        DrawnFault(kind, 1.6, 0.5),
+        DrawnFault(RETURN, 2.3, LATE_TABLE_COPY_S),
+    )
+    run_outside(deployment.loop, RequestLoad(deployment).run())
+    acting = asyncio.ensure_future(inject(deployment, faults))
+    in_force = owners_row(deployment)
+    while deployment.store.rows.era == 0:
+        in_force = owners_row(deployment)
+        await asyncio.sleep(LOOK_S)
+    copied = former_owners_row(deployment)
+    while (first := owners_row(deployment)) is None:  # noqa: ASYNC110
+        await asyncio.sleep(LOOK_S)
+    late = former_owners_row(deployment)
+    acting.cancel()
+    return tuple(None if row is copied else decoded(row) for row in (in_force, late, first))
+
+
+def former_owners_row(deployment):
+    return deployment.store.rows.row(CONTROL_TABLE, part_of(0), OWNERS_PREFIX + SERVICE)
+
+
+def decoded(row):
+    return OwnershipTable.decode(SERVICE, row.value, row.version)
+
+
+@then("control simulation made such a table before the first one of the new era in {least:d} runs")
+def step_table_was_made(context, least):
+    made = [seed for seed, (_, late, _) in context.carried.items() if late is not None]
+    assert len(made) >= least, made
+
+
+@then("each key is in the new era with its last owner, or waits for that one")
+def step_last_owner(context):
+    lost = [
+        f"seed {seed}: keys {owned.first}-{owned.last} of {owned.server_id}"
+        for seed, (in_force, _, first) in context.carried.items()
+        for owned in in_force.ranges
+        if not is_carried(owned, first)
+    ]
+    assert not lost, "\n".join(lost)
+
+
+def is_carried(owned, table):
+    """Tell whether a later table names the owner of a range, as owner or former, for all of it."""
+    parts = [each for each in table.ranges if each.first <= owned.last and owned.first <= each.last]
+    return all(
+        owned.server_id in (each.server_id, *(before.server_id for before in each.former))
+        for each in parts
+    )
+
+
 @when("control simulation writes a configuration soon after the store came back from copies")
 def step_configuration(context):
     context.late = [
--- a/features/store_from_copy.feature
+++ b/features/store_from_copy.feature
@@ -65,6 +65,17 @@
       | 710060 |
       | 730002 |
 
+  # Keys were granted by the tables that came after it; it was in force at no moment.
+  Scenario Outline: A table that was made only after the return is not carried into the new era: <beside>
+    When control simulation makes a table of the lost span only after the return, and <beside>
+    Then control simulation made such a table before the first one of the new era in 5 runs
+    And each key is in the new era with its last owner, or waits for that one
+
+    Examples:
+      | beside           |
+      | a server leaves  |
+      | a server crashes |
+
   Scenario: The first table of an era that nobody remembers names only servers that did not answer
     When control simulation starts all gateways of 24 servers while the store comes back
     Then the first table of the era names at most 2 former owners of each range
--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -39,6 +39,7 @@
     CONFIGURATION_CHANGES = "configuration changes, older ones are written again"
     STORE_RETURNS_FROM_COPY = "store comes back from a copy"
     """The copy is made when the fault begins; its duration is the age of the copy."""
+    STORE_WRITES_AFTER_RETURN = "store makes writes only after it came back from a copy"
 
     STORE_CLOCK_JUMPS_FORWARD = "store's steady clock jumps forward"
     STORE_CLOCK_JUMPS_BACKWARD = "store's steady clock jumps backward"
@@ -57,6 +58,7 @@
         FaultKind.NODE_CLOCK_STOPS,
         FaultKind.LEADER_SUSPENDED,
         FaultKind.SERVER_PAUSED,
+        FaultKind.STORE_WRITES_AFTER_RETURN,
     }
 )
 
--- a/indigoworks_lab/control_simulation/simulated_store.py
+++ b/indigoworks_lab/control_simulation/simulated_store.py
@@ -21,6 +21,9 @@
 """Name of the store among the machines."""
 
 LATE_WRITE_S = (1.0, 6.0)
+AFTER_RETURN_S = (0.1, 0.35)
+"""A write that was held back is made so long after the store came back from a copy."""
+
 STORE_TIME_OFFSET_S = 7000.0
 REFUSAL_S = 0.3
 POLL_S = 0.05
@@ -75,6 +78,9 @@
         await asyncio.sleep(self._delay_s(source))
         if not await self._passes(source, answer):
             return
+        if is_write and self.faults.is_holding_writes:
+            await self._make_after_return(operation)
+            return
         if is_write and self._random.random() < self.faults.late_ratio:
             await asyncio.sleep(self._random.uniform(*LATE_WRITE_S))
             await operation()
@@ -93,6 +99,13 @@
         if not is_lost and await self._passes(source, answer):
             _settle(answer, made)
 
+    async def _make_after_return(self, operation: Callable[[], Awaitable[ResultT]]) -> None:
+        era = self.rows.era
+        while self.rows.era == era:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(self._random.uniform(*AFTER_RETURN_S))
+        await operation()
+
     async def _passes(self, source: str, answer: "asyncio.Future[StoreAnswer[ResultT]]") -> bool:
         """Wait while a cut or a silent store holds a message back; False: it never arrives.
 
--- a/indigoworks_lab/control_simulation/store_fault_actions.py
+++ b/indigoworks_lab/control_simulation/store_fault_actions.py
@@ -102,6 +102,8 @@
             faults.lost_ratio = LOST_RATIO
         elif kind is FaultKind.STORE_WRITES_LATE:
             faults.late_ratio = LATE_RATIO
+        elif kind is FaultKind.STORE_WRITES_AFTER_RETURN:
+            faults.is_holding_writes = True
         else:
             self._rows.forget_history()
         yield
@@ -113,3 +115,5 @@
             faults.lost_ratio = 0.0
         elif kind is FaultKind.STORE_WRITES_LATE:
             faults.late_ratio = 0.0
+        elif kind is FaultKind.STORE_WRITES_AFTER_RETURN:
+            faults.is_holding_writes = False
--- a/indigoworks_lab/control_simulation/store_faults.py
+++ b/indigoworks_lab/control_simulation/store_faults.py
@@ -20,6 +20,7 @@
     :ivar lost_ratio: share of answers that are lost after the work was done.
     :ivar late_ratio: share of writes that are made LATE_WRITE_S later, without an answer.
     :ivar clock_jump_s: sum of the jumps of the store's steady clock.
+    :ivar is_holding_writes: writes are made without an answer once the store has come back.
     """
 
     state: StoreState = StoreState.UP
@@ -27,3 +28,4 @@
     lost_ratio: float = 0.0
     late_ratio: float = 0.0
     clock_jump_s: float = 0.0
+    is_holding_writes: bool = False
