--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -39,7 +39,7 @@
     CONFIGURATION_CHANGES = "configuration changes, older ones are written again"
     STORE_RETURNS_FROM_COPY = "store comes back from a copy"
     """The copy is made when the fault begins; its duration is the age of the copy."""
-
+    STORE_WRITES_AFTER_RETURN = "store makes writes only after it came back from a copy"
     STORE_CLOCK_JUMPS_FORWARD = "store's steady clock jumps forward"
     STORE_CLOCK_JUMPS_BACKWARD = "store's steady clock jumps backward"
     NODE_CLOCK_STOPS = "node that does not lead stands still, and its clock"
@@ -65,6 +65,7 @@
         FaultKind.LEADER_FROZEN_BEFORE_BYTES,
         FaultKind.LEADER_LATE_BEFORE_BYTES,
         FaultKind.LEADERS_LOST_IN_CHAIN,
+        FaultKind.STORE_WRITES_AFTER_RETURN,
     }
 )
 
