A table that the store made only after its return is no table of the era before

Callers would see: two servers run requests on the same keys after the store came back from a copy, where a write of the lost span was made late. Cause: a leader of the new era read the rows of the former one and took the table with the highest version, also where it had followed that era to its end: a write whose conditions the copy meets is made seconds later in the former era's part, above what was in force. Class: a row counts as newest by its number alone, across a return. Why this works: whoever led or followed the former era to its end knows its newest table; rows of it are read by others alone. Ruled out: for who knows nothing of the era the late table may still be the newest it sees: a token that was given out twice then tells nothing (open).

--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -84,7 +84,9 @@
             for row in rows:
                 if row.key == LEADER_KEY:
                     self._leadership.note_former(LeaderRow.decode(row.value, row.version))
-            self._tables.apply(rows)
+            # Whoever followed that era knows its newest table: what lies above it was made late.
+            if not self._leadership.knows_former_era(era):
+                self._tables.apply(rows)
             if any(row.key.startswith(OWNERS_PREFIX) for row in rows):
                 break
         return self._leadership.may_act()
