A leader that hears a later one acts no more, and has not led until the era ended

Callers would see: two servers run requests on the same keys after the store came back from a copy. Cause: a leader that is cut off from the store may act for its lease of 6 s, a challenge does not wait for that. Both it and its successor had then led until the era ended, and the earlier one carried its older table over without a doubt. Class: a lease taken for sole leadership. Why this works: a beat of a later epoch ends the leadership in this process at once, for orders as for the return of the store; from then on it goes by what it followed.

--- a/indigoworks/ownership/leader_signs.py
+++ b/indigoworks/ownership/leader_signs.py
@@ -35,6 +35,10 @@
             self._beat = beat
             self._beat_s = self._clock.now()
 
+    def heard_after(self, epoch: int) -> bool:
+        """Tell whether a beat of a later epoch was heard."""
+        return self._beat is not None and self._beat.epoch > epoch
+
     def beat_age_s(self, epoch: int) -> float:
         """Return the age of the newest beat of `epoch` that was heard here; infinity: none."""
         if self._beat is None or self._beat.epoch != epoch:
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -157,10 +157,7 @@
         return self._is_first_after(era) and (self.former.is_led or self.former.is_fresh)
 
     def _acted_last(self) -> LeaderRow:
-        """Return the newest row whose leader may have given orders.
-
-        The row may name this process before it knows of that: then the one before acted last.
-        """
+        """Return the newest row whose leader may have given orders; that may be the one before."""
         return self.predecessor if self._names_us() and not self.is_acting() else self._row
 
     def is_acting(self) -> bool:
@@ -190,7 +187,8 @@
 
     def may_act(self) -> bool:
         """Tell whether this process may act as leader now; ask right before each order."""
-        return self._names_us() and not self._is_resigned and self.proof_age_s() < LEADER_LEASE_S
+        is_over = self._is_resigned or self.signs.heard_after(self._row.epoch)
+        return self._names_us() and not is_over and self.proof_age_s() < LEADER_LEASE_S
 
     def proof_age_s(self) -> float:
         """Return the age of the newest proof of leadership; infinity: there is none."""
