A leader takes a service's table under new tokens however late it knows of the service

Callers would see: two servers run requests on the same keys when a leader starts, or starts again, before it has read the configuration. Cause: the tables were taken over once, for the services that the configuration named at that moment. Of a process that had not read it yet that is none: it then renewed and moved ranges under its predecessor's tokens, and a grant that the predecessor had left waiting at a paused server was taken as one of its own. Class: a step of the beginning that is skipped where its input is not there yet. Why this works: whether a table was taken is kept for each service and life of a leader; nothing is done with one before.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -80,6 +80,12 @@
   Scenario: A late report of an earlier life that was never heard does not silence the node
     Then gateway owner proofs: a node is heard on after a late report of a life that was never heard
 
+  Scenario: A leader that learns late of a service does not go on under its predecessor's tokens
+    Then gateway owner proofs: a table is taken under new tokens however late its service is known
+
+  Scenario: A silent server whose only renewed range moves is renewed for its other ranges
+    Then gateway owner proofs: a keeper that is to grant no more lets others ask a silent server
+
   Scenario: A leader that resigned is not armed again
     Then gateway owner proofs: an answer that was under way arms no leader that resigns
 
--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -141,6 +141,7 @@
         self.directory = PeerDirectory("n1")
         self.group = ControlGroup(self.health.eras)
         self.led = 0
+        self.services = [SERVICE]
         self.leadership = Leadership(
             "n1",
             "boot-2",
@@ -212,7 +213,7 @@
             writer,
             self.servers,
             self.peers,
-            lambda: [SERVICE],
+            lambda: self.services,
             lambda server_id: 0.1,
             self.clock,
         )
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -96,6 +96,7 @@
         self._cleaned_s = float("-inf")
         self._fenced_s = float("-inf")
         self._failed_s = float("-inf")
+        self._taken: set[str] = set()
         self._seen: dict[str, tuple[frozenset[str], float]] = {}
         self._recovery = TableRecovery(
             leadership, tables, writer, keepers, bounds, policy, servers, clock
@@ -163,8 +164,13 @@
         table = self._tables.table(service)
         self._note_inherited(table)
         if table.version.era != self._leadership.era:
-            return await self._recovery.carry_over(service)
-        return not table.ranges or await self._writer.write(with_new_tokens(table), "new_leader")
+            is_taken = await self._recovery.carry_over(service)
+        else:
+            new_tokens = with_new_tokens(table)
+            is_taken = not table.ranges or await self._writer.write(new_tokens, "new_leader")
+        if is_taken:
+            self._taken.add(service)
+        return is_taken
 
     def _note_inherited(self, table: OwnershipTable) -> None:
         for owned in table.ranges:
@@ -176,11 +182,10 @@
     async def _look_after(self, service: str) -> None:
         if not self._leadership.may_act():
             return
+        # The configuration may be read, or name a service, only after this process began to lead.
+        if service not in self._taken and not await self._take_table(service):
+            return
         table = self._tables.table(service)
-        if table.version.era != self._leadership.era:
-            if not await self._recovery.carry_over(service):
-                return
-            table = self._tables.table(service)
         if not table.ranges:
             await self._first_table(service)
             return
