A keeper that is to grant no more lets others ask a silent server

Callers would see: keys refused for as long as a write of the owners' row stays unsettled, at a server that answers. Cause: brought by: at a silent server one range alone is renewed, to see whether it answers; a keeper that was quiesced for a write kept that place. Why this works: it gives the place up when it stops to grant. Conclusion: found by review, not seen in a run of real processes.

--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -118,6 +118,7 @@
         """
         self._is_quiet = True
         await self._no_order.wait()
+        self._reach.drop_sender(self.owned.server_id, self)
 
     def resume(self) -> None:
         """Renew again: the row leaves the range with its owner."""
