--- a/features/steps/key_soak_command.py
+++ b/features/steps/key_soak_command.py
@@ -73,7 +73,9 @@
     if not violations and not chosen.keep:
         shutil.rmtree(folder)
         return False
-    (folder / "violations").write_text("\n".join(map(str, (*violations, *passed))) + "\n")
+    (folder / "violations").write_text(
+        "\n".join((*map(str, violations), *(f"excused: {each}" for each in passed))) + "\n"
+    )
     (folder / "plan").write_text("\n".join(map(str, plan)) + "\n")
     (folder / "healed").write_text("\n".join(map(str, history.healed)) + "\n")
     return bool(violations)
