A move that was granted is not taken back by the next leader

Callers would see: two holders of a key after a leader was lost within 8 s of a move, and keys that change hands twice for nothing. The next leader released that one, gave the range back to it, and forgot that the present owner, which held it, may have a grant of the lost leader on its way. Why this works: a range goes back only where its move may not have been granted, by the ranges that the lost leader's last beat called pending, or where it was never heard; and what may be on its way to the present owner is not forgotten by it. Conclusion: found by review, not seen in a run of real processes.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -86,6 +86,9 @@
   Scenario: A silent server whose only renewed range moves is renewed for its other ranges
     Then gateway owner proofs: a keeper that is to grant no more lets others ask a silent server
 
+  Scenario: A granted move is not taken back by the next leader
+    Then gateway owner proofs: keys that a lost leader has granted to their new owner stay with it
+
   Scenario: A leader that resigned is not armed again
     Then gateway owner proofs: an answer that was under way arms no leader that resigns
 
--- a/indigoworks/ownership/former_owners.py
+++ b/indigoworks/ownership/former_owners.py
@@ -166,18 +166,18 @@
             return PassingProof.RELEASED
         self._released.add(server_id)
         self.answers_late = server_id
-        # The earlier leader has granted the keys to one of the two. The range goes back to the
-        # former owner; that its present one be fenced first as well would never end.
-        self._bounds.drop_inherited(self._owned.server_id, *self._keys())
+        # The range goes back. For its present owner a release is enough then, as far as this goes:
+        # the two would be fenced in turn for ever.
+        self._bounds.drop_unfenced(self._owned.server_id, *self._keys())
         return None
 
     def _may_have_inherited(self, server_id: str) -> bool:
         """Tell whether a server that has released the keys may take an earlier leader's grant.
 
-        Not where several servers may hold them: it is not known to whom they were granted.
+        Not where the present owner was granted them since, nor where several servers may hold them.
         """
         is_only = len(self._owned.former) == 1
-        return is_only and self._bounds.is_inherited(server_id, *self._keys())
+        return is_only and self._bounds.is_unfenced(server_id, *self._keys())
 
     async def _answered_release(self, record: ServerRecord, release: KeyRelease) -> OrderOutcome:
         """Send a release until it is answered, at most for RELEASE_TIMEOUT_S."""
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -97,6 +97,7 @@
         self._fenced_s = float("-inf")
         self._failed_s = float("-inf")
         self._taken: set[str] = set()
+        self._before: PredecessorBound | None = None
         self._seen: dict[str, tuple[frozenset[str], float]] = {}
         self._recovery = TableRecovery(
             leadership, tables, writer, keepers, bounds, policy, servers, clock
@@ -104,7 +105,7 @@
 
     async def run(self, predecessor: LeaderRow) -> None:
         """Lead until another leader is named, or none."""
-        before = PredecessorBound(predecessor, self._leadership.signs)
+        before = self._before = PredecessorBound(predecessor, self._leadership.signs)
         epoch = self._leadership.row.epoch
         await self._writer.read_again()
         if not self._leadership.led_former_era(self._leadership.era - 1):
@@ -162,7 +163,7 @@
 
     async def _take_table(self, service: str) -> bool:
         table = self._tables.table(service)
-        self._note_inherited(table)
+        self._note_inherited(service, table)
         if table.version.era != self._leadership.era:
             is_taken = await self._recovery.carry_over(service)
         else:
@@ -172,10 +173,15 @@
             self._taken.add(service)
         return is_taken
 
-    def _note_inherited(self, table: OwnershipTable) -> None:
+    def _note_inherited(self, service: str, table: OwnershipTable) -> None:
         for owned in table.ranges:
-            for server_id in (owned.server_id, *(each.server_id for each in owned.former)):
-                self._bounds.note_inherited(server_id, owned.first, owned.last)
+            keys = (owned.first, owned.last)
+            self._bounds.note_inherited(owned.server_id, *keys)
+            self._bounds.note_unfenced(owned.server_id, *keys)
+            for former in owned.former:
+                self._bounds.note_inherited(former.server_id, *keys)
+                if self._before is None or self._before.may_be_pending(service, *keys):
+                    self._bounds.note_unfenced(former.server_id, *keys)
 
     # ---- one service ----
 
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -64,6 +64,7 @@
         self._past_s: dict[_Hold, float] = {}
         self._predecessor_s = float("inf")
         self._inherited = KeySpans()
+        self._unfenced = KeySpans()
 
     def start_epoch(self, predecessor_until_s: float) -> None:
         """Begin as a new leader; what this process granted as an earlier one may still hold.
@@ -71,6 +72,7 @@
         :param predecessor_until_s: bound of what earlier leaders granted, as known now.
         """
         self._inherited = KeySpans()
+        self._unfenced = KeySpans()
         self._predecessor_s = predecessor_until_s
 
     def note_possible(self, server_id: str, owned: OwnedRange, until_s: float) -> None:
@@ -96,7 +98,8 @@
         """Take note that the grant was answered now: it was taken before this moment."""
         hold = _hold(owned)
         self._open_s.pop(hold, None)
-        self._inherited.remove(owned.server_id, owned.first, owned.last)
+        for spans in (self._inherited, self._unfenced):
+            spans.remove(owned.server_id, owned.first, owned.last)
         for known in (self._settled_s, self._open_s, self._late_s, self._past_s):
             _take_below(known, owned.server_id, owned.first, owned.last, owned.token)
         until_s = self._clock.now() + hold_s * CLOCK_FACTOR + MARGIN_S
@@ -125,9 +128,17 @@
         """Take note that earlier leaders may have sent the server grants of keys."""
         self._inherited.add(server_id, first, last)
 
-    def drop_inherited(self, server_id: str, first: int, last: int) -> None:
-        """Take note that no grant of these keys by an earlier leader is on its way to a server."""
-        self._inherited.remove(server_id, first, last)
+    def note_unfenced(self, server_id: str, first: int, last: int) -> None:
+        """Take note that a release of keys says less of a server than a grant under a new token."""
+        self._unfenced.add(server_id, first, last)
+
+    def drop_unfenced(self, server_id: str, first: int, last: int) -> None:
+        """Take note that a release of keys is enough from now on."""
+        self._unfenced.remove(server_id, first, last)
+
+    def is_unfenced(self, server_id: str, first: int, last: int) -> bool:
+        """Tell whether a server is to answer a grant of any of the keys before it is released."""
+        return self._unfenced.touches(server_id, first, last)
 
     def is_inherited(self, server_id: str, first: int, last: int) -> bool:
         """Tell whether grants of any of the keys by earlier leaders may be on their way.
--- a/indigoworks/ownership/leader_signs.py
+++ b/indigoworks/ownership/leader_signs.py
@@ -1,7 +1,7 @@
 """Signs of life of leaders, from the exchange between gateways."""
 
 from indigoworks.common.clock import Clock
-from indigoworks.exchange.leader_beat import LeaderBeat
+from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.exchange.peer_view import PeerView
@@ -94,6 +94,12 @@
             return float("-inf")
         return self._beat_s + self._beat.earlier_hold_s
 
+    def announced_pending(self, epoch: int) -> tuple[PendingRange, ...] | None:
+        """Return the ranges that the leader of `epoch` had yet to grant; None: it was not heard."""
+        if self._beat is None or self._beat.epoch != epoch:
+            return None
+        return self._beat.pending
+
     def proved_s(self, epoch: int) -> float:
         """Return the time of the newest proof of which the leader of `epoch` told.
 
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -38,6 +38,16 @@
         row = self.row
         return row.node == "" or self._signs.acts_no_more(row.node, row.boot, row.epoch)
 
+    def may_be_pending(self, service: str, first: int, last: int) -> bool:
+        """Tell whether it may not have granted a range to the owner that its row names."""
+        pending = self._signs.announced_pending(self.row.epoch)
+        if pending is None:
+            return True
+        return any(
+            each.service == service and each.first <= last and first <= each.last
+            for each in pending
+        )
+
     def until_s(self, now_s: float, hold_max_s: float) -> float:
         """Return the bound as known at `now_s`; minus infinity: there was no predecessor.
 
