--- a/features/steps/gateway_signals_steps.py
+++ b/features/steps/gateway_signals_steps.py
@@ -9,13 +9,13 @@
 from random import Random
 
 from behave import given, then, when
-from gateway_soak_documents import configuration, settings
 from gateway_soak_gateway import GRACE_S, SoakGateway
-from gateway_soak_ports import HeldPorts
 from gateway_soak_store import SoakStore
 
 from indigoworks_lab.client.polling import becomes_true
 from indigoworks_lab.gateway_soak.gateway_waits import is_ready
+from indigoworks_lab.gateway_soak.held_ports import HeldPorts
+from indigoworks_lab.gateway_soak.soak_documents import configuration, settings
 
 START_TIMEOUT_S = 40.0
 POLL_S = 0.01
--- a/features/steps/gateway_soak_gateway.py
+++ b/features/steps/gateway_soak_gateway.py
@@ -6,10 +6,9 @@
 import sys
 from pathlib import Path
 
-from gateway_soak_documents import settings
-
 from indigoworks.common.address import Address
 from indigoworks_lab.gateway_soak.process_life import ProcessLife
+from indigoworks_lab.gateway_soak.soak_documents import settings
 from indigoworks_lab.launcher.free_ports import LOOPBACK
 from indigoworks_lab.launcher.managed_process import ManagedProcess
 
--- a/features/steps/gateway_soak_world.py
+++ b/features/steps/gateway_soak_world.py
@@ -4,15 +4,15 @@
 import math
 from random import Random
 
-from gateway_soak_documents import DRAIN_S, configuration, server_entry
 from gateway_soak_gateway import SoakGateway
-from gateway_soak_ports import HeldPorts
 from gateway_soak_server import SoakServer
 from gateway_soak_store import SoakStore
 from platform_folder_store_stand_in import FOLDER  # noqa: F401 - makes header_names importable
 
-from header_names import HEADER_NAMES  # isort: skip
+from indigoworks_lab.gateway_soak.held_ports import HeldPorts
+from indigoworks_lab.gateway_soak.soak_documents import DRAIN_S, configuration, server_entry
 
+from header_names import HEADER_NAMES  # isort: skip
 
 from indigoworks_lab.client.polling import becomes_true
 from indigoworks_lab.gateway_soak.caller_limits_view import CallerLimitsView
--- a/features/steps/key_soak_world.py
+++ b/features/steps/key_soak_world.py
@@ -5,12 +5,13 @@
 from collections import Counter
 from random import Random
 
-from gateway_soak_documents import configuration
 from gateway_soak_gateway import ROOT, SoakGateway
-from gateway_soak_ports import HeldPorts
 from key_soak_store import KeySoakStore
 from platform_folder_store_stand_in import FOLDER  # noqa: F401 - makes header_names importable
 
+from indigoworks_lab.gateway_soak.held_ports import HeldPorts
+from indigoworks_lab.gateway_soak.soak_documents import configuration
+
 from header_names import HEADER_NAMES  # isort: skip
 
 from indigoworks_lab.client.polling import becomes_true
--- a/features/steps/gateway_soak_ports.py
+++ b/indigoworks_lab/gateway_soak/held_ports.py
@@ -13,15 +13,18 @@
     """
 
     def __init__(self) -> None:
-        self._sockets = []
+        self._sockets: list[socket.socket] = []
 
     def next_port(self) -> int:
+        """Return a port that is held from now on."""
         held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         held.bind((LOOPBACK, 0))
         self._sockets.append(held)
-        return held.getsockname()[1]
+        port: int = held.getsockname()[1]
+        return port
 
     def close(self) -> None:
+        """Give all ports back."""
         for held in self._sockets:
             held.close()
--- a/features/steps/gateway_soak_documents.py
+++ b/indigoworks_lab/gateway_soak/soak_documents.py
@@ -1,7 +1,10 @@
 """What a soak writes into the store and into settings files."""
 
 import json
+from collections.abc import Sequence
+from typing import Any, Protocol
 
+from indigoworks.common.address import Address
 from indigoworks_lab.gateway_soak.soak_caller import HOST_NAME
 
 SERVICE = "shop"
@@ -13,7 +16,18 @@
 HEARTBEAT_S = 1.5
 
 
-def route(name, prefix, kind, host=HOST_NAME):
+class SettledGateway(Protocol):
+    """What the settings of a gateway name of it."""
+
+    name: str
+    address: Address
+    readiness: Address
+    peer_port: int
+    metrics_port: int
+
+
+def route(name: str, prefix: str, kind: str, host: str = HOST_NAME) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
     return {
         "name": name,
         "host": host,
@@ -26,7 +40,13 @@
     }
 
 
-def configuration(version, versions, fillers, idle_timeout_s, max_body_bytes):
+def configuration(
+    version: int,
+    versions: Sequence[int],
+    fillers: int,
+    idle_timeout_s: float,
+    max_body_bytes: int,
+) -> bytes:
     """Return the value of the configuration's row; `versions` are those that added routes."""
     routes = [
         route(f"{kind}{each}", f"/{kind}{each}/", kind)
@@ -47,7 +67,8 @@
     return json.dumps(document).encode()
 
 
-def server_entry(address, zone, is_leaving, sequence):
+def server_entry(address: Address, zone: str, is_leaving: bool, sequence: int) -> bytes:
+    """Return the value of a server's row."""
     document = {
         "service": SERVICE,
         "address": str(address),
@@ -61,7 +82,7 @@
     return json.dumps(document).encode()
 
 
-def settings(gateway, store, grace_s):
+def settings(gateway: SettledGateway, store: Address, grace_s: float) -> dict[str, Any]:
     """Return what the settings file of a gateway says."""
     return {
         "node": gateway.name,
