An unanswered grant stays possible after its server's entry is forgotten

Callers would see: two holders of a key after a server stood still for over a minute. Cause: a server that had not been listed for 60 s was no longer known to the list; its address gone, the time bound decided, and it could not be asked either. Any 421 also ended its silence. Why this works: silence is looked at before the list, the last entry is kept by whoever waits for the server, and whoever answers 421 is not the server.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -30,6 +30,13 @@
     And waiting gateway owner grants are taken 60 s later
     Then no two gateway owners held one key
 
+  Scenario: An unanswered grant stays possible when the entry of its server is forgotten
+    Given a gateway owner world in which "a" has all keys
+    When gateway owner "a" leaves a grant unanswered and falls silent
+    And the entry of gateway owner "a" goes and is forgotten
+    And waiting gateway owner grants are taken 2 s later
+    Then no two gateway owners held one key
+
   Scenario Outline: A grant is taken late by servers that <memory>
     Given a gateway owner world in which "a" has all keys
     And gateway owners that <memory>
--- a/features/steps/gateway_owner_proof_steps.py
+++ b/features/steps/gateway_owner_proof_steps.py
@@ -142,6 +142,15 @@
     context.run_async(run())
 
 
+@when('the entry of gateway owner "{name}" goes and is forgotten')
+def step_forgotten(context, name):
+    world = context.proof
+    world.servers.remove(name)
+    step_time(context, REMEMBERED_S + 1.0)
+    world.servers.forget_old()
+    assert world.servers.get(name) is None
+
+
 @when("{duration_s:g} s of gateway owner time pass")
 def step_time(context, duration_s):
     context.run_async(context.proof.pass_time(duration_s))
--- a/indigoworks/ownership/former_owners.py
+++ b/indigoworks/ownership/former_owners.py
@@ -63,6 +63,7 @@
         self._log = log
         self._clock = clock
         self._unasked_until_s = float("-inf")
+        self._records: dict[str, ServerRecord] = {}
         self._released: set[str] = set()
         self.handover: str | None = None
         self.answers_late: str | None = None
@@ -107,6 +108,13 @@
             return self._log.bound_that_ended(server_id)
         return None
 
+    def _record(self, server_id: str) -> ServerRecord | None:
+        """Return a server as the list named it last, however long ago, so that it can be asked."""
+        record = self._servers.get(server_id)
+        if record is not None:
+            self._records[server_id] = record
+        return self._records.get(server_id)
+
     def _may_have_order(self, server_id: str) -> bool:
         """Tell whether a grant of these keys may be on its way to a server."""
         is_inherited = self._bounds.is_inherited(server_id, *self._keys())
@@ -118,10 +126,9 @@
         Its process may stand still for however long; a hold begins when the order is taken. It has
         ended where nobody listens any more and its entry is gone.
         """
-        if self._servers.get(server_id) is None:
-            return self._unasked_until_s
         if not self._reach.is_silent(server_id):
-            return float("-inf")
+            is_known = self._record(server_id) is not None
+            return float("-inf") if is_known else self._unasked_until_s
         refused_s = self._reach.refused_since_s(server_id)
         if refused_s is None or self._servers.is_listed(server_id):
             return float("inf")
@@ -142,7 +149,7 @@
 
     async def release(self, server_id: str) -> PassingProof | None:
         """Have a server give the keys up; None: that does not show that it holds none."""
-        record = self._servers.get(server_id)
+        record = self._record(server_id)
         if record is None or not self._leadership.may_act():
             return None
         release = KeyRelease(*self._keys(), self._owned.token - 1)
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -87,7 +87,7 @@
             self._unanswered_s[server_id] = self._clock.now()
             silence = self._silence.setdefault(server_id, _Silence())
             silence.asker = silence.asker or sender
-        elif result.is_answer:
+        elif result.is_answer and result is not OrderResult.OTHER_SERVER:
             self._silence.pop(server_id, None)
 
     def _note_refusal(self, server_id: str, result: OrderResult) -> None:
