--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -233,8 +233,8 @@
         return max(later, key=lambda each: each.version, default=None)
 
     def _came_after(self, one: ServerRecord, other: ServerRecord) -> bool:
-        if 0 < one.started_ms != other.started_ms > 0:
-            return one.started_ms > other.started_ms
+        if 0 < one.started_ms < other.started_ms:
+            return False  # Their order says otherwise, perhaps: then neither is known.
         other_first = self._first_versions.get(other.server_id, other.version)
         return self._first_versions[one.server_id] > other_first
 
