--- a/features/control_simulation_machines.feature
+++ b/features/control_simulation_machines.feature
@@ -25,6 +25,10 @@
     When control simulation pauses servers for 18 s and 25 s
     Then control simulation found nothing in any of the runs
 
+  Scenario: A server that is paused while the leader is lost takes back no keys
+    When control simulation pauses a server for 25 s and kills the leader meanwhile
+    Then control simulation found nothing in any of the runs
+
   Scenario: Servers that forget the tokens of releases take back no keys by late orders
     When control simulation lets servers forget the tokens of releases while orders are late
     Then control simulation found nothing in any of the runs
--- a/features/steps/control_simulation_machine_steps.py
+++ b/features/steps/control_simulation_machine_steps.py
@@ -34,6 +34,7 @@
     ((1.0, 5.0), (9.0, 5.0)),
     ((1.0, 15.0), (3.0, 14.0)),
 )
+LOST_LEADER_SEEDS = (3, 5, 7)
 FORGETTING_SEEDS = (1, 2)
 SEEDS = (1, 2, 3)
 BEFORE_BYTES = {
@@ -91,6 +92,15 @@
     ]
 
 
+@when("control simulation pauses a server for 25 s and kills the leader meanwhile")
+def step_paused_without_leader(context):
+    faults = (
+        DrawnFault(FaultKind.SERVER_PAUSED, 1.0, 25.0),
+        DrawnFault(FaultKind.LEADER_KILLED, 4.0, 2.0),
+    )
+    context.reports = [run_faults(seed, *faults) for seed in LOST_LEADER_SEEDS]
+
+
 @when("control simulation lets servers forget the tokens of releases while orders are late")
 def step_forgotten_releases(context):
     late = DrawnFault(FaultKind.ORDERS_LATE, 0.5, 16.0)
