A leader tells which servers left its orders unanswered; its successor never rules them out by time

Callers would see: two servers run requests on the same keys where a server stands still for long and the leader is lost meanwhile. Cause: that a server is silent was known to the leader that met it. Its successor, whose connections the server's full queue no longer takes, went by the predecessor's bound. Why this works: beats name the silent servers, and whoever takes over begins with them as its own; only their answer, or their known end, takes that back. It goes through chains of leaders as the bounds do.

--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -130,6 +130,7 @@
     message.leader.epoch = beat.epoch
     message.leader.proof_age_ms = _milliseconds_up(beat.proof_age_s)
     message.leader.hold_ms = _milliseconds_up(beat.hold_s)
+    message.leader.silent_servers.extend(beat.silent_servers)
     message.leader.earlier_hold_ms = _milliseconds_up(beat.earlier_hold_s)
     for each in beat.pending:
         message.leader.pending.add(
@@ -147,6 +148,7 @@
             PendingRange(each.service, each.first, each.last, each.token) for each in beat.pending
         ),
         earlier_hold_s=beat.earlier_hold_ms / MS_PER_S,
+        silent_servers=tuple(beat.silent_servers),
     )
 
 
--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -135,6 +135,7 @@
             hold_s=self._bounds.longest_left_s(),
             pending=self.keepers.pending(),
             earlier_hold_s=self._earlier_hold_s(),
+            silent_servers=self._reach.silent_servers(),
         )
 
     def _earlier_hold_s(self) -> float:
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -110,6 +110,8 @@
         await self._writer.read_again()
         if not self._leadership.led_former_era(self._leadership.era - 1):
             self._bounds.start_epoch(self._predecessor_until_s(before))
+            for server_id in before.silent_servers():
+                self._reach.note_silent(server_id)
         self._leadership.start_acting(epoch, before, self._bounds, self._reach.orders)
         try:
             while self._leads(epoch) and not await self._take_tables():
--- a/indigoworks/ownership/leader_signs.py
+++ b/indigoworks/ownership/leader_signs.py
@@ -100,6 +100,12 @@
             return None
         return self._beat.pending
 
+    def announced_silent(self, epoch: int) -> tuple[str, ...]:
+        """Return the servers that left orders of the leader of `epoch` unanswered, as it told."""
+        if self._beat is None or self._beat.epoch != epoch:
+            return ()
+        return self._beat.silent_servers
+
     def proved_s(self, epoch: int) -> float:
         """Return the time of the newest proof of which the leader of `epoch` told.
 
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -38,6 +38,10 @@
         row = self.row
         return row.node == "" or self._signs.acts_no_more(row.node, row.boot, row.epoch)
 
+    def silent_servers(self) -> tuple[str, ...]:
+        """Return the servers that left orders of its unanswered, as far as it told."""
+        return self._signs.announced_silent(self.row.epoch)
+
     def may_be_pending(self, service: str, first: int, last: int) -> bool:
         """Tell whether it may not have granted a range to the owner that its row names."""
         pending = self._signs.announced_pending(self.row.epoch)
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -100,6 +100,10 @@
         """Take note that a server has not answered a release yet."""
         self._silence.setdefault(server_id, _Silence())
 
+    def silent_servers(self) -> tuple[str, ...]:
+        """Return the servers that left an order unanswered and have not answered since."""
+        return tuple(self._silence)
+
     def may_grant(self, server_id: str, sender: object) -> bool:
         """Tell whether a keeper may grant its range to a server now.
 
