An entry that a copy of the store brought back is not that of a later server

Callers would see: keys taken from a living server at once, beside its hold, after a return of the store from a copy. Cause: which of two servers at an address came later was told by versions of their first entries; a gateway that started since took the entry of an ended server, brought back by the copy, for the later one. Why this works: an entry of a later era that does not name its start says nothing of one of an earlier era.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -118,6 +118,9 @@
   Scenario: An entry that was written late says nothing of the server in its place
     Then gateway owner proofs: an ended server's late entry does not end the one at its address
 
+  Scenario: An entry that a copy of the store brings back says nothing of the server in its place
+    Then gateway owner proofs: an entry of an ended server in a later era does not end the next one
+
   Scenario: The time of day of an ended server's machine says nothing of the server in its place
     Then gateway owner proofs: a start by a clock that is ahead does not end the one at its address
 
--- a/features/steps/gateway_owner_bound_steps.py
+++ b/features/steps/gateway_owner_bound_steps.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
 from types import SimpleNamespace
 
-from backend_manual_clock import ManualClock, settle
 from behave import then
 from gateway_control_world import HOLD_MAX_S, SERVICE
 from gateway_owner_proof_world import ProofWorld
@@ -14,6 +14,8 @@
 from hypothesis import strategies
 from store_versions import at
 
+from indigoworks_lab.simulation.core.manual_clock import ManualClock, settle
+
 # isort: split
 from header_names import HEADER_NAMES
 from http_server_orders import HttpServerOrders
@@ -229,6 +231,16 @@
     return servers.is_gone("new")
 
 
+@then("gateway owner proofs: an entry of an ended server in a later era does not end the next one")
+def step_entry_of_copy(context):
+    clock = ManualClock()
+    servers = ServerList(StoreHealth(clock), 1.0, clock)
+    address = Address(HOST, 1)
+    servers.put(replace(make_record("new", address, 95), version=at(95)))
+    servers.put(replace(make_record("ended", address, 55), version=at(55, 1)))
+    assert not servers.is_gone("new"), "the living server counts as ended"
+
+
 @then("gateway owner proofs: an ended server's late entry does not end the one at its address")
 def step_late_entry(context):
     assert not is_new_gone(new=(10, 2000), ended=(12, 1000))
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -67,8 +67,7 @@
 
     def set_heartbeat(self, heartbeat_s: float) -> None:
         """Take note of the time in which servers renew their entries."""
-        by_heartbeats_s = TROUBLE_HEARTBEATS * heartbeat_s + TROUBLE_MARGIN_S
-        self._settle_s = min(by_heartbeats_s, MAX_SETTLE_S)
+        self._settle_s = min(TROUBLE_HEARTBEATS * heartbeat_s + TROUBLE_MARGIN_S, MAX_SETTLE_S)
 
     def put(self, record: ServerRecord) -> None:
         """Take a new or changed entry."""
@@ -233,10 +232,11 @@
         return max(later, key=lambda each: each.version, default=None)
 
     def _came_after(self, one: ServerRecord, other: ServerRecord) -> bool:
-        if 0 < one.started_ms < other.started_ms:
-            return False  # Their order says otherwise, perhaps: then neither is known.
+        first = self._first_versions[one.server_id]
         other_first = self._first_versions.get(other.server_id, other.version)
-        return self._first_versions[one.server_id] > other_first
+        # A copy of the store may bring back an entry; where the starts say otherwise none is known.
+        may_be_old = one.started_ms == 0 and first.era != other_first.era
+        return first > other_first and not may_be_old and not 0 < one.started_ms < other.started_ms
 
     def service_at(self, host: str) -> str | None:
         """Return the service of the server that was listed last at an address; None: none was."""
