--- a/indigoworks_lab/control_simulation/broken_machine_rules.py
+++ b/indigoworks_lab/control_simulation/broken_machine_rules.py
@@ -59,6 +59,8 @@
         "A gateway reads a clock that stands still while its machine is suspended.",
         lease_checker.CHECKER,
         lambda: [Replacement(NodeClock, "now", _now_without_suspension)],
+        (FaultKind.LEADER_CUT_FROM_STORE, 0.9, 12.0),
+        (FaultKind.LEADER_CUT_FROM_PEERS, 0.9, 12.0),
         (FaultKind.LEADER_SUSPENDED, 1.0, 9.0),
     ),
     broken_control_rule(
