--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -5,7 +5,6 @@
 from random import Random
 from typing import Any
 
-from backend_manual_clock import ManualClock, settle
 from behave import given, then, when
 
 from indigoworks.backend.granted_range import GrantedRange
@@ -19,6 +18,7 @@
 from indigoworks_lab.backend.stand_in_identity import StandInIdentity
 from indigoworks_lab.backend.stand_in_profile import StandInProfile
 from indigoworks_lab.backend.stand_in_server import StandInServer
+from indigoworks_lab.simulation.core.manual_clock import ManualClock, settle
 
 LEASE_S = 1.5
 GENERATION = 3
--- a/features/steps/gateway_cold_server_steps.py
+++ b/features/steps/gateway_cold_server_steps.py
@@ -3,7 +3,6 @@
 import json
 from bisect import bisect_left
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_control_steps import until
 from gateway_control_world import SERVICE
@@ -18,6 +17,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.servers.cold_servers import ColdLimit, ColdServers
 from indigoworks.servers.zone_evacuations import ZoneEvacuations
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 ZONES = ("z1", "z2", "z3")
 COLD_S = 10.0
--- a/features/steps/gateway_configuration_pace_steps.py
+++ b/features/steps/gateway_configuration_pace_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_world import make_configuration, make_ports, make_settings
 from result import Ok
@@ -12,6 +11,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 TABLE = "op"
 
--- a/features/steps/gateway_drawn_server_steps.py
+++ b/features/steps/gateway_drawn_server_steps.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from random import Random
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_world import HOST, ZONE, make_rate_budget, make_record
 
@@ -13,6 +12,7 @@
 from indigoworks.exchange.server_load import ServerLoad, server_checksum
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 OTHER_ZONE = "z9"
 SERVICE_S = 0.3
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -3,11 +3,12 @@
 import asyncio
 from dataclasses import replace
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_world import HOST, ZONE, make_configuration, make_ports, make_record, make_settings
 from platform_folder_store_stand_in import FOLDER  # noqa: F401
 
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
+
 # isort: split
 from evacuation_reader import read_evacuated_zone
 from result import Err, Ok
--- a/features/steps/gateway_exchange_steps.py
+++ b/features/steps/gateway_exchange_steps.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 from random import Random
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_world import HOST, make_record
 from hypothesis import given as for_all
@@ -24,6 +23,7 @@
 )
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 TEXTS = strategies.text(max_size=8)
 NUMBERS = strategies.integers(0, 2**40)
--- a/features/steps/gateway_first_try_steps.py
+++ b/features/steps/gateway_first_try_steps.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_request_steps import add, make_world
 from gateway_scripted_server import BEHAVIOURS, NAMES
 from gateway_world import ask, until
 
 from indigoworks.gateway.first_tries import FirstTries
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 ROUTE = "r"
 
--- a/features/steps/gateway_lagging_feed_steps.py
+++ b/features/steps/gateway_lagging_feed_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from result import Err, Ok
 from store_versions import at
@@ -13,6 +12,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.table_follower import MAX_RETRY_S, TableFollower
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 FIRST = 10
 
--- a/features/steps/gateway_log_bound_steps.py
+++ b/features/steps/gateway_log_bound_steps.py
@@ -8,7 +8,6 @@
 from collections import Counter
 from pathlib import Path
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from eliot import add_destinations, log_message, remove_destination
 from gateway_log_steps import add_lines, drop_earlier_messages, make_buffer, pass_second
@@ -32,6 +31,7 @@
 from indigoworks.gateway.server_answer import ExchangeResult, ServerAnswer
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 FLOOD = 10
 ANSWERED = ServerAnswer(ExchangeResult.ANSWERED, 200)
--- a/features/steps/gateway_log_steps.py
+++ b/features/steps/gateway_log_steps.py
@@ -3,12 +3,12 @@
 import json
 import os
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from eliot import add_destinations, remove_destination
 
 from indigoworks.common.logging.line_buffer import MAX_BUFFERED_BYTES, LineBuffer
 from indigoworks.common.logging.line_rates import SUCCESS_LINES_PER_S, LineRates
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 TEXT = "x" * 900
 SOME_BYTES = 3 * 4096
--- a/features/steps/gateway_owner_lines_world.py
+++ b/features/steps/gateway_owner_lines_world.py
@@ -1,6 +1,5 @@
 """A leader of one range that passes from a server to the next, on a clock that is set by hand."""
 
-from backend_manual_clock import ManualClock
 from gateway_control_world import SERVICE, ControlWorld
 from store_versions import at
 
@@ -12,6 +11,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks.servers.server_record import ServerRecord
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 FIRST, LAST = 100, 199
 EPOCH = 4
--- a/features/steps/gateway_owner_outage_steps.py
+++ b/features/steps/gateway_owner_outage_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 from random import Random
 
-from backend_manual_clock import ManualClock, settle
 from behave import given, then, when
 from gateway_group_world import FixedServers
 from gateway_world import make_rate_budget, make_record
@@ -22,6 +21,7 @@
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks_lab.simulation.core.manual_clock import ManualClock, settle
 
 KEY = 7
 LAST = 65535
--- a/features/steps/gateway_owner_proof_world.py
+++ b/features/steps/gateway_owner_proof_world.py
@@ -3,7 +3,6 @@
 import asyncio
 from dataclasses import replace
 
-from backend_manual_clock import ManualClock, settle
 from gateway_control_world import SERVICE, ControlWorld, LossyRows
 from result import Ok
 from store_versions import at
@@ -17,6 +16,7 @@
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks_lab.control_simulation.recorded_servers import RecordedServers
+from indigoworks_lab.simulation.core.manual_clock import ManualClock, settle
 
 STEP_S = 0.25
 
--- a/features/steps/gateway_ownership_world.py
+++ b/features/steps/gateway_ownership_world.py
@@ -1,9 +1,8 @@
 """Keepers without tasks, and bounds of holds on a clock that is set by hand."""
 
-from backend_manual_clock import ManualClock
-
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.owned_range import OwnedRange
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 HOLD_S = 10.0
 TIMEOUT_S = 0.5
--- a/features/steps/gateway_pace_steps.py
+++ b/features/steps/gateway_pace_steps.py
@@ -2,7 +2,6 @@
 
 from itertools import pairwise
 
-from backend_manual_clock import ManualClock
 from behave import then
 from gateway_relay_world import TABLE
 from result import Ok
@@ -15,6 +14,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 MEASURED_S = 30.0
 
--- a/features/steps/gateway_paced_feed_steps.py
+++ b/features/steps/gateway_paced_feed_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 from itertools import pairwise
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from result import Ok
 from store_versions import at
@@ -11,6 +10,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.table_follower import TableFollower
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 ROW_PERIOD_S = 0.01
 
--- a/features/steps/gateway_quarantine_row_steps.py
+++ b/features/steps/gateway_quarantine_row_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_quarantine_steps import content
 from result import Ok
@@ -13,6 +12,7 @@
 from indigoworks.quarantine.quarantine_rows import ROW_PREFIX, QuarantineRows
 from indigoworks.quarantine.suspect import HARM_LIMIT
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 ENDS_S = 1.5
 """Time between two ends: ends of one second count as one."""
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -4,7 +4,6 @@
 import tracemalloc
 from itertools import count
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies
@@ -17,6 +16,7 @@
 from indigoworks.quarantine.request_content import RequestContent
 from indigoworks.quarantine.request_mark import RequestMark
 from indigoworks.quarantine.suspect import HARM_LIMIT, Suspect
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 WORST = 30
 
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -2,7 +2,6 @@
 
 from dataclasses import replace
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_relay_world import HeardPeers
 from gateway_world import HOST
@@ -24,6 +23,7 @@
 from indigoworks.relay.relay_choice import MIN_LINK_MBIT, RelayChoice, relay_capacity
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 TEXTS = strategies.text(max_size=6)
 VERSIONS = strategies.builds(
--- a/features/steps/gateway_reload_steps.py
+++ b/features/steps/gateway_reload_steps.py
@@ -7,7 +7,6 @@
 import tempfile
 from pathlib import Path
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_metrics_steps import start
 from gateway_process_world import KEYED, ProcessWorld, settings_document
@@ -18,6 +17,7 @@
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.retry_allowance import NEW_PROCESS_SHARE, RetryAllowance
 from indigoworks.servers.server_list import TROUBLE_HEARTBEATS, TROUBLE_MARGIN_S
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 
 def write_settings(context, text):
--- a/features/steps/gateway_repeat_steps.py
+++ b/features/steps/gateway_repeat_steps.py
@@ -3,7 +3,6 @@
 from collections import deque
 from random import Random
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_request_steps import add, make_world
 from gateway_scripted_server import BEHAVIOURS
@@ -24,6 +23,7 @@
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.retry_allowance import NEW_PROCESS_SHARE, SAFETY, RetryAllowance
 from indigoworks.rowstore.row import Row
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 WINDOW_S = 10.0
 
--- a/features/steps/gateway_rest_control_steps.py
+++ b/features/steps/gateway_rest_control_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 from random import Random
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_control_steps import until
 from gateway_control_world import SERVICE
@@ -21,6 +20,7 @@
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers.server_list import ServerList
 from indigoworks.servers.server_notice import ServerNotice
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 PEER_PERIOD_S = 0.2
 LOOKS_S = 1.2
--- a/features/steps/gateway_server_steps.py
+++ b/features/steps/gateway_server_steps.py
@@ -1,6 +1,5 @@
 """Steps on the list of servers that a gateway follows."""
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_world import HOST, make_record
 from hypothesis import given as for_all
@@ -11,6 +10,7 @@
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers import server_list
 from indigoworks.servers.server_list import ServerList
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 HEARTBEAT_S = 1.5
 SETTLE_S = server_list.MAX_SETTLE_S
--- a/features/steps/gateway_sick_leader_steps.py
+++ b/features/steps/gateway_sick_leader_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_control_world import HOLD_MAX_S, ControlWorld
 
@@ -10,6 +9,7 @@
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.rowstore.store_version import NO_VERSION
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 EPOCH = 3
 CHALLENGE_S = 1.0
--- a/features/steps/gateway_speeds_steps.py
+++ b/features/steps/gateway_speeds_steps.py
@@ -1,6 +1,5 @@
 """Steps on the times of requests as a gateway and its peers measured them."""
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from gateway_exchange_steps import loads_of
 from gateway_world import HOST, ZONE, make_rate_budget, make_record
@@ -10,6 +9,7 @@
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.server_board import ServerBoard
 from indigoworks.gateway.server_choice import ServerChoice
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 CHOICES = 30
 TOLERANCE_S = 1e-6
--- a/features/steps/gateway_store_probe_steps.py
+++ b/features/steps/gateway_store_probe_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from backend_manual_clock import ManualClock
 from behave import given, then, when
 from result import Err, Ok
 from store_versions import at
@@ -13,6 +12,7 @@
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.table_follower import TableFollower
 from indigoworks.rowstore.transaction import Transaction
+from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 CALL_S = 0.004
 
