--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -123,7 +123,7 @@
             return None
 
     def abort(self) -> None:
-        """Break the connection off: what has not reached the server never will."""
+        """Break the connection off; a server may still read what has reached its kernel."""
         if self._stream.closed():
             return
         with contextlib.suppress(OSError):
--- a/indigoworks/ownership/order_outcome.py
+++ b/indigoworks/ownership/order_outcome.py
@@ -15,8 +15,8 @@
     NOT_SENT = "not_sent"
     """No connection came about: the order certainly did not reach any server."""
     REFUSED_CONNECTION = "refused_connection"
-    """Nobody listens at the address: the order did not reach any server, and orders that waited
-    there to be taken are gone."""
+    """The connection was refused: the order did not reach any server. Nobody listens there,
+    or a path that is cut refuses in its stead."""
     WITHHELD = "withheld"
     """The sender itself may no longer send: the order certainly did not reach any server, which
     says nothing of the server."""
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -176,7 +176,7 @@
     def _sure(self, service: str, owned: OwnedRange) -> OwnedRange:
         """Return a range with the former owners that are to be ruled out in the new era.
 
-        Bounds in the row are readings of the store's clock in the former era.
+        A range that its owner held when this process led last has none.
         """
         is_granted = owned in self._keepers.granted_at_stop(service)
         left = () if is_granted else owned.former
