A leader that does not act yet tells the bound that it will wait for, not the longest there is

Callers would see: keys of a server that has ended refused for 22 s after changes of leader in a slow store. Why this works: it tells the bound that it computes from its predecessor's beats, which is the one that it will begin with. Conclusion: waits of 16.4 s after a leader that was never heard stay.

--- a/indigoworks/gateway/control_side.py
+++ b/indigoworks/gateway/control_side.py
@@ -20,11 +20,10 @@
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HoldPolicy
 from indigoworks.ownership.keeper_set import KeeperSet
-from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_tables import OwnershipTables
-from indigoworks.ownership.predecessor_bound import longest_unheard_s
+from indigoworks.ownership.predecessor_bound import PredecessorBound
 from indigoworks.ownership.range_keeper import RangeKeeper
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_writer import TableWriter
@@ -139,9 +138,12 @@
         )
 
     def _earlier_hold_s(self) -> float:
+        """Return how long grants of earlier leaders may hold, also before this one acts."""
         if self.leadership.is_acting():
             return self._bounds.earlier_left_s()
-        return LEADER_LEASE_S + longest_unheard_s(self._policy.longest_max_s)
+        before = PredecessorBound(self.leadership.acted_before(), self.leadership.signs)
+        now_s = self._clock.now()
+        return max(0.0, before.until_s(now_s, self._policy.longest_max_s) - now_s)
 
     def take_report(self, report: PeerReport) -> None:
         """Take a report of a peer."""
