The broken rule act-before-turn takes both looks away, and its leader hears nobody

Cause: an order is looked at when its turn comes and right before its bytes; without the first one alone nothing shows any more, nor where a peer's beat ends the leadership.

--- a/indigoworks_lab/control_simulation/broken_machine_rules.py
+++ b/indigoworks_lab/control_simulation/broken_machine_rules.py
@@ -2,21 +2,17 @@
 
 from indigoworks.ownership import hold_bounds
 from indigoworks.ownership.hold_bounds import HoldBounds, _take_below
-from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.leader_signs import LeaderSigns
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
-from indigoworks.ownership.server_orders import MaySend
-from indigoworks.servers.server_record import ServerRecord
 from indigoworks_lab.control_simulation import lease_checker, overlap_checker
 from indigoworks_lab.control_simulation.broken_control_rule import broken_control_rule
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.late_look import look_before_connection
 from indigoworks_lab.control_simulation.node_clock import NodeClock
 from indigoworks_lab.control_simulation.node_orders import NodeOrders
 from indigoworks_lab.simulation.broken_rules.broken_rule import Replacement
 from indigoworks_lab.simulation.core.host_clock import HostClock
 
-_grant = NodeOrders.grant
-
 
 def _now_without_suspension(clock: NodeClock) -> float:
     return HostClock.now(clock) - clock._suspended_s
@@ -27,16 +23,6 @@
         _take_below(known, server_id, first, last, token)
 
 
-async def _look_before_connection(
-    orders: NodeOrders,
-    server: ServerRecord,
-    grant: KeyGrant,
-    timeout_s: float,
-    _may_send: MaySend,
-) -> OrderOutcome:
-    return await _grant(orders, server, grant, timeout_s, lambda: True)
-
-
 def _is_any_other(outcome: OrderOutcome, _server_id: str) -> bool:
     return outcome.result is OrderResult.OTHER_SERVER
 
@@ -75,7 +61,7 @@
         "look-before-connection",
         "Whether a grant may be sent is not asked again when its connection has come about.",
         lease_checker.CHECKER,
-        lambda: [Replacement(NodeOrders, "grant", _look_before_connection)],
+        lambda: [Replacement(NodeOrders, "grant", look_before_connection)],
         (FaultKind.LEADER_LATE_BEFORE_BYTES, 1.0, 15.0),
         (FaultKind.LEADER_CUT_FROM_STORE, 2.0, 8.0),
         (FaultKind.LEADER_CUT_FROM_PEERS, 2.0, 8.0),
--- a/indigoworks_lab/control_simulation/broken_order_rules.py
+++ b/indigoworks_lab/control_simulation/broken_order_rules.py
@@ -15,6 +15,8 @@
 from indigoworks_lab.control_simulation import lease_checker, overlap_checker, work_checker
 from indigoworks_lab.control_simulation.broken_control_rule import broken_control_rule
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.late_look import look_before_connection
+from indigoworks_lab.control_simulation.node_orders import NodeOrders
 from indigoworks_lab.simulation.broken_rules.broken_rule import Replacement
 
 SHORT_S = 0.02
@@ -146,8 +148,12 @@
         "act-before-turn",
         "A grant is not looked at again when its turn comes.",
         lease_checker.CHECKER,
-        lambda: [Replacement(ServerReach, "line", _no_turns)],
+        lambda: [
+            Replacement(ServerReach, "line", _no_turns),
+            Replacement(NodeOrders, "grant", look_before_connection),
+        ],
         (FaultKind.ORDERS_LATE, 0.5, 16.0),
+        (FaultKind.LEADER_CUT_FROM_PEERS, 2.0, 12.0),
         (FaultKind.LEADER_CUT_FROM_STORE, 2.0, 12.0),
     ),
     broken_control_rule(
