--- a/features/steps/key_soak_world.py
+++ b/features/steps/key_soak_world.py
@@ -38,6 +38,8 @@
 BODY_BYTES = 64 * 1024
 MS_PER_S = 1000.0
 
+STORE_WRITE_PATH = "/rows-tx"
+
 
 class KeySoakWorld:
     """:param faults: of all servers, see KeyServerSettings.
@@ -80,7 +82,15 @@
             port = self._ports.next_port()
             link = KeyLink(self._ports.next_port(), port)
             made = KeyServerPlace(
-                place, port, link, self.store_port, folder, self._random, HEADER_NAMES, **faults
+                place,
+                port,
+                link,
+                self.store_port,
+                STORE_WRITE_PATH,
+                folder,
+                self._random,
+                HEADER_NAMES,
+                **faults,
             )
             self.servers.append(made)
         self.events = KeySoakEvents(self)
--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -51,20 +51,25 @@
     LEADERS_LOST_IN_CHAIN = "leaders lost one after the other"
 
 
+MACHINE_KINDS = (
+    FaultKind.STORE_CLOCK_JUMPS_FORWARD,
+    FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
+    FaultKind.NODE_CLOCK_STOPS,
+    FaultKind.LEADER_SUSPENDED,
+    FaultKind.SERVER_PAUSED,
+    FaultKind.SERVER_MISDIRECTED,
+    FaultKind.LEADER_FROZEN_BEFORE_BYTES,
+    FaultKind.LEADER_LATE_BEFORE_BYTES,
+    FaultKind.LEADERS_LOST_IN_CHAIN,
+)
+"""Faults of machines that do not run evenly."""
+
 _NOT_DRAWN = frozenset(
     {
+        *MACHINE_KINDS,
         FaultKind.ORDERS_ALL_LATE,
         FaultKind.CONFIGURATION_CHANGES,
         FaultKind.STORE_RETURNS_FROM_COPY,
-        FaultKind.STORE_CLOCK_JUMPS_FORWARD,
-        FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
-        FaultKind.NODE_CLOCK_STOPS,
-        FaultKind.LEADER_SUSPENDED,
-        FaultKind.SERVER_PAUSED,
-        FaultKind.SERVER_MISDIRECTED,
-        FaultKind.LEADER_FROZEN_BEFORE_BYTES,
-        FaultKind.LEADER_LATE_BEFORE_BYTES,
-        FaultKind.LEADERS_LOST_IN_CHAIN,
         FaultKind.STORE_WRITES_AFTER_RETURN,
     }
 )
--- a/indigoworks_lab/control_simulation/machine_plan.py
+++ b/indigoworks_lab/control_simulation/machine_plan.py
@@ -5,19 +5,8 @@
 
 from indigoworks_lab.control_simulation.control_plan import FAULTS_S, ControlPlan
 from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
-from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.fault_kind import MACHINE_KINDS, FaultKind
 
-MACHINE_KINDS = (
-    FaultKind.STORE_CLOCK_JUMPS_FORWARD,
-    FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
-    FaultKind.NODE_CLOCK_STOPS,
-    FaultKind.LEADER_SUSPENDED,
-    FaultKind.SERVER_PAUSED,
-    FaultKind.SERVER_MISDIRECTED,
-    FaultKind.LEADER_FROZEN_BEFORE_BYTES,
-    FaultKind.LEADER_LATE_BEFORE_BYTES,
-    FaultKind.LEADERS_LOST_IN_CHAIN,
-)
 MAX_MACHINE_FAULTS = 4
 DURATIONS_S = (0.5, 1.5, 4.0, 9.0, 15.0)
 FORGETTING_SHARE = 0.3
--- a/indigoworks_lab/gateway_soak/key_server_entry.py
+++ b/indigoworks_lab/gateway_soak/key_server_entry.py
@@ -52,7 +52,8 @@
         body = self._body(is_removed)
         reader, writer = await asyncio.open_connection(LOOPBACK, self._settings.store_port)
         try:
-            head = f"POST /rows-tx HTTP/1.1\r\nHost: store\r\nContent-Length: {len(body)}\r\n\r\n"
+            path = self._settings.store_write_path
+            head = f"POST {path} HTTP/1.1\r\nHost: store\r\nContent-Length: {len(body)}\r\n\r\n"
             writer.write(head.encode() + body)
             await reader.readline()
         finally:
--- a/indigoworks_lab/gateway_soak/key_server_place.py
+++ b/indigoworks_lab/gateway_soak/key_server_place.py
@@ -38,6 +38,7 @@
         port: int,
         link: KeyLink,
         store_port: int,
+        store_write_path: str,
         folder: Path,
         random: Random,
         names: HeaderNames,
@@ -50,6 +51,7 @@
         self.is_stopped = False
         self.is_changing = False
         self._store_port = store_port
+        self._store_write_path = store_write_path
         self._folder = folder
         self._random = random
         self._names = names
@@ -72,6 +74,7 @@
             port=self.port,
             listed_port=self.link.address.port,
             store_port=self._store_port,
+            store_write_path=self._store_write_path,
             record_path=str(self._folder / f"{name}.record"),
             heartbeat_s=HEARTBEAT_S,
             slots=SLOTS,
--- a/indigoworks_lab/gateway_soak/key_server_settings.py
+++ b/indigoworks_lab/gateway_soak/key_server_settings.py
@@ -11,6 +11,7 @@
     :ivar listed_port: port that its entry names: that of the link to it.
     :ivar record_path: file that gets one line for each event.
     :ivar store_port: where it writes its entry; 0: nowhere.
+    :ivar store_write_path: path of the store's call for writes, as the platform names it.
     :ivar clock_factor: true seconds that a second of its clock for holds takes, 1 to 1.02.
     :ivar hold_max_s: longest hold that it accepts.
     :ivar forgets_release_tokens: the token of a release does not count as seen.
@@ -22,6 +23,7 @@
     port: int
     listed_port: int
     store_port: int
+    store_write_path: str
     record_path: str
     heartbeat_s: float
     slots: int
