--- a/features/control_simulation_broken_orders.feature
+++ b/features/control_simulation_broken_orders.feature
@@ -5,12 +5,13 @@
     Then control simulation caught it and passed the sound rule on the same seed
 
     Examples:
-      | rule                      |
-      | keep-leavers              |
-      | orders-under-way-unsaid   |
-      | late-orders-unheard       |
-      | long-holds-unheard        |
-      | release-without-waiting   |
-      | release-under-old-token   |
-      | late-closed-by-same-token |
-      | unanswered-as-not-taken   |
+      | rule                          |
+      | keep-leavers                  |
+      | open-grants-unsaid            |
+      | grants-before-acknowledgement |
+      | late-orders-unheard           |
+      | long-holds-unsaid             |
+      | release-without-waiting       |
+      | release-under-old-token       |
+      | late-closed-by-same-token     |
+      | unanswered-as-not-taken       |
--- /dev/null
+++ b/features/steps/gateway_witness_steps.py
@@ -0,0 +1,281 @@
+"""Steps on the witnesses of a leader."""
+
+import asyncio
+
+from behave import then
+from gateway_control_world import HOLD_MAX_S, SERVICE
+from gateway_witness_world import (
+    HOLD_S,
+    TIMEOUT_S,
+    WitnessWorld,
+    boot_of,
+    owned,
+    process,
+    run_virtual,
+)
+from hypothesis import given as for_all
+from hypothesis import strategies
+
+from indigoworks.exchange.open_grants import OpenGrants, OpenServer
+from indigoworks.exchange.witness_codec import (
+    decode_witness_datagram,
+    encode_witness_datagram,
+    is_witness_datagram,
+)
+from indigoworks.exchange.witness_datagram import (
+    Acknowledgement,
+    FenceReply,
+    FenceRequest,
+    WitnessDatagram,
+)
+from indigoworks.ownership.hold_bounds import CLOCK_DRIFT_FACTOR, MAX_ORDER_DELAY_S
+from indigoworks.ownership.leader_row import LeaderRow
+from indigoworks.ownership.ownership_tables import OWNERS_PREFIX
+from indigoworks.ownership.predecessor_fence import PredecessorFence
+from indigoworks.ownership.predecessor_grants import PredecessorGrants
+from indigoworks.ownership.table_editor import first_table
+from indigoworks.rowstore.store_version import NO_VERSION
+
+
+@then("gateway witnesses: a server is admitted only once both witnesses list it")
+def step_admission(context):
+    async def run():
+        world = WitnessWorld("n2", "n3")
+        await world.lead("n2", "n3")
+        world.cut.add("n3")
+        admitting = asyncio.ensure_future(world.admit("a"))
+        await asyncio.sleep(0.2)
+        assert not admitting.done() and world.listed("n2") == {"a"}
+        world.cut.clear()
+        assert await admitting
+        assert world.listed("n2") == world.listed("n3") == {"a"}
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: a server is listed while a grant is in flight or unanswered")
+def step_listed(context):
+    async def run():
+        world = WitnessWorld("n2", "n3")
+        await world.lead("n2", "n3")
+        await world.grant("a")
+        await world.grant("b", is_answered=False)
+        assert await world.admit("c")
+        await asyncio.sleep(0.3)
+        assert world.listed("n2") == {"b", "c"}, world.record("n2")
+        assert world.record("n2").left_s >= HOLD_S * CLOCK_DRIFT_FACTOR - 0.3
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: after a fence only servers in the record are admitted")
+def step_fence(context):
+    async def run():
+        world = WitnessWorld("n2", "n3")
+        await world.lead("n2", "n3")
+        assert await world.admit("a")
+        world.parts["n2"]._witness.fence(3)
+        world.store.is_out = True
+        known = world.listed("n2")
+        assert await world.admit("a") and not await world.admit("b")
+        await asyncio.sleep(2.0)
+        assert not await world.admit("b") and world.listed("n2") == known == {"a"}
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: a lost witness is replaced by one that keeps the record already")
+def step_replaced(context):
+    async def run():
+        world = WitnessWorld("n2", "n3", "n5")
+        await world.lead("n2", "n3")
+        await world.grant("b", is_answered=False)
+        await asyncio.sleep(0.2)
+        kept = []
+        world.store.on_put = lambda key: kept.append(world.listed("n5") >= {"b"})
+        world.cut.add("n2")
+        assert not await world.admit("a") or kept
+        await asyncio.sleep(0.5)
+        assert world.named() == {"n3", "n5"} and kept == [True], (world.named(), kept)
+        assert await world.admit("a")
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: after a row write without an answer old and new witnesses are needed")
+def step_attempted(context):
+    async def run():
+        world = WitnessWorld("n2", "n3", "n5")
+        await world.lead("n2", "n3")
+        witnesses = world.parts["n1"].replicator._witnesses
+        world.store.lost_write = world.store.writes + 1
+        world.cut.add("n2")
+        await world.admit("a")
+        await world.store.lost.wait()
+        assert world.named() == {"n3", "n5"}
+        for _ in range(5):
+            await asyncio.sleep(0.1)
+            assert {each.node for each in witnesses.required()} >= {"n2", "n3", "n5"}
+        world.store.is_out = False
+        await asyncio.sleep(1.0)
+        needed = {each.node for each in witnesses.required()}
+        assert needed == world.named() == {"n3", "n5"}, needed
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: a witness that runs under another boot is needed no more")
+def step_ended(context):
+    async def run():
+        world = WitnessWorld("n2", "n3")
+        await world.lead("n2", "n3")
+        world.store.is_out = True
+        world.cut.add("n2")
+        assert not await world.admit("a")
+        world.list_peers("n2", "n3", boots=[("n2", "boot-later")])
+        await asyncio.sleep(0.2)
+        assert await world.admit("a")
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: in trouble of the store owners are listed, then long holds granted")
+def step_long(context):
+    async def run():
+        world = WitnessWorld("n2", "n3")
+        table = first_table(SERVICE, ("a", "b"), [1, 1])
+        world.store.put(OWNERS_PREFIX + SERVICE, table.encode())
+        await world.lead("n2", "n3")
+        assert world.replicator.longest_hold_s() == HOLD_S
+        world.store.is_out = True
+        world.cut.add("n3")
+        await asyncio.sleep(1.5)
+        assert world.replicator.longest_hold_s() == HOLD_S
+        world.cut.clear()
+        await asyncio.sleep(0.2)
+        assert world.replicator.longest_hold_s() == HOLD_MAX_S == world.record("n3").hold_s
+        assert world.listed("n2") == world.listed("n3") == {"a", "b"}
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: the bound of a server that is not listed is that of its hold")
+def step_bounds(context):
+    async def run():
+        world = WitnessWorld("n2")
+        bounds, now_s = world.bounds, world.clock.now()
+        late_s = MAX_ORDER_DELAY_S + HOLD_S
+        bounds.start_epoch(now_s + 2 * late_s)
+        grants = OpenGrants(3, 1, 2.0, HOLD_S, (OpenServer("a", 1.0, False),))
+        known = PredecessorGrants.received(grants, now_s, now_s + late_s)
+        bounds.set_predecessor_grants(known)
+        assert bounds.until_s("b", 0, 9) == now_s + 2.0
+        assert bounds.until_s("a", 0, 9) == now_s + late_s
+        bounds.lower_later_bound(now_s + 0.5)
+        assert bounds.until_s("a", 0, 9) == now_s + 1.0
+        assert bounds.open_servers() == {"a"} and bounds.settled_left_s() == 2.0
+        bounds.record_sent(owned("a"), HOLD_S, TIMEOUT_S)
+        bounds.record_answered(owned("a"), HOLD_S)
+        bounds.lower_later_bound(now_s + 9.0)
+        first, last = owned("a").first, owned("a").last
+        assert bounds.until_s("a", first, last) == bounds.own_until_s("a", first, last)
+        assert bounds.until_s("a", first, last + 1) > bounds.until_s("b", 0, 9)
+
+    run_virtual(run)
+
+
+async def fenced_by(world, node, witnesses):
+    """Have a node fence the leader; returns what it learns."""
+    part = world.parts[node]
+    world.worlds[node].directory.apply([])
+    row = LeaderRow(3, "n1", "boot-2", NO_VERSION, tuple(map(process, witnesses)))
+    async with asyncio.timeout(2.0):
+        return await part._fence.fence(row)
+
+
+@then("gateway witnesses: a successor that reaches one witness gets the record")
+def step_any_one(context):
+    async def run():
+        for asker in ("n3", "n5"):
+            world = WitnessWorld("n2", "n3", "n5")
+            await world.lead("n2", "n3")
+            await world.grant("b", is_answered=False)
+            world.cut |= {"n1", "n2"}
+            grants = await fenced_by(world, asker, ("n2", "n3"))
+            assert [each.server_id for each in grants.servers] == ["b"], grants
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: a fence without a record leaves the bound of all servers")
+def step_no_record(context):
+    async def run():
+        world = WitnessWorld("n2", "n5")
+        learned = []
+        part = world.parts["n5"]
+        fence = PredecessorFence(process("n5"), part._witness, part._send)
+        row = LeaderRow(3, "n1", "boot-2", NO_VERSION, (process("n2"), process("n5")))
+        fencing = asyncio.ensure_future(fence.fence(row))
+        await asyncio.sleep(1.0)
+        assert not fencing.done() and not learned
+        assert not world.parts["n2"]._witness.record(OpenGrants(3, 1, 0.0, HOLD_S, ()))
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: the witnesses stay in the row of a leader that resigned")
+def step_resigned(context):
+    async def run():
+        world = WitnessWorld("n2", "n3")
+        await world.lead("n2", "n3")
+        await world.leadership.resign()
+        assert world.named() == {"n2", "n3"}
+
+    run_virtual(run)
+
+
+@then("gateway witnesses: for all datagrams times come out no shorter than they went in")
+def step_codec(context):
+    times = strategies.floats(0.0, 100.0)
+
+    @for_all(times, times, times, strategies.booleans())
+    def check(left_s, server_left_s, hold_s, is_silent):
+        server = OpenServer("a", server_left_s, is_silent)
+        grants = OpenGrants(3, 7, left_s, hold_s, (server,))
+        for content in (grants, FenceReply(3, grants)):
+            read = decoded(content)
+            read = read.grants if isinstance(read, FenceReply) else read
+            assert read.left_s >= left_s and read.hold_s >= hold_s
+            assert read.servers[0].left_s >= server_left_s
+            assert (read.epoch, read.number, read.servers[0].is_silent) == (3, 7, is_silent)
+
+    check()
+    for content in (Acknowledgement(3, 7), FenceRequest(3), FenceReply(3, None)):
+        assert decoded(content) == content
+    assert decode_witness_datagram(b"\0\xff") is None
+
+
+def decoded(content):
+    data = encode_witness_datagram(WitnessDatagram(process("n2"), "boot-9", content))
+    assert is_witness_datagram(data)
+    read = decode_witness_datagram(data)
+    assert (read.sender, read.target_boot) == (process("n2"), "boot-9")
+    return read.content
+
+
+@then("gateway witnesses: other zones come first, then the witnesses of before")
+def step_selection(context):
+    async def run():
+        world = WitnessWorld("n2", "n3", "n4", "n5")
+        await asyncio.sleep(0.1)
+        select = world.leadership.select_witnesses
+        assert {each.node for each in select()} == {"n2", "n3"}
+        kept = select([process("n5")])
+        assert {each.node for each in kept} == {"n3", "n5"}
+        others = select((), [process("n2"), process("n3"), process("n5")])
+        assert [each.node for each in others] == ["n4"]
+        world.cut |= {"n2", "n3", "n5"}
+        await asyncio.sleep(2.0)
+        assert [each.boot for each in select()] == [boot_of("n4")]
+
+    run_virtual(run)
--- a/indigoworks/exchange/datagram_exchange.py
+++ b/indigoworks/exchange/datagram_exchange.py
@@ -1,23 +1,26 @@
-"""Exchanges reports with peers over UDP."""
+"""Exchanges reports and witness datagrams with peers over UDP."""
+
+from collections.abc import Callable
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.datagram_endpoint import DatagramEndpoint
 from indigoworks.exchange.report_sender import ReportSender
+from indigoworks.exchange.witness_codec import is_witness_datagram
 
 
 class DatagramExchange:
-    """Sends reports over a socket of its own, and receives those of peers.
+    """Sends datagrams over a socket of its own, and receives those of peers.
 
-    :ivar sender: schedules the reports and handles received datagrams; set before the socket opens.
+    :ivar sender: schedules the reports and handles received ones; set before the socket opens.
+    :ivar on_witness_datagram: handles received datagrams of witnesses; set before the socket opens.
     """
 
     sender: ReportSender
+    on_witness_datagram: Callable[[bytes], None]
 
     def __init__(self, address: Address, clock: Clock) -> None:
-        self._port = DatagramEndpoint(
-            address, lambda datagram, _: self.sender.handle_datagram(datagram)
-        )
+        self._port = DatagramEndpoint(address, lambda datagram, _: self._handle(datagram))
         self._clock = clock
 
     async def open(self) -> None:
@@ -40,3 +43,9 @@
     def close(self) -> None:
         """Close the socket."""
         self._port.close()
+
+    def _handle(self, datagram: bytes) -> None:
+        if is_witness_datagram(datagram):
+            self.on_witness_datagram(datagram)
+        else:
+            self.sender.handle_datagram(datagram)
--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -9,6 +9,7 @@
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.exchange.process_id import ProcessId
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_subsystem import FEED_WAIT_S, PlatformSubsystem
@@ -27,6 +28,7 @@
 from indigoworks.ownership.range_keeper import RangeKeeper
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_writer import TableWriter
+from indigoworks.ownership.witness_subsystem import WitnessSubsystem
 from indigoworks.relay.relay_selector import relay_capacity
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_version import NO_VERSION
@@ -40,6 +42,7 @@
     """Leadership, ownership tables, and the leader's work on them.
 
     :ivar tables: owners of all services according to the store.
+    :ivar witnesses: replication of the leader's open grants.
     """
 
     def __init__(
@@ -82,6 +85,19 @@
         self._bounds = HoldBounds(clock)
         self._policy = HoldPolicy(ports.health, settings.hold_max_s)
         self._reach = ServerReach(clock)
+        self.witnesses = WitnessSubsystem(
+            ProcessId(settings.node, boot),
+            settings.zone,
+            self.leadership,
+            self._bounds,
+            self._reach,
+            self._policy,
+            peers,
+            directory,
+            self._owners,
+            platform.servers.is_gone,
+            clock,
+        )
         self.keepers = KeeperSet(self._make_keeper)
         self._server_stats: ServerStats | None = None
         self.send_report_now: Callable[[], None] = _nothing
@@ -190,6 +206,7 @@
             self._reach,
             self._clock,
             self._pending_changed,
+            self.witnesses.replicator,
         )
 
     def _pending_changed(self) -> None:
@@ -224,6 +241,7 @@
             self._keyed_services,
             self._service_time_of,
             self._clock,
+            self.witnesses.replication,
         )
 
     def _keyed_services(self) -> Sequence[str]:
@@ -232,6 +250,13 @@
             return ()
         return [each.name for each in configuration.keyed_services()]
 
+    def _owners(self) -> set[str]:
+        return {
+            owned.server_id
+            for service in self._keyed_services()
+            for owned in self.tables.table(service).ranges
+        }
+
     def _service_time_of(self, server_id: str) -> float:
         assert self._server_stats is not None
         return self._server_stats.service_time_by_id_s(server_id)
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -272,6 +272,8 @@
     def _connect_parts(self) -> None:
         self._control.use_server_stats(self._requests.server_stats)
         self._control.send_report_now = self._exchange.sender.send_soon
+        self._control.witnesses.send_datagram = self._exchange.send
+        self._exchange.on_witness_datagram = self._control.witnesses.handle_datagram
         send_soon = CoalescedCall(self._exchange.sender.send_soon)
         self._requests.quarantine.on_unreported = send_soon.schedule
         self._requests.on_notice = send_soon.schedule
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -9,6 +9,7 @@
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HoldPolicy
 from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.leader_replication import NO_REPLICATION, LeaderReplication
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.load_balancer import LoadBalancer
@@ -17,7 +18,7 @@
 from indigoworks.ownership.owner_candidates import OwnerCandidates, SpeedOf
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
-from indigoworks.ownership.predecessor_bound import PredecessorBound
+from indigoworks.ownership.predecessor_watch import PredecessorWatch
 from indigoworks.ownership.resting_owners import RestingOwners
 from indigoworks.ownership.server_capacity import ServerCapacity
 from indigoworks.ownership.server_reach import ServerReach
@@ -76,8 +77,10 @@
         keyed_services: Callable[[], Sequence[str]],
         speed_of: SpeedOf,
         clock: Clock,
+        replication: LeaderReplication = NO_REPLICATION,
     ) -> None:
         self._leadership = leadership
+        self._replication = replication
         self._tables = tables
         self._keepers = keepers
         self._bounds = bounds
@@ -96,7 +99,7 @@
         self._fenced_s = float("-inf")
         self._write_failed_s = float("-inf")
         self._loaded: set[str] = set()
-        self._predecessor_bound: PredecessorBound | None = None
+        self._predecessor: PredecessorWatch | None = None
         self._seen_servers: dict[str, tuple[frozenset[str], float]] = {}
         self._recovery = TableRecovery(
             leadership, tables, writer, keepers, bounds, policy, servers, clock
@@ -104,19 +107,17 @@
 
     async def run(self, predecessor: LeaderRow) -> None:
         """Lead until the leader row no longer names this process for its epoch."""
-        bound = self._predecessor_bound = PredecessorBound(predecessor, self._leadership.liveness)
+        watch = self._predecessor = self._make_watch(predecessor)
         epoch = self._leadership.row.epoch
         await self._writer.reread()
-        if not self._leadership.led_former_era(self._leadership.era - 1):
-            self._bounds.start_epoch(self._predecessor_until_s(bound))
-            for server_id in bound.silent_servers():
-                self._reach.mark_silent(server_id)
-        self._leadership.start_acting(epoch, bound, self._bounds, self._reach.orders)
+        watch.start_epoch()
+        self._replication.start(epoch, watch.row_to_fence(), watch.use_grants)
+        self._leadership.start_acting(epoch, watch.bound, self._bounds, self._reach.orders)
         try:
             while self._leads(epoch) and not await self._load_tables():
                 await self._clock.sleep(TICK_S)
             while self._leads(epoch):
-                self._watch_predecessor(bound)
+                watch.update()
                 self._bounds.drop_expired()
                 self._load.collect_samples(self._keyed_services())
                 for service in self._keyed_services():
@@ -124,17 +125,18 @@
                 await self._clock.sleep(TICK_S)
         finally:
             self._keepers.stop_all()
+            self._replication.stop()
 
-    def _predecessor_until_s(self, bound: PredecessorBound) -> float:
-        """Return the latest end of holds that the previous leader granted.
-
-        Minus infinity in an era that has no tables yet, unless this process followed the former era
-        to its end: TableRecovery then records possible holds range by range.
-        """
-        era = self._leadership.era
-        if self._tables.has_tables_of(era) or self._leadership.knows_former_era(era - 1):
-            return bound.until_s(self._clock.now(), self._policy.longest_max_s)
-        return float("-inf")
+    def _make_watch(self, predecessor: LeaderRow) -> PredecessorWatch:
+        return PredecessorWatch(
+            predecessor,
+            self._leadership,
+            self._tables,
+            self._bounds,
+            self._policy,
+            self._reach,
+            self._clock,
+        )
 
     def _leads(self, epoch: int) -> bool:
         """Return whether the newest known leader row still names this process for `epoch`."""
@@ -142,12 +144,6 @@
 
     # ---- start of an epoch ----
 
-    def _watch_predecessor(self, bound: PredecessorBound) -> None:
-        """Lower the bound once the predecessor is known to have stopped acting."""
-        if bound.has_stopped_acting():
-            until_s = bound.until_s(self._clock.now(), self._policy.longest_max_s)
-            self._bounds.lower_predecessor_bound(until_s)
-
     async def _load_tables(self) -> bool:
         """Read the tables that the last leader wrote and give all ranges new tokens.
 
@@ -180,9 +176,7 @@
             self._bounds.mark_unfenced(owned.server_id, *keys)
             for former in owned.former:
                 self._bounds.mark_inherited(former.server_id, *keys)
-                if self._predecessor_bound is None or self._predecessor_bound.may_be_pending(
-                    service, *keys
-                ):
+                if self._predecessor is None or self._predecessor.may_be_pending(service, *keys):
                     self._bounds.mark_unfenced(former.server_id, *keys)
 
     # ---- one service ----
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -5,13 +5,14 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
 
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.key_spans import KeySpans
 from indigoworks.ownership.owned_range import OwnedRange
+from indigoworks.ownership.predecessor_grants import PredecessorGrants
+from indigoworks.ownership.recorded_hold import RecordedHold, remove_keys_below
 
 CLOCK_DRIFT_FACTOR = 1.02
 """Allows for a server's clock that runs slow by this factor."""
@@ -30,27 +31,6 @@
 """Time for which holds that have ended are remembered, for the log only."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Hold:
-    server_id: str
-    first: int
-    last: int
-    token: int
-
-    def overlaps(self, server_id: str, first: int, last: int) -> bool:
-        """Return whether the hold concerns the server and any of the keys."""
-        return self.server_id == server_id and self.first <= last and first <= self.last
-
-    def without(self, first: int, last: int) -> "list[_Hold]":
-        """Return the parts of the hold without keys `first` to `last`."""
-        remaining = []
-        if self.first < first:
-            remaining.append(replace(self, last=first - 1))
-        if last < self.last:
-            remaining.append(replace(self, first=last + 1))
-        return remaining
-
-
 class HoldBounds:
     """Tracks the latest possible end of holds, on our clock, by server and range.
 
@@ -62,19 +42,22 @@
 
     "Own" bounds are those of all recorded holds: by grants of this process in this epoch and
     earlier ones, and the possible holds of `add_possible_hold`. Grants of earlier leaders have one
-    bound in common, that of the predecessor.
+    bound in common, that of the predecessor, until a witness has told to which servers it may have
+    grants open.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._settled_s: dict[_Hold, float] = {}
-        self._in_flight_s: dict[_Hold, float] = {}
-        self._sent_s: dict[_Hold, float] = {}
-        self._unanswered_s: dict[_Hold, float] = {}
-        self._expired_s: dict[_Hold, float] = {}
+        self._settled_s: dict[RecordedHold, float] = {}
+        self._in_flight_s: dict[RecordedHold, float] = {}
+        self._sent_s: dict[RecordedHold, float] = {}
+        self._unanswered_s: dict[RecordedHold, float] = {}
+        self._expired_s: dict[RecordedHold, float] = {}
         self._predecessor_s = float("inf")
+        self._predecessor_grants: PredecessorGrants | None = None
         self._inherited = KeySpans()
         self._unfenced = KeySpans()
+        self._answered = KeySpans()
 
     def start_epoch(self, predecessor_until_s: float) -> None:
         """Start an epoch as leader; grants of this process in earlier epochs may still hold.
@@ -83,11 +66,13 @@
         """
         self._inherited = KeySpans()
         self._unfenced = KeySpans()
+        self._answered = KeySpans()
         self._predecessor_s = predecessor_until_s
+        self._predecessor_grants = None
 
     def add_possible_hold(self, server_id: str, owned: OwnedRange, until_s: float) -> None:
         """Record that a server may hold a range by a grant of an unknown leader."""
-        hold = _Hold(server_id, owned.first, owned.last, owned.token)
+        hold = RecordedHold(server_id, owned.first, owned.last, owned.token)
         self._settled_s[hold] = max(until_s, self._settled_s.get(hold, until_s))
 
     def lower_predecessor_bound(self, until_s: float) -> None:
@@ -98,6 +83,15 @@
                 message_type="hold:predecessor_bound", left_s=round(until_s - self._clock.now(), 3)
             )
 
+    def set_predecessor_grants(self, grants: PredecessorGrants) -> None:
+        """Use what a witness has told of the predecessor's grants."""
+        self._predecessor_grants = grants
+
+    def lower_later_bound(self, until_s: float) -> None:
+        """Lower the bound of what the predecessor sent since that: it has stopped acting."""
+        if self._predecessor_grants is not None:
+            self._predecessor_grants = self._predecessor_grants.lowered(until_s)
+
     def record_sent(self, owned: OwnedRange, hold_s: float, timeout_s: float) -> None:
         """Record that a grant is about to be sent; its answer is awaited for `timeout_s`."""
         late_s = timeout_s + MAX_ORDER_DELAY_S + hold_s * CLOCK_DRIFT_FACTOR + SEND_MARGIN_S
@@ -110,8 +104,9 @@
         self._in_flight_s.pop(hold, None)
         for spans in (self._inherited, self._unfenced):
             spans.remove(owned.server_id, owned.first, owned.last)
+        self._answered.add(owned.server_id, owned.first, owned.last)
         for known in (self._settled_s, self._in_flight_s, self._unanswered_s, self._expired_s):
-            _remove_keys_below(known, owned.server_id, owned.first, owned.last, owned.token)
+            remove_keys_below(known, owned.server_id, owned.first, owned.last, owned.token)
         until_s = self._clock.now() + hold_s * CLOCK_DRIFT_FACTOR + SEND_MARGIN_S
         self._settled_s[hold] = max(until_s, self._settled_s.get(hold, until_s))
 
@@ -132,7 +127,7 @@
         release, as they do that of a grant.
         """
         for known in (self._settled_s, self._expired_s):
-            _remove_keys_below(known, server_id, first, last, token)
+            remove_keys_below(known, server_id, first, last, token)
 
     def mark_inherited(self, server_id: str, first: int, last: int) -> None:
         """Record that earlier leaders may have sent the server grants of the keys."""
@@ -163,7 +158,11 @@
 
     def until_s(self, server_id: str, first: int, last: int) -> float:
         """Return until when the server may hold any of the keys."""
-        return max(self._predecessor_s, self.own_until_s(server_id, first, last))
+        own_s = self.own_until_s(server_id, first, last)
+        if self._answered.covers(server_id, first, last):
+            # The server refuses grants of earlier leaders.
+            return own_s
+        return max(self.server_predecessor_until_s(server_id), own_s)
 
     def own_until_s(self, server_id: str, first: int, last: int) -> float:
         """Return the own bound of a server; minus infinity: no hold is recorded."""
@@ -177,9 +176,17 @@
 
     @property
     def predecessor_until_s(self) -> float:
-        """Return the bound of earlier leaders' grants; minus infinity: there were none."""
+        """Return the bound of earlier leaders' grants; minus infinity: there were none.
+
+        It is that of a server of which nothing else is known.
+        """
         return self._predecessor_s
 
+    def server_predecessor_until_s(self, server_id: str) -> float:
+        """Return the bound of earlier leaders' grants to a server."""
+        grants = self._predecessor_grants
+        return self._predecessor_s if grants is None else grants.until_s(server_id)
+
     def last_grant(self, server_id: str, first: int, last: int) -> tuple[float, int | None]:
         """Return the latest end of recorded holds, and their highest token, for the log.
 
@@ -210,7 +217,38 @@
 
     def earlier_left_s(self) -> float:
         """Return how long earlier leaders' holds may still last; infinity: not known yet."""
-        return max(0.0, self._predecessor_s - self._clock.now())
+        grants = self._predecessor_grants
+        until_s = self._predecessor_s if grants is None else grants.latest_s()
+        return max(0.0, until_s - self._clock.now())
+
+    def open_servers(self) -> set[str]:
+        """Return the servers that may yet apply a grant without having answered it.
+
+        Includes those of which the same is known of earlier leaders' grants.
+        """
+        holds = (*self._in_flight_s, *self._unanswered_s)
+        grants = self._predecessor_grants
+        return {
+            *(each.server_id for each in holds),
+            *(() if grants is None else grants.open_at(self._clock.now())),
+        }
+
+    def open_until_s(self, server_id: str) -> float:
+        """Return until when an open server may hold keys by what has been sent so far."""
+        bounds_s = [
+            until_s
+            for known in (self._in_flight_s, self._unanswered_s)
+            for hold, until_s in known.items()
+            if hold.server_id == server_id
+        ]
+        return max((self.server_predecessor_until_s(server_id), *bounds_s))
+
+    def settled_left_s(self) -> float:
+        """Return for how long servers other than the open ones may hold keys."""
+        grants = self._predecessor_grants
+        earlier_s = self._predecessor_s if grants is None else grants.others_until_s
+        until_s = max((earlier_s, *self._settled_s.values()))
+        return max(0.0, until_s - self._clock.now())
 
     def drop_expired(self) -> None:
         """Drop holds that have ended, except those by grants that may still be applied."""
@@ -225,21 +263,10 @@
             hold: at_s for hold, at_s in self._sent_s.items() if hold in self._in_flight_s
         }
 
-    def _remember(self, holds: Mapping[_Hold, float]) -> None:
+    def _remember(self, holds: Mapping[RecordedHold, float]) -> None:
         for hold, until_s in holds.items():
             self._expired_s[hold] = max(until_s, self._expired_s.get(hold, until_s))
 
 
-def _remove_keys_below(
-    known: dict[_Hold, float], server_id: str, first: int, last: int, token: int
-) -> None:
-    """Remove keys from the holds of a server under tokens below `token`."""
-    for hold in [each for each in known if each.overlaps(server_id, first, last)]:
-        if hold.token < token:
-            until_s = known.pop(hold)
-            for remaining in hold.without(first, last):
-                known[remaining] = max(until_s, known.get(remaining, until_s))
-
-
-def _hold(owned: OwnedRange) -> _Hold:
-    return _Hold(owned.server_id, owned.first, owned.last, owned.token)
+def _hold(owned: OwnedRange) -> RecordedHold:
+    return RecordedHold(owned.server_id, owned.first, owned.last, owned.token)
--- a/indigoworks/ownership/key_spans.py
+++ b/indigoworks/ownership/key_spans.py
@@ -28,6 +28,10 @@
             remaining += [each for each in (before, after) if each[0] <= each[1]]
         self._spans[server_id] = remaining
 
+    def covers(self, server_id: str, first: int, last: int) -> bool:
+        """Return whether all of keys `first` to `last` are in the set of a server."""
+        return any(span[0] <= first and last <= span[1] for span in self._spans.get(server_id, []))
+
     def overlaps(self, server_id: str, first: int, last: int) -> bool:
         """Return whether any of keys `first` to `last` is in the set of a server."""
         return any(span[0] <= last and first <= span[1] for span in self._spans.get(server_id, []))
--- a/indigoworks/ownership/leader_log.py
+++ b/indigoworks/ownership/leader_log.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 
 from indigoworks.ownership.hold_bounds import HoldBounds
+from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.order_tracker import OrderTracker
 from indigoworks.ownership.predecessor_bound import PredecessorBound
 
@@ -39,6 +40,29 @@
     )
 
 
+def log_seen(row: LeaderRow) -> None:
+    """Log that another process leads."""
+    log_message(message_type="leader:seen", epoch=row.epoch, node=row.node)
+
+
+def log_taken(epoch: int, reason: str, silence_s: float) -> None:
+    """Log that this process has taken over the leadership.
+
+    :param silence_s: how long the leader before it was not heard.
+    """
+    log_message(
+        message_type="leader:taken",
+        epoch=epoch,
+        reason=reason,
+        silence_s=round(min(silence_s, MAX_LOGGED_S), 3),
+    )
+
+
+def log_challenge_failed(epoch: int, reason: str, error: str) -> None:
+    """Log that the store refused a challenge, or did not answer it."""
+    log_message(message_type="leader:challenge_failed", epoch=epoch, reason=reason, error=error)
+
+
 def log_lost(epoch: int, to_node: str, orders: OrderTracker | None) -> None:
     """Log that the leader row no longer names this process."""
     log_message(
--- /dev/null
+++ b/indigoworks/ownership/leader_replication.py
@@ -0,0 +1,80 @@
+"""What a leader runs beside its grants, so that its successor knows which of them are open."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from indigoworks.exchange.open_grants import OpenGrants
+from indigoworks.ownership.grant_replicator import GrantReplicator
+from indigoworks.ownership.leader_row import LeaderRow
+from indigoworks.ownership.predecessor_fence import PredecessorFence
+from indigoworks.ownership.witness_supervisor import WitnessSupervisor
+
+OnGrants = Callable[[OpenGrants], None]
+
+
+class LeaderReplication(Protocol):
+    """Replicates open grants during an epoch, and gets those of the previous leader."""
+
+    def start(
+        self, epoch: int, predecessor: LeaderRow | None, on_predecessor_grants: OnGrants
+    ) -> None:
+        """Start an epoch as leader, before the first grant.
+
+        :param predecessor: row of the leader to fence; None: there is none in this era.
+        :param on_predecessor_grants: called once if a witness of that leader knows its open grants.
+        """
+        ...
+
+    def stop(self) -> None:
+        """End the epoch."""
+        ...
+
+
+class WitnessReplication:
+    """Implements `LeaderReplication` with witnesses among the peers."""
+
+    def __init__(
+        self, replicator: GrantReplicator, supervisor: WitnessSupervisor, fence: PredecessorFence
+    ) -> None:
+        self._replicator = replicator
+        self._supervisor = supervisor
+        self._fence = fence
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(
+        self, epoch: int, predecessor: LeaderRow | None, on_predecessor_grants: OnGrants
+    ) -> None:
+        """Start the tasks of an epoch."""
+        self._replicator.start_epoch(epoch)
+        work = [self._replicator.run(), self._supervisor.run()]
+        if predecessor is not None:
+            work.append(self._fence_predecessor(predecessor, on_predecessor_grants))
+        self._tasks = [asyncio.ensure_future(each) for each in work]
+
+    def stop(self) -> None:
+        """End the tasks."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+
+    async def _fence_predecessor(self, row: LeaderRow, on_grants: OnGrants) -> None:
+        grants = await self._fence.fence(row)
+        if grants is not None:
+            on_grants(grants)
+            self._replicator.request_record()
+
+
+class NoReplication:
+    """Implements `LeaderReplication` where no other process can take over."""
+
+    def start(
+        self, epoch: int, predecessor: LeaderRow | None, on_predecessor_grants: OnGrants
+    ) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+
+NO_REPLICATION = NoReplication()
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -1,15 +1,17 @@
 """Who leads a control group, and whether this process may act as its leader."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from eliot import log_message
-from result import Err
+from result import Err, Ok, Result
 
 from indigoworks.common.clock import Clock
+from indigoworks.common.event_wait import wait_for_event
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_view import PeerView
+from indigoworks.exchange.process_id import ProcessId
+from indigoworks.ownership import leader_log
 from indigoworks.ownership.challenge_delay import ChallengeDelay
 from indigoworks.ownership.challenge_reasons import ChallengeReasons
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
@@ -19,16 +21,15 @@
 from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leader_liveness import LeaderLiveness
-from indigoworks.ownership.leader_log import log_acting, log_lost, log_resigned, order_fields
 from indigoworks.ownership.leader_row import LEADER_KEY, NO_LEADER, LeaderRow
 from indigoworks.ownership.leader_state import LeaderState
 from indigoworks.ownership.order_tracker import OrderTracker
 from indigoworks.ownership.predecessor_bound import PredecessorBound
-from indigoworks.rowstore.errors import ConditionFailed
+from indigoworks.rowstore.errors import ConditionFailed, StoreError
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.store_health import StoreHealth
-from indigoworks.rowstore.store_version import NO_VERSION
+from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 
 MAX_STORE_PROOF_AGE_S = 2.5
@@ -84,6 +85,8 @@
         self._changed = asyncio.Event()
         self._is_resigned = False
         self._orders: OrderTracker | None = None
+        self.select_witnesses: Callable[[], tuple[ProcessId, ...]] = tuple
+        self.row_lock = asyncio.Lock()
         self.liveness = LeaderLiveness(peers, directory, clock)
         self._reasons = ChallengeReasons(node, self.liveness, directory, clock)
         group.eras.on_new(self._begin_era)
@@ -93,8 +96,8 @@
     def apply(self, rows: Sequence[Row]) -> None:
         """Apply leader rows of the current era; other rows are ignored."""
         for row in rows:
-            is_current = row.version.era == self.era
-            if row.key == LEADER_KEY and is_current and row.version > self._row.version:
+            is_newer = row.version.era == self.era and row.version > self._row.version
+            if row.key == LEADER_KEY and is_newer:
                 self._accept_row(LeaderRow.decode(row.value, row.version))
 
     def record_proof(self, true_at_s: float) -> None:
@@ -103,12 +106,12 @@
             self.era_seen_s = self.others_led_until_s = self._clock.now()
         self.has_read = self._has_read_era = True
         self._followed_s = max(self._followed_s, true_at_s)
-        if self._names_us() and (self._proof_s is None or true_at_s > self._proof_s):
+        if self.is_named() and (self._proof_s is None or true_at_s > self._proof_s):
             self._proof_s = true_at_s
 
     def record_commit(self, sent_s: float) -> None:
         """Record that a transaction conditioned on our leader row was committed."""
-        if self._names_us() and (self._proof_s is None or sent_s > self._proof_s):
+        if self.is_named() and (self._proof_s is None or sent_s > self._proof_s):
             self._proof_s = sent_s
 
     def record_former_row(self, row: LeaderRow) -> None:
@@ -122,7 +125,9 @@
         """Start sending orders in `epoch`, now that earlier leaders' grants have their bounds."""
         self._acting_epoch = epoch
         self._orders = orders
-        log_acting(epoch, predecessor, bounds, self.led_former_era(self.era - 1), self._clock.now())
+        leader_log.log_acting(
+            epoch, predecessor, bounds, self.led_former_era(self.era - 1), self._clock.now()
+        )
 
     def _begin_era(self) -> None:
         is_fresh = self._has_read_era and self._clock.now() - self._followed_s <= HOLD_S
@@ -158,11 +163,11 @@
 
     def _last_acting_row(self) -> LeaderRow:
         """Return the newest leader row whose leader may have sent orders."""
-        return self.predecessor if self._names_us() and not self.is_acting() else self._row
+        return self.predecessor if self.is_named() and not self.is_acting() else self._row
 
     def is_acting(self) -> bool:
         """Return whether the row names this process and `start_acting` was called for its epoch."""
-        return self._names_us() and self._acting_epoch == self._row.epoch
+        return self.is_named() and self._acting_epoch == self._row.epoch
 
     def _is_first_after(self, era: int) -> bool:
         """Return whether this era had no earlier leader and `era` directly precedes it."""
@@ -183,16 +188,16 @@
 
     def is_named(self) -> bool:
         """Return whether the newest known row names this process."""
-        return self._names_us()
+        return self._row.boot == self._boot and self._row.node == self._node
 
     def may_act(self) -> bool:
         """Return whether this process may act as leader now; called right before each order."""
         is_over = self._is_resigned or self.liveness.heard_later_epoch(self._row.epoch)
-        return self._names_us() and not is_over and self.proof_age_s() < LEADER_LEASE_S
+        return self.is_named() and not is_over and self.proof_age_s() < LEADER_LEASE_S
 
     def proof_age_s(self) -> float:
         """Return the age of the newest proof of leadership; infinity: there is none."""
-        if self._proof_s is None or not self._names_us():
+        if self._proof_s is None or not self.is_named():
             return float("inf")
         return self._clock.now() - self._proof_s
 
@@ -200,7 +205,7 @@
         """Return the state of this process as leader, for the log."""
         if self._is_resigned:
             return LeaderState.RESIGNED
-        if self._names_us():
+        if self.is_named():
             return LeaderState.UNPROVED if self._proof_s is None else LeaderState.LEADS
         return LeaderState.NEVER_LED if self._acting_epoch is None else LeaderState.LOST
 
@@ -211,11 +216,7 @@
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait until the row changes, at most `timeout_s` seconds."""
         self._changed.clear()
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
+        await wait_for_event(self._changed, timeout_s)
 
     # ---- challenge ----
 
@@ -232,17 +233,17 @@
     async def resign(self) -> None:
         """Give up the leadership, so that others can take over at once."""
         self._is_resigned = True
-        if not self._names_us():
+        if not self.is_named():
             return
-        row = LeaderRow(self._row.epoch, "", "", NO_VERSION)
+        row = LeaderRow(self._row.epoch, "", "", NO_VERSION, self._row.witnesses)
         self._proof_s = None
-        open_orders = order_fields(self._orders)
+        open_orders = leader_log.order_fields(self._orders)
         result = await self._store.commit(self._row_write(row))
-        log_resigned(row.epoch, result.is_ok(), open_orders)
+        leader_log.log_resigned(row.epoch, result.is_ok(), open_orders)
 
     def _reason_to_challenge(self) -> str | None:
         is_store_healthy = self._has_read_era and self._health.proof_age_s() < MAX_STORE_PROOF_AGE_S
-        if self._is_resigned or not is_store_healthy or self._names_us():
+        if self._is_resigned or not is_store_healthy or self.is_named():
             return None
         if self._row.version != NO_VERSION:
             return self._reasons.for_row(self._row, self._row_seen_s)
@@ -253,27 +254,23 @@
     async def _take_over(self, reason: str) -> None:
         silence_s = self.liveness.silence_s(self._row.epoch, self._row_seen_s)
         known = max(self._row.epoch, self.former.row.epoch, first_number(self.era))
-        row = LeaderRow(known + 1, self._node, self._boot, NO_VERSION)
-        sent_s = self._clock.now()
-        result = await self._store.commit(self._row_write(row))
+        row = LeaderRow(known + 1, self._node, self._boot, NO_VERSION, self.select_witnesses())
+        result = await self.put_own_row(row)
         is_decided = result.is_ok() or isinstance(result.unwrap_err(), ConditionFailed)
         self._challenge_delay.record_outcome(is_failed=not is_decided)
         if isinstance(result, Err):
-            log_message(
-                message_type="leader:challenge_failed",
-                epoch=row.epoch,
-                reason=reason,
-                error=result.unwrap_err().kind,
-            )
-            return
-        self._accept_row(LeaderRow(row.epoch, row.node, row.boot, result.unwrap()))
-        self.record_commit(sent_s)
-        log_message(
-            message_type="leader:taken",
-            epoch=row.epoch,
-            reason=reason,
-            silence_s=round(min(silence_s, 1e6), 3),
-        )
+            leader_log.log_challenge_failed(row.epoch, reason, result.unwrap_err().kind)
+        else:
+            leader_log.log_taken(row.epoch, reason, silence_s)
+
+    async def put_own_row(self, row: LeaderRow) -> Result[StoreVersion, StoreError]:
+        """Write a row that names this process; it is in force here once that is answered."""
+        sent_s = self._clock.now()
+        result = await self._store.commit(self._row_write(row))
+        if isinstance(result, Ok):
+            self._accept_row(replace(row, version=result.unwrap()))
+            self.record_commit(sent_s)
+        return result
 
     def _row_write(self, row: LeaderRow) -> Transaction:
         put = RowPut(CONTROL_TABLE, LEADER_KEY, row.encode())
@@ -282,17 +279,17 @@
     def _accept_row(self, row: LeaderRow) -> None:
         if row.version <= self._row.version:
             return
-        was_ours = self._names_us()
+        if row.is_same_leader(self._row):
+            self._row = row
+            return
+        was_ours = self.is_named()
         if not was_ours:
             self.predecessor = self._row
         self._row = row
         self._row_seen_s = self._clock.now()
         self._changed.set()
-        if was_ours and not self._names_us():
+        if was_ours and not self.is_named():
             self._proof_s = None
-            log_lost(row.epoch, row.node, self._orders)
-        elif not self._names_us():
-            log_message(message_type="leader:seen", epoch=row.epoch, node=row.node)
-
-    def _names_us(self) -> bool:
-        return self._row.boot == self._boot and self._row.node == self._node
+            leader_log.log_lost(row.epoch, row.node, self._orders)
+        elif not self.is_named():
+            leader_log.log_seen(row)
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -22,9 +22,10 @@
 class PredecessorBound:
     """Latest end of holds that the previous leader granted, from its beats and its liveness.
 
-    Holds granted before its newest beat end as that beat announced. Later ones began before it
-    stopped acting. They may be long ones from the time at which the proof in the beat was old
-    enough for long holds, since a leader that is cut off cannot announce them.
+    Holds granted before its newest beat end as that beat announced. Later ones were sent before it
+    stopped acting, may be unanswered and be applied late. They may be long ones from the time at
+    which the proof in the beat was old enough for long holds, since a leader that is cut off cannot
+    announce them. The bound is that of any server; PredecessorGrants tells which ones need it.
 
     :ivar row: leader row of the predecessor.
     """
@@ -59,31 +60,40 @@
         """
         if self.row.version == NO_VERSION:
             return float("-inf")
-        may_act_until_s = now_s if self.has_stopped_acting() else now_s + LEADER_LEASE_S
         epoch = self.row.epoch
-        hold_s = self._hold_s(may_act_until_s, hold_max_s)
-        later_until_s = may_act_until_s + hold_s * CLOCK_DRIFT_FACTOR + SEND_MARGIN_S
+        may_act_until_s = self._may_act_until_s(now_s)
+        if self._liveness.announced_hold_s(epoch) == float("-inf"):
+            longest_s = longest_unreported_hold_s(hold_max_s) * CLOCK_DRIFT_FACTOR
+            return may_act_until_s + longest_s + SEND_MARGIN_S
+        hold_s = self._longest_hold_s(may_act_until_s, hold_max_s)
         return max(
             self._liveness.announced_until_s(epoch),
             self._liveness.announced_earlier_until_s(epoch),
-            later_until_s,
+            self.later_until_s(now_s, hold_s),
         )
 
-    def _hold_s(self, may_act_until_s: float, hold_max_s: float) -> float:
-        """Return the longest hold of grants sent before `may_act_until_s` that no beat announced.
+    def later_until_s(self, now_s: float, hold_s: float) -> float:
+        """Return the bound of grants that it sent until it stopped acting, as known at `now_s`.
 
-        If the predecessor was never heard, some may be unanswered and be applied late.
+        :param hold_s: longest hold of these grants.
         """
+        longest_s = MAX_ORDER_DELAY_S + hold_s * CLOCK_DRIFT_FACTOR
+        return self._may_act_until_s(now_s) + longest_s + SEND_MARGIN_S
+
+    def _may_act_until_s(self, now_s: float) -> float:
+        return now_s if self.has_stopped_acting() else now_s + LEADER_LEASE_S
+
+    def _longest_hold_s(self, may_act_until_s: float, hold_max_s: float) -> float:
+        """Return the longest hold of grants sent until `may_act_until_s` that no beat told of."""
         epoch = self.row.epoch
         long_holds_from_s = (
             self._liveness.announced_proof_time_s(epoch) + STORE_TROUBLE_S - BEAT_DELAY_S
         )
-        if long_holds_from_s == float("-inf"):
-            return longest_unreported_hold_s(hold_max_s)
-        announced_s = self._liveness.announced_hold_s(epoch)
+        if may_act_until_s < long_holds_from_s:
+            return HOLD_S
         # Its settings may allow longer holds than ours; it may repeat one as long as it announced.
-        longest_s = (
-            HOLD_S if may_act_until_s < long_holds_from_s else max(HOLD_S, hold_max_s, announced_s)
-        )
-        # Servers that applied orders late when the beat was sent may still do so.
-        return max(longest_s, announced_s) if announced_s > MAX_ORDER_DELAY_S else longest_s
+        announced_s = self._liveness.announced_hold_s(epoch)
+        if announced_s > MAX_ORDER_DELAY_S:
+            # An unanswered grant: the delay is part of what was announced.
+            announced_s -= MAX_ORDER_DELAY_S
+        return max(HOLD_S, hold_max_s, announced_s)
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -6,6 +6,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.former_owners import FormerOwners
+from indigoworks.ownership.grant_admission import ADMIT_ALL, GrantAdmission
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import RENEWAL_S, HoldPolicy
 from indigoworks.ownership.key_grant import KeyGrant
@@ -52,6 +53,7 @@
         reach: ServerReach,
         clock: Clock,
         on_granted: Callable[[], None],
+        admission: GrantAdmission = ADMIT_ALL,
     ) -> None:
         self.service = service
         self.owned = owned
@@ -67,6 +69,7 @@
             owned, leadership, orders, servers, bounds, policy, reach, self._log, clock
         )
         self._on_granted = on_granted
+        self._admission = admission
         self.is_granted = False
         self.needs_token = False
         self.task: asyncio.Task[None] | None = None
@@ -157,12 +160,24 @@
             return await self._grant_in_turn()
 
     async def _grant_in_turn(self) -> float:
-        record = self._servers.get(self.owned.server_id)
-        if record is None:
+        server_id = self.owned.server_id
+        if not self._may_grant() or not await self._admission.admit(server_id):
             return RETRY_DELAY_S
-        if not self._may_send() or not self._reach.may_grant(self.owned.server_id, self):
+        try:
+            return await self._grant_admitted()
+        finally:
+            self._admission.settle(server_id)
+
+    def _may_grant(self) -> bool:
+        is_known = self._servers.get(self.owned.server_id) is not None
+        return is_known and self._may_send() and self._reach.may_grant(self.owned.server_id, self)
+
+    async def _grant_admitted(self) -> float:
+        record = self._servers.get(self.owned.server_id)
+        if record is None or not self._may_grant():
             return RETRY_DELAY_S
-        hold_s = self._policy.hold_s(self._reach.is_doubtful(self.owned.server_id))
+        policy_s = self._policy.hold_s(self._reach.is_doubtful(self.owned.server_id))
+        hold_s = min(policy_s, self._admission.longest_hold_s())
         grant = KeyGrant(
             self.owned.first, self.owned.last, self.owned.token, hold_s, self._former.handover
         )
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -110,22 +110,13 @@
         if not self._leadership.may_act():
             return False
         await self._keepers.quiesce(table.service, table)
-        if not self._leadership.may_act():
-            # The leader row may name another by now; the condition below would then match its row.
-            self._keepers.resume(table.service)
-            return False
-        key = OWNERS_PREFIX + table.service
-        transaction = Transaction(
-            self._group.eras.current,
-            self._group.part,
-            (
-                self._leadership.condition(),
-                ExpectedVersion(CONTROL_TABLE, key, table.version),
-            ),
-            (RowPut(CONTROL_TABLE, key, table.encode()),),
-        )
-        sent_s = self._clock.now()
-        result = await self._store.commit(transaction)
+        async with self._leadership.row_lock:
+            if not self._leadership.may_act():
+                # The leader row may name another by now; the condition would then match its row.
+                self._keepers.resume(table.service)
+                return False
+            sent_s = self._clock.now()
+            result = await self._store.commit(self._transaction(table))
         if isinstance(result, Err):
             log_message(
                 message_type="ownership:write_failed",
@@ -156,3 +147,15 @@
             epoch=self._leadership.row.epoch,
         )
         return True
+
+    def _transaction(self, table: OwnershipTable) -> Transaction:
+        key = OWNERS_PREFIX + table.service
+        return Transaction(
+            self._group.eras.current,
+            self._group.part,
+            (
+                self._leadership.condition(),
+                ExpectedVersion(CONTROL_TABLE, key, table.version),
+            ),
+            (RowPut(CONTROL_TABLE, key, table.encode()),),
+        )
--- a/indigoworks_lab/control_simulation/broken_control_rules.py
+++ b/indigoworks_lab/control_simulation/broken_control_rules.py
@@ -30,7 +30,7 @@
 
 
 def _act_as_named(leadership: Leadership) -> bool:
-    return leadership._names_us()
+    return leadership.is_named()
 
 
 def _until_own_only(bounds: HoldBounds, server_id: str, first: int, last: int) -> float:
--- a/indigoworks_lab/control_simulation/broken_machine_rules.py
+++ b/indigoworks_lab/control_simulation/broken_machine_rules.py
@@ -1,9 +1,10 @@
 """Broken rules that show on machines whose processes and clocks do not run evenly."""
 
 from indigoworks.ownership import hold_bounds
-from indigoworks.ownership.hold_bounds import HoldBounds, _remove_keys_below
+from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.leader_liveness import LeaderLiveness
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
+from indigoworks.ownership.recorded_hold import remove_keys_below
 from indigoworks_lab.control_simulation import lease_checker, overlap_checker
 from indigoworks_lab.control_simulation.broken_control_rule import broken_control_rule
 from indigoworks_lab.control_simulation.fault_kind import FaultKind
@@ -20,7 +21,7 @@
 
 def _close_late(bounds: HoldBounds, server_id: str, first: int, last: int, token: int) -> None:
     for known in (bounds._settled_s, bounds._in_flight_s, bounds._unanswered_s, bounds._expired_s):
-        _remove_keys_below(known, server_id, first, last, token)
+        remove_keys_below(known, server_id, first, last, token)
 
 
 def _is_any_other(outcome: OrderOutcome, _server_id: str) -> bool:
--- a/indigoworks_lab/control_simulation/broken_order_rules.py
+++ b/indigoworks_lab/control_simulation/broken_order_rules.py
@@ -3,9 +3,13 @@
 import asyncio
 from dataclasses import replace
 
+from indigoworks.exchange.open_grants import OpenGrants
 from indigoworks.ownership import former_owners, hold_bounds, predecessor_bound
 from indigoworks.ownership.former_owners import FormerOwners
+from indigoworks.ownership.grant_replicator import GrantReplicator
+from indigoworks.ownership.grant_witness import GrantWitness
 from indigoworks.ownership.hold_bounds import HoldBounds
+from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.key_release import KeyRelease
 from indigoworks.ownership.order_outcome import OrderResult
 from indigoworks.ownership.owned_range import OwnedRange
@@ -23,6 +27,7 @@
 SHORT_FACTOR = 0.5
 
 _close_answered = HoldBounds.record_answered
+_fence = GrantWitness.fence
 
 
 async def _release_and_go_on(owners: FormerOwners, former: str) -> TransferProof | None:
@@ -52,6 +57,20 @@
     return server_id not in servers._listed
 
 
+def _fence_without_servers(witness: GrantWitness, epoch: int) -> OpenGrants | None:
+    grants = _fence(witness, epoch)
+    return None if grants is None else replace(grants, servers=())
+
+
+def _fence_with_short_holds(witness: GrantWitness, epoch: int) -> OpenGrants | None:
+    grants = _fence(witness, epoch)
+    return None if grants is None else replace(grants, hold_s=HOLD_S)
+
+
+def _is_listed_at_once(_replicator: GrantReplicator, _server_id: str) -> bool:
+    return True
+
+
 LATE_THEN_CUT = (
     (FaultKind.ORDERS_LATE, 0.5, 14.0),
     (FaultKind.SERVER_CUT_FROM_LEADER, 1.0, 12.0),
@@ -65,10 +84,26 @@
 """The node of the leader starts again soon after another leads: it is then known to act no more."""
 
 
+LATE_AFTER_CUT_FROM_PEERS = (
+    (FaultKind.LEADER_CUT_FROM_PEERS, 3.4, 12.0),
+    (FaultKind.LEADER_CUT_FROM_STORE, 3.4, 12.0),
+    (FaultKind.ORDERS_ALL_LATE, 3.5, 0.6),
+    (FaultKind.SERVER_DARK, 4.1, 13.9),
+)
+"""No witness hears what the leader sends after the cut."""
+
 LATE_THEN_ALL_LOST = (
     *LATE_THEN_LEADER_LOST[:2],
     (FaultKind.ALL_NODES_KILLED, 4.0, 0.5),
 )
+LONG_AND_LATE_THEN_LEADER_LOST = (
+    (FaultKind.LEADER_CUT_FROM_STORE, 3.0, 1.9),
+    (FaultKind.ORDERS_ALL_LATE, 4.25, 0.5),
+    (FaultKind.SERVER_DARK, 4.75, 20.0),
+    (FaultKind.LEADER_KILLED, 4.8, 0.5),
+)
+"""Grants of the last moment are unanswered, and long since the store is out of reach."""
+
 LATE_THEN_NEW_LEADERS = (
     (FaultKind.ORDERS_LATE, 0.5, 16.0),
     (FaultKind.SERVER_DRAINING, 3.9, 0.0),
@@ -78,12 +113,6 @@
 )
 """A new leader does not know which grants of the one before it went unanswered."""
 
-LEADER_CUT_OFF = (
-    *((FaultKind.SERVER_CUT_FROM_NODE, 2.9, 13.0) for _ in range(8)),
-    (FaultKind.LEADER_CUT_FROM_STORE, 3.0, 13.0),
-    (FaultKind.LEADER_CUT_FROM_PEERS, 3.0, 13.0),
-)
-
 BROKEN_ORDER_RULES = (
     broken_control_rule(
         "late-orders-ignored",
@@ -93,12 +122,19 @@
         *LATE_THEN_CUT,
     ),
     broken_control_rule(
-        "orders-under-way-unsaid",
-        "A leader's beat leaves out grants that are under way, however long.",
+        "open-grants-unsaid",
+        "A witness leaves out the servers that may yet apply a grant.",
         overlap_checker.CHECKER,
-        lambda: [Replacement(hold_bounds, "SLOW_ORDER_S", float("inf"))],
+        lambda: [Replacement(GrantWitness, "fence", _fence_without_servers)],
         *LATE_THEN_LEADER_LOST,
     ),
+    broken_control_rule(
+        "grants-before-acknowledgement",
+        "A leader sends a grant before its witnesses list the server.",
+        overlap_checker.CHECKER,
+        lambda: [Replacement(GrantReplicator, "_is_listed", _is_listed_at_once)],
+        *LATE_AFTER_CUT_FROM_PEERS,
+    ),
     broken_control_rule(
         "late-orders-unheard",
         "Of a leader that was never heard, only answered grants are waited for.",
@@ -107,12 +143,11 @@
         *LATE_THEN_ALL_LOST,
     ),
     broken_control_rule(
-        "long-holds-unheard",
-        "Long holds of a leader whose last beat told of short ones are not waited for.",
+        "long-holds-unsaid",
+        "A witness tells of short holds where the leader may grant long ones.",
         overlap_checker.CHECKER,
-        lambda: [Replacement(predecessor_bound, "STORE_TROUBLE_S", float("inf"))],
-        *LEADER_CUT_OFF,
-        servers=5,
+        lambda: [Replacement(GrantWitness, "fence", _fence_with_short_holds)],
+        *LONG_AND_LATE_THEN_LEADER_LOST,
     ),
     broken_control_rule(
         "release-without-waiting",
--- a/indigoworks_lab/control_simulation/node_exchange.py
+++ b/indigoworks_lab/control_simulation/node_exchange.py
@@ -1,6 +1,7 @@
 """Sends and receives the reports of one node."""
 
 import asyncio
+from collections.abc import Callable
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
@@ -8,6 +9,7 @@
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.exchange.report_sender import ReportSender, ReportSource
+from indigoworks.exchange.witness_codec import is_witness_datagram
 from indigoworks_lab.control_simulation.datagram_links import DatagramLinks
 
 CAPACITY = 1.0
@@ -15,7 +17,12 @@
 
 
 class NodeExchange:
-    """Does what `DatagramExchange` does, over simulated links."""
+    """Does what `DatagramExchange` does, over simulated links.
+
+    :ivar on_witness_datagram: takes datagrams of witnesses; set before the node starts.
+    """
+
+    on_witness_datagram: Callable[[bytes], None]
 
     def __init__(
         self,
@@ -31,7 +38,7 @@
         self._links = links
         self._clock = clock
         choice = HubSelector(node, zone, CAPACITY, directory, table, source.leader_node, clock)
-        self._sender = ReportSender(zone, directory, table, choice, source, self._send)
+        self._sender = ReportSender(zone, directory, table, choice, source, self.send)
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -46,7 +53,11 @@
     async def receive(self, delay_s: float, datagram: bytes) -> None:
         """Take a datagram that arrives after `delay_s`."""
         await asyncio.sleep(delay_s)
-        self._sender.handle_datagram(datagram)
+        if is_witness_datagram(datagram):
+            self.on_witness_datagram(datagram)
+        else:
+            self._sender.handle_datagram(datagram)
 
-    def _send(self, datagram: bytes, address: Address) -> None:
+    def send(self, datagram: bytes, address: Address) -> None:
+        """Send a datagram."""
         self._links.send(self._node, datagram, (address.host, address.port))
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -106,6 +106,8 @@
         )
         self.control.use_server_stats(self._board)
         self.control.send_report_now = self._exchange.send_soon
+        self.control.witnesses.send_datagram = self._exchange.send
+        self._exchange.on_witness_datagram = self.control.witnesses.handle_datagram
 
     def start(self) -> None:
         """Start the tasks of the process."""
