--- a/features/gateway_witnesses.feature
+++ b/features/gateway_witnesses.feature
@@ -2,7 +2,7 @@
 
   # A grant in flight when its leader is killed would be known to nobody.
   Scenario: No grant is sent to a server that a witness does not list
-    Then gateway witnesses: a server is admitted only once both witnesses list it
+    Then gateway witnesses: a server is admitted only once two of three witnesses list it
 
   # A late grant would find its keys at another server.
   Scenario: A server stays listed until it has answered all its grants
@@ -22,7 +22,7 @@
 
   # Nothing could be granted while a witness starts again and the store is out.
   Scenario: A witness whose process has ended is not waited for
-    Then gateway witnesses: a witness that runs under another boot is needed no more
+    Then gateway witnesses: a witness whose node runs again is needed no more
 
   # Keys of an unreachable server would pass while its long hold lasts.
   Scenario: Long holds are granted only once all witnesses know of them
@@ -32,12 +32,16 @@
   Scenario: A successor waits for late grants to listed servers alone
     Then gateway witnesses: the bound of a server that is not listed is that of its hold
 
-  # One witness that is lost with the leader would leave the successor without any knowledge.
-  Scenario: Any one witness is enough for the successor
-    Then gateway witnesses: a successor that reaches one witness gets the record
+  # A witness that is lost with the leader would leave the successor without any knowledge.
+  Scenario: Two of three witnesses are enough for the successor
+    Then gateway witnesses: a successor that reaches two of three witnesses gets the record
+
+  # One lost gateway would stop all grants until the store has taken another one.
+  Scenario: A leader goes on while one of three witnesses is lost
+    Then gateway witnesses: with one of three witnesses lost grants go on, with two they do not
 
   # A process that never had the record would answer that nothing is open.
-  Scenario: A witness without a record tells nothing
+  Scenario: Witnesses without a record tell nothing
     Then gateway witnesses: a fence without a record leaves the bound of all servers
 
   # A planned stop leaves grants in flight as a kill does.
--- a/features/steps/gateway_witness_world.py
+++ b/features/steps/gateway_witness_world.py
@@ -80,6 +80,7 @@
         self.parts = {node: self._make_part(node, world) for node, world in self.worlds.items()}
         self.list_peers(*nodes)
         self.replicator = self.parts["n1"].replicator
+        self.boots = {node: boot_of(node) for node in nodes}
         self.hearing = asyncio.ensure_future(self._hear(nodes))
 
     def _make_part(self, node, world):
@@ -120,14 +121,15 @@
             world.directory.apply(rows)
 
     async def _hear(self, nodes):
-        """Have the reports of all peers arrive."""
+        """Have the reports of all peers arrive, from the run of each node in `boots`."""
         sequence = 0
         while True:
             sequence += 1
             for node in nodes:
                 if node not in self.cut:
-                    report = PeerReport(node, boot_of(node), sequence, 3, 0.0, None, (), (), 0)
+                    report = PeerReport(node, self.boots[node], sequence, 3, 0.0, None, (), (), 0)
                     self.peers.record_report(report)
+                    self.leadership.liveness.record_report(report)
             await asyncio.sleep(0.05)
 
     async def lead(self, *witnesses):
--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -227,6 +227,7 @@
             self._ports.store,
             self._clock,
             self._pending_changed,
+            self.witnesses.replication,
         )
         return GroupLeader(
             self.leadership,
--- a/indigoworks/ownership/grant_replicator.py
+++ b/indigoworks/ownership/grant_replicator.py
@@ -25,22 +25,28 @@
 """Time after which a record is sent again to witnesses that have not acknowledged it."""
 
 LINGER_S = 0.03
-"""A server stays listed for this long after its last grant was answered: all ranges of a server are
-renewed one after the other."""
+"""A server stays listed for this long after its last grant was answered, so that its ranges, which
+are renewed one after the other, need one record and not one each."""
 
 ADMISSION_TIMEOUT_S = 0.5
 """Longest wait for the witnesses; the grant is then tried again later."""
 
-TROUBLE_PROOF_AGE_S = 1.0
+LACKS_STORE_PROOF_AGE_S = 1.0
 """With an older proof of leadership all owners are listed, and long holds are announced: while the
 store is out of reach, a lost witness cannot be replaced, and renewals have to go on without it."""
 
 
+UNTOLD_HOLD_S = 2 * HOLD_S
+"""Answered holds that last longer than the record tells by so much are told anew; a server that is
+listed has a longer bound than a short hold."""
+
+
 class GrantReplicator:
-    """Implements `GrantAdmission`: lists a server at all witnesses before it is sent a grant.
+    """Implements `GrantAdmission`: lists a server at the witnesses before it is sent a grant.
 
     A server stays listed until it has answered all its grants. So the successor of this leader,
-    which asks one witness, knows which servers may yet apply a grant that they have not answered.
+    which asks a read quorum of them, knows which servers may yet apply a grant that they have not
+    answered.
 
     :param owners: returns the servers that own ranges.
     :param is_gone: returns whether the process of a server has ended.
@@ -70,9 +76,13 @@
         self._epoch = 0
         self._number = 0
         self._admitted: Counter[str] = Counter()
-        self._settled_s: dict[str, float] = {}
+        self._ended_s: dict[str, float] = {}
         self._listed_since: dict[str, int] = {}
-        self._long_since: int | None = None
+        self._hold_s = HOLD_S
+        self._hold_since = 0
+        self._possible_holds = self._possible_since = 0
+        self._told_silent: set[str] = set()
+        self._told_until_s = float("-inf")
         self._is_wanted = asyncio.Event()
         self._has_progress = asyncio.Event()
 
@@ -84,7 +94,7 @@
     # ---- admission ----
 
     async def admit(self, server_id: str) -> bool:
-        """Wait until all witnesses list the server; False: they did not in time."""
+        """Wait until any successor finds the server listed; False: not in time."""
         self._admitted[server_id] += 1
         is_listed = False
         try:
@@ -99,15 +109,14 @@
         self._admitted[server_id] -= 1
         if self._admitted[server_id] <= 0:
             del self._admitted[server_id]
-            self._settled_s[server_id] = self._clock.now()
+            self._ended_s[server_id] = self._clock.now()
 
     def longest_hold_s(self) -> float:
-        """Return the longest hold that all witnesses know to be possible, in seconds."""
-        if not self._witnesses.required():
+        """Return the longest hold of which any successor learns, in seconds."""
+        if not self._witnesses.members():
             return float("inf")
-        if self._long_since is not None and self._witnesses.have_acknowledged(self._long_since):
-            return self._policy.longest_max_s
-        return HOLD_S
+        is_known = self._witnesses.is_kept(self._hold_since)
+        return self._hold_s if is_known else min(HOLD_S, self._hold_s)
 
     async def _wait_until_listed(self, server_id: str) -> bool:
         until_s = self._clock.now() + ADMISSION_TIMEOUT_S
@@ -121,10 +130,10 @@
         return True
 
     def _is_listed(self, server_id: str) -> bool:
-        if not self._witnesses.required():
+        if not self._witnesses.members():
             return True
         number = self._listed_since.get(server_id)
-        return number is not None and self._witnesses.have_acknowledged(number)
+        return number is not None and self._witnesses.is_kept(number)
 
     async def _wait_for_progress(self, timeout_s: float) -> None:
         self._has_progress.clear()
@@ -136,9 +145,10 @@
         """Start an epoch of which this process is the leader."""
         self._epoch = epoch
         self._listed_since = {}
-        self._long_since = None
+        self._hold_s = HOLD_S
+        self._hold_since = self._number + 1
         self._witnesses.start_epoch()
-        self._update_named()
+        self.update_named()
         self.request_record()
 
     async def run(self) -> None:
@@ -153,6 +163,33 @@
         """Send a record soon."""
         self._is_wanted.set()
 
+    def witnesses_changed(self) -> None:
+        """Look again whether servers that wait are listed, and send a record soon."""
+        self._has_progress.set()
+        self.request_record()
+
+    async def sync(self, is_kept: Callable[[int], bool], timeout_s: float) -> bool:
+        """Wait until a record of what is known by now is kept; False: not in time.
+
+        :param is_kept: returns whether the record of a number, or a newer one, is.
+        """
+        number = self._number + 1
+        until_s = self._clock.now() + timeout_s
+        self.request_record()
+        while self._number < number or not is_kept(number):
+            left_s = until_s - self._clock.now()
+            if left_s <= 0:
+                return False
+            await self._wait_for_progress(left_s)
+        return True
+
+    async def sync_possible_holds(self) -> bool:
+        """Wait as `sync` does if possible holds were recorded since the newest record."""
+        is_sent = self._bounds.possible_holds == self._possible_holds
+        if is_sent and self._witnesses.is_kept(self._possible_since):
+            return True
+        return await self.sync(self._witnesses.is_kept, ADMISSION_TIMEOUT_S)
+
     async def wait_acknowledged(self, processes: Iterable[ProcessId], timeout_s: float) -> None:
         """Wait until the processes have acknowledged a record that is newer than the newest now."""
         number = self._number + 1
@@ -173,36 +210,40 @@
     async def _wait_until_due(self) -> None:
         while not self._is_wanted.is_set():
             await wait_for_event(self._is_wanted, RESEND_S)
-            self._update_named()
-            is_behind = not self._witnesses.have_acknowledged(self._number)
-            is_changed = self._is_in_trouble() != (self._long_since is not None)
-            if is_behind or is_changed or self._names() != self._listed_since.keys():
+            self.update_named()
+            is_behind = not self._witnesses.is_kept_by_all(self._number)
+            if is_behind or self._is_changed():
                 return
 
-    def _update_named(self) -> None:
+    def update_named(self) -> None:
         """Take the witnesses from the newest leader row, unless it is another leader's."""
         if self._leadership.is_named() and self._leadership.row.epoch == self._epoch:
             self._witnesses.set_named(self._leadership.row.witnesses)
 
     def _send_record(self) -> None:
-        self._update_named()
+        self.update_named()
         names = self._names()
         self._number += 1
         self._listed_since = {
             each: self._listed_since.get(each, self._number) for each in sorted(names)
         }
-        if not self._is_in_trouble():
-            self._long_since = None
-        elif self._long_since is None:
-            self._long_since = self._number
+        if self._wanted_hold_s() != self._hold_s:
+            self._hold_s = self._wanted_hold_s()
+            self._hold_since = self._number
+        if self._possible_holds != self._bounds.possible_holds:
+            self._possible_holds = self._bounds.possible_holds
+            self._possible_since = self._number
+        self._told_silent = self._silent()
+        left_s = self._bounds.settled_left_s()
+        self._told_until_s = self._clock.now() + left_s
         record = OpenGrants(
             self._epoch,
             self._number,
-            self._bounds.settled_left_s(),
-            HOLD_S if self._long_since is None else self._policy.longest_max_s,
+            left_s,
+            self._hold_s,
             tuple(self._open_server(each) for each in self._listed_since),
         )
-        for process in sorted(self._witnesses.required()):
+        for process in sorted(self._witnesses.recipients()):
             self._witnesses.record_sent(process)
             self._send(process, record)
         self._has_progress.set()
@@ -211,14 +252,30 @@
         left_s = self._bounds.open_until_s(server_id) - self._clock.now()
         return OpenServer(server_id, max(0.0, left_s), self._reach.is_silent(server_id))
 
-    def _is_in_trouble(self) -> bool:
-        return self._leadership.proof_age_s() > TROUBLE_PROOF_AGE_S
+    def _is_changed(self) -> bool:
+        """Return whether a successor should learn more than the newest record tells."""
+        untold_s = self._clock.now() + self._bounds.settled_left_s() - self._told_until_s
+        return (
+            self._names() != self._listed_since.keys()
+            or self._silent() != self._told_silent
+            or self._wanted_hold_s() != self._hold_s
+            or untold_s > UNTOLD_HOLD_S
+        )
+
+    def _silent(self) -> set[str]:
+        return {each for each in self._listed_since if self._reach.is_silent(each)}
+
+    def _wanted_hold_s(self) -> float:
+        return self._policy.longest_max_s if self._lacks_store() else HOLD_S
+
+    def _lacks_store(self) -> bool:
+        return self._leadership.proof_age_s() > LACKS_STORE_PROOF_AGE_S
 
     def _names(self) -> set[str]:
         """Return the servers to list."""
         oldest_s = self._clock.now() - LINGER_S
-        self._settled_s = {each: at_s for each, at_s in self._settled_s.items() if at_s > oldest_s}
-        names = {*self._settled_s, *self._bounds.open_servers()}
-        if self._is_in_trouble():
+        self._ended_s = {each: at_s for each, at_s in self._ended_s.items() if at_s > oldest_s}
+        names = {*self._ended_s, *self._bounds.open_servers()}
+        if self._lacks_store():
             names.update(self._owners())
         return {*self._admitted, *(each for each in names if not self._is_gone(each))}
--- a/indigoworks/ownership/hold_bounds.py
+++ b/indigoworks/ownership/hold_bounds.py
@@ -42,8 +42,10 @@
 
     "Own" bounds are those of all recorded holds: by grants of this process in this epoch and
     earlier ones, and the possible holds of `add_possible_hold`. Grants of earlier leaders have one
-    bound in common, that of the predecessor, until a witness has told to which servers it may have
+    bound in common, that of the predecessor, until witnesses have told to which servers it may have
     grants open.
+
+    :ivar possible_holds: number of calls of `add_possible_hold`.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -58,6 +60,7 @@
         self._inherited = KeySpans()
         self._unfenced = KeySpans()
         self._answered = KeySpans()
+        self.possible_holds = 0
 
     def start_epoch(self, predecessor_until_s: float) -> None:
         """Start an epoch as leader; grants of this process in earlier epochs may still hold.
@@ -74,6 +77,7 @@
         """Record that a server may hold a range by a grant of an unknown leader."""
         hold = RecordedHold(server_id, owned.first, owned.last, owned.token)
         self._settled_s[hold] = max(until_s, self._settled_s.get(hold, until_s))
+        self.possible_holds += 1
 
     def lower_predecessor_bound(self, until_s: float) -> None:
         """Lower the bound of earlier leaders' grants: the predecessor has stopped acting."""
@@ -98,13 +102,18 @@
         self._in_flight_s[_hold(owned)] = self._clock.now() + late_s
         self._sent_s[_hold(owned)] = self._clock.now()
 
-    def record_answered(self, owned: OwnedRange, hold_s: float) -> None:
-        """Record that the grant was answered now, so that it was applied before."""
+    def record_answered(self, owned: OwnedRange, hold_s: float, is_token_ours: bool = True) -> None:
+        """Record that the grant was answered now, so that it was applied before.
+
+        :param is_token_ours: no earlier leader has granted under the token, so that the server now
+            refuses all their grants of the keys.
+        """
         hold = _hold(owned)
         self._in_flight_s.pop(hold, None)
-        for spans in (self._inherited, self._unfenced):
-            spans.remove(owned.server_id, owned.first, owned.last)
-        self._answered.add(owned.server_id, owned.first, owned.last)
+        if is_token_ours:
+            for spans in (self._inherited, self._unfenced):
+                spans.remove(owned.server_id, owned.first, owned.last)
+            self._answered.add(owned.server_id, owned.first, owned.last)
         for known in (self._settled_s, self._in_flight_s, self._unanswered_s, self._expired_s):
             remove_keys_below(known, owned.server_id, owned.first, owned.last, owned.token)
         until_s = self._clock.now() + hold_s * CLOCK_DRIFT_FACTOR + SEND_MARGIN_S
@@ -159,9 +168,10 @@
     def until_s(self, server_id: str, first: int, last: int) -> float:
         """Return until when the server may hold any of the keys."""
         own_s = self.own_until_s(server_id, first, last)
-        if self._answered.covers(server_id, first, last):
-            # The server refuses grants of earlier leaders.
-            return own_s
+        grants = self._predecessor_grants
+        if grants is not None and self._answered.covers(server_id, first, last):
+            # The server refuses what earlier leaders sent and it has not answered.
+            return max(grants.others_until_s, own_s)
         return max(self.server_predecessor_until_s(server_id), own_s)
 
     def own_until_s(self, server_id: str, first: int, last: int) -> float:
--- a/indigoworks/ownership/leader_liveness.py
+++ b/indigoworks/ownership/leader_liveness.py
@@ -125,9 +125,9 @@
         listed_boot = self._directory.boot_of(node)
         if listed_boot is not None and listed_boot != boot:
             return True
-        return self._epochs.get((node, boot), 0) > epoch or self._is_replaced(node, boot)
+        return self._epochs.get((node, boot), 0) > epoch or self.is_replaced(node, boot)
 
-    def _is_replaced(self, node: str, boot: str) -> bool:
+    def is_replaced(self, node: str, boot: str) -> bool:
         """Return whether another run of the node is heard and this one has not been for a while.
 
         A report through a hub may be delayed: on its own it does not show which run is newer.
--- a/indigoworks/ownership/leader_replication.py
+++ b/indigoworks/ownership/leader_replication.py
@@ -26,6 +26,10 @@
         """
         ...
 
+    async def sync_possible_holds(self) -> bool:
+        """Wait until any successor learns of the possible holds recorded; False: not in time."""
+        ...
+
     def stop(self) -> None:
         """End the epoch."""
         ...
@@ -52,6 +56,10 @@
             work.append(self._fence_predecessor(predecessor, on_predecessor_grants))
         self._tasks = [asyncio.ensure_future(each) for each in work]
 
+    async def sync_possible_holds(self) -> bool:
+        """Wait until any successor learns of the possible holds recorded; False: not in time."""
+        return await self._replicator.sync_possible_holds()
+
     def stop(self) -> None:
         """End the tasks."""
         for task in self._tasks:
@@ -73,6 +81,10 @@
     ) -> None:
         """Do nothing."""
 
+    async def sync_possible_holds(self) -> bool:
+        """Return True."""
+        return True
+
     def stop(self) -> None:
         """Do nothing."""
 
--- a/indigoworks/ownership/predecessor_fence.py
+++ b/indigoworks/ownership/predecessor_fence.py
@@ -11,9 +11,10 @@
 from indigoworks.ownership.grant_replicator import SendToWitness
 from indigoworks.ownership.grant_witness import GrantWitness
 from indigoworks.ownership.leader_row import LeaderRow
+from indigoworks.ownership.witness_quorum import read_quorum
 
 RESEND_S = 0.1
-"""Time after which a request without a reply is sent again."""
+"""Time after which requests without a reply are sent again."""
 
 MAX_REQUESTS = 300
 """Requests to each witness; the bound of all servers has ended after as many."""
@@ -22,8 +23,9 @@
 class PredecessorFence:
     """Asks the witnesses of the previous leader what they know, and to acknowledge nothing more.
 
-    One reply with a record is enough: the leader needs the acknowledgement of each witness before
-    it sends a grant to a further server.
+    Replies of a read quorum are enough: before the leader sends a grant to a further server, it
+    needs the acknowledgement of so many witnesses that each read quorum has one of them. The newest
+    of their records lists all servers with open grants.
 
     :param own: this process, which may be a witness itself.
     """
@@ -33,8 +35,8 @@
         self._witness = witness
         self._send = send
         self._row: LeaderRow | None = None
-        self._grants: OpenGrants | None = None
-        self._has_grants = asyncio.Event()
+        self._replies: dict[ProcessId, OpenGrants | None] = {}
+        self._has_quorum = asyncio.Event()
 
     async def fence(self, row: LeaderRow) -> OpenGrants | None:
         """Return the open grants of the leader that `row` names; None: no witness knows them.
@@ -42,18 +44,18 @@
         :param row: the newest row of that leader, so that its witnesses cannot change any more.
         """
         self._row = row
-        self._grants = None
-        self._has_grants.clear()
+        self._replies = {}
+        self._has_quorum.clear()
         if self._own in row.witnesses:
             self._take(self._own, self._witness.fence(row.epoch))
         for _ in range(MAX_REQUESTS):
-            if self._has_grants.is_set() or not row.witnesses:
+            if self._has_quorum.is_set() or not row.witnesses:
                 break
             for process in row.witnesses:
-                if process != self._own:
+                if process not in self._replies:
                     self._send(process, FenceRequest(row.epoch))
-            await wait_for_event(self._has_grants, RESEND_S)
-        return self._grants
+            await wait_for_event(self._has_quorum, RESEND_S)
+        return self._newest() if self._has_quorum.is_set() else None
 
     def record_reply(self, sender: ProcessId, reply: FenceReply) -> None:
         """Record the reply of a witness."""
@@ -62,15 +64,21 @@
             self._take(sender, reply.grants)
 
     def _take(self, sender: ProcessId, grants: OpenGrants | None) -> None:
-        if grants is None or self._has_grants.is_set():
-            return
-        self._grants = grants
-        self._has_grants.set()
-        log_message(
-            message_type="hold:predecessor_grants",
-            epoch=grants.epoch,
-            witness=sender.node,
-            number=grants.number,
-            open=[each.server_id for each in grants.servers],
-            others_left_s=round(grants.left_s, 3),
-        )
+        assert self._row is not None
+        self._replies.setdefault(sender, grants)
+        if len(self._replies) >= read_quorum(len(self._row.witnesses)):
+            self._has_quorum.set()
+
+    def _newest(self) -> OpenGrants | None:
+        records = [each for each in self._replies.values() if each is not None]
+        newest = max(records, key=lambda each: each.number, default=None)
+        if newest is not None:
+            log_message(
+                message_type="hold:predecessor_grants",
+                epoch=newest.epoch,
+                witnesses=sorted(each.node for each in self._replies),
+                number=newest.number,
+                open=[each.server_id for each in newest.servers],
+                others_left_s=round(newest.left_s, 3),
+            )
+        return newest
--- a/indigoworks/ownership/predecessor_grants.py
+++ b/indigoworks/ownership/predecessor_grants.py
@@ -10,7 +10,7 @@
 class PredecessorGrants:
     """What a witness has told of the previous leader's grants; times are readings of our clock.
 
-    :ivar others_until_s: bound of servers that have answered all of its grants.
+    :ivar others_until_s: bound of grants that were answered.
     :ivar open_until_s: bounds, by server, of what was sent before the record. The servers are those
         that may yet apply a grant of the previous leader without having answered it.
     :ivar later_until_s: bound of what it may have sent to these servers since.
@@ -40,7 +40,7 @@
         sent_until_s = self.open_until_s.get(server_id)
         if sent_until_s is None:
             return self.others_until_s
-        return max(sent_until_s, self.later_until_s)
+        return max(self.others_until_s, sent_until_s, self.later_until_s)
 
     def latest_s(self) -> float:
         """Return the latest bound of all servers."""
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -73,7 +73,7 @@
         self.is_granted = False
         self.needs_token = False
         self.task: asyncio.Task[None] | None = None
-        self._is_quiesced = self._is_first_grant = False
+        self._is_quiesced = self._is_first_grant = self._is_confirmation = False
         self._has_answered = False
         self._last_result: OrderResult | None = None
         self._no_grant_in_flight = asyncio.Event()
@@ -133,8 +133,11 @@
         self._is_quiesced = False
 
     async def renew(self) -> OrderResult | None:
-        """Renew the grant once, and return the result; None: nothing was sent."""
-        self.is_granted = True
+        """Renew an earlier leader's grant once under its token, and return the result.
+
+        None: nothing was sent.
+        """
+        self.is_granted = self._is_confirmation = True
         try:
             await self._grant()
         finally:
@@ -207,7 +210,7 @@
         self._reach.record_result(self.owned.server_id, result, self)
         self._has_answered = result is OrderResult.DONE
         if result is OrderResult.DONE:
-            self._bounds.record_answered(self.owned, hold_s)
+            self._bounds.record_answered(self.owned, hold_s, not self._is_confirmation)
             if not self.is_granted:
                 self.is_granted = True
                 self._log.log(
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -10,6 +10,7 @@
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.keeper_set import KeeperSet
 from indigoworks.ownership.leader_lease import LEADER_LEASE_S
+from indigoworks.ownership.leader_replication import NO_REPLICATION, LeaderReplication
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.ownership_table import OwnershipTable
@@ -42,6 +43,7 @@
         store: RowStore,
         clock: Clock,
         on_pending_changed: Callable[[], None],
+        replication: LeaderReplication = NO_REPLICATION,
     ) -> None:
         self._group = group
         self._leadership = leadership
@@ -50,6 +52,7 @@
         self._store = store
         self._clock = clock
         self._on_pending_changed = on_pending_changed
+        self._replication = replication
         self._unsettled: set[str] = set()
 
     def is_unsettled(self, service: str) -> bool:
@@ -109,6 +112,9 @@
         """Write a table on the condition that this process leads and the row is unchanged."""
         if not self._leadership.may_act():
             return False
+        # A successor that reads the table has to know of the holds that it was made by.
+        if not await self._replication.sync_possible_holds():
+            return False
         await self._keepers.quiesce(table.service, table)
         async with self._leadership.row_lock:
             if not self._leadership.may_act():
--- a/indigoworks/ownership/witness_set.py
+++ b/indigoworks/ownership/witness_set.py
@@ -1,57 +1,77 @@
 """Witnesses of a leader, and what they have acknowledged."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.process_id import ProcessId
+from indigoworks.ownership.witness_quorum import Configuration, is_read_by_any_successor
+
+NO_WITNESSES: Configuration = frozenset()
 
 
 class WitnessSet:
-    """Tracks which processes must acknowledge a record of open grants, and which have.
+    """Tracks which processes are witnesses, and which records they have acknowledged.
+
+    A successor goes by the configuration in the leader row that it replaces. So a record has to be
+    kept by enough witnesses of each configuration that may be in force: that of the newest known
+    row, those of rows that may have been written, and the one that the next row is to name.
 
-    Required are the witnesses in the leader row, those that join, and those in a row that may have
-    been written: a successor may ask any process that a row names. A process joins before a row
-    names it, so that its record is never older than the row.
+    :ivar probed: processes that get records, and have not acknowledged any yet.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._named: frozenset[ProcessId] = frozenset()
-        self._attempted: frozenset[ProcessId] = frozenset()
-        self._joining: frozenset[ProcessId] = frozenset()
-        self._ended: frozenset[ProcessId] = frozenset()
+        self.probed = NO_WITNESSES
+        self._named = NO_WITNESSES
+        self._attempted: frozenset[Configuration] = frozenset()
+        self._joining = NO_WITNESSES
+        self._ended = NO_WITNESSES
         self._acknowledged: dict[ProcessId, int] = {}
         self._awaited_since_s: dict[ProcessId, float] = {}
 
+    # ---- configurations ----
+
     def start_epoch(self) -> None:
         """Start an epoch, of which nothing has been acknowledged yet."""
-        self._named = self._attempted = self._joining = self._ended = frozenset()
+        self.probed = self._named = self._joining = self._ended = NO_WITNESSES
+        self._attempted = frozenset()
         self._acknowledged = {}
         self._awaited_since_s = {}
 
-    def required(self) -> frozenset[ProcessId]:
-        """Return the processes that must acknowledge a record."""
-        return (self._named | self._attempted | self._joining) - self._ended
-
     def set_named(self, witnesses: Iterable[ProcessId]) -> None:
-        """Set the witnesses that the newest known leader row names."""
+        """Set the configuration of the newest known leader row."""
         self._named = frozenset(witnesses)
 
-    def add_attempted(self, witnesses: Iterable[ProcessId]) -> None:
-        """Record that a row with these witnesses is about to be written."""
-        self._attempted |= frozenset(witnesses)
+    def set_joining(self, configuration: Configuration) -> None:
+        """Set the configuration that the next row is to name; empty: none."""
+        self._joining = configuration
+
+    def add_attempted(self, configuration: Configuration) -> None:
+        """Record that a row with this configuration is about to be written."""
+        self._attempted |= {configuration}
 
     def clear_attempted(self) -> None:
         """Record that the newest known row is the one in force."""
         self._attempted = frozenset()
 
-    def set_joining(self, processes: Iterable[ProcessId]) -> None:
-        """Set the processes that a later row may name."""
-        self._joining = frozenset(processes)
+    def has_doubt(self) -> bool:
+        """Return whether a row other than the newest known one may be in force."""
+        return bool(self._attempted - {self._named})
 
-    def set_ended(self, processes: Iterable[ProcessId]) -> None:
-        """Set the processes that have ended: they answer no successor."""
-        self._ended = frozenset(processes)
+    def add_ended(self, processes: Iterable[ProcessId]) -> None:
+        """Record that processes have ended: they answer no successor."""
+        self._ended |= frozenset(processes)
+
+    def members(self) -> frozenset[ProcessId]:
+        """Return the witnesses of all configurations that may be in force, or come to be."""
+        return frozenset().union(*self._configurations()) - self._ended
+
+    def recipients(self) -> frozenset[ProcessId]:
+        """Return the processes that get records."""
+        return self.members() | self.probed
+
+    def _configurations(self) -> frozenset[Configuration]:
+        return self._attempted | {self._named, self._joining}
 
     # ---- acknowledgements ----
 
@@ -67,24 +87,38 @@
         elif process in self._awaited_since_s:
             self._awaited_since_s[process] = self._clock.now()
 
-    def have_acknowledged(self, number: int) -> bool:
-        """Return whether all required processes keep record `number` or a newer one."""
-        return all(self.has_acknowledged(each, number) for each in self.required())
+    def is_kept(self, number: int) -> bool:
+        """Return whether any successor gets record `number`, or a newer one.
+
+        Without witnesses it is: a successor then expects that this process may have sent anything.
+        """
+        return all(self.is_kept_by(each, number) for each in self._configurations())
+
+    def is_kept_by(self, configuration: Configuration, number: int) -> bool:
+        """Return whether a successor that goes by a configuration gets record `number`."""
+        keepers = {each for each, known in self._acknowledged.items() if known >= number}
+        return not configuration or is_read_by_any_successor(configuration, keepers, self._ended)
+
+    def is_kept_by_all(self, number: int) -> bool:
+        """Return whether every recipient keeps record `number`, or a newer one."""
+        return all(self.has_acknowledged(each, number) for each in self.recipients())
 
     def has_acknowledged(self, process: ProcessId, number: int) -> bool:
         """Return whether a process keeps record `number` or a newer one."""
         return self._acknowledged.get(process, 0) >= number
 
     def overdue(self, limit_s: float) -> frozenset[ProcessId]:
-        """Return the required processes that have owed an acknowledgement for `limit_s`."""
+        """Return the witnesses that have owed an acknowledgement for `limit_s`."""
         now_s = self._clock.now()
         return frozenset(
             each
-            for each in self.required()
+            for each in self.members()
             if now_s - self._awaited_since_s.get(each, now_s) >= limit_s
         )
 
-    def forget(self, processes: Collection[ProcessId]) -> None:
-        """Forget what processes that are no longer required owe."""
-        for each in processes:
-            self._awaited_since_s.pop(each, None)
+    def forget_others(self) -> None:
+        """Forget what processes owe that get no records any more."""
+        recipients = self.recipients()
+        self._awaited_since_s = {
+            each: at_s for each, at_s in self._awaited_since_s.items() if each in recipients
+        }
--- a/indigoworks/ownership/witness_subsystem.py
+++ b/indigoworks/ownership/witness_subsystem.py
@@ -58,7 +58,7 @@
         self._witness = GrantWitness(clock)
         self.send_datagram: Callable[[bytes, Address], None] = _send_nothing
         witnesses = WitnessSet(clock)
-        selector = WitnessSelector(zone, peers, directory)
+        selector = WitnessSelector(zone, peers, directory, leadership.liveness)
         leadership.select_witnesses = selector.select
         self.replicator = GrantReplicator(
             leadership, bounds, reach, policy, witnesses, self._send, owners, is_gone, clock
--- a/indigoworks/ownership/witness_supervisor.py
+++ b/indigoworks/ownership/witness_supervisor.py
@@ -1,6 +1,8 @@
 """Replaces witnesses that do not acknowledge records."""
 
+from collections.abc import Iterable
 from dataclasses import replace
+from functools import partial
 
 from eliot import log_message
 
@@ -8,8 +10,9 @@
 from indigoworks.exchange.process_id import ProcessId
 from indigoworks.ownership.grant_replicator import GrantReplicator
 from indigoworks.ownership.leadership import Leadership
+from indigoworks.ownership.witness_quorum import Configuration
 from indigoworks.ownership.witness_selector import WitnessSelector
-from indigoworks.ownership.witness_set import WitnessSet
+from indigoworks.ownership.witness_set import NO_WITNESSES, WitnessSet
 
 CHECK_PERIOD_S = 0.1
 """Time between two checks of the witnesses."""
@@ -27,9 +30,8 @@
 class WitnessSupervisor:
     """Keeps the leader row naming witnesses that acknowledge.
 
-    A successor asks any one process that the row names. So a process is first sent the current
-    record and acknowledges it, then a row names it; a process that a row named stays required until
-    another row is in force, or until it has ended.
+    A new witness first gets records and acknowledges one. Then grants need the new configuration as
+    well as the one in force, the newest record is kept by both, and a row names the new one.
     """
 
     def __init__(
@@ -56,40 +58,50 @@
 
     async def _check(self) -> None:
         current = frozenset(self._leadership.row.witnesses)
-        self._witnesses.set_named(current)
-        required = self._witnesses.required()
-        ended = {each for each in required | current if self._selector.has_ended(each)}
-        self._witnesses.set_ended(ended)
+        self._replicator.update_named()
+        ended = {each for each in self._witnesses.members() if self._selector.has_ended(each)}
+        if ended:
+            self._witnesses.add_ended(ended)
+            self._replicator.witnesses_changed()
         self._exclude(self._witnesses.overdue(OVERDUE_S))
         selected = frozenset(self._selector.select(current, self._excluded()))
-        if selected != current or required - ended - current:
+        if selected != current or self._witnesses.has_doubt():
             await self._replace(current, selected)
 
-    async def _replace(self, current: frozenset[ProcessId], selected: frozenset[ProcessId]) -> None:
-        new = selected - current
-        if new:
-            self._witnesses.set_joining(new)
-            number = self._replicator.number
-            await self._replicator.wait_acknowledged(new, JOIN_TIMEOUT_S)
-            failed = {
-                each for each in new if not self._witnesses.has_acknowledged(each, number + 1)
-            }
-            self._exclude(failed)
-            self._witnesses.set_joining(new - failed)
-            selected -= failed
-        self._witnesses.add_attempted(selected)
-        self._witnesses.set_joining(())
-        if selected != current or self._witnesses.required() - current:
-            await self._write(selected)
+    async def _replace(self, current: Configuration, selected: Configuration) -> None:
+        selected -= await self._unresponsive(selected - current)
+        if selected == current and not self._witnesses.has_doubt():
+            return
+        self._witnesses.set_joining(selected)
+        try:
+            is_kept = partial(self._witnesses.is_kept_by, selected)
+            if await self._replicator.sync(is_kept, JOIN_TIMEOUT_S):
+                await self._write(selected)
+        finally:
+            self._witnesses.set_joining(NO_WITNESSES)
+
+    async def _unresponsive(self, new: Configuration) -> Configuration:
+        """Send records to processes; returns those that acknowledge none."""
+        if not new:
+            return NO_WITNESSES
+        self._witnesses.probed = new
+        await self._replicator.wait_acknowledged(new, JOIN_TIMEOUT_S)
+        self._witnesses.probed = NO_WITNESSES
+        number = self._replicator.number
+        failed = frozenset(
+            each for each in new if not self._witnesses.has_acknowledged(each, max(1, number - 1))
+        )
+        self._exclude(failed)
+        return failed
 
-    async def _write(self, selected: frozenset[ProcessId]) -> None:
+    async def _write(self, selected: Configuration) -> None:
+        self._witnesses.add_attempted(selected)
         is_written = await self._put_row(tuple(sorted(selected)))
         if is_written:
-            before = self._witnesses.required()
             self._witnesses.clear_attempted()
-            self._witnesses.set_named(self._leadership.row.witnesses)
-            self._witnesses.forget(before - self._witnesses.required())
-            self._replicator.request_record()
+            self._replicator.update_named()
+            self._witnesses.forget_others()
+            self._replicator.witnesses_changed()
         log_message(
             message_type="witness:selected",
             epoch=self._leadership.row.epoch,
@@ -104,7 +116,7 @@
             row = replace(self._leadership.row, witnesses=witnesses)
             return (await self._leadership.put_own_row(row)).is_ok()
 
-    def _exclude(self, processes: frozenset[ProcessId] | set[ProcessId]) -> None:
+    def _exclude(self, processes: Iterable[ProcessId]) -> None:
         for each in processes:
             self._excluded_until_s[each] = self._clock.now() + EXCLUSION_S
 
