A server that answers again may have applied what waited in its queue

Cause: the first answer of a silent server made the time bound of its unanswered grants count again, which had passed while it stood still. Named by range:former_ruled_out reason=own_bound 4 ms after that answer, with no release sent since. Fix: what waited counts from the end of the silence. And the bound of a grant counts from the last look before its bytes: a process that stood still between recording and look sent it later than its bound said. Evidence: both scenarios fail before, pass.

--- a/features/gateway_witness_bounds.feature
+++ b/features/gateway_witness_bounds.feature
@@ -19,3 +19,11 @@
   # The row of an earlier run of the node may be made seconds later, without a condition.
   Scenario: A witness whose node's row was written late is required
     Then gateway witnesses: a witness that a late row write hides is still required
+
+  # The process may stand still between the recording of a grant and its last look.
+  Scenario: A pause before the sending is in the bound of a grant
+    Then gateway witnesses: the bound of a grant counts from the last look before its bytes
+
+  # Its bound by time has passed while it stood still; it answers an order for other keys first.
+  Scenario: A server that was silent and answers again may have applied what waited
+    Then gateway witnesses: a grant that waited at a silent server counts from its first answer
--- a/indigoworks/ownership/former_owners.py
+++ b/indigoworks/ownership/former_owners.py
@@ -128,12 +128,14 @@
     def _queue_until_s(self, server_id: str) -> float:
         """Return until when orders queued at a server may make it hold keys.
 
-        A hold begins when the order is applied, and a process may be paused for any time. The
-        process has ended if its address refuses connections and its list entry is gone.
+        A hold begins when the order is applied, and a process may be paused for any time: it then
+        applies what waited once it goes on, before or after it answers other orders. The process
+        has ended if its address refuses connections and its list entry is gone.
         """
         if not self._reach.is_silent(server_id):
+            applied_until_s = self._reach.silent_until_s(server_id) + self._longest_s()
             is_known = self._record(server_id) is not None
-            return float("-inf") if is_known else self._unknown_until_s
+            return applied_until_s if is_known else max(applied_until_s, self._unknown_until_s)
         refused_s = self._reach.refused_since_s(server_id)
         if refused_s is None or self._servers.is_listed(server_id):
             return float("inf")
@@ -148,8 +150,10 @@
         """
         if self._bounds.own_until_s(server_id, *self._keys()) > float("-inf"):
             return float("-inf")
-        longest_s = longest_unreported_hold_s(self._policy.longest_max_s) * CLOCK_DRIFT_FACTOR
-        return self._clock.now() + longest_s
+        return self._clock.now() + self._longest_s()
+
+    def _longest_s(self) -> float:
+        return longest_unreported_hold_s(self._policy.longest_max_s) * CLOCK_DRIFT_FACTOR
 
     async def release(self, server_id: str) -> TransferProof | None:
         """Send a server a release of the keys; None: it may still hold some."""
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from functools import partial
 
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.former_owners import FormerOwners
@@ -193,7 +194,9 @@
             with self._log.track_order(
                 "grant", record.server_id, grant.token, ORDER_TIMEOUT_S, hold_s
             ) as order:
-                outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S, self._may_send)
+                outcome = await self._orders.grant(
+                    record, grant, ORDER_TIMEOUT_S, partial(self._may_send_now, hold_s)
+                )
                 order.result = outcome.result
         except asyncio.CancelledError:
             self._bounds.record_unanswered(self.owned)
@@ -202,6 +205,13 @@
             self._no_grant_in_flight.set()
         return self._record_outcome(outcome, hold_s)
 
+    def _may_send_now(self, hold_s: float) -> bool:
+        """Return whether a grant may be sent; its bound then counts from now."""
+        if not self._may_send():
+            return False
+        self._bounds.record_sent(self.owned, hold_s, ORDER_TIMEOUT_S)
+        return True
+
     def _may_send(self) -> bool:
         return not self._is_quiesced and self._leadership.may_act()
 
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -59,6 +59,7 @@
         self._unanswered_s: dict[str, float] = {}
         self._silence: dict[str, _Silence] = {}
         self._refused_since_s: dict[str, float] = {}
+        self._silent_until_s: dict[str, float] = {}
 
     def grant_lock(self, server_id: str) -> asyncio.Lock:
         """Return the lock that serializes grants to a server.
@@ -93,7 +94,11 @@
             silence = self._silence.setdefault(server_id, _Silence())
             silence.probing_sender = silence.probing_sender or sender
         elif result.is_answer and result is not OrderResult.OTHER_SERVER:
-            self._silence.pop(server_id, None)
+            self._end_silence(server_id)
+
+    def _end_silence(self, server_id: str) -> None:
+        if self._silence.pop(server_id, None) is not None:
+            self._silent_until_s[server_id] = self._clock.now()
 
     def _record_refusal(self, server_id: str, result: OrderResult) -> None:
         if result is OrderResult.REFUSED_CONNECTION:
@@ -132,6 +137,13 @@
         """
         return server_id in self._silence
 
+    def silent_until_s(self, server_id: str) -> float:
+        """Return when the server last ended a silence; minus infinity: it never has.
+
+        It may have applied then what waited in its queue, however long ago that was sent.
+        """
+        return self._silent_until_s.get(server_id, float("-inf"))
+
     def refused_since_s(self, server_id: str) -> float | None:
         """Return since when the server's address refuses connections; None: it may accept them."""
         return self._refused_since_s.get(server_id)
