Match answers to orders by a request id

What callers saw: nothing that was traced to it.

Cause: grants within 0.05 s share a connection, orders had no id, and the next answer on the connection counted, whatever it was an answer to.

Evidence: gateway_owner_proofs, "A surplus answer on a kept connection", failed on (DONE where nothing was answered) and passes, unchanged.

On a new one an answer without an id counts as well, since no other order went over it. A connection whose answer came before the order was written whole is closed.

Ruled out: answers to orders that were given up (their connection is reset), releases (a connection each), answers that arrive while the connection is idle (it is not reused; scenario).

--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -108,21 +108,25 @@
                 self.abort()
 
     async def exchange_any(
-        self, method: str, target: str, headers: HTTPHeaders, body: bytes
+        self, method: str, target: str, headers: HTTPHeaders, body: bytes, request_id: str
     ) -> ResponseCollector | None:
-        """Send one request over a new connection; return the response whatever its id.
+        """Send the first request over a new connection; its response may lack an id.
 
-        Unlike `exchange`, it leaves closing the connection to the caller.
+        Unlike `exchange`, it leaves closing the connection to the caller, unless the exchange is
+        incomplete.
         """
         try:
             connection = HTTP1Connection(self._stream, True, self._parameters)
-            headers["Content-Length"] = str(len(body))
             connection.write_headers(RequestStartLine(method, target, "HTTP/1.1"), headers, body)
             connection.finish()
-            response, _ = await self._read_answer(connection)
-            return response
+            response, is_read_whole = await self._read_answer(connection)
         except (OSError, StreamClosedError):
             return None
+        if not is_read_whole:
+            self.abort()
+        if response is None or response.headers.get(self._id_header, request_id) != request_id:
+            return None
+        return response
 
     def abort(self) -> None:
         """Reset the connection; the server may still read data that has reached its kernel."""
