Release all keys before the first table of a service

What callers saw: nothing that was traced to it.

Cause: a missing row was taken for a service that nobody holds keys of.

Evidence: gateway_owner_proofs, "A service whose table is lost ...", failed on (two holders for 3.00 s) and passes, unchanged. Of the seven new scenarios six failed before: two holders for 2.6 to 3.0 s; tokens raised by 2 at each refusal of a server that has seen a higher one (570 after 30 s).

Fix: every known server is told to release all keys first. Who answers holds none; who does not is a former owner of every range until it answers, has ended, or its longest possible hold is over. TableRecovery did this for a new era; both use PossibleHolders now. For 5 s after a first table the step to the next token doubles with each refusal.

Ruled out: rows that cannot be read (the write fails on its condition), tables of former eras that are still known (carried over).

--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -4,7 +4,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_view import PeerView
-from indigoworks.ownership.era_numbers import first_number
+from indigoworks.ownership.first_table import FirstTable
 from indigoworks.ownership.group_load import GroupLoad
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HoldPolicy
@@ -22,7 +22,6 @@
 from indigoworks.ownership.server_capacity import ServerCapacity
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_editor import (
-    first_table,
     with_moves,
     with_new_token_of,
     with_new_tokens,
@@ -51,10 +50,6 @@
 """After a failed write no range moves because of load for this long: while answers of the store are
 lost, gateways learn of a move late and refuse its keys until then."""
 
-SERVER_SETTLE_S = 1.5
-"""The first table of a service is written once its set of servers has not changed for this long:
-when the whole system starts, they register one after the other."""
-
 
 class GroupLeader:
     """Writes tables of owners, keeps their ranges granted, and moves ranges.
@@ -97,10 +92,10 @@
         self._write_failed_s = float("-inf")
         self._loaded: set[str] = set()
         self._predecessor_bound: PredecessorBound | None = None
-        self._seen_servers: dict[str, tuple[frozenset[str], float]] = {}
         self._recovery = TableRecovery(
             leadership, tables, writer, keepers, bounds, policy, servers, clock
         )
+        self._first_table = FirstTable(leadership, writer, keepers, bounds, policy, servers, clock)
 
     async def run(self, predecessor: LeaderRow) -> None:
         """Lead until the leader row no longer names this process for its epoch."""
@@ -195,7 +190,7 @@
             return
         table = self._tables.table(service)
         if not table.ranges:
-            await self._first_table(service)
+            await self._first_table.write(service)
             return
         self._keepers.update(service, table)
         changed = self._changed_table(service, table)
@@ -210,7 +205,8 @@
             return table, "settle"
         fenced = self._keepers.needing_token(service)
         if fenced:
-            return with_new_token_of(table, fenced), "fenced"
+            step = self._first_table.next_token_step(service)
+            return with_new_token_of(table, fenced, step), "fenced"
         returns = self._keepers.return_moves(service)
         if returns:
             return with_moves(table, returns), returns[0].reason
@@ -270,16 +266,3 @@
             return None
         self._cleaned_up_s = self._clock.now()
         return cleaned, "former_ruled_out"
-
-    async def _first_table(self, service: str) -> None:
-        servers = sorted(self._servers.usable(service), key=lambda each: each.server_id)
-        names = frozenset(each.server_id for each in servers)
-        now_s = self._clock.now()
-        if service not in self._seen_servers or self._seen_servers[service][0] != names:
-            self._seen_servers[service] = (names, now_s)
-        if not servers or now_s - self._seen_servers[service][1] < SERVER_SETTLE_S:
-            return
-        slots = [each.slots for each in servers]
-        above = first_number(self._leadership.era)
-        table = first_table(service, sorted(names), slots, above)
-        await self._writer.write(table, "first")
--- a/indigoworks/ownership/table_editor.py
+++ b/indigoworks/ownership/table_editor.py
@@ -49,9 +49,14 @@
     return OwnershipTable(table.service, _merged(ranges), token, table.version)
 
 
-def with_new_token_of(table: OwnershipTable, wanted: Sequence[OwnedRange]) -> OwnershipTable:
-    """Return the table with a new token on the ranges in `wanted`, whose owners stay."""
-    token = table.highest_token + TOKEN_STEP
+def with_new_token_of(
+    table: OwnershipTable, wanted: Sequence[OwnedRange], step: int = TOKEN_STEP
+) -> OwnershipTable:
+    """Return the table with a new token on the ranges in `wanted`, whose owners stay.
+
+    :param step: how far the token is above all that were used; at least TOKEN_STEP.
+    """
+    token = table.highest_token + step
     ranges = tuple(
         OwnedRange(each.first, each.last, each.server_id, token, each.former)
         if each in wanted
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -22,6 +22,7 @@
 from indigoworks.ownership.owned_range import FormerOwner, OwnedRange
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.ownership.possible_holders import PossibleHolders
 from indigoworks.ownership.table_editor import in_new_era, spans_of_others, token_in_era
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.servers.server_source import ServerSource
@@ -30,10 +31,6 @@
 """Number of renewals sent to an owner that does not answer, when its keys would otherwise wait for
 the longest hold that anybody may have granted."""
 
-RELEASE_ALL_TIMEOUT_S = 0.8
-"""Longest wait for the answers to all releases, which servers answer when their work ends. Servers
-that need longer are sent releases again range by range."""
-
 SERVER_LIST_SETTLE_S = 2.2
 """Every live server is back in the list this long after the store has returned."""
 
@@ -64,7 +61,7 @@
         self._writer = writer
         self._has_read_former = False
         self._keepers = keepers
-        self._bounds = bounds
+        self._holders = PossibleHolders(keepers, bounds, clock)
         self._policy = policy
         self._servers = servers
         self._clock = clock
@@ -163,11 +160,9 @@
     def _record_holders(
         self, owned: OwnedRange, holders: frozenset[str], until_s: float, is_known: bool
     ) -> None:
-        for server_id in holders:
-            # The hold of an owner in a known era already has a bound.
-            if not is_known or server_id != owned.server_id:
-                self._bounds.add_possible_hold(server_id, owned, until_s)
-                self._bounds.mark_inherited(server_id, owned.first, owned.last)
+        # The hold of an owner in a known era already has a bound.
+        unbounded = holders - {owned.server_id} if is_known else holders
+        self._holders.record(owned, unbounded, until_s)
 
     async def _release_elsewhere(
         self, service: str, unsure: Sequence[OwnedRange], holders: frozenset[str], token: int
@@ -176,16 +171,14 @@
 
         A server that answers holds none of them; one that does not remains a former owner.
         """
-        releases = [
-            asyncio.ensure_future(self._keepers.release(service, span, server_id))
-            for server_id in sorted(holders)
-            for span in spans_of_others(unsure, server_id, token)
-        ]
-        if not releases:
-            return
-        _, pending = await asyncio.wait(releases, timeout=RELEASE_ALL_TIMEOUT_S)
-        for each in pending:
-            each.cancel()
+        await self._holders.release(
+            service,
+            [
+                (server_id, span)
+                for server_id in sorted(holders)
+                for span in spans_of_others(unsure, server_id, token)
+            ],
+        )
 
     def _sure(self, service: str, owned: OwnedRange) -> OwnedRange:
         """Return a confirmed range with the former owners to be ruled out in the new era.
@@ -198,13 +191,7 @@
 
     def _unsure(self, owned: OwnedRange, holders: frozenset[str]) -> OwnedRange:
         """Return an unconfirmed range with all servers that may still hold it as former owners."""
-        now_s = self._clock.now()
-        former = [
-            FormerOwner(each)
-            for each in sorted(holders - {owned.server_id})
-            if self._bounds.own_until_s(each, owned.first, owned.last) > now_s
-        ]
-        return replace(owned, former=tuple(former))
+        return replace(owned, former=tuple(self._holders.remaining(owned, holders)))
 
     def _until_s(self, is_confirmed: bool, is_known: bool) -> float:
         return self._may_act_until_s() + self._longest_hold_s(is_confirmed, is_known)
