--- a/indigoworks_lab/control_simulation/control_deployment.py
+++ b/indigoworks_lab/control_simulation/control_deployment.py
@@ -39,6 +39,7 @@
         node_count: int,
         server_count: int,
         hold_max_s: float = HOLD_MAX_S,
+        zones: int = 1,
     ) -> None:
         self.loop = loop
         self.seed = seed
@@ -75,6 +76,7 @@
         self._node_count = node_count
         self._server_count = server_count
         self._hold_max_s = hold_max_s
+        self._zones = zones
         self._boots = 0
         self._is_returning = False
 
@@ -96,10 +98,12 @@
 
     def start_node(self, number: int) -> None:
         """Start a new life of a node."""
-        settings = node_settings(number, self._hold_max_s)
+        settings = node_settings(number, self._hold_max_s, self._zones)
         self._boots += 1
         boot = f"boot-{number}-{self._boots}"
-        process = SimulatedProcess(self.loop, settings.node, settings.peer_address.host, "z1")
+        process = SimulatedProcess(
+            self.loop, settings.node, settings.peer_address.host, settings.zone
+        )
         node = SimulatedNode(settings, boot, process, self.world, self.random(boot))
         self.nodes[settings.node] = node
         node.start()
--- a/indigoworks_lab/control_simulation/node_orders.py
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -55,7 +55,7 @@
             return target.grant(grant, is_excused)
 
         async with self._lines.setdefault(server.server_id, asyncio.Lock()):
-            return await self._order(server, operation, timeout_s, may_send)
+            return await self._order(server, operation, timeout_s, may_send, is_grant=True)
 
     async def release(
         self, server: ServerRecord, release: KeyRelease, timeout_s: float, may_send: MaySend
@@ -73,6 +73,7 @@
         operation: ServerOperation,
         timeout_s: float,
         may_send: MaySend,
+        is_grant: bool = False,
     ) -> OrderOutcome:
         failure = await self._connection_failure(server)
         if failure is not None:
@@ -81,7 +82,7 @@
         if not may_send():
             return OrderOutcome(OrderResult.WITHHELD)
         self._on_order(self._boot)
-        transit = OrderTransit(asyncio.get_running_loop().create_future())
+        transit = OrderTransit(asyncio.get_running_loop().create_future(), is_grant)
         self._run_outside(self._carrier.carry(self._node, server, operation, transit))
         try:
             async with asyncio.timeout(timeout_s):
--- a/indigoworks_lab/control_simulation/order_carrier.py
+++ b/indigoworks_lab/control_simulation/order_carrier.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
 from indigoworks.servers.server_record import ServerRecord
@@ -23,11 +24,29 @@
     """An order under way; `is_given_up`: its connection was reset by the sender."""
 
     answer: "asyncio.Future[OrderOutcome]"
+    is_grant: bool = False
     is_given_up: bool = False
 
 
+class OrderWatcher(Protocol):
+    """Forces what befalls orders."""
+
+    def connecting(self, node: str, server: ServerRecord) -> None:
+        """Take note that a node opens a connection, before any path is looked at."""
+        ...
+
+    async def takes_over(
+        self, node: str, server: ServerRecord, operation: ServerOperation, is_grant: bool
+    ) -> bool:
+        """Carry an order in place of the carrier, without an answer; False: it does not."""
+        ...
+
+
 class OrderCarrier:
-    """A cut holds an order back until it ends, or for good where the sender gives up."""
+    """A cut holds an order back until it ends, or for good where the sender gives up.
+
+    :ivar watcher: None: nothing is forced.
+    """
 
     def __init__(
         self,
@@ -39,6 +58,7 @@
     ) -> None:
         self._traffic = traffic
         self.faults = ServerFaults()
+        self.watcher: OrderWatcher | None = None
         self._loop = loop
         self._links = links
         self._server_at = server_at
@@ -53,6 +73,8 @@
     ) -> None:
         """Open a connection; nothing is set where the path is cut."""
         address = str(server.address)
+        if self.watcher is not None:
+            self.watcher.connecting(node, server)
         await asyncio.sleep(self._links.latency_s(node, address))
         if self._links.is_cut(node, address):
             return
@@ -72,6 +94,10 @@
         """Bring an order to whoever listens at the address, and the answer back."""
         address = str(server.address)
         self._traffic.add(ORDER, node)
+        if self.watcher is not None and await self.watcher.takes_over(
+            node, server, operation, transit.is_grant
+        ):
+            return
         await asyncio.sleep(self._links.latency_s(node, address))
         if not await self._passes(node, address, transit):
             return
--- a/indigoworks_lab/control_simulation/run_control_seed.py
+++ b/indigoworks_lab/control_simulation/run_control_seed.py
@@ -51,7 +51,7 @@
         seed=seed,
         plan=plan,
         violations=tuple(audit.violations.found),
-        failures=tuple(_failures(loop, main)),
+        failures=tuple(failures(loop, main)),
         grants=audit.grants,
         begun=audit.begun,
         moves=audit.rows.tables_written,
@@ -69,7 +69,8 @@
     await deployment.recovery.run()
 
 
-def _failures(loop: FaultyLoop, main: "asyncio.Task[None]") -> Sequence[str]:
+def failures(loop: FaultyLoop, main: "asyncio.Task[None]") -> Sequence[str]:
+    """Return the exceptions with which tasks beside the main one ended."""
     found = []
     for task in loop.tasks:
         if task is main or not task.done() or task.cancelled():
