Soak with keys: grants that servers apply late when their leader ends

What the soak could not show: a server that applies a grant seconds late although it runs, with the leader ended while the grant is under way and the next leader unable to connect to the server.

New events late_grant_at_kill and late_grant_at_stop: the soak asks a server process to hold back its next grant for 4 to 12.8 s (the record has a line "delayed"), and ends the leader 0 to 0.3 s after the grant arrived. Faults of links move to a class of their own, which both kinds of events use. Checkers unchanged.

--- a/features/steps/key_soak_command.py
+++ b/features/steps/key_soak_command.py
@@ -9,11 +9,12 @@
 from pathlib import Path
 from random import Random
 
-from key_soak_world import GATEWAYS, SERVERS, KeySoakWorld
+from key_soak_world import CALLERS, GATEWAYS, SERVERS, KeySoakWorld
 
 from indigoworks_lab.gateway_soak.check_owner import check_owner, excused
 from indigoworks_lab.gateway_soak.draw_key_plan import draw_key_plan
 from indigoworks_lab.gateway_soak.key_event_kind import KeyEventKind
+from indigoworks_lab.gateway_soak.key_server_place import HOLD_MAX_S
 from indigoworks_lab.simulation.worker_processes import worker_processes
 
 ROOT = Path(__file__).parents[2]
@@ -30,6 +31,8 @@
     parser.add_argument("--seconds", type=float, default=40.0, help="of events, in each seed")
     parser.add_argument("--gateways", type=int, default=GATEWAYS)
     parser.add_argument("--servers", type=int, default=SERVERS)
+    parser.add_argument("--callers", type=int, default=CALLERS, help="for each gateway")
+    parser.add_argument("--hold-max", type=float, default=HOLD_MAX_S, help="longest hold, in s")
     parser.add_argument("--jobs", type=int, default=1, help="seeds at the same time")
     parser.add_argument(
         "--kinds", nargs="*", choices=kinds, default=[], help="of events; no: drawn"
@@ -88,6 +91,8 @@
         folder,
         chosen.gateways,
         chosen.servers,
+        hold_max_s=chosen.hold_max,
+        callers=chosen.callers,
         forgets_release_tokens=chosen.forget_releases,
     )
     await world.run(plan, chosen.seconds)
--- a/features/steps/key_soak_world.py
+++ b/features/steps/key_soak_world.py
@@ -28,7 +28,6 @@
 GATEWAYS = 4
 SERVERS = 5
 CALLERS = 10
-"""For each gateway."""
 
 START_TIMEOUT_S = 40.0
 SERVED_TIMEOUT_S = 20.0
@@ -42,14 +41,25 @@
 
 
 class KeySoakWorld:
-    """:param faults: of all servers, see KeyServerSettings.
+    """:param hold_max_s: longest hold that servers accept.
+    :param callers: for each gateway.
+    :param faults: of all servers, see KeyServerSettings.
 
     :ivar history: what the servers recorded, once `run` has returned.
     :ivar statuses: counts the callers' answers.
     :ivar most_lag_s: longest time by which the soak's own loop was late.
     """
 
-    def __init__(self, seed, folder, gateways=GATEWAYS, servers=SERVERS, **faults) -> None:
+    def __init__(
+        self,
+        seed,
+        folder,
+        gateways=GATEWAYS,
+        servers=SERVERS,
+        hold_max_s=HOLD_MAX_S,
+        callers=CALLERS,
+        **faults,
+    ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.statuses = Counter()
         self.most_lag_s = 0.0
@@ -70,7 +80,7 @@
                 folder,
                 [],
                 server_heartbeat_ms=HEARTBEAT_S * MS_PER_S,
-                hold_max_ms=HOLD_MAX_S * MS_PER_S,
+                hold_max_ms=hold_max_s * MS_PER_S,
             )
             made.variables = (
                 f"PYTHONPATH={ROOT}:{SOURCE_ADDRESS}",
@@ -90,10 +100,12 @@
                 folder,
                 self._random,
                 HEADER_NAMES,
+                hold_max_s=hold_max_s,
                 **faults,
             )
             self.servers.append(made)
         self.events = KeySoakEvents(self)
+        self._callers = callers
         self._tasks = []
 
     async def run(self, plan, seconds, besides=None) -> None:
@@ -148,7 +160,7 @@
         for gateway in self.gateways:
             assert await becomes_true(lambda g=gateway: is_ready(g), START_TIMEOUT_S), gateway.name
         for gateway in self.gateways:
-            for number in range(CALLERS):
+            for number in range(self._callers):
                 name = f"{gateway.name}c{number}"
                 random = Random(f"{self._random.random()}{name}")
                 caller = KeyCaller(
--- a/indigoworks_lab/gateway_soak/key_event.py
+++ b/indigoworks_lab/gateway_soak/key_event.py
@@ -8,7 +8,8 @@
 class KeyEvent:
     """Times are of CLOCK_MONOTONIC, which all processes of a machine share, in seconds.
 
-    :ivar kind: "started", "taken" or "refused" (a grant), "released", "begun" or "ended" (work).
+    :ivar kind: "started", "taken" or "refused" (a grant), "delayed" (a grant that has arrived and
+        is applied later), "released", "begun" or "ended" (work).
     :ivar sender: address of who sent the order; empty: not known.
     :ivar sender_port: port of the sender's connection.
     :ivar first: first key; of work, its key.
--- a/indigoworks_lab/gateway_soak/key_link.py
+++ b/indigoworks_lab/gateway_soak/key_link.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 
 from indigoworks.common.address import Address
+from indigoworks_lab.gateway_soak.caller_filter import drop_callers
 from indigoworks_lab.gateway_soak.caller_gate import CallerGate
 from indigoworks_lab.launcher.free_ports import LOOPBACK
 
@@ -26,6 +27,7 @@
         self.gates: defaultdict[str, CallerGate] = defaultdict(CallerGate)
         self._target_port = target_port
         self._listener: asyncio.Server | None = None
+        self._dropped: set[str] = set()
 
     async def open(self) -> None:
         """Take connections."""
@@ -33,6 +35,7 @@
             self._listener = await asyncio.start_server(
                 self._serve, LOOPBACK, self.address.port, backlog=BACKLOG, reuse_address=True
             )
+            self._filter()
 
     def close(self) -> None:
         """Reset all connections and refuse new ones until `open`."""
@@ -55,11 +58,23 @@
         self.gates[caller].delivers = delivers
         self.gates[caller].passing.clear()
 
+    def drop_connects(self, caller: str) -> None:
+        """Leave the caller's attempts to connect unanswered until `heal`; its connections go on."""
+        self._dropped.add(caller)
+        self._filter()
+
     def heal(self, caller: str) -> None:
         """Hand on again."""
+        if caller in self._dropped:
+            self._dropped.discard(caller)
+            self._filter()
         self.gates[caller].is_cut = False
         self.gates[caller].passing.set()
 
+    def _filter(self) -> None:
+        for each in self._listener.sockets if self._listener is not None else ():
+            drop_callers(each, self._dropped)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         caller = writer.get_extra_info("peername")[0]
         gate = self.gates[caller]
--- a/indigoworks_lab/gateway_soak/key_server.py
+++ b/indigoworks_lab/gateway_soak/key_server.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from indigoworks_lab.gateway_soak.grant_delay import GrantDelay
+from indigoworks_lab.gateway_soak.grant_delay_call import DELAY_PATH
 from indigoworks_lab.gateway_soak.key_book import KeyBook
 from indigoworks_lab.gateway_soak.key_event import KeyEvent
 from indigoworks_lab.gateway_soak.key_server_settings import KeyServerSettings
@@ -39,6 +41,7 @@
         self._settings = settings
         self._write = write
         self._book = KeyBook(settings.forgets_release_tokens)
+        self._delay = GrantDelay()
 
     def holds_any(self) -> bool:
         """Tell whether any key is held now."""
@@ -63,22 +66,32 @@
         if meant not in (None, self._settings.server_id):
             return self._not_run("another")
         if request.target == "/grant":
-            return self._grant(request, json.loads(request.body))
+            return await self._grant(request, json.loads(request.body))
         if request.target == "/release":
             return await self._release(request, json.loads(request.body))
+        if request.target == DELAY_PATH:
+            return await self._delay_next_grant(json.loads(request.body))
         request_id = request.headers.get(self._settings.request_id_header.lower())
         if request_id is None:
             return 200, {}
         return await self._work(request, request_id)
 
-    def _grant(self, request: KeyServerRequest, order: Mapping[str, int]) -> Answer:
+    async def _delay_next_grant(self, order: Mapping[str, int]) -> Answer:
+        delay_s, timeout_s = (order[each] / MS_PER_S for each in ("delay_ms", "timeout_ms"))
+        return (200 if await self._delay.arm(delay_s, timeout_s) else 408), {}
+
+    async def _grant(self, request: KeyServerRequest, order: Mapping[str, int]) -> Answer:
         settings = self._settings
         hold_s = order["hold_ms"] / MS_PER_S
         if hold_s > settings.hold_max_s:
             return 400, {}
+        first, last, token = order["first"], order["last"], order["token"]
+        delay_s = self._delay.take()
+        if delay_s is not None:
+            self._note_order("delayed", time.monotonic(), request, first, last, token)
+            await asyncio.sleep(delay_s)
         now_s = time.monotonic()
         true_hold_s = hold_s * settings.clock_factor
-        first, last, token = order["first"], order["last"], order["token"]
         is_taken = self._book.take(first, last, token, now_s + true_hold_s)
         kind = "taken" if is_taken else "refused"
         self._note_order(kind, now_s, request, first, last, token, true_hold_s)
--- a/indigoworks_lab/gateway_soak/key_server_place.py
+++ b/indigoworks_lab/gateway_soak/key_server_place.py
@@ -43,6 +43,7 @@
         random: Random,
         names: HeaderNames,
         forgets_release_tokens: bool = False,
+        hold_max_s: float = HOLD_MAX_S,
     ) -> None:
         self.place = place
         self.port = port
@@ -56,6 +57,7 @@
         self._random = random
         self._names = names
         self._forgets_release_tokens = forgets_release_tokens
+        self._hold_max_s = hold_max_s
         self._ids = 0
         self._lives: list[KeyServerLife] = []
 
@@ -79,7 +81,7 @@
             heartbeat_s=HEARTBEAT_S,
             slots=SLOTS,
             clock_factor=self._random.uniform(1.0, MAX_CLOCK_FACTOR),
-            hold_max_s=HOLD_MAX_S,
+            hold_max_s=self._hold_max_s,
             request_id_header=names.request_id,
             server_id_header=names.server_id,
             answering_id_header=names.answering_server_id,
--- a/indigoworks_lab/gateway_soak/key_soak_events.py
+++ b/indigoworks_lab/gateway_soak/key_soak_events.py
@@ -10,8 +10,10 @@
 from indigoworks_lab.gateway_soak.healed_path import HealedPath
 from indigoworks_lab.gateway_soak.key_event_kind import KeyEventKind
 from indigoworks_lab.gateway_soak.key_link import KeyLink
+from indigoworks_lab.gateway_soak.key_link_faults import KeyLinkFaults, LinkKey
 from indigoworks_lab.gateway_soak.key_plan_event import KeyPlanEvent
 from indigoworks_lab.gateway_soak.key_server_place import KeyServerPlace
+from indigoworks_lab.gateway_soak.late_grant_event import LateGrantEvent
 from indigoworks_lab.launcher.managed_process import ManagedProcess
 
 STORE_MODES = ("slow", "down", "loses")
@@ -22,14 +24,11 @@
 LEAVE_LIMIT_S = 14.0
 START_TIMEOUT_S = 40.0
 RESTART_S = 1.0
+KILLS = (KeyEventKind.KILL_LEADERS, KeyEventKind.LATE_GRANT_AT_KILL)
 STUTTER_S = (0.02, 0.25)
 """Shares of time that a process on a busy machine gets none, one after the other with such that it
 gets. It was not frozen by anybody: nothing is excused for it."""
 
-LinkKey = tuple[int | None, str]
-"""Place of a server, or None for the store, and a gateway's name."""
-
-
 Action = Callable[[KeyPlanEvent], Coroutine[Any, Any, None]]
 
 
@@ -40,10 +39,11 @@
     """
 
     def __init__(self, world: DisturbedWorld) -> None:
-        self.healed: list[HealedPath] = []
         self._world = world
         self._frozen: set[DisturbedGateway] = set()
-        self._disturbed: set[LinkKey] = set()
+        self._links = KeyLinkFaults(world)
+        self.healed = self._links.healed
+        self._late_grants = LateGrantEvent(world, self._links, self._end_gateway)
         self._actions: dict[KeyEventKind, Action] = {
             KeyEventKind.PAUSE_SERVER: self._pause_server,
             KeyEventKind.LONG_PAUSE_SERVER: self._pause_server,
@@ -61,6 +61,8 @@
             KeyEventKind.SERVER_LINKS: self._cut_links,
             KeyEventKind.STORE_LINK: self._cut_links,
             KeyEventKind.LEADER_LINKS: self._cut_links,
+            KeyEventKind.LATE_GRANT_AT_KILL: self._late_grant,
+            KeyEventKind.LATE_GRANT_AT_STOP: self._late_grant,
             KeyEventKind.BUSY: self._stutter,
             KeyEventKind.HOT: self._move_load,
         }
@@ -79,8 +81,7 @@
             self._thaw(gateway)
         for server in self._world.servers:
             server.thaw()
-        for key in list(self._disturbed):
-            self._heal(*key)
+        self._links.heal_all()
 
     def end(self) -> None:
         """Stop disturbing, so that processes can be ended."""
@@ -172,13 +173,13 @@
             if leader is not None and not leader.is_restarting:
                 leader.is_restarting = True
                 self._thaw(leader)
-                self._world.spawn(self._end_gateway(leader, event.kind, event.draws[1]))
+                self._world.spawn(self._end_gateway(event.kind, leader, event.draws[1]))
             await asyncio.sleep(event.duration_s)
 
     async def _end_gateway(
-        self, gateway: DisturbedGateway, kind: KeyEventKind, draw: float
+        self, kind: KeyEventKind, gateway: DisturbedGateway, draw: float
     ) -> None:
-        if kind is KeyEventKind.KILL_LEADERS:
+        if kind in KILLS:
             gateway.kill()
             await gateway.ended()
         else:
@@ -239,30 +240,19 @@
             KeyEventKind.STORE_LINK: [(None, gateway.name)],
             KeyEventKind.LEADER_LINKS: [(each, gateway.name) for each in (None, *places)],
         }
-        begun = [key for key in chosen[event.kind] if key not in self._disturbed]
-        for place, name in begun:
-            self._disturbed.add((place, name))
-            link, caller = self._link(place), self._world.sources[name]
+
+        def disturb(link: KeyLink, caller: str) -> None:
             if event.draws[2] < 1 / 3:
                 link.cut(caller)
             else:
                 link.fall_silent(caller, delivers=event.draws[2] < 2 / 3)
-        await asyncio.sleep(event.duration_s)
-        for place, name in begun:
-            self._heal(place, name)
 
-    def _link(self, place: int | None) -> KeyLink:
-        return self._world.store_link if place is None else self._world.servers[place].link
+        begun = self._links.begin(chosen[event.kind], disturb)
+        await asyncio.sleep(event.duration_s)
+        self._links.heal(begun)
 
-    def _heal(self, place: int | None, name: str) -> None:
-        if (place, name) not in self._disturbed:
-            return
-        self._disturbed.discard((place, name))
-        caller = self._world.sources[name]
-        if place is not None:
-            server_id = self._world.servers[place].server_id
-            self.healed.append(HealedPath(caller, self._now_s(), server_id))
-        self._link(place).heal(caller)
+    async def _late_grant(self, event: KeyPlanEvent) -> None:
+        await self._late_grants.play(event, self._leader())
 
     # ---- load ----
 
