A leader that is lost before its first record has sent nothing, and the one before it is fenced in its place

Cause: no record of the lost epoch counted as no knowledge. A leader sends no grant before a read quorum of its witnesses has a record: a quorum without one proves that nothing was sent. A witness that has dropped an epoch's record does not answer for it. A task of the replication that fails is logged. Evidence: "A leader that is lost before its first record has sent nothing" (new).

--- a/features/gateway_witnesses.feature
+++ b/features/gateway_witnesses.feature
@@ -44,6 +44,10 @@
   Scenario: Witnesses without a record tell nothing
     Then gateway witnesses: a fence without a record leaves the bound of all servers
 
+  # The bound of all servers would be waited for after each leader that is lost as it begins.
+  Scenario: A leader that is lost before its first record has sent nothing
+    Then gateway witnesses: the record of the leader before is taken where the last one has none
+
   # A planned stop leaves grants in flight as a kill does.
   Scenario: The row of a leader that resigned names its witnesses
     Then gateway witnesses: the witnesses stay in the row of a leader that resigned
--- a/indigoworks/ownership/grant_witness.py
+++ b/indigoworks/ownership/grant_witness.py
@@ -28,6 +28,7 @@
         self._clock = clock
         self._records: dict[int, _Received] = {}
         self._fenced_epoch = 0
+        self._dropped_epoch = 0
 
     def record(self, grants: OpenGrants) -> bool:
         """Keep a record; returns whether to acknowledge it."""
@@ -40,7 +41,10 @@
         return True
 
     def fence(self, epoch: int) -> OpenGrants | None:
-        """Acknowledge no more records up to `epoch`; returns its newest one, aged until now."""
+        """Acknowledge no more records up to `epoch`; returns its newest one, aged until now.
+
+        None: there is none; see `remembers`.
+        """
         if epoch > self._fenced_epoch:
             self._fenced_epoch = epoch
             log_message(message_type="witness:fenced", epoch=epoch)
@@ -50,3 +54,8 @@
     def _drop_old(self) -> None:
         for epoch in sorted(self._records)[:-KEPT_EPOCHS]:
             del self._records[epoch]
+            self._dropped_epoch = epoch
+
+    def remembers(self, epoch: int) -> bool:
+        """Return whether a missing record of `epoch` means that none was received."""
+        return epoch > self._dropped_epoch
--- a/indigoworks/ownership/leader_replication.py
+++ b/indigoworks/ownership/leader_replication.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from indigoworks.exchange.open_grants import OpenGrants
+from eliot import log_message
+
 from indigoworks.ownership.grant_replicator import GrantReplicator
 from indigoworks.ownership.leader_row import LeaderRow
-from indigoworks.ownership.predecessor_fence import PredecessorFence
+from indigoworks.ownership.predecessor_fence import FencedGrants, PredecessorFence
 from indigoworks.ownership.witness_supervisor import WitnessSupervisor
 
-OnGrants = Callable[[OpenGrants], None]
+OnGrants = Callable[[FencedGrants], None]
 
 
 class LeaderReplication(Protocol):
@@ -55,6 +56,8 @@
         if predecessor is not None:
             work.append(self._fence_predecessor(predecessor, on_predecessor_grants))
         self._tasks = [asyncio.ensure_future(each) for each in work]
+        for task in self._tasks:
+            task.add_done_callback(_log_fault)
 
     async def sync_possible_holds(self) -> bool:
         """Wait until any successor learns of the possible holds recorded; False: not in time."""
@@ -67,12 +70,20 @@
         self._tasks = []
 
     async def _fence_predecessor(self, row: LeaderRow, on_grants: OnGrants) -> None:
-        grants = await self._fence.fence(row)
-        if grants is not None:
-            on_grants(grants)
+        fenced = await self._fence.fence(row)
+        if fenced is not None:
+            on_grants(fenced)
             self._replicator.request_record()
 
 
+def _log_fault(task: asyncio.Task[None]) -> None:
+    """Log an exception, which ends the task: nothing further is granted in this epoch."""
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        reason = f"{type(error).__name__}: {error}"
+        log_message(message_type="process:fault", level="ERROR", reason=reason)
+
+
 class NoReplication:
     """Implements `LeaderReplication` where no other process can take over."""
 
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -235,7 +235,7 @@
         self._is_resigned = True
         if not self.is_named():
             return
-        row = LeaderRow(self._row.epoch, "", "", NO_VERSION, self._row.witnesses)
+        row = replace(self._row, node="", boot="", version=NO_VERSION)
         self._proof_s = None
         open_orders = leader_log.order_fields(self._orders)
         result = await self._store.commit(self._row_write(row))
@@ -254,7 +254,8 @@
     async def _take_over(self, reason: str) -> None:
         silence_s = self.liveness.silence_s(self._row.epoch, self._row_seen_s)
         known = max(self._row.epoch, self.former.row.epoch, first_number(self.era))
-        row = LeaderRow(known + 1, self._node, self._boot, NO_VERSION, self.select_witnesses())
+        witnesses, replaced = self.select_witnesses(), self._row.as_replaced()
+        row = LeaderRow(known + 1, self._node, self._boot, NO_VERSION, witnesses, replaced)
         result = await self.put_own_row(row)
         is_decided = result.is_ok() or isinstance(result.unwrap_err(), ConditionFailed)
         self._challenge_delay.record_outcome(is_failed=not is_decided)
--- a/indigoworks/ownership/predecessor_fence.py
+++ b/indigoworks/ownership/predecessor_fence.py
@@ -1,6 +1,7 @@
 """Fences the previous leader at its witnesses."""
 
 import asyncio
+from dataclasses import dataclass
 
 from eliot import log_message
 
@@ -20,6 +21,14 @@
 """Requests to each witness; the bound of all servers has ended after as many."""
 
 
+@dataclass(frozen=True, slots=True)
+class FencedGrants:
+    """The open grants of a leader that sends no grant to a further server any more."""
+
+    row: LeaderRow
+    grants: OpenGrants
+
+
 class PredecessorFence:
     """Asks the witnesses of the previous leader what they know, and to acknowledge nothing more.
 
@@ -38,15 +47,27 @@
         self._replies: dict[ProcessId, OpenGrants | None] = {}
         self._has_quorum = asyncio.Event()
 
-    async def fence(self, row: LeaderRow) -> OpenGrants | None:
-        """Return the open grants of the leader that `row` names; None: no witness knows them.
+    async def fence(self, row: LeaderRow) -> FencedGrants | None:
+        """Return the open grants of the newest leader that has sent any; None: they are not known.
 
-        :param row: the newest row of that leader, so that its witnesses cannot change any more.
+        :param row: the newest row of the previous leader, so that its witnesses cannot change any
+            more.
         """
+        leader: LeaderRow | None = row
+        while leader is not None and await self._ask(leader):
+            grants = self._newest()
+            if grants is not None:
+                return FencedGrants(leader, grants)
+            # No witness has a record, and a leader sends nothing before they have one.
+            leader = leader.replaced
+        return None
+
+    async def _ask(self, row: LeaderRow) -> bool:
+        """Fence the leader of a row; returns whether a read quorum of its witnesses has replied."""
         self._row = row
         self._replies = {}
         self._has_quorum.clear()
-        if self._own in row.witnesses:
+        if self._own in row.witnesses and self._witness.remembers(row.epoch):
             self._take(self._own, self._witness.fence(row.epoch))
         for _ in range(MAX_REQUESTS):
             if self._has_quorum.is_set() or not row.witnesses:
@@ -55,7 +76,7 @@
                 if process not in self._replies:
                     self._send(process, FenceRequest(row.epoch))
             await wait_for_event(self._has_quorum, RESEND_S)
-        return self._newest() if self._has_quorum.is_set() else None
+        return self._has_quorum.is_set()
 
     def record_reply(self, sender: ProcessId, reply: FenceReply) -> None:
         """Record the reply of a witness."""
--- a/indigoworks/ownership/predecessor_watch.py
+++ b/indigoworks/ownership/predecessor_watch.py
@@ -1,13 +1,13 @@
 """Keeps the bounds of the previous leader's grants up to date."""
 
 from indigoworks.common.clock import Clock
-from indigoworks.exchange.open_grants import OpenGrants
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HoldPolicy
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.predecessor_bound import PredecessorBound
+from indigoworks.ownership.predecessor_fence import FencedGrants
 from indigoworks.ownership.predecessor_grants import PredecessorGrants
 from indigoworks.ownership.server_reach import ServerReach
 
@@ -37,7 +37,7 @@
         self._policy = policy
         self._reach = reach
         self._clock = clock
-        self._hold_s = 0.0
+        self._fenced: FencedGrants | None = None
 
     def start_epoch(self) -> None:
         """Set the bounds, unless this process itself led until the former era ended."""
@@ -55,14 +55,13 @@
         row = self.bound.row
         return row if row.version.era == self._leadership.era else None
 
-    def use_grants(self, grants: OpenGrants) -> None:
-        """Use what a witness tells of the previous leader's grants."""
+    def use_grants(self, fenced: FencedGrants) -> None:
+        """Use what witnesses tell of the grants of the newest leader that has sent any."""
+        self._fenced = fenced
         now_s = self._clock.now()
-        self._hold_s = grants.hold_s
-        later_until_s = self.bound.later_until_s(now_s, grants.hold_s)
-        known = PredecessorGrants.received(grants, now_s, later_until_s)
+        known = PredecessorGrants.received(fenced.grants, now_s, self._later_until_s(fenced))
         self._bounds.set_predecessor_grants(known)
-        for each in grants.servers:
+        for each in fenced.grants.servers:
             if each.is_silent:
                 self._reach.mark_silent(each.server_id)
 
@@ -72,12 +71,18 @@
             now_s = self._clock.now()
             until_s = self.bound.until_s(now_s, self._policy.longest_max_s)
             self._bounds.lower_predecessor_bound(until_s)
-            self._bounds.lower_later_bound(self.bound.later_until_s(now_s, self._hold_s))
+        if self._fenced is not None:
+            self._bounds.lower_later_bound(self._later_until_s(self._fenced))
 
     def may_be_pending(self, service: str, first: int, last: int) -> bool:
         """Return whether the previous leader may not have granted a range to its owner yet."""
         return self.bound.may_be_pending(service, first, last)
 
+    def _later_until_s(self, fenced: FencedGrants) -> float:
+        """Return the bound of what a fenced leader sent since its record."""
+        bound = PredecessorBound(fenced.row, self._leadership.liveness)
+        return bound.later_until_s(self._clock.now(), fenced.grants.hold_s)
+
     def _until_s(self) -> float:
         """Return the latest end of holds that the previous leader granted.
 
--- a/indigoworks/ownership/witness_subsystem.py
+++ b/indigoworks/ownership/witness_subsystem.py
@@ -80,7 +80,8 @@
             self.replicator.record_acknowledgement(sender, content)
         elif isinstance(content, FenceRequest):
             grants = self._witness.fence(content.epoch)
-            self._send(sender, FenceReply(content.epoch, grants))
+            if grants is not None or self._witness.remembers(content.epoch):
+                self._send(sender, FenceReply(content.epoch, grants))
         else:
             self._fence.record_reply(sender, content)
 
