Bound the holds of a leader whose row is lost

What callers saw: nothing that was traced to it.

Cause: no row of a leader was read as "nobody has led", also where a table of this era shows that somebody has.

Evidence: gateway_first_table, "Keys of a table are waited for ...", failed before in both examples (two holders for 3.00 s).

Fix: where the row is missing and a table of this era is there, each server that the table names may hold its range until a lease and the longest hold of an unheard leader after this epoch began (LostLeader, which first tables use as well).

--- a/features/gateway_first_table.feature
+++ b/features/gateway_first_table.feature
@@ -1,4 +1,4 @@
-Feature: The first table of a service, which may stand in for a lost one
+Feature: Rows of tables and leaders that the store may have lost
 
   Scenario: The first table of a new service waits for nobody
     Given a gateway first table world in which nobody holds keys
@@ -36,3 +36,14 @@
     Given a gateway first table world in which "a" refuses every grant
     When 30 s of gateway owner time pass
     Then a quarter of the tokens of the gateway owner era at most is used
+
+  Scenario Outline: Keys of a table are waited for where the row of the leader that granted them is lost
+    Given a gateway first table world with the table alone, by which "a" holds all keys and cannot be reached
+    When <wait> s of gateway owner time pass
+    Then no two gateway owners held one key
+    And gateway first table server "b" holds <what>
+
+    Examples:
+      | wait | what      |
+      | 9    | no key    |
+      | 40   | some keys |
--- a/features/steps/gateway_first_table_steps.py
+++ b/features/steps/gateway_first_table_steps.py
@@ -10,6 +10,7 @@
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.order_outcome import OrderOutcome, OrderResult
 from indigoworks.ownership.ownership_table import KEY_COUNT
+from indigoworks.ownership.table_editor import TOKEN_STEP
 
 SEEN_TOKEN = 900
 
@@ -40,11 +41,13 @@
         return server.server_id == self._name and kind in self._kinds
 
 
-def start(context, *, holds, silent=(), odd=None):
+def start(context, *, holds, silent=(), odd=None, owners=(), token=SEEN_TOKEN):
+    """Start a leader that knows of none before it; `owners`: those of the table, if any."""
+
     async def build():
-        world = context.proof = ProofWorld()
+        world = context.proof = ProofWorld(*owners)
         if holds:
-            world.orders.take("a", KeyGrant(0, KEY_COUNT - 1, SEEN_TOKEN, HOLD_MAX_S))
+            world.orders.take("a", KeyGrant(0, KEY_COUNT - 1, token, HOLD_MAX_S))
         world.orders.silent.update(silent)
         if odd:
             world.orders = OneOddServer(world.orders, "a", *odd)
@@ -73,6 +76,15 @@
     start(context, holds=True, odd=(OrderResult.NOT_SENT, ("grant", "release")))
 
 
+@given(
+    'a gateway first table world with the table alone, by which "a" holds all keys and '
+    "cannot be reached"
+)
+def step_table_alone(context):
+    odd = (OrderResult.NOT_SENT, ("grant", "release"))
+    start(context, holds=True, odd=odd, owners=["a"], token=TOKEN_STEP)
+
+
 @given('a gateway first table world in which "a" refuses every grant')
 def step_refuses(context):
     start(context, holds=False, odd=(OrderResult.FENCED, ("grant",)))
--- a/indigoworks/ownership/first_table.py
+++ b/indigoworks/ownership/first_table.py
@@ -6,15 +6,11 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.era_numbers import first_number
-from indigoworks.ownership.hold_bounds import CLOCK_DRIFT_FACTOR, SEND_MARGIN_S, HoldBounds
-from indigoworks.ownership.hold_policy import HoldPolicy
-from indigoworks.ownership.keeper_set import KeeperSet
-from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leadership import Leadership
+from indigoworks.ownership.lost_leader import LostLeader
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_table import KEY_COUNT, OwnershipTable
 from indigoworks.ownership.possible_holders import PossibleHolders
-from indigoworks.ownership.predecessor_bound import longest_unreported_hold_s
 from indigoworks.ownership.table_editor import TOKEN_STEP, first_table
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.servers.server_source import ServerSource
@@ -43,19 +39,17 @@
         self,
         leadership: Leadership,
         writer: TableWriter,
-        keepers: KeeperSet,
-        bounds: HoldBounds,
-        policy: HoldPolicy,
+        holders: PossibleHolders,
+        lost_leader: LostLeader,
         servers: ServerSource,
         clock: Clock,
     ) -> None:
         self._leadership = leadership
         self._writer = writer
-        self._holders = PossibleHolders(keepers, bounds, clock)
-        self._policy = policy
+        self._holders = holders
+        self._lost_leader = lost_leader
         self._servers = servers
         self._clock = clock
-        self._others_may_act_until_s = clock.now() + LEADER_LEASE_S
         self._seen_servers: dict[str, tuple[frozenset[str], float]] = {}
         self._written_s: dict[str, float] = {}
         self._token_steps: dict[str, int] = {}
@@ -87,7 +81,7 @@
         """Return the table with the servers that may hold keys of each range as former owners."""
         holders = {each.server_id for each in self._servers.known(table.service)}
         all_keys = OwnedRange(0, KEY_COUNT - 1, "", above)
-        self._holders.record(all_keys, holders, self._holds_until_s())
+        self._holders.record(all_keys, holders, self._lost_leader.holds_until_s())
         released = replace(all_keys, token=table.highest_token)
         await self._holders.release(table.service, [(each, released) for each in sorted(holders)])
         ranges = tuple(
@@ -102,8 +96,3 @@
             silent=sorted(silent),
         )
         return replace(table, ranges=ranges)
-
-    def _holds_until_s(self) -> float:
-        """Return until when servers may hold keys by grants of leaders that left no row."""
-        hold_s = longest_unreported_hold_s(self._policy.longest_max_s)
-        return self._others_may_act_until_s + hold_s * CLOCK_DRIFT_FACTOR + SEND_MARGIN_S
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -12,11 +12,13 @@
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.load_balancer import LoadBalancer
+from indigoworks.ownership.lost_leader import LostLeader
 from indigoworks.ownership.moves_by_load import moves_outside, overload_moves, rebalance_moves
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.owner_candidates import OwnerCandidates, SpeedOf
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.ownership.possible_holders import PossibleHolders
 from indigoworks.ownership.predecessor_bound import PredecessorBound
 from indigoworks.ownership.resting_owners import RestingOwners
 from indigoworks.ownership.server_capacity import ServerCapacity
@@ -95,7 +97,11 @@
         self._recovery = TableRecovery(
             leadership, tables, writer, keepers, bounds, policy, servers, clock
         )
-        self._first_table = FirstTable(leadership, writer, keepers, bounds, policy, servers, clock)
+        holders = PossibleHolders(keepers, bounds, clock)
+        self._lost_leader = LostLeader(holders, policy, clock)
+        self._first_table = FirstTable(
+            leadership, writer, holders, self._lost_leader, servers, clock
+        )
 
     async def run(self, predecessor: LeaderRow) -> None:
         """Lead until the leader row no longer names this process for its epoch."""
@@ -162,6 +168,8 @@
         if table.version.era != self._leadership.era:
             is_loaded = await self._recovery.carry_over(service)
         else:
+            if self._predecessor_bound is None or self._predecessor_bound.is_row_missing:
+                self._lost_leader.record_holds(table)
             new_tokens = with_new_tokens(table)
             is_loaded = not table.ranges or await self._writer.write(new_tokens, "new_leader")
         if is_loaded:
--- a/indigoworks/ownership/predecessor_bound.py
+++ b/indigoworks/ownership/predecessor_bound.py
@@ -33,6 +33,11 @@
         self.row = predecessor
         self._liveness = liveness
 
+    @property
+    def is_row_missing(self) -> bool:
+        """Return whether no row names a predecessor: there was none, or its row is lost."""
+        return self.row.version == NO_VERSION
+
     def has_stopped_acting(self) -> bool:
         """Return whether the predecessor is known to have stopped acting."""
         row = self.row
@@ -57,7 +62,7 @@
 
         :param hold_max_s: longest hold that a leader grants.
         """
-        if self.row.version == NO_VERSION:
+        if self.is_row_missing:
             return float("-inf")
         may_act_until_s = now_s if self.has_stopped_acting() else now_s + LEADER_LEASE_S
         epoch = self.row.epoch
