--- a/indigoworks/ownership/grant_replicator.py
+++ b/indigoworks/ownership/grant_replicator.py
@@ -269,7 +269,7 @@
         return self._policy.longest_max_s if self._lacks_store() else HOLD_S
 
     def _lacks_store(self) -> bool:
-        """Return whether the store has been out of reach; a leader that resigned needs it no more."""
+        """Return whether the store is out of reach; a leader that resigned needs it no more."""
         age_s = self._leadership.proof_age_s()
         return LACKS_STORE_PROOF_AGE_S < age_s < float("inf")
 
