--- a/indigoworks/ownership/former_owners.py
+++ b/indigoworks/ownership/former_owners.py
@@ -108,7 +108,7 @@
         if self._may_have_unapplied_grant(server_id):
             if not is_asked:
                 return None
-            until_s = max(until_s, self._queue_until_s(server_id))
+            until_s = max(until_s, self._queue_until_s(server_id, until_s))
         if self._clock.now() > until_s:
             return self._log.expired_bound(server_id)
         return None
@@ -125,15 +125,17 @@
         is_inherited = self._bounds.is_inherited(server_id, *self._keys())
         return is_inherited or self._bounds.may_apply_late(server_id, *self._keys())
 
-    def _queue_until_s(self, server_id: str) -> float:
+    def _queue_until_s(self, server_id: str, until_s: float) -> float:
         """Return until when orders queued at a server may make it hold keys.
 
+        :param until_s: the same if it has never stood still.
+
         A hold begins when the order is applied, and a process may be paused for any time: it then
         applies what waited once it goes on, before or after it answers other orders. The process
         has ended if its address refuses connections and its list entry is gone.
         """
         if not self._reach.is_silent(server_id):
-            applied_until_s = self._reach.silent_until_s(server_id) + self._longest_s()
+            applied_until_s = until_s + self._reach.last_silence_s(server_id)
             is_known = self._record(server_id) is not None
             return applied_until_s if is_known else max(applied_until_s, self._unknown_until_s)
         refused_s = self._reach.refused_since_s(server_id)
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -17,6 +17,9 @@
 """And when this many orders in a row have failed."""
 
 
+NOTICE_DELAY_S = 1.0
+"""Longest time from the beginning of a silence until an order shows it."""
+
 DOUBT_S = MAX_ORDER_DELAY_S
 """A server that left an order unanswered may do so again: it counts as doubtful for as long as it
 may apply that order late."""
@@ -36,6 +39,7 @@
 class _Silence:
     """Silence of a server; only `probing_sender` sends it grants meanwhile (None: any keeper)."""
 
+    noticed_s: float
     probing_sender: object = None
 
 
@@ -59,7 +63,7 @@
         self._unanswered_s: dict[str, float] = {}
         self._silence: dict[str, _Silence] = {}
         self._refused_since_s: dict[str, float] = {}
-        self._silent_until_s: dict[str, float] = {}
+        self._last_silence_s: dict[str, float] = {}
 
     def grant_lock(self, server_id: str) -> asyncio.Lock:
         """Return the lock that serializes grants to a server.
@@ -91,14 +95,16 @@
     def _record_silence(self, server_id: str, result: OrderResult, sender: object) -> None:
         if result is OrderResult.UNANSWERED:
             self._unanswered_s[server_id] = self._clock.now()
-            silence = self._silence.setdefault(server_id, _Silence())
+            silence = self._silence.setdefault(server_id, _Silence(self._clock.now()))
             silence.probing_sender = silence.probing_sender or sender
         elif result.is_answer and result is not OrderResult.OTHER_SERVER:
             self._end_silence(server_id)
 
     def _end_silence(self, server_id: str) -> None:
-        if self._silence.pop(server_id, None) is not None:
-            self._silent_until_s[server_id] = self._clock.now()
+        silence = self._silence.pop(server_id, None)
+        if silence is not None:
+            noticed_ago_s = self._clock.now() - silence.noticed_s
+            self._last_silence_s[server_id] = noticed_ago_s + NOTICE_DELAY_S
 
     def _record_refusal(self, server_id: str, result: OrderResult) -> None:
         if result is OrderResult.REFUSED_CONNECTION:
@@ -108,7 +114,7 @@
 
     def mark_silent(self, server_id: str) -> None:
         """Record that a server left an order unanswered, a release or one of the predecessor."""
-        self._silence.setdefault(server_id, _Silence())
+        self._silence.setdefault(server_id, _Silence(self._clock.now()))
 
     def silent_servers(self) -> tuple[str, ...]:
         """Return the servers that left an order unanswered and have not answered one since."""
@@ -137,12 +143,12 @@
         """
         return server_id in self._silence
 
-    def silent_until_s(self, server_id: str) -> float:
-        """Return when the server last ended a silence; minus infinity: it never has.
+    def last_silence_s(self, server_id: str) -> float:
+        """Return how long the server was last silent, before it answered again, in seconds.
 
-        It may have applied then what waited in its queue, however long ago that was sent.
+        So much later than a server that runs it may have applied what waited in its queue.
         """
-        return self._silent_until_s.get(server_id, float("-inf"))
+        return self._last_silence_s.get(server_id, 0.0)
 
     def refused_since_s(self, server_id: str) -> float | None:
         """Return since when the server's address refuses connections; None: it may accept them."""
