--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from functools import partial
 
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.former_owners import FormerOwners
@@ -73,7 +74,7 @@
         self.is_granted = False
         self.needs_token = False
         self.task: asyncio.Task[None] | None = None
-        self._is_quiesced = self._is_first_grant = False
+        self._is_quiesced = self._is_first_grant = self._is_confirmation = False
         self._has_answered = False
         self._last_result: OrderResult | None = None
         self._no_grant_in_flight = asyncio.Event()
@@ -133,8 +134,11 @@
         self._is_quiesced = False
 
     async def renew(self) -> OrderResult | None:
-        """Renew the grant once, and return the result; None: nothing was sent."""
-        self.is_granted = True
+        """Renew an earlier leader's grant once under its token, and return the result.
+
+        None: nothing was sent.
+        """
+        self.is_granted = self._is_confirmation = True
         try:
             await self._grant()
         finally:
@@ -190,7 +194,9 @@
             with self._log.track_order(
                 "grant", record.server_id, grant.token, ORDER_TIMEOUT_S, hold_s
             ) as order:
-                outcome = await self._orders.grant(record, grant, ORDER_TIMEOUT_S, self._may_send)
+                outcome = await self._orders.grant(
+                    record, grant, ORDER_TIMEOUT_S, partial(self._may_send_now, hold_s)
+                )
                 order.result = outcome.result
         except asyncio.CancelledError:
             self._bounds.record_unanswered(self.owned)
@@ -199,6 +205,13 @@
             self._no_grant_in_flight.set()
         return self._record_outcome(outcome, hold_s)
 
+    def _may_send_now(self, hold_s: float) -> bool:
+        """Return whether a grant may be sent; its bound then counts from now."""
+        if not self._may_send():
+            return False
+        self._bounds.record_sent(self.owned, hold_s, ORDER_TIMEOUT_S)
+        return True
+
     def _may_send(self) -> bool:
         return not self._is_quiesced and self._leadership.may_act()
 
@@ -207,7 +220,7 @@
         self._reach.record_result(self.owned.server_id, result, self)
         self._has_answered = result is OrderResult.DONE
         if result is OrderResult.DONE:
-            self._bounds.record_answered(self.owned, hold_s)
+            self._bounds.record_answered(self.owned, hold_s, not self._is_confirmation)
             if not self.is_granted:
                 self.is_granted = True
                 self._log.log(
