--- a/indigoworks_lab/control_simulation/in_flight_run.py
+++ b/indigoworks_lab/control_simulation/in_flight_run.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from indigoworks.ownership.hold_policy import RENEWAL_S
 from indigoworks.ownership.order_outcome import OrderResult
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
 from indigoworks_lab.control_simulation.control_plan import CALM_S
@@ -25,6 +26,9 @@
 TROUBLE_S = 2.4
 """Trouble of the store after which leaders grant the longest holds."""
 
+PATIENCE_S = 2 * RENEWAL_S
+"""A server that is sent no grant for so long owns no keys, or a write takes them from it."""
+
 AFTERWARDS_S = 2.0
 """Successors are cut off from the server for so long after the end of its late hold."""
 
@@ -85,10 +89,7 @@
 
     async def _lose_in_flight(self, leader: SimulatedNode) -> None:
         deployment, loss = self._deployment, self._loss
-        server = deployment.random("loss").choice(deployment.fleet.stable())
-        held = HeldGrant(deployment, leader, server, loss.late_s, self._note_successor)
-        deployment.orders.watcher = held
-        await held.sent
+        held = await self._grant_in_flight(leader)
         await asyncio.sleep(loss.after_s)
         peers = [each for each in deployment.living_nodes() if each is not leader]
         self._lose(leader, loss.is_resigned)
@@ -100,6 +101,20 @@
         await asyncio.gather(*self._losses)
         held.heal()
 
+    async def _grant_in_flight(self, leader: SimulatedNode) -> HeldGrant:
+        """Return the next grant to a drawn server, or to another one if it is sent none."""
+        servers = self._deployment.fleet.stable()
+        first = self._deployment.random("loss").choice(servers)
+        for server in (first, *(each for each in servers if each is not first)):
+            held = HeldGrant(
+                self._deployment, leader, server, self._loss.late_s, self._note_successor
+            )
+            self._deployment.orders.watcher = held
+            await asyncio.wait((held.sent,), timeout=PATIENCE_S)
+            if held.sent.done():
+                return held
+        raise AssertionError("the leader renews no grant")
+
     def _note_successor(self, node: SimulatedNode) -> None:
         if self._loss.chain_s is not None:
             run_outside(self._deployment.loop, self._lose_successor(node, self._loss.chain_s))
