Log which servers a gateway does not reach, once a second

Cause: the logs of the incident cannot tell a gateway that lost its path from servers that are gone, nor a leader whose orders reach nobody: each server:out_of_reach stands alone, and reach:failed has no total. Ruled out: a line for each server and period, which grows with the servers. After: reach:summary with out_of_reach, orders_failing, leads and the age of the newest answer; the gauge gateway_servers_out_of_reach has the same. Conclusion: no decision reads it.

--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -8,14 +8,13 @@
 from typing import Any
 
 from eliot import log_message
-from result import Err
 
 from indigoworks.common.boot_clock import BootClock
 from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.peer_address import PeerAddress
-from indigoworks.exchange.peer_directory import PEER_PREFIX, PeerDirectory, encode_peer
+from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.active_settings import ActiveSettings
 from indigoworks.gateway.control_subsystem import ControlSubsystem
@@ -24,23 +23,18 @@
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.instrumented_orders import InstrumentedOrders
 from indigoworks.gateway.instrumented_store import InstrumentedStore
+from indigoworks.gateway.peer_registration import PeerRegistration
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_subsystem import PlatformSubsystem
 from indigoworks.gateway.process_signals import install_signal_handlers
+from indigoworks.gateway.reach_log import ReachLog
 from indigoworks.gateway.relay_subsystem import RelaySubsystem
 from indigoworks.gateway.request_subsystem import RequestSubsystem
 from indigoworks.gateway.state_gauges import StateGauges
 from indigoworks.gateway.status_subsystem import StatusSubsystem
-from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.ownership_tables import OwnershipTables
-from indigoworks.rowstore.transaction import RowPut
 
 MAINTENANCE_PERIOD_S = 1.0
-REGISTER_RETRY_S = 0.3
-REGISTERED_PER_S = 40.0
-"""Gateways that rewrite their address per second after the store has lost the addresses. Running
-gateways know each other, and a part of the store takes a few hundred writes a second."""
-
 LISTEN_AFTER_STOP_S = 2.6
 """Time after the stop signal for which new connections are accepted: the load balancer sends
 callers here until two readiness probes have failed."""
@@ -115,6 +109,23 @@
             self._clock,
             random,
         )
+        self._registration = PeerRegistration(
+            self._own_address(),
+            ports.store,
+            self._control.group,
+            ports.health.eras,
+            self._directory,
+            self._clock,
+            random,
+        )
+        self._reach_log = ReachLog(
+            self._requests.server_stats,
+            self._platform.servers,
+            self._control.reach,
+            self._control.leadership,
+            self._peers,
+            self._clock,
+        )
         self._reports = GatewayReports(
             settings.node, self._boot, self._platform, self._requests, self._control, self._peers
         )
@@ -168,7 +179,7 @@
         for work in (
             *(each.run() for each in self._platform.followers),
             self._control.follow_rows(),
-            self._register(),
+            self._registration.run(),
             self._exchange.run(),
             self._requests.brokers.broker.run(),
             self._requests.run(),
@@ -228,27 +239,6 @@
             )
             raise
 
-    async def _register(self) -> None:
-        """Write this process's address row in each era of the store, so that peers can reach it."""
-        eras = self._ports.health.eras
-        await eras.wait_known()
-        while True:
-            era = eras.current
-            await self._write_address()
-            log_message(message_type="peer:registered", era=era)
-            await eras.wait_after(era)
-            # All gateways write to one part of the table, which limits the writes a second.
-            span_s = self._directory.count_others() / REGISTERED_PER_S
-            await self._clock.sleep(self._random.uniform(0.0, span_s))
-
-    async def _write_address(self) -> None:
-        peer = self._own_address()
-        put = RowPut(CONTROL_TABLE, PEER_PREFIX + peer.node, encode_peer(peer))
-        while isinstance(
-            await self._ports.store.commit(self._control.group.transaction((), (put,))), Err
-        ):
-            await self._clock.sleep(REGISTER_RETRY_S)
-
     def _own_address(self) -> PeerAddress:
         return PeerAddress(
             self._settings.node,
@@ -263,6 +253,7 @@
             await self._clock.sleep(MAINTENANCE_PERIOD_S)
             self._requests.drop_expired()
             self._platform.end_stale_evacuations()
+            self._reach_log.write()
 
     # ---- exchange ----
 
--- a/indigoworks/gateway/server_stats.py
+++ b/indigoworks/gateway/server_stats.py
@@ -100,6 +100,14 @@
         """Return whether the server is known to be unreachable from here."""
         return server_id in self._down
 
+    def down_servers(self) -> frozenset[str]:
+        """Return the servers that are known to be unreachable from here."""
+        return frozenset(self._down)
+
+    def newest_response_s(self) -> float:
+        """Return when any server last answered; minus infinity if none ever did."""
+        return max(self._last_answer_s.values(), default=float("-inf"))
+
     def in_flight(self, server_id: str) -> int:
         """Return the requests in flight to a server, from all gateways."""
         return self._in_flight.get(server_id, 0) + self._peers.in_flight(server_id)
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -59,6 +59,12 @@
         self._add_quarantine(metrics)
         self._add_notices(metrics)
         metrics.gauge("gateway_grants", "Ranges that we grant", ("state",), self._grants)
+        metrics.gauge(
+            "gateway_servers_out_of_reach",
+            "Servers that requests or, while we lead, orders do not reach from here",
+            ("way",),
+            self._out_of_reach,
+        )
         metrics.gauge("gateway_is_leader", "1: we lead", NO_LABELS, self._is_leader)
         metrics.gauge("gateway_epoch", "Epoch of the leader's row", NO_LABELS, self._epoch)
         metrics.gauge(
@@ -187,6 +193,12 @@
     def _connections_opened(self) -> Values:
         return {NO_LABELS: self._requests.sender.connections_opened}
 
+    def _out_of_reach(self) -> Values:
+        return {
+            ("requests",): len(self._requests.server_stats.down_servers()),
+            ("orders",): len(self._control.reach.suspect_servers()),
+        }
+
     # ---- control ----
 
     def _grants(self) -> Values:
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -154,6 +154,10 @@
         """Return since when the server's address refuses connections; None: it may accept them."""
         return self._refused_since_s.get(server_id)
 
+    def suspect_servers(self) -> frozenset[str]:
+        """Return the servers whose last order failed."""
+        return frozenset(self._failures)
+
     def is_suspect(self, server_id: str) -> bool:
         """Return whether the last order to the server failed: it gets no further ranges."""
         return server_id in self._failures
