Reproduce gateways without a path to servers with real processes; the soak draws it

Cause: no test and no drawn fault took a gateway's links to all servers away while its callers, the store and its peers still reached it. Links were cut one at a time, or together with the store. Ruled out: the simulation alone, whose requests have no second way to go and no sockets; one fault of a fixed way. The soak with keys draws the fault: one gateway, five of eight or all but one, with the leader or without, packets lost, connections reset, or new connections only refused.

--- a/features/steps/key_soak_world.py
+++ b/features/steps/key_soak_world.py
@@ -87,23 +87,10 @@
                 f"SOAK_SOURCE_ADDRESS={source}",
             )
             self.gateways.append(made)
+        self._folder = folder
         self.servers = []
-        for place in range(servers):
-            port = self._ports.next_port()
-            link = KeyLink(self._ports.next_port(), port)
-            made = KeyServerPlace(
-                place,
-                port,
-                link,
-                self.store_port,
-                STORE_WRITE_PATH,
-                folder,
-                self._random,
-                HEADER_NAMES,
-                hold_max_s=hold_max_s,
-                **faults,
-            )
-            self.servers.append(made)
+        for _ in range(servers):
+            self._add_server(hold_max_s=hold_max_s, **faults)
         self.events = KeySoakEvents(self)
         self._callers = callers
         self._tasks = []
@@ -136,6 +123,22 @@
                 link.close()
             self._ports.close()
 
+    def _add_server(self, **options) -> None:
+        port = self._ports.next_port()
+        link = KeyLink(self._ports.next_port(), port)
+        made = KeyServerPlace(
+            len(self.servers),
+            port,
+            link,
+            self.store_port,
+            STORE_WRITE_PATH,
+            self._folder,
+            self._random,
+            HEADER_NAMES,
+            **options,
+        )
+        self.servers.append(made)
+
     def _links(self):
         return (self.store_link, *(each.link for each in self.servers))
 
@@ -146,9 +149,7 @@
         return task
 
     async def _start(self) -> None:
-        document = json.loads(configuration(1, [1], 0, IDLE_TIMEOUT_S, BODY_BYTES))
-        document["services"][0]["sharded"] = True
-        self.store.put("op", "", "config", json.dumps(document).encode())
+        self.store.put("op", "", "config", json.dumps(self._configuration()).encode())
         for link in self._links():
             await link.open()
         self.spawn(self.store.let_entries_lapse())
@@ -163,12 +164,17 @@
             for number in range(self._callers):
                 name = f"{gateway.name}c{number}"
                 random = Random(f"{self._random.random()}{name}")
-                caller = KeyCaller(
-                    name, gateway, HEADER_NAMES, "/safe1/", self.keys, random, self.statuses
-                )
-                self.spawn(caller.run())
+                self.spawn(self._caller(name, gateway, random).run())
         assert await becomes_true(self._is_served, SERVED_TIMEOUT_S), self.statuses
 
+    def _configuration(self):
+        document = json.loads(configuration(1, [1], 0, IDLE_TIMEOUT_S, BODY_BYTES))
+        document["services"][0]["sharded"] = True
+        return document
+
+    def _caller(self, name, gateway, random):
+        return KeyCaller(name, gateway, HEADER_NAMES, "/safe1/", self.keys, random, self.statuses)
+
     async def _is_served(self) -> bool:
         return self.statuses[200] > 0
 
--- a/indigoworks_lab/gateway_soak/draw_key_plan.py
+++ b/indigoworks_lab/gateway_soak/draw_key_plan.py
@@ -29,6 +29,7 @@
     KeyEventKind.SERVER_LINKS: (0.5, 15.0),
     KeyEventKind.STORE_LINK: (0.5, 10.0),
     KeyEventKind.LEADER_LINKS: (0.5, 10.0),
+    KeyEventKind.GATEWAYS_WITHOUT_SERVERS: (2.0, 12.0),
     KeyEventKind.LATE_GRANT_AT_KILL: (4.0, 12.8),
     KeyEventKind.LATE_GRANT_AT_STOP: (4.0, 12.8),
     KeyEventKind.BUSY: (0.5, 3.0),
--- a/indigoworks_lab/gateway_soak/key_event_kind.py
+++ b/indigoworks_lab/gateway_soak/key_event_kind.py
@@ -22,6 +22,7 @@
     SERVER_LINKS = "all links of a server are cut or silent"
     STORE_LINK = "the link of a gateway and the store is cut or silent"
     LEADER_LINKS = "all links of the leading gateway are cut or silent"
+    GATEWAYS_WITHOUT_SERVERS = "some gateways lose all servers; store, callers and peers reach them"
     LATE_GRANT_AT_KILL = "SIGKILL of the leader with a grant under way, which is applied late"
     LATE_GRANT_AT_STOP = "SIGTERM of the leader with a grant under way, which is applied late"
     BUSY = "the machine is busy"
--- a/indigoworks_lab/gateway_soak/key_server.py
+++ b/indigoworks_lab/gateway_soak/key_server.py
@@ -106,8 +106,10 @@
         return 200, {self._settings.handover_header: secrets.token_hex(8)}
 
     async def _work(self, request: KeyServerRequest, request_id: str) -> Answer:
-        key = int(request.headers[self._settings.key_header.lower()])
         now_s = time.monotonic()
+        if not self._settings.needs_keys:
+            return await self._work_without_key(request, request_id, now_s)
+        key = int(request.headers[self._settings.key_header.lower()])
         lease = self._book.lease(key)
         if lease.until_s <= now_s:
             return self._not_run("not held")
@@ -121,6 +123,14 @@
         self._note_work("ended", now_s, key, lease.token, request_id)
         return (200 if now_s >= end_s else 500), {}
 
+    async def _work_without_key(
+        self, request: KeyServerRequest, request_id: str, now_s: float
+    ) -> Answer:
+        self._note_work("begun", now_s, 0, 0, request_id)
+        await asyncio.sleep(int(request.target.rpartition("/")[2]) / MS_PER_S)
+        self._note_work("ended", time.monotonic(), 0, 0, request_id)
+        return 200, {}
+
     def _note_order(
         self,
         kind: str,
--- a/indigoworks_lab/gateway_soak/key_server_place.py
+++ b/indigoworks_lab/gateway_soak/key_server_place.py
@@ -26,6 +26,7 @@
     """:ivar server_id: of its newest process, `process`, which `start` starts first.
 
     :ivar link: that gateways use.
+    :ivar needs_keys: its processes run only requests on keys that they hold.
     :ivar woken_s: by id, when a process went on after a stop.
     """
 
@@ -44,6 +45,8 @@
         names: HeaderNames,
         forgets_release_tokens: bool = False,
         hold_max_s: float = HOLD_MAX_S,
+        service: str = SERVICE,
+        needs_keys: bool = True,
     ) -> None:
         self.place = place
         self.port = port
@@ -58,6 +61,8 @@
         self._names = names
         self._forgets_release_tokens = forgets_release_tokens
         self._hold_max_s = hold_max_s
+        self._service = service
+        self.needs_keys = needs_keys
         self._ids = 0
         self._lives: list[KeyServerLife] = []
 
@@ -71,7 +76,7 @@
         names = self._names
         settings = KeyServerSettings(
             server_id=self.server_id,
-            service=SERVICE,
+            service=self._service,
             zone=ZONE,
             port=self.port,
             listed_port=self.link.address.port,
@@ -90,6 +95,7 @@
             handover_header=names.handover,
             signature_header=names.signature,
             forgets_release_tokens=self._forgets_release_tokens,
+            needs_keys=self.needs_keys,
         )
         path = self._folder / f"{name}.json"
         path.write_text(settings.to_text())
--- a/indigoworks_lab/gateway_soak/key_soak_events.py
+++ b/indigoworks_lab/gateway_soak/key_soak_events.py
@@ -14,6 +14,8 @@
 from indigoworks_lab.gateway_soak.key_plan_event import KeyPlanEvent
 from indigoworks_lab.gateway_soak.key_server_place import KeyServerPlace
 from indigoworks_lab.gateway_soak.late_grant_event import LateGrantEvent
+from indigoworks_lab.gateway_soak.lost_path_gateways import lost_path_gateways
+from indigoworks_lab.gateway_soak.lost_path_way import LostPathWay
 from indigoworks_lab.launcher.managed_process import ManagedProcess
 
 STORE_MODES = ("slow", "down", "loses")
@@ -61,6 +63,7 @@
             KeyEventKind.SERVER_LINKS: self._cut_links,
             KeyEventKind.STORE_LINK: self._cut_links,
             KeyEventKind.LEADER_LINKS: self._cut_links,
+            KeyEventKind.GATEWAYS_WITHOUT_SERVERS: self._lose_path,
             KeyEventKind.LATE_GRANT_AT_KILL: self._late_grant,
             KeyEventKind.LATE_GRANT_AT_STOP: self._late_grant,
             KeyEventKind.BUSY: self._stutter,
@@ -251,6 +254,26 @@
         await asyncio.sleep(event.duration_s)
         self._links.heal(begun)
 
+    async def _lose_path(self, event: KeyPlanEvent) -> None:
+        leader = self._leader()
+        names = [each.name for each in self._world.gateways]
+        cut = lost_path_gateways(names, leader.name if leader else None, event.draws)
+        ways = list(LostPathWay)
+        way = ways[int(event.at_s * len(ways)) % len(ways)]
+        begun = self.lose_path(cut, way)
+        await asyncio.sleep(event.duration_s)
+        self.heal(begun)
+
+    def lose_path(self, gateways: Sequence[str], way: LostPathWay) -> list[LinkKey]:
+        """Let gateways lose all servers; return the links to heal."""
+        places = [each.place for each in self._world.servers]
+        links = [(place, name) for name in gateways for place in places]
+        return self._links.begin(links, way.disturb)
+
+    def heal(self, links: Sequence[LinkKey]) -> None:
+        """Heal links."""
+        self._links.heal(links)
+
     async def _late_grant(self, event: KeyPlanEvent) -> None:
         await self._late_grants.play(event, self._leader())
 
