--- a/indigoworks/gateway/request_state.py
+++ b/indigoworks/gateway/request_state.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from indigoworks.gateway.client_request import ClientRequest
+from indigoworks.gateway.server_stats import RequestStart
 from indigoworks.gateway.waiting_request import WaitingRequest
 from indigoworks.quarantine.crash_ids import NO_WINDOW
 from indigoworks.routes.route import Route
@@ -26,6 +27,7 @@
         sent. Crashes in one window of time count once; see quarantine/crash_ids.py.
     :ivar doubts: numbers of the unconfirmed crashes under the request at that time.
     :ivar doubt_window: window of that time, if any request was in doubt then.
+    :ivar started: start of the last attempt at a server, once that has ended.
     :ivar is_served: whether the server of the last attempt ran it and answered.
     :ivar verdict: task that determines whether a server crashed, for the last attempt that was sent
         and not answered; None if there was none.
@@ -56,6 +58,7 @@
         self.known_crash_windows: tuple[int, ...] = ()
         self.doubts: frozenset[int] = frozenset()
         self.doubt_window = NO_WINDOW
+        self.started: RequestStart | None = None
         self.is_served = False
         self.verdict: asyncio.Task[None] | None = None
         self._unsent = 0
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -21,6 +21,7 @@
 from indigoworks.gateway.configuration_refusals import ConfigurationRefusals
 from indigoworks.gateway.crash_attribution import CrashAttribution
 from indigoworks.gateway.dispatch_queue import DispatchQueue
+from indigoworks.gateway.failure_responses import FailureResponses
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_responses import GatewayResponses
 from indigoworks.gateway.gateway_settings import GatewaySettings
@@ -38,6 +39,7 @@
 from indigoworks.gateway.request_sender import RequestSender
 from indigoworks.gateway.retry_policy import RetryPolicy
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
+from indigoworks.gateway.server_exchange import ServerExchange
 from indigoworks.gateway.server_rate_limiter import ServerRateLimiter
 from indigoworks.gateway.server_selector import ServerSelector
 from indigoworks.gateway.server_stats import ServerStats
@@ -169,11 +171,16 @@
         flow = RequestPipeline(
             RequestRouting(platform.configurations, refusals, clock),
             placer,
-            owners,
-            self.sender,
+            ServerExchange(
+                self.sender,
+                self.server_stats,
+                platform.servers,
+                owners,
+                self._reachability,
+                self._crash_attribution,
+                log,
+            ),
             self.server_stats,
-            platform.servers,
-            self._reachability,
             self._crash_attribution,
             AttemptGate(
                 self._crash_attribution,
@@ -188,6 +195,7 @@
             RetryPolicy(self._crash_attribution, self.retry_budget, log, clock),
             self.sampler,
             responses,
+            FailureResponses(responses, platform.servers, self.server_stats, log),
             log,
             clock,
         )
