--- a/features/steps/gateway_group_steps.py
+++ b/features/steps/gateway_group_steps.py
@@ -167,8 +167,8 @@
             if random.random() < 0.03:
                 world.own(*random.choice(("ab", "ba", "aa", "bb")))
             if random.random() < 0.05:
-                world.board.set_down("b", random.random() < 0.5)
-        world.board.set_down("b", False)
+                world.board.down.set_down("b", random.random() < 0.5)
+        world.board.down.set_down("b", False)
         context.group_results = await asyncio.gather(*tasks, return_exceptions=True)
 
     context.run_groups(script)
@@ -251,13 +251,13 @@
         if is_room:
             world.report_of_peer(1, world.limit("a"))
         else:
-            world.board.set_down("a", True)
+            world.board.down.set_down("a", True)
         tasks = world.send("g", 1, key=KEYS["b"])
         tasks += world.send("g", 1, key=KEYS["a"], aim_s=3.0)
         await asyncio.sleep(0.05)
         assert sum(world.queue.waiting_by_service().values()) == 1
         world.report_of_peer(2, 0)
-        world.board.set_down("a", False)
+        world.board.down.set_down("a", False)
         await asyncio.gather(*tasks)
 
     context.run_groups(script)
--- a/features/steps/gateway_owner_outage_steps.py
+++ b/features/steps/gateway_owner_outage_steps.py
@@ -68,11 +68,11 @@
         if what == "pending":
             self.tell(True)
         else:
-            self.board.set_down(self.owner, True)
+            self.board.down.set_down(self.owner, True)
             self.queue.capacity_changed()
 
     def give_back(self):
-        self.board.set_down(self.owner, False)
+        self.board.down.set_down(self.owner, False)
         self.tell(False)
 
     async def ask(self, left_s):
--- a/features/steps/gateway_relay_world.py
+++ b/features/steps/gateway_relay_world.py
@@ -11,9 +11,10 @@
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory, encode_peer
+from indigoworks.exchange.peer_server import PeerServer
 from indigoworks.relay.feed_server import FeedServer
 from indigoworks.relay.relay_selector import RelaySelector
-from indigoworks.relay.relayed_store import RelayedStore
+from indigoworks.relay.relayed_store import FEED_PATH, RelayedStore
 from indigoworks.rowstore.errors import HistoryGone
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
@@ -131,7 +132,8 @@
             frozenset({TABLE}),
             self.clock,
         )
-        self.server = FeedServer(address, self.relayed, self.choice, self.health, self.clock)
+        self.feed = FeedServer(self.relayed, self.choice, self.health, self.clock)
+        self.server = PeerServer(address, {FEED_PATH: self.feed.handle})
 
     def know(self, peer):
         row = Row("c", "", f"peer/{peer.node}", encode_peer(peer), at(1))
@@ -162,7 +164,7 @@
         for gateway in (self.relay, *self.members.values()):
             await gateway.relayed.read(TABLE, "")
         self.relay.server.start()
-        self.watching = asyncio.ensure_future(self.relay.server.run())
+        self.watching = asyncio.ensure_future(self.relay.feed.run())
         self.probing = asyncio.ensure_future(self._probe())
         self.following = asyncio.ensure_future(self._follow(self.relay))
 
@@ -203,6 +205,7 @@
         self.probing.cancel()
         self.watching.cancel()
         self.following.cancel()
+        self.relay.feed.stop()
         self.relay.server.stop()
         for member in self.served:
             member.server.stop()
--- a/features/steps/gateway_rest_socket_steps.py
+++ b/features/steps/gateway_rest_socket_steps.py
@@ -126,7 +126,7 @@
 
 @then('the gateway believes that it reaches server "{server_id}"')
 def step_reaches(context, server_id):
-    assert not context.gateway.side.server_stats.is_down(server_id)
+    assert not context.gateway.side.server_stats.down.is_down(server_id)
 
 
 @when('gateway server "{server_id}" starts again under its id')
--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -18,12 +18,14 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.gateway.connect_tester import ConnectTester
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_subsystem import PlatformSubsystem
 from indigoworks.gateway.request_subsystem import RequestSubsystem
 from indigoworks.gateway.server_rate_limiter import ServerRateLimiter
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.routes.caller_limits import CallerLimits
 from indigoworks.routes.configuration import Configuration
 from indigoworks.routes.route import Route, WeightedService
@@ -149,10 +151,20 @@
         self.tables = OwnershipTables()
         self.peers = PeerTable(self.clock)
         self.directory = PeerDirectory(self.settings.node)
+        self.reach = ReachSubsystem(
+            self.settings.node,
+            "b",
+            self.platform.servers,
+            self.directory,
+            ConnectTester().can_connect,
+            self.clock,
+            Random(2),
+        )
         self.side = RequestSubsystem(
             self.settings,
             ports,
             self.platform,
+            self.reach,
             self.tables,
             self.peers,
             self.directory,
--- a/indigoworks/broker/unreachable_servers.py
+++ b/indigoworks/broker/unreachable_servers.py
@@ -30,7 +30,7 @@
         reports[reporter] = now_s
         recent = [each for each, at_s in reports.items() if now_s - at_s <= REPORT_VALID_S]
         if len(recent) >= MIN_REPORTERS:
-            self._server_stats.set_down(server_id, True)
+            self._server_stats.down.set_down(server_id, True)
             self._until_s[server_id] = now_s + EXCLUSION_S
 
     def restore_excluded(self) -> None:
@@ -39,7 +39,7 @@
         for server_id in [each for each, until_s in self._until_s.items() if until_s <= now_s]:
             del self._until_s[server_id]
             self._reports.pop(server_id, None)
-            self._server_stats.set_down(server_id, False)
+            self._server_stats.down.set_down(server_id, False)
         for server_id, reports in list(self._reports.items()):
             if all(now_s - at_s > REPORT_VALID_S for at_s in reports.values()):
                 del self._reports[server_id]
--- a/indigoworks/common/logging/line_rate_limiter.py
+++ b/indigoworks/common/logging/line_rate_limiter.py
@@ -19,6 +19,7 @@
     "hold:",
     "server:",
     "reach:",
+    "path:",
     "store:",
     "feed:",
     "configuration:",
--- /dev/null
+++ b/indigoworks/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests to a gateway that reaches the servers."""
--- a/indigoworks/gateway/client_response.py
+++ b/indigoworks/gateway/client_response.py
@@ -2,11 +2,19 @@
 
 from dataclasses import dataclass
 
+from indigoworks.gateway.refusal import Refusal
+from indigoworks.gateway.response_outcome import ResponseOutcome
+
 
 @dataclass(frozen=True, slots=True)
 class ClientResponse:
-    """Status, end-to-end headers and complete body."""
+    """Status, end-to-end headers and complete body.
+
+    :ivar refusal: why the request was refused; None if it was not.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    outcome: ResponseOutcome = ResponseOutcome.ANSWERED
+    refusal: Refusal | None = None
--- /dev/null
+++ b/indigoworks/gateway/connect_tester.py
@@ -0,0 +1,30 @@
+"""Tests whether servers accept connections."""
+
+import asyncio
+
+from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
+from indigoworks.servers.server_record import ServerRecord
+
+CONNECT_TIMEOUT_S = 0.25
+
+OPEN_FOR_S = 0.01
+"""Time for which a new connection must stay open: something on the way may accept and reset it."""
+
+
+class ConnectTester:
+    """Opens a connection to a server and closes it again; implements `ConnectTest`."""
+
+    def __init__(self, open_connection: OpenConnection = ServerConnection) -> None:
+        self._open_connection = open_connection
+
+    async def can_connect(self, server: ServerRecord) -> bool:
+        """Return whether the server accepts a connection that stays open."""
+        connection = self._open_connection(server.address, "")
+        try:
+            if not await connection.connect(CONNECT_TIMEOUT_S):
+                return False
+            connection.watch_while_idle()
+            await asyncio.sleep(OPEN_FOR_S)
+            return connection.is_reusable
+        finally:
+            connection.abort()
--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -42,7 +42,7 @@
     """Leadership, ownership tables, and the leader's work on them.
 
     :ivar tables: owners of all services according to the store.
-    :ivar reach: whether orders reach servers.
+    :ivar order_reach: whether orders reach servers.
     :ivar witnesses: replication of the leader's open grants.
     """
 
@@ -85,13 +85,13 @@
         ports.orders.add_notice_listener(platform.servers.record_notice)
         self._bounds = HoldBounds(clock)
         self._policy = HoldPolicy(ports.health, settings.hold_max_s)
-        self.reach = ServerReach(clock)
+        self.order_reach = ServerReach(clock)
         self.witnesses = WitnessSubsystem(
             ProcessId(settings.node, boot),
             settings.zone,
             self.leadership,
             self._bounds,
-            self.reach,
+            self.order_reach,
             self._policy,
             peers,
             directory,
@@ -151,7 +151,7 @@
             hold_s=self._bounds.longest_left_s(),
             pending=self.keepers.pending(),
             earlier_hold_s=self._earlier_hold_s(),
-            silent_servers=self.reach.silent_servers(),
+            silent_servers=self.order_reach.silent_servers(),
         )
 
     def _earlier_hold_s(self) -> float:
@@ -204,7 +204,7 @@
             self._platform.servers,
             self._bounds,
             self._policy,
-            self.reach,
+            self.order_reach,
             self._clock,
             self._pending_changed,
             self.witnesses.replicator,
@@ -236,7 +236,7 @@
             self.keepers,
             self._bounds,
             self._policy,
-            self.reach,
+            self.order_reach,
             writer,
             self._platform.servers,
             self._peers,
--- a/indigoworks/gateway/crash_attribution.py
+++ b/indigoworks/gateway/crash_attribution.py
@@ -13,6 +13,7 @@
 from indigoworks.quarantine.doubt_table import DoubtTable
 from indigoworks.quarantine.quarantine import Quarantine
 from indigoworks.quarantine.request_content import RequestContent
+from indigoworks.reach.path_monitor import PathMonitor
 from indigoworks.servers.server_list import ServerList
 from indigoworks.servers.server_record import ServerRecord
 
@@ -30,7 +31,8 @@
     """Reports the outcome of requests to the quarantine, and refuses quarantined requests.
 
     A broken connection alone does not prove a crash: responses get lost and links fail. A server
-    counts as crashed only if no new connection can be opened right afterwards. Until that is known
+    counts as crashed only if no new connection can be opened right afterwards, and one to another
+    server can. Until that is known
     here and at the peers, the request is in doubt: otherwise a harmful request that many callers
     send would crash a server with each attempt in the meantime.
     """
@@ -40,12 +42,14 @@
         quarantine: Quarantine,
         doubts: DoubtTable,
         reachability: ReachabilityMonitor,
+        path: PathMonitor,
         servers: ServerList,
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
         self._doubts = doubts
         self._reachability = reachability
+        self._path = path
         self._servers = servers
         self._clock = clock
         self._verdicts: set[asyncio.Task[None]] = set()
@@ -121,7 +125,7 @@
     ) -> None:
         content = self._content(state.request)
         # A slow response does not raise a doubt: under load there are many of them.
-        is_broken = response.result is ExchangeResult.LOST
+        is_broken = response.result is ExchangeResult.LOST and not self._path.is_lost
         doubt = self._doubts.raise_for(content) if is_broken else None
         verdict = asyncio.ensure_future(self._has_crashed(server, lost_s))
         try:
@@ -157,7 +161,8 @@
     async def _has_crashed(self, server: ServerRecord, lost_s: float) -> bool:
         """Return whether a server that lost a connection at `lost_s` appears to have crashed."""
         if not await self._reachability.has_responded_since(server, lost_s):
-            return True
+            # While no server is reached from here, the silence of one says nothing about it.
+            return await self._path.is_sound(lost_s)
         # A new process of the server may already use its address.
         return self._servers.is_gone(server.server_id)
 
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import uuid
-from collections.abc import Coroutine
 from dataclasses import replace
 from random import Random
-from typing import Any
 
 from eliot import log_message
 
@@ -15,14 +13,17 @@
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
+from indigoworks.exchange.peer_server import PeerServer
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.forwarding.forward_client import FORWARD_PATH
 from indigoworks.gateway.active_settings import ActiveSettings
+from indigoworks.gateway.background_tasks import BackgroundTasks
+from indigoworks.gateway.connect_tester import ConnectTester
 from indigoworks.gateway.control_subsystem import ControlSubsystem
 from indigoworks.gateway.exchange_factory import make_exchange
 from indigoworks.gateway.gateway_reports import GatewayReports
 from indigoworks.gateway.gateway_settings import GatewaySettings
-from indigoworks.gateway.instrumented_orders import InstrumentedOrders
-from indigoworks.gateway.instrumented_store import InstrumentedStore
+from indigoworks.gateway.instrumented_ports import instrument_ports
 from indigoworks.gateway.peer_registration import PeerRegistration
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_subsystem import PlatformSubsystem
@@ -33,6 +34,8 @@
 from indigoworks.gateway.state_gauges import StateGauges
 from indigoworks.gateway.status_subsystem import StatusSubsystem
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.reach.reach_subsystem import ReachSubsystem
+from indigoworks.relay.relayed_store import FEED_PATH
 
 MAINTENANCE_PERIOD_S = 1.0
 LISTEN_AFTER_STOP_S = 2.6
@@ -62,7 +65,7 @@
         self._boot = uuid.uuid4().hex[:8]
         random = self._random = Random(self._boot)
         self._metrics = Metrics()
-        ports = self._ports = self._instrumented(ports)
+        ports = self._ports = instrument_ports(ports, self._metrics, self._clock)
         self._peers = PeerTable(self._clock, settings.node)
         self._directory = PeerDirectory(settings.node)
         self._relay = RelaySubsystem(
@@ -85,10 +88,20 @@
             self._relay.choice.is_relayed,
             self._relay.choice.is_acting,
         )
+        self._reach = ReachSubsystem(
+            settings.node,
+            self._boot,
+            self._platform.servers,
+            self._directory,
+            ConnectTester().can_connect,
+            self._clock,
+            random,
+        )
         self._requests = RequestSubsystem(
             settings,
             ports,
             self._platform,
+            self._reach,
             tables,
             self._peers,
             self._directory,
@@ -121,7 +134,8 @@
         self._reach_log = ReachLog(
             self._requests.server_stats,
             self._platform.servers,
-            self._control.reach,
+            self._reach.path,
+            self._control.order_reach,
             self._control.leadership,
             self._peers,
             self._clock,
@@ -148,7 +162,14 @@
             self._metrics,
             self._clock,
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks()
+        self._peer_server = PeerServer(
+            settings.peer_address,
+            {
+                FEED_PATH: self._relay.server.handle,
+                FORWARD_PATH: self._requests.forward_server.handle,
+            },
+        )
         self._connect_parts()
         gauges = StateGauges(
             self._requests,
@@ -174,7 +195,7 @@
         await self._exchange.open()
         await self._requests.brokers.open()
         self._status.start()
-        self._relay.server.start()
+        self._peer_server.start()
         self._requests.front.start()
         for work in (
             *(each.run() for each in self._platform.followers),
@@ -187,7 +208,7 @@
             self._control.member.run(),
             self._run_maintenance(),
         ):
-            self._start(work)
+            self._tasks.start(work)
         log_message(
             message_type="process:started",
             node=self._settings.node,
@@ -204,6 +225,7 @@
         started_s = self._clock.now()
         self._status.is_stopping = True
         self._requests.front.is_stopping = True
+        self._requests.forward_server.is_stopping = True
         self._requests.brokers.broker.is_stopping = True
         resigning = asyncio.ensure_future(self._control.leadership.resign())
         stop_s = max(0.0, self._settings.stop_grace_s - EXIT_MARGIN_S)
@@ -211,34 +233,20 @@
         self._requests.front.stop_listening()
         left_s = stop_s - (self._clock.now() - started_s)
         await self._requests.front.finish(left_s)
+        left_s = stop_s - (self._clock.now() - started_s)
+        await self._requests.forward_server.finish(left_s)
         resigning.cancel()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel_all()
         self._requests.close()
         self._requests.brokers.close()
+        self._peer_server.stop()
         self._relay.server.stop()
+        self._reach.close()
         self._exchange.close()
         log_message(message_type="process:stopped")
 
     # ---- tasks ----
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.ensure_future(self._guarded(work)))
-
-    async def _guarded(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a background task; log an exception, which ends the task but not the process."""
-        try:
-            await work
-        except asyncio.CancelledError:
-            raise
-        except Exception as error:
-            log_message(
-                message_type="process:fault",
-                level="ERROR",
-                reason=f"{type(error).__name__}: {error}",
-            )
-            raise
-
     def _own_address(self) -> PeerAddress:
         return PeerAddress(
             self._settings.node,
@@ -265,6 +273,9 @@
         self._control.send_report_now = self._exchange.sender.send_soon
         self._control.witnesses.send_datagram = self._exchange.send
         self._exchange.on_witness_datagram = self._control.witnesses.handle_datagram
+        self._reach.send_datagram = self._exchange.send
+        self._exchange.on_reach_datagram = self._reach.handle_datagram
+        self._reach.changed.append(self._requests.queue.capacity_changed)
         send_soon = CoalescedCall(self._exchange.sender.send_soon)
         self._requests.quarantine.on_unreported = send_soon.schedule
         self._requests.on_notice = send_soon.schedule
@@ -273,13 +284,3 @@
         for part in (self._platform, self._requests, self._control):
             self._active_settings.on_change(part.apply_settings)
         self._platform.on_servers_changed(self._requests.servers_changed)
-
-    # ---- parts ----
-
-    def _instrumented(self, ports: PlatformPorts) -> PlatformPorts:
-        """Return the same ports with metrics on their calls."""
-        return replace(
-            ports,
-            store=InstrumentedStore(ports.store, self._metrics, self._clock),
-            orders=InstrumentedOrders(ports.orders, self._metrics, self._clock),
-        )
--- a/indigoworks/gateway/owner_lookup.py
+++ b/indigoworks/gateway/owner_lookup.py
@@ -1,5 +1,6 @@
 """Finds the owner of a key, and whether it can serve requests now."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -29,6 +30,8 @@
     """The owner has not been granted the key yet, or recently said that it does not hold it."""
     UNREACHABLE = "unreachable"
     """The owner cannot be reached, is leaving, or is unknown."""
+    OUT_OF_REACH_HERE = "out_of_reach_here"
+    """The owner is reached by a peer, and not from here."""
     RESTING = "resting"
     """The owner asked this process for rest."""
     NONE = "none"
@@ -64,7 +67,9 @@
         servers: ServerSource,
         server_stats: ServerStats,
         clock: Clock,
+        is_reached_by_peers: Callable[[str], bool] = lambda server_id: False,
     ) -> None:
+        self._is_reached_by_peers = is_reached_by_peers
         self._tables = tables
         self._servers = servers
         self._server_stats = server_stats
@@ -93,8 +98,10 @@
         server = self._servers.get(found.server_id)
         if server is None or not self._servers.may_serve_own_keys(found.server_id):
             return Owner(OwnerState.UNREACHABLE, server, found.token, found.first)
-        if self._server_stats.is_down(found.server_id):
-            return Owner(OwnerState.UNREACHABLE, server, found.token, found.first)
+        if self._server_stats.down.is_down(found.server_id):
+            is_reached = self._is_reached_by_peers(found.server_id)
+            state = OwnerState.OUT_OF_REACH_HERE if is_reached else OwnerState.UNREACHABLE
+            return Owner(state, server, found.token, found.first)
         if self._tables.is_pending(service, found) or self._is_not_held(service, found):
             return Owner(OwnerState.PENDING, server, found.token, found.first)
         left_s = self._servers.rest_left_s(found.server_id) if self._servers.has_resting() else 0.0
--- a/indigoworks/gateway/owner_outages.py
+++ b/indigoworks/gateway/owner_outages.py
@@ -78,6 +78,9 @@
         """
         assert entry.key is not None
         owner = self._owners.find(entry.service, entry.key)
+        if owner.state is OwnerState.OUT_OF_REACH_HERE:
+            # The key is served elsewhere: waiting here does not bring it back.
+            return queue_refusals.no_owner(owner, 0.0)
         left_s = self._left_s(entry.service, entry.key, owner)
         if self._clock.now() + left_s + self._service_s(owner, entry.service) <= entry.limit_s:
             return None
@@ -87,6 +90,8 @@
         """Return the refusal of a request for a key without a ready owner."""
         assert entry.key is not None
         owner = self._owners.find(entry.service, entry.key)
+        if owner.state is OwnerState.OUT_OF_REACH_HERE:
+            return queue_refusals.no_owner(owner, 0.0)
         return queue_refusals.no_owner(owner, self._left_s(entry.service, entry.key, owner))
 
     def close_ended(self) -> None:
--- a/indigoworks/gateway/queue_refusals.py
+++ b/indigoworks/gateway/queue_refusals.py
@@ -26,7 +26,7 @@
     """
     if owner.state is OwnerState.RESTING and owner.server is not None:
         return resting(owner.server.server_id, left_s)
-    is_unreachable = owner.state is OwnerState.UNREACHABLE
+    is_unreachable = owner.state in (OwnerState.UNREACHABLE, OwnerState.OUT_OF_REACH_HERE)
     reason = RefusalReason.OWNER_UNREACHABLE if is_unreachable else RefusalReason.NO_OWNER
     server_id = "" if owner.server is None else owner.server.server_id
     return Refusal(reason, max(MIN_RETRY_AFTER_S, left_s), server_id, expected_s=left_s)
--- a/indigoworks/gateway/reach_log.py
+++ b/indigoworks/gateway/reach_log.py
@@ -7,6 +7,7 @@
 from indigoworks.gateway.server_stats import ServerStats
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.server_reach import ServerReach
+from indigoworks.reach.path_monitor import PathMonitor
 from indigoworks.servers.server_list import ServerList
 
 
@@ -21,6 +22,7 @@
         self,
         server_stats: ServerStats,
         servers: ServerList,
+        path: PathMonitor,
         orders: ServerReach,
         leadership: Leadership,
         peers: PeerView,
@@ -28,6 +30,7 @@
     ) -> None:
         self._server_stats = server_stats
         self._servers = servers
+        self._path = path
         self._orders = orders
         self._leadership = leadership
         self._peers = peers
@@ -36,9 +39,9 @@
 
     def write(self) -> None:
         """Write the line of this period if there is anything to tell."""
-        out_of_reach = len(self._server_stats.down_servers())
+        out_of_reach = len(self._server_stats.down.failed())
         orders_failing = len(self._orders.suspect_servers())
-        has_failures = bool(out_of_reach or orders_failing)
+        has_failures = bool(self._path.is_lost or out_of_reach or orders_failing)
         if not has_failures and not self._had_failures:
             return
         self._had_failures = has_failures
@@ -47,6 +50,7 @@
             message_type="reach:summary",
             level="WARNING" if has_failures else "INFO",
             servers=sum(1 for _ in self._servers.listed()),
+            is_path_lost=self._path.is_lost,
             out_of_reach=out_of_reach,
             orders_failing=orders_failing,
             answered_ago_s=None if answered_ago_s == float("inf") else round(answered_ago_s, 3),
--- a/indigoworks/gateway/reachability_monitor.py
+++ b/indigoworks/gateway/reachability_monitor.py
@@ -7,6 +7,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 from indigoworks.gateway.server_stats import ServerStats
+from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
@@ -35,9 +36,11 @@
         self,
         server_stats: ServerStats,
         servers: ServerSource,
+        reach: ReachSubsystem,
         clock: Clock,
         open_connection: OpenConnection = ServerConnection,
     ) -> None:
+        self._reach = reach
         self._open_connection = open_connection
         self._server_stats = server_stats
         self._servers = servers
@@ -50,10 +53,10 @@
         """Return the silence after which a server is checked, in seconds."""
         return max(MIN_SILENCE_S, SILENCE_FACTOR * self._server_stats.service_time_s(server))
 
-    def report_connect_failure(self, server: ServerRecord) -> None:
+    def report_connect_failure(self, server: ServerRecord, is_refused: bool) -> None:
         """Mark a server as unreachable after a failed connection, and start to check it."""
-        if not self._server_stats.is_down(server.server_id):
-            self._set_down(server)
+        if not self._server_stats.down.is_down(server.server_id):
+            self._set_down(server, is_silent=not is_refused)
 
     async def has_responded_since(self, server: ServerRecord, since_s: float) -> bool:
         """Return whether a server has answered or accepted a connection after `since_s`, or does
@@ -61,7 +64,7 @@
 
         Earlier contact does not count: the server may just have crashed.
         """
-        while not self._server_stats.is_down(server.server_id):
+        while not self._server_stats.down.is_down(server.server_id):
             if self._last_contact_s(server) >= since_s:
                 return True
             await self._check_now(server)
@@ -71,7 +74,7 @@
         """Return whether a silent server can be reached; checks it unless the result is fresh."""
         if self._clock.now() - self._last_contact_s(server) < FRESH_S:
             return True
-        if self._server_stats.is_down(server.server_id):
+        if self._server_stats.down.is_down(server.server_id):
             return False
         return await self._check_now(server)
 
@@ -101,7 +104,7 @@
             if await self._can_connect(server):
                 self._reached_s[server.server_id] = self._clock.now()
                 return True
-        self._set_down(server)
+        self._set_down(server, is_silent=True)
         return False
 
     async def _can_connect(self, server: ServerRecord) -> bool:
@@ -110,8 +113,9 @@
         connection.abort()
         return is_connected
 
-    def _set_down(self, server: ServerRecord) -> None:
-        self._server_stats.set_down(server.server_id, True)
+    def _set_down(self, server: ServerRecord, is_silent: bool) -> None:
+        self._server_stats.down.set_down(server.server_id, True)
+        self._reach.record_failure(server.server_id, is_silent)
         log_message(
             message_type="server:out_of_reach",
             level="WARNING",
@@ -128,10 +132,10 @@
         while self._servers.get(server.server_id) is not None:
             await self._clock.sleep(CHECK_PAUSE_S)
             if await self._can_connect(server):
-                self._server_stats.set_down(server.server_id, False)
+                self._server_stats.down.set_down(server.server_id, False)
                 self._reached_s[server.server_id] = self._clock.now()
                 log_message(
                     message_type="server:in_reach", server=server.server_id, service=server.service
                 )
                 return
-        self._server_stats.set_down(server.server_id, False)
+        self._server_stats.down.set_down(server.server_id, False)
--- a/indigoworks/gateway/relay_subsystem.py
+++ b/indigoworks/gateway/relay_subsystem.py
@@ -56,6 +56,4 @@
             clock,
             frozenset({ports.configuration_table}),
         )
-        self.server = FeedServer(
-            settings.peer_address, self.store, self.choice, ports.health, clock
-        )
+        self.server = FeedServer(self.store, self.choice, ports.health, clock)
--- /dev/null
+++ b/indigoworks/gateway/request_forwarding.py
@@ -0,0 +1,182 @@
+"""Forwards requests whose servers are out of reach from here to peers that reach them."""
+
+from indigoworks.common.clock import Clock
+from indigoworks.exchange.peer_address import PeerAddress
+from indigoworks.forwarding.forward_client import ForwardClient
+from indigoworks.forwarding.forward_failure import ForwardFailure
+from indigoworks.forwarding.forward_reply import ForwardOutcome, ForwardReply
+from indigoworks.forwarding.forward_request import ForwardRequest
+from indigoworks.gateway.client_response import ClientResponse
+from indigoworks.gateway.failure_responses import FailureResponses
+from indigoworks.gateway.local_retry_budget import LocalRetryBudget
+from indigoworks.gateway.owner_lookup import OwnerLookup
+from indigoworks.gateway.request_log import RequestLog
+from indigoworks.gateway.request_state import RequestState
+from indigoworks.reach.reach_subsystem import ReachSubsystem
+from indigoworks.routes.configuration_holder import ConfigurationHolder
+from indigoworks.servers.server_source import ServerSource
+
+MAX_PEERS = 3
+"""Peers that one request is offered to."""
+
+REPLY_WAIT_S = 0.15
+"""Longest wait for the first reply of peers, right after servers were found out of reach."""
+
+PAUSE_AFTER_DECLINE_S = 0.3
+"""Time for which a peer that declined a request gets no further one."""
+
+REPLY_MARGIN_S = 0.05
+"""Time after the deadline in which the receiver's own time-out response may still arrive."""
+
+
+class RequestForwarding:
+    """Decides whether a request is forwarded, to which peer, and what its response is.
+
+    A request is forwarded once at most with effect: it is offered to another peer only if the one
+    before did nothing with it, or if its route allows that it runs twice.
+    """
+
+    def __init__(
+        self,
+        reach: ReachSubsystem,
+        servers: ServerSource,
+        owners: OwnerLookup,
+        client: ForwardClient,
+        configurations: ConfigurationHolder,
+        retry_budget: LocalRetryBudget,
+        failures: FailureResponses,
+        zone: str,
+        log: RequestLog,
+        clock: Clock,
+    ) -> None:
+        self._reach = reach
+        self._servers = servers
+        self._owners = owners
+        self._client = client
+        self._configurations = configurations
+        self._retry_budget = retry_budget
+        self._failures = failures
+        self._zone = zone
+        self._log = log
+        self._clock = clock
+        self._paused_until_s: dict[str, float] = {}
+        self._newest_version = 0
+
+    async def is_due(self, state: RequestState) -> bool:
+        """Return whether no server can take the request from here and a peer reaches one.
+
+        Waits for a moment if peers have only just been asked.
+        """
+        if state.is_forwarded or not self.is_out_of_reach(state):
+            return False
+        left_s = state.deadline_s - self._clock.now()
+        if left_s <= 0 or len(state.forwarded_to) >= MAX_PEERS:
+            return False
+        await self._reach.peers.wait_for_reply(min(REPLY_WAIT_S, left_s))
+        return bool(self._candidates(state))
+
+    async def forward(self, state: RequestState) -> ClientResponse | None:
+        """Offer the request to a peer; return the final response, or None if another attempt is
+        due."""
+        candidates = self._candidates(state)
+        if not candidates:
+            return None
+        peer = min(candidates, key=self._cost)
+        state.forwarded_to.append(peer.node)
+        left_s = state.deadline_s - self._clock.now()
+        result = await self._client.send(peer, self._message(state), left_s + REPLY_MARGIN_S)
+        self._record(state, peer, result)
+        if isinstance(result, ForwardFailure):
+            return self._without_reply(state, peer, result)
+        return self._with_reply(state, peer, result)
+
+    def is_out_of_reach(self, state: RequestState) -> bool:
+        """Return whether no server that may run a request is reached from here."""
+        if not self._reach.down.has_any():
+            return False
+        servers = self._servers_of(state)
+        return bool(servers) and all(map(self._reach.down.is_down, servers))
+
+    # ---- choice ----
+
+    def _servers_of(self, state: RequestState) -> list[str]:
+        """Return the ids of the servers that may run a request: its owner, or all usable ones."""
+        if not state.service.is_keyed:
+            return [each.server_id for each in self._servers.usable(state.service.name)]
+        if state.request.key is None:
+            return []
+        owner = self._owners.find(state.service.name, state.request.key)
+        if owner.server is None or not self._servers.may_serve_own_keys(owner.server.server_id):
+            return []
+        return [owner.server.server_id]
+
+    def _candidates(self, state: RequestState) -> list[PeerAddress]:
+        servers = self._servers_of(state)
+        now_s = self._clock.now()
+        return [
+            each
+            for each in self._reach.peers.peers_reaching(servers)
+            if each.node not in state.forwarded_to
+            and self._paused_until_s.get(each.node, 0.0) <= now_s
+        ]
+
+    def _cost(self, peer: PeerAddress) -> tuple[int, bool]:
+        return self._client.in_progress(peer.node), peer.zone != self._zone
+
+    def _message(self, state: RequestState) -> ForwardRequest:
+        request = state.request
+        return ForwardRequest(
+            request.request_id,
+            request.method,
+            request.host,
+            request.target,
+            request.headers,
+            request.body,
+            request.wait_s,
+            request.key,
+            self._clock.now() - request.arrived_s,
+            request.caller,
+            state.service.name,
+            max(self._newest_version, state.configuration_version),
+            tuple(state.tried),
+        )
+
+    # ---- results ----
+
+    def _with_reply(
+        self, state: RequestState, peer: PeerAddress, reply: ForwardReply
+    ) -> ClientResponse | None:
+        if reply.outcome is ForwardOutcome.DECLINED:
+            self._paused_until_s[peer.node] = self._clock.now() + PAUSE_AFTER_DECLINE_S
+            return None
+        state.tried.extend(reply.tried)
+        now_s = self._clock.now()
+        self._newest_version = max(self._newest_version, reply.configuration_version)
+        self._configurations.record_newer_version(reply.configuration_version, now_s)
+        if reply.outcome is ForwardOutcome.LOST:
+            state.may_have_run = True
+        if reply.outcome is ForwardOutcome.REFUSED and state.may_have_run:
+            return self._failures.lost(state, f"then {reply.reason}")
+        return ClientResponse(reply.status, reply.headers, reply.body)
+
+    def _without_reply(
+        self, state: RequestState, peer: PeerAddress, failure: ForwardFailure
+    ) -> ClientResponse | None:
+        self._paused_until_s[peer.node] = self._clock.now() + PAUSE_AFTER_DECLINE_S
+        if failure is ForwardFailure.NOT_SENT:
+            return None
+        state.may_have_run = True
+        is_in_time = self._clock.now() < state.deadline_s
+        if not is_in_time or not state.route.is_repeatable:
+            return self._failures.lost(state, "forwarded")
+        if not self._retry_budget.try_consume(state.service.name):
+            return self._failures.lost(state, "forwarded")
+        return None
+
+    def _record(
+        self, state: RequestState, peer: PeerAddress, result: ForwardReply | ForwardFailure
+    ) -> None:
+        if isinstance(result, ForwardFailure):
+            self._log.forwarded(state, peer.node, result.value, "")
+        else:
+            self._log.forwarded(state, peer.node, result.outcome.value, result.reason)
--- a/indigoworks/gateway/request_log.py
+++ b/indigoworks/gateway/request_log.py
@@ -15,6 +15,9 @@
 SUCCESS = LogLevel.INFO.name
 FAILURE = LogLevel.WARNING.name
 
+SERVED = "answered"
+"""Result of forwarding a request that a server answered."""
+
 FAILED_STATUS = 500
 """Lowest status that reports a failure of the server."""
 
@@ -95,6 +98,16 @@
             detail=response.detail,
         )
 
+    def forwarded(self, state: RequestState, peer: str, result: str, reason: str) -> None:
+        """Record what came of offering the request to a peer.
+
+        :param reason: why the peer refused or declined it; empty if it did not.
+        """
+        self._metrics.forwarded(state.service.name, result)
+        self._write(
+            "request:forwarded", result != SERVED, state, peer=peer, result=result, reason=reason
+        )
+
     def lost(self, state: RequestState, detail: str) -> None:
         """Record that the response is lost, and that the request may have run."""
         elapsed_s = self._elapsed_s(state.request)
--- a/indigoworks/gateway/request_metrics.py
+++ b/indigoworks/gateway/request_metrics.py
@@ -13,6 +13,9 @@
         self._retries = metrics.counter(
             "gateway_repeats", "Repeats by permission", "service", "permission"
         )
+        self._forwarded = metrics.counter(
+            "gateway_forwarded", "Requests offered to peers, by result", "service", "result"
+        )
         self._request_s = metrics.histogram(
             "gateway_request_seconds", "Arrival to final answer", "service", "outcome"
         )
@@ -29,6 +32,10 @@
         """Record the duration of a finished attempt at a server."""
         self._attempt_s.add(elapsed_s, service, result)
 
+    def forwarded(self, service: str, result: str) -> None:
+        """Count a request that was offered to a peer."""
+        self._forwarded.add(service, result)
+
     def retried(self, service: str, is_granted: bool) -> None:
         """Count a retry that the budget granted or denied."""
         self._retries.add(service, "granted" if is_granted else "denied")
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -8,14 +8,17 @@
 from indigoworks.gateway.client_response import ClientResponse
 from indigoworks.gateway.crash_attribution import CrashAttribution
 from indigoworks.gateway.failure_responses import FailureResponses
+from indigoworks.gateway.forwarded_result import ForwardedResult
 from indigoworks.gateway.gateway_responses import GatewayResponses
 from indigoworks.gateway.key_sampler import KeySampler
 from indigoworks.gateway.local_retry_budget import LocalRetryBudget
 from indigoworks.gateway.placer import Placer
 from indigoworks.gateway.refusal import Refusal, RefusalReason
+from indigoworks.gateway.request_forwarding import RequestForwarding
 from indigoworks.gateway.request_log import RequestLog
 from indigoworks.gateway.request_routing import RequestRouting
 from indigoworks.gateway.request_state import RequestState
+from indigoworks.gateway.response_outcome import ResponseOutcome
 from indigoworks.gateway.retry_policy import RetryPolicy
 from indigoworks.gateway.server_exchange import ServerExchange
 from indigoworks.gateway.server_response import ExchangeResult, ServerResponse
@@ -32,13 +35,17 @@
 
 
 class RequestPipeline:
-    """Routes a request, places it at a server, sends it, and returns the response."""
+    """Routes a request, places it at a server, sends it, and returns the response.
+
+    A request whose servers are reached by a peer only is forwarded to that peer instead.
+    """
 
     def __init__(
         self,
         routing: RequestRouting,
         placer: Placer,
         exchange: ServerExchange,
+        forwarding: RequestForwarding,
         server_stats: ServerStats,
         crash_attribution: CrashAttribution,
         gate: AttemptGate,
@@ -53,6 +60,7 @@
         self._routing = routing
         self._placer = placer
         self._exchange = exchange
+        self._forwarding = forwarding
         self._server_stats = server_stats
         self._crash_attribution = crash_attribution
         self._gate = gate
@@ -76,6 +84,32 @@
             self._log.cancelled(state)
             raise
 
+    async def run_forwarded(
+        self, request: ClientRequest, service: str, tried: tuple[str, ...]
+    ) -> ForwardedResult | None:
+        """Return the result of a request that a peer forwarded; None: its servers are out of reach
+        from here as well, and it has not run.
+
+        :param service: service that the peer chose.
+        :param tried: servers that it may have been sent to before.
+        """
+        state = self._routing.route(request, service)
+        if not isinstance(state, RequestState):
+            return ForwardedResult(state)
+        state.is_forwarded = True
+        state.tried.extend(tried)
+        if self._forwarding.is_out_of_reach(state):
+            return None
+        try:
+            response = await self._attempts(state)
+        except asyncio.CancelledError:
+            self._log.cancelled(state)
+            raise
+        is_refused = response.outcome is ResponseOutcome.REFUSED
+        if is_refused and self._forwarding.is_out_of_reach(state):
+            return None
+        return ForwardedResult(response, tuple(state.tried[len(tried) :]))
+
     async def _attempts(self, state: RequestState) -> ClientResponse:
         while True:
             final = await self._attempt(state)
@@ -87,6 +121,8 @@
         unrouted = self._route_again(state)
         if unrouted is not None:
             return unrouted
+        if await self._forwarding.is_due(state):
+            return await self._forwarding.forward(state)
         if not self._gate.is_suspect(state.request):
             return await self._send_placed(state, is_locked=False)
         aim_s = state.request.arrived_s + state.route.aim_s * AIM_FACTOR
@@ -106,6 +142,8 @@
         """
         placement = await self._place_unless_quarantined(state)
         if isinstance(placement, Refusal):
+            if await self._forwarding.is_due(state):
+                return None
             return self._failures.refuse(state, placement)
         is_new_suspect = not is_locked and self._gate.is_suspect(state.request)
         if is_new_suspect or not self._routing.is_current(state):
--- a/indigoworks/gateway/request_routing.py
+++ b/indigoworks/gateway/request_routing.py
@@ -31,10 +31,13 @@
         self._split = WeightedSplit()
         self._first_tries = FirstAttempts(clock)
 
-    def route(self, request: ClientRequest) -> RequestState | ClientResponse:
+    def route(self, request: ClientRequest, chosen: str = "") -> RequestState | ClientResponse:
         """Return the state of a routed request, or the final response if it cannot be routed.
 
         It cannot without a configuration, a route, the route's service, or the key that this needs.
+
+        :param chosen: service that another gateway chose for it, which it keeps if the route still
+            includes it.
         """
         configuration = self._configurations.current()
         if configuration is None:
@@ -42,7 +45,8 @@
         route = configuration.find_route(request.host, request.path)
         if route is None:
             return self._refusals.no_route(request, configuration.version)
-        chosen = self._split.choose(route)
+        if not chosen or not _includes(route, chosen):
+            chosen = self._split.choose(route)
         age_s = self._first_tries.age_s(route.name, request.wait_s)
         return self._with_service(request, configuration, route, chosen, age_s)
 
--- a/indigoworks/gateway/request_sender.py
+++ b/indigoworks/gateway/request_sender.py
@@ -31,6 +31,9 @@
 """Status of a server that did not run a request because it was meant for another server."""
 
 
+CONNECTION_REFUSED = "refused"
+"""Detail of a request that was not sent because its server refused the connection."""
+
 ReadNotice = Callable[[int, HTTPHeaders], ServerNotice]
 """Parses a server's notice from status and headers of a response."""
 
@@ -94,7 +97,8 @@
             self.connections_opened += 1
             left_s = deadline_s - self._clock.now()
             if left_s <= 0 or not await connection.connect(min(left_s, CONNECT_TIMEOUT_S)):
-                return ServerResponse(ExchangeResult.NOT_SENT, detail="connect")
+                detail = CONNECTION_REFUSED if connection.was_refused else "connect"
+                return ServerResponse(ExchangeResult.NOT_SENT, detail=detail)
         # This is the last check before sending: the server may have asked for a rest in another
         # response since it was selected.
         if self.is_held_back(server.server_id):
--- a/indigoworks/gateway/request_state.py
+++ b/indigoworks/gateway/request_state.py
@@ -29,6 +29,8 @@
     :ivar doubt_window: window of that time, if any request was in doubt then.
     :ivar started: start of the last attempt at a server, once that has ended.
     :ivar is_served: whether the server of the last attempt ran it and answered.
+    :ivar is_forwarded: a peer forwarded it to this gateway, which forwards it no further.
+    :ivar forwarded_to: peers that it was offered to, in order.
     :ivar verdict: task that determines whether a server crashed, for the last attempt that was sent
         and not answered; None if there was none.
     """
@@ -61,6 +63,8 @@
         self.started: RequestStart | None = None
         self.is_served = False
         self.verdict: asyncio.Task[None] | None = None
+        self.is_forwarded = False
+        self.forwarded_to: list[str] = []
         self._unsent = 0
 
     def adopt_route(self, rerouted: "RequestState") -> None:
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -16,12 +16,15 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.forwarding.forward_client import ForwardClient
+from indigoworks.forwarding.forward_server import ForwardServer
 from indigoworks.gateway.attempt_gate import AttemptGate
 from indigoworks.gateway.capacity_tracker import CapacityTracker
 from indigoworks.gateway.configuration_refusals import ConfigurationRefusals
 from indigoworks.gateway.crash_attribution import CrashAttribution
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.failure_responses import FailureResponses
+from indigoworks.gateway.forwarded_requests import ForwardedRequests
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_responses import GatewayResponses
 from indigoworks.gateway.gateway_settings import GatewaySettings
@@ -32,6 +35,7 @@
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_subsystem import PlatformSubsystem
 from indigoworks.gateway.reachability_monitor import ReachabilityMonitor
+from indigoworks.gateway.request_forwarding import RequestForwarding
 from indigoworks.gateway.request_log import RequestLog
 from indigoworks.gateway.request_metrics import RequestMetrics
 from indigoworks.gateway.request_pipeline import RequestPipeline
@@ -49,12 +53,16 @@
 from indigoworks.quarantine.quarantine import Quarantine
 from indigoworks.quarantine.quarantine_rows import QuarantineRows
 from indigoworks.quarantine.request_mark import RequestMark
+from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.rowstore.row import Row
 
 
 class RequestSubsystem:
     """The request pipeline and its parts; `front` listens for callers.
 
+    :ivar path: whether this gateway has lost its path to servers.
+    :ivar forward_server: takes requests that peers forward.
+
     :ivar doubts: requests under which servers may have crashed, here and at peers.
     :ivar on_notice: called on a server's notice that peers should learn of soon.
     """
@@ -64,6 +72,7 @@
         settings: GatewaySettings,
         ports: PlatformPorts,
         platform: PlatformSubsystem,
+        reach: ReachSubsystem,
         tables: OwnershipTables,
         peers: PeerTable,
         directory: PeerDirectory,
@@ -75,11 +84,12 @@
         open_connection: OpenConnection = ServerConnection,
         open_datagrams: OpenDatagrams = DatagramEndpoint,
     ) -> None:
-        self.server_stats = ServerStats(peers, clock)
+        self.path = reach.path
+        self.server_stats = ServerStats(peers, clock, reach.down)
         self.sampler = KeySampler()
         self._servers = platform.servers
         self._reachability = ReachabilityMonitor(
-            self.server_stats, platform.servers, clock, open_connection
+            self.server_stats, platform.servers, reach, clock, open_connection
         )
         self.sender = RequestSender(
             ports.names, clock, ports.read_server_load, open_connection, ports.read_server_notice
@@ -103,7 +113,9 @@
             random,
             directory.has_many,
         )
-        owners = OwnerLookup(tables, platform.servers, self.server_stats, clock)
+        owners = OwnerLookup(
+            tables, platform.servers, self.server_stats, clock, reach.peers.reaches
+        )
         self.queue = DispatchQueue(
             self.selector,
             owners,
@@ -164,11 +176,13 @@
         self.quarantine.on_refusal = self._quarantine_rows.handle_refusal
         self.quarantine.on_crash = self._quarantine_rows.handle_crash
         self._crash_attribution = CrashAttribution(
-            self.quarantine, self.doubts, self._reachability, platform.servers, clock
+            self.quarantine, self.doubts, self._reachability, reach.path, platform.servers, clock
         )
         self.doubts.on_last_lifted = self._open_lock
         refusals = ConfigurationRefusals(platform.configurations, responses, log, clock)
-        flow = RequestPipeline(
+        failures = FailureResponses(responses, platform.servers, self.server_stats, log)
+        self.forward_client = ForwardClient(clock, open_connection)
+        pipeline = RequestPipeline(
             RequestRouting(platform.configurations, refusals, clock),
             placer,
             ServerExchange(
@@ -177,9 +191,22 @@
                 platform.servers,
                 owners,
                 self._reachability,
+                reach,
                 self._crash_attribution,
                 log,
             ),
+            RequestForwarding(
+                reach,
+                platform.servers,
+                owners,
+                self.forward_client,
+                platform.configurations,
+                self.retry_budget,
+                failures,
+                settings.zone,
+                log,
+                clock,
+            ),
             self.server_stats,
             self._crash_attribution,
             AttemptGate(
@@ -195,11 +222,13 @@
             RetryPolicy(self._crash_attribution, self.retry_budget, log, clock),
             self.sampler,
             responses,
-            FailureResponses(responses, platform.servers, self.server_stats, log),
+            failures,
             log,
             clock,
         )
-        self.front = FrontServer(settings.front_address, ports.names, flow.run, refusals, clock)
+        forwarded = ForwardedRequests(pipeline, platform.configurations, clock)
+        self.forward_server = ForwardServer(forwarded.reply)
+        self.front = FrontServer(settings.front_address, ports.names, pipeline.run, refusals, clock)
         platform.configurations.on_change(
             lambda configuration: self.front.set_limits(configuration.limits)
         )
@@ -241,6 +270,7 @@
         self.front.close_idle()
         self.quarantine.remove_expired()
         self.sender.close_expired()
+        self.forward_client.close_expired()
         self._servers.remove_expired()
         self._servers.notices.rests.drop_ended()
         self._servers.notices.limits.drop_ended()
@@ -254,6 +284,7 @@
         self._crash_attribution.close()
         self._stored_locks.close()
         self._reachability.close()
+        self.forward_client.close()
 
 
 def _nothing() -> None:
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -34,14 +34,16 @@
 
     :param id_header: header of requests and responses with the request id.
     :ivar was_refused: whether no process listened at the address.
+    :ivar is_request_sent: whether the newest request was handed to the kernel whole.
     :ivar on_head: called with the head of each response, also of a truncated or late one.
     """
 
     on_head: HeadListener = staticmethod(ignore_head)
+    was_refused = False
+    is_request_sent = False
 
     def __init__(self, address: Address, id_header: str) -> None:
         self._address = address
-        self.was_refused = False
         self._id_header = id_header
         self._stream = IOStream(
             socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=MAX_ANSWER_BYTES
@@ -81,12 +83,14 @@
 
         :returns: None without a complete response: the server may have run the request.
         """
-        can_continue = False
+        can_continue = self.is_request_sent = False
         try:
             connection = HTTP1Connection(self._stream, True, self._parameters)
             connection.write_headers(
                 RequestStartLine(method, target, "HTTP/1.1"), headers, body or None
             )
+            if connection._pending_write is not None:
+                connection._pending_write.add_done_callback(self._record_write)
             connection.finish()
             for _ in range(SURPLUS_LIMIT):
                 response, is_read_whole = await self._read_answer(connection)
@@ -128,6 +132,10 @@
             return None
         return response
 
+    def _record_write(self, writing: "asyncio.Future[None]") -> None:
+        """Record the end of a write, which fails if the connection ended before."""
+        self.is_request_sent = not writing.cancelled() and writing.exception() is None
+
     def abort(self) -> None:
         """Reset the connection; the server may still read data that has reached its kernel."""
         if self._stream.closed():
--- a/indigoworks/gateway/server_exchange.py
+++ b/indigoworks/gateway/server_exchange.py
@@ -6,10 +6,11 @@
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.reachability_monitor import ReachabilityMonitor
 from indigoworks.gateway.request_log import RequestLog
-from indigoworks.gateway.request_sender import MISDIRECTED, RequestSender
+from indigoworks.gateway.request_sender import CONNECTION_REFUSED, MISDIRECTED, RequestSender
 from indigoworks.gateway.request_state import RequestState
 from indigoworks.gateway.server_response import ExchangeResult, ServerResponse
 from indigoworks.gateway.server_stats import ServerStats
+from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.servers.replacement_evidence import ReplacementEvidence
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
@@ -25,6 +26,7 @@
         servers: ServerSource,
         owners: OwnerLookup,
         reachability: ReachabilityMonitor,
+        reach: ReachSubsystem,
         crash_attribution: CrashAttribution,
         log: RequestLog,
     ) -> None:
@@ -33,6 +35,7 @@
         self._servers = servers
         self._owners = owners
         self._reachability = reachability
+        self._reach = reach
         self._crash_attribution = crash_attribution
         self._log = log
 
@@ -66,8 +69,7 @@
                 done, _ = await asyncio.wait({sending}, timeout=check_after_s)
                 if done:
                     response = sending.result()
-                    if response.result is ExchangeResult.NOT_SENT:
-                        self._reachability.report_connect_failure(server)
+                    self._record_reach(server, response)
                     return response
                 is_reachable = await self._reachability.is_reachable(server)
                 if not is_reachable and state.route.is_repeatable and not sending.done():
@@ -75,6 +77,15 @@
         finally:
             sending.cancel()
 
+    def _record_reach(self, server: ServerRecord, response: ServerResponse) -> None:
+        if response.result is ExchangeResult.ANSWERED:
+            self._reach.path.record_response()
+        elif response.result is ExchangeResult.NOT_SENT:
+            is_refused = response.detail == CONNECTION_REFUSED
+            self._reachability.report_connect_failure(server, is_refused)
+        elif response.result is ExchangeResult.LOST:
+            self._reach.path.record_failure(server.server_id, is_silent=False)
+
     def _record_responder(
         self, state: RequestState, server: ServerRecord, response: ServerResponse
     ) -> None:
--- a/indigoworks/gateway/server_selector.py
+++ b/indigoworks/gateway/server_selector.py
@@ -46,7 +46,7 @@
         usable = list(self._servers.usable(service))
         if self._servers.has_resting():
             usable = self._without_resting(usable)
-        if not self._server_stats.has_down() and not self._rate_limiter.has_rate_limits():
+        if not self._server_stats.down.has_any() and not self._rate_limiter.has_rate_limits():
             return usable
         return [each for each in usable if self._is_usable(each)]
 
@@ -72,7 +72,7 @@
         return [each for each in awake if not spared(each.server_id)] or awake
 
     def _is_usable(self, server: ServerRecord) -> bool:
-        if self._server_stats.is_down(server.server_id):
+        if self._server_stats.down.is_down(server.server_id):
             return False
         return not self._rate_limiter.is_paced_elsewhere(server)
 
--- a/indigoworks/gateway/server_stats.py
+++ b/indigoworks/gateway/server_stats.py
@@ -6,6 +6,7 @@
 from indigoworks.exchange.load_view import LoadView
 from indigoworks.exchange.server_load import ServerLoad, server_checksum
 from indigoworks.gateway.server_paces import ServerPaces
+from indigoworks.reach.down_servers import DownServers
 from indigoworks.servers.self_reported_load import SelfReportedLoad
 from indigoworks.servers.server_record import ServerRecord
 
@@ -32,9 +33,12 @@
 
 
 class ServerStats:
-    """Requests in flight, service times and reachability, by server."""
+    """Requests in flight, service times and reachability, by server.
 
-    def __init__(self, peers: LoadView, clock: Clock) -> None:
+    :ivar down: servers out of reach from here.
+    """
+
+    def __init__(self, peers: LoadView, clock: Clock, down: DownServers | None = None) -> None:
         self._peers = peers
         self._clock = clock
         self._in_flight: dict[str, int] = {}
@@ -42,7 +46,7 @@
         self._samples: dict[str, int] = {}
         self._mean_by_service_s: dict[str, float] = {}
         self._last_answer_s: dict[str, float] = {}
-        self._down: set[str] = set()
+        self.down = down or DownServers()
         self._paces = ServerPaces(clock)
 
     # ---- changes ----
@@ -76,34 +80,15 @@
         """Record that a server answered."""
         self._last_answer_s[server_id] = self._clock.now()
 
-    def set_down(self, server_id: str, is_down: bool) -> None:
-        """Mark a server as unreachable, or as reachable again."""
-        if is_down:
-            self._down.add(server_id)
-        else:
-            self._down.discard(server_id)
-
     def forget(self, server_id: str) -> None:
         """Drop the state of a server that left."""
         for known in (self._service_s, self._last_answer_s, self._samples):
             known.pop(server_id, None)
-        self._down.discard(server_id)
+        self.down.set_down(server_id, False)
         self._paces.forget(server_id)
 
     # ---- queries ----
 
-    def has_down(self) -> bool:
-        """Return whether any server is known to be unreachable from here."""
-        return bool(self._down)
-
-    def is_down(self, server_id: str) -> bool:
-        """Return whether the server is known to be unreachable from here."""
-        return server_id in self._down
-
-    def down_servers(self) -> frozenset[str]:
-        """Return the servers that are known to be unreachable from here."""
-        return frozenset(self._down)
-
     def newest_response_s(self) -> float:
         """Return when any server last answered; minus infinity if none ever did."""
         return max(self._last_answer_s.values(), default=float("-inf"))
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -59,6 +59,12 @@
         self._add_quarantine(metrics)
         self._add_notices(metrics)
         metrics.gauge("gateway_grants", "Ranges that we grant", ("state",), self._grants)
+        metrics.gauge(
+            "gateway_path_lost",
+            "1: no server is reached from here",
+            NO_LABELS,
+            lambda: {NO_LABELS: float(self._requests.path.is_lost)},
+        )
         metrics.gauge(
             "gateway_servers_out_of_reach",
             "Servers that requests or, while we lead, orders do not reach from here",
@@ -195,8 +201,8 @@
 
     def _out_of_reach(self) -> Values:
         return {
-            ("requests",): len(self._requests.server_stats.down_servers()),
-            ("orders",): len(self._control.reach.suspect_servers()),
+            ("requests",): len(self._requests.server_stats.down.failed()),
+            ("orders",): len(self._control.order_reach.suspect_servers()),
         }
 
     # ---- control ----
--- /dev/null
+++ b/indigoworks/reach/__init__.py
@@ -0,0 +1,1 @@
+"""Which servers this gateway reaches, and whose fault it is where it does not."""
--- a/indigoworks/relay/feed_server.py
+++ b/indigoworks/relay/feed_server.py
@@ -1,16 +1,13 @@
-"""Serves changed rows to other gateways over HTTP."""
+"""Serves changed rows to other gateways, as a handler of the HTTP server for peers."""
 
 import asyncio
 from urllib.parse import parse_qs
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from indigoworks.backend.http_response import HttpResponse
-from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
-from indigoworks.common.http_listener import HttpListener
 from indigoworks.relay.feed_response import FeedResponse
 from indigoworks.relay.feed_response_codec import encode_feed_response
 from indigoworks.relay.relay_selector import RelaySelector
@@ -37,7 +34,6 @@
 
     def __init__(
         self,
-        address: Address,
         store: RelayedStore,
         selector: RelaySelector,
         health: StoreHealth,
@@ -47,19 +43,10 @@
         self._selector = selector
         self._health = health
         self._clock = clock
-        self._listener = HttpListener(HTTPServer(self._handle), address)
         self._request_tasks: set[asyncio.Task[None]] = set()
 
-    def start(self) -> None:
-        """Start to listen.
-
-        :raises OSError: the address cannot be bound.
-        """
-        self._listener.start()
-
     def stop(self) -> None:
-        """Accept no further connections, and cancel the waiting requests."""
-        self._listener.stop()
+        """Cancel the waiting requests."""
         for task in self._request_tasks:
             task.cancel()
 
@@ -70,7 +57,8 @@
             if self._request_tasks and not self._is_fresh():
                 self._store.wake_waiters()
 
-    def _handle(self, request: HTTPServerRequest) -> None:
+    def handle(self, request: HTTPServerRequest) -> None:
+        """Start to serve a request of a peer."""
         task = asyncio.ensure_future(self._serve(request))
         self._request_tasks.add(task)
         task.add_done_callback(self._request_tasks.discard)
--- a/indigoworks_lab/control_simulation/node_exchange.py
+++ b/indigoworks_lab/control_simulation/node_exchange.py
@@ -8,6 +8,7 @@
 from indigoworks.exchange.hub_selector import HubSelector
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.exchange.reach_codec import is_reach_datagram
 from indigoworks.exchange.report_sender import ReportSender, ReportSource
 from indigoworks.exchange.witness_codec import is_witness_datagram
 from indigoworks_lab.control_simulation.datagram_links import DatagramLinks
@@ -20,9 +21,11 @@
     """Does what `DatagramExchange` does, over simulated links.
 
     :ivar on_witness_datagram: takes datagrams of witnesses; set before the node starts.
+    :ivar on_reach_datagram: takes questions for servers in reach, and the replies.
     """
 
     on_witness_datagram: Callable[[bytes], None]
+    on_reach_datagram: Callable[[bytes], None]
 
     def __init__(
         self,
@@ -55,6 +58,8 @@
         await asyncio.sleep(delay_s)
         if is_witness_datagram(datagram):
             self.on_witness_datagram(datagram)
+        elif is_reach_datagram(datagram):
+            self.on_reach_datagram(datagram)
         else:
             self._sender.handle_datagram(datagram)
 
--- a/indigoworks_lab/crash_simulation/crash_gateway.py
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -16,13 +16,16 @@
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.exchange.peer_table import PeerTable
+from indigoworks.exchange.reach_codec import is_reach_datagram
 from indigoworks.exchange.report_sender import ReportSender, ReportSource
+from indigoworks.gateway.connect_tester import ConnectTester
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_subsystem import PlatformSubsystem
 from indigoworks.gateway.request_subsystem import RequestSubsystem
 from indigoworks.gateway.server_connection import ServerConnection
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.rowstore.row import Row
 from indigoworks_lab.crash_simulation.broker_port import BrokerPort, TakeDatagram
 
@@ -64,22 +67,35 @@
             self.broker_port = BrokerPort(own, take, partial(send_to_broker, self))
             return self.broker_port
 
+        random = Random(address.boot)
+        self.reach = ReachSubsystem(
+            self.node,
+            address.boot,
+            self.platform.servers,
+            self.directory,
+            ConnectTester(open_connection).can_connect,
+            clock,
+            random,
+        )
         self.side = RequestSubsystem(
             settings,
             ports,
             self.platform,
+            self.reach,
             tables,
             self.peers,
             self.directory,
             self.metrics,
             LineRateLimiter(clock),
             clock,
-            Random(address.boot),
+            random,
             address,
             open_connection,
             open_datagrams,
         )
         self.platform.on_servers_changed(self.side.servers_changed)
+        self.reach.changed.append(self.side.queue.capacity_changed)
+        self.reach.send_datagram = lambda datagram, to: send(self, datagram, to)
         choice = HubSelector(
             self.node,
             address.zone,
@@ -107,6 +123,13 @@
         self.directory.apply(rows)
         self.side.apply_rows(rows)
 
+    def receive(self, datagram: bytes) -> None:
+        """Take a datagram of a peer."""
+        if is_reach_datagram(datagram):
+            self.reach.handle_datagram(datagram)
+        else:
+            self.sender.handle_datagram(datagram)
+
     async def run(self) -> None:
         """Exchange reports until the process ends."""
         while self.is_up:
--- a/indigoworks_lab/crash_simulation/crash_simulation.py
+++ b/indigoworks_lab/crash_simulation/crash_simulation.py
@@ -162,7 +162,7 @@
         if receiver is None or not receiver.is_up:
             return
         if not self.frozen.holds(node, lambda: self._deliver(datagram, node)):
-            receiver.sender.handle_datagram(datagram)
+            receiver.receive(datagram)
 
     def _carry_to_broker(
         self, sender: CrashGateway, datagram: bytes, own: Address, to: Address
