A leader that reaches no server hands the leadership over to a peer that does

Cause: the lease at the store and the heartbeats went on, so nobody challenged; the leader renewed nothing, and each key ended with its hold after 3 s. Orders need new connections, so kept ones did not help. Class of fault: who may lead is decided without asking whether it reaches those that it leads. Evidence: reach:failed for 11 of 14 servers 0.4 to 0.8 s after the cut, no leader:taken until its end. Why it works: a leader whose path is lost, or that does not reach a third of the owners, while a peer does, stops acting at once and gives the row up; a challenger tests connections first, waits longer if only some open, and does not challenge without a path while a peer has one. Open grants are at the witnesses as at any change of leader. No range moves because orders fail while the path is lost, and a new term begins without the failures of an earlier one. Ruled out: orders by way of peers, a challenge by peers that see keys end (docs/design/lost-paths.md).

--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -1,6 +1,6 @@
 """The parts of a gateway that take part in the control group."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 from indigoworks.common.clock import Clock
@@ -21,6 +21,7 @@
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.hold_policy import HoldPolicy
 from indigoworks.ownership.keeper_set import KeeperSet
+from indigoworks.ownership.leader_fitness import LeaderFitness
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.ownership_tables import OwnershipTables
@@ -29,6 +30,7 @@
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.ownership.witness_subsystem import WitnessSubsystem
+from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.relay.relay_selector import relay_capacity
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_version import NO_VERSION
@@ -43,6 +45,7 @@
 
     :ivar tables: owners of all services according to the store.
     :ivar order_reach: whether orders reach servers.
+    :ivar fitness: whether this process should lead.
     :ivar witnesses: replication of the leader's open grants.
     """
 
@@ -52,6 +55,7 @@
         settings: GatewaySettings,
         ports: PlatformPorts,
         platform: PlatformSubsystem,
+        reach: ReachSubsystem,
         peers: PeerTable,
         directory: PeerDirectory,
         tables: OwnershipTables,
@@ -86,6 +90,12 @@
         self._bounds = HoldBounds(clock)
         self._policy = HoldPolicy(ports.health, settings.hold_max_s)
         self.order_reach = ServerReach(clock)
+        self.order_reach.on_answer = reach.path.record_answer
+        self.order_reach.on_failure = reach.record_failure
+        self.order_reach.is_path_lost = lambda: reach.path.is_lost
+        reach.order_failures = self._order_failures
+        self.fitness = LeaderFitness(self.leadership, self.order_reach, reach, self._owners, clock)
+        self.leadership.may_lead = self.fitness.may_lead
         self.witnesses = WitnessSubsystem(
             ProcessId(settings.node, boot),
             settings.zone,
@@ -252,6 +262,10 @@
             return ()
         return [each.name for each in configuration.keyed_services()]
 
+    def _order_failures(self) -> Iterable[str]:
+        """Return the servers that orders do not reach, while this process leads."""
+        return self.order_reach.suspect_servers() if self.leadership.may_act() else ()
+
     def _owners(self) -> set[str]:
         return {
             owned.server_id
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -116,6 +116,7 @@
             settings,
             ports,
             self._platform,
+            self._reach,
             self._peers,
             self._directory,
             tables,
@@ -206,6 +207,7 @@
             self._requests.run(),
             self._relay.server.run(),
             self._control.member.run(),
+            self._control.fitness.run(),
             self._run_maintenance(),
         ):
             self._tasks.start(work)
--- a/indigoworks/ownership/leader_log.py
+++ b/indigoworks/ownership/leader_log.py
@@ -3,11 +3,14 @@
 from collections.abc import Mapping
 
 from eliot import log_message
+from result import Err, Result
 
 from indigoworks.ownership.hold_bounds import HoldBounds
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.order_tracker import OrderTracker
 from indigoworks.ownership.predecessor_bound import PredecessorBound
+from indigoworks.rowstore.errors import StoreError
+from indigoworks.rowstore.store_version import StoreVersion
 
 MAX_LOGGED_S = 1e6
 """Logged in place of infinity."""
@@ -45,11 +48,18 @@
     log_message(message_type="leader:seen", epoch=row.epoch, node=row.node)
 
 
-def log_taken(epoch: int, reason: str, silence_s: float) -> None:
-    """Log that this process has taken over the leadership.
+def log_challenge(
+    epoch: int, reason: str, silence_s: float, result: Result[StoreVersion, StoreError]
+) -> None:
+    """Log that this process has taken over the leadership, or that the store did not let it.
 
     :param silence_s: how long the leader before it was not heard.
+    :param result: of writing the leader row.
     """
+    if isinstance(result, Err):
+        error = result.unwrap_err().kind
+        log_message(message_type="leader:challenge_failed", epoch=epoch, reason=reason, error=error)
+        return
     log_message(
         message_type="leader:taken",
         epoch=epoch,
@@ -58,11 +68,6 @@
     )
 
 
-def log_challenge_failed(epoch: int, reason: str, error: str) -> None:
-    """Log that the store refused a challenge, or did not answer it."""
-    log_message(message_type="leader:challenge_failed", epoch=epoch, reason=reason, error=error)
-
-
 def log_lost(epoch: int, to_node: str, orders: OrderTracker | None) -> None:
     """Log that the leader row no longer names this process."""
     log_message(
@@ -74,12 +79,21 @@
     )
 
 
-def log_resigned(epoch: int, is_written: bool, order_fields: Mapping[str, object]) -> None:
+def log_resigned(
+    epoch: int, reason: str, is_written: bool, order_fields: Mapping[str, object]
+) -> None:
     """Log that this process gave up the leadership.
 
+    :param reason: the process stops, or servers are out of its reach.
     :param order_fields: as of the time at which it stopped acting.
     """
-    log_message(message_type="leader:resigned", epoch=epoch, is_written=is_written, **order_fields)
+    log_message(
+        message_type="leader:resigned",
+        epoch=epoch,
+        reason=reason,
+        is_written=is_written,
+        **order_fields,
+    )
 
 
 def order_fields(orders: OrderTracker | None) -> dict[str, object]:
--- a/indigoworks/ownership/leader_state.py
+++ b/indigoworks/ownership/leader_state.py
@@ -15,3 +15,14 @@
     LOST = "lost"
     """It has acted as leader, and the newest known row does not name it."""
     NEVER_LED = "never_led"
+
+    @classmethod
+    def of(
+        cls, is_given_up: bool, is_named: bool, has_proof: bool, has_acted: bool
+    ) -> "LeaderState":
+        """Return the state of a process by what it knows of the leader row and itself."""
+        if is_given_up:
+            return cls.RESIGNED
+        if is_named:
+            return cls.LEADS if has_proof else cls.UNPROVED
+        return cls.LOST if has_acted else cls.NEVER_LED
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from result import Err, Ok, Result
+from result import Ok, Result
 
 from indigoworks.common.clock import Clock
 from indigoworks.common.event_wait import wait_for_event
@@ -21,8 +21,11 @@
 from indigoworks.ownership.hold_policy import HOLD_S
 from indigoworks.ownership.leader_lease import LEADER_LEASE_S
 from indigoworks.ownership.leader_liveness import LeaderLiveness
+from indigoworks.ownership.leader_resignation import LeaderResignation
 from indigoworks.ownership.leader_row import LEADER_KEY, NO_LEADER, LeaderRow
+from indigoworks.ownership.leader_row_writer import LeaderRowWriter
 from indigoworks.ownership.leader_state import LeaderState
+from indigoworks.ownership.may_lead import MayLead, may_always_lead
 from indigoworks.ownership.order_tracker import OrderTracker
 from indigoworks.ownership.predecessor_bound import PredecessorBound
 from indigoworks.rowstore.errors import ConditionFailed, StoreError
@@ -30,7 +33,7 @@
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
-from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
+from indigoworks.rowstore.transaction import ExpectedVersion
 
 MAX_STORE_PROOF_AGE_S = 2.5
 """A process challenges only if its newest proof from the store is younger than this."""
@@ -47,6 +50,7 @@
     In a new era of the store nobody leads until a leader row of that era is written, since earlier
     rows may be lost. Others let the leader of the former era go first: it knows what it granted.
 
+    :ivar may_lead: asked before each challenge.
     :ivar has_read: the group's rows have been read.
     :ivar predecessor: the leader row before the newest one, if the newest names this process.
     :ivar former: what was known of the group when the previous era ended.
@@ -70,7 +74,7 @@
         self._node = node
         self._boot = boot
         self._group = group
-        self._store = store
+        self._writer = LeaderRowWriter(group, store)
         self._health = health
         self._clock = clock
         self._challenge_delay = challenge_delay
@@ -83,7 +87,8 @@
         self._followed_s = float("-inf")
         self._acting_epoch: int | None = None
         self._changed = asyncio.Event()
-        self._is_resigned = False
+        self._resignation = LeaderResignation(self._give_up_row, clock)
+        self.may_lead: MayLead = may_always_lead
         self._orders: OrderTracker | None = None
         self.select_witnesses: Callable[[], tuple[ProcessId, ...]] = tuple
         self.row_lock = asyncio.Lock()
@@ -106,8 +111,7 @@
             self.era_seen_s = self.others_led_until_s = self._clock.now()
         self.has_read = self._has_read_era = True
         self._followed_s = max(self._followed_s, true_at_s)
-        if self.is_named() and (self._proof_s is None or true_at_s > self._proof_s):
-            self._proof_s = true_at_s
+        self.record_commit(true_at_s)
 
     def record_commit(self, sent_s: float) -> None:
         """Record that a transaction conditioned on our leader row was committed."""
@@ -131,15 +135,16 @@
 
     def _begin_era(self) -> None:
         is_fresh = self._has_read_era and self._clock.now() - self._followed_s <= HOLD_S
-        newest = max(self._last_acting_row(), self.former.row, key=lambda each: each.version)
+        may_have_acted = not self.is_named() or self.is_acting()
+        last = self._row if may_have_acted else self.predecessor
+        newest = max(last, self.former.row, key=lambda each: each.version)
         is_led = self.may_act() and self.is_acting()
         self.former = FormerEra(newest, is_led, is_fresh)
         self._row_seen_s = self.era_seen_s = self._clock.now()
         if not (is_led and self.is_first_in_era()):
             self.others_led_until_s = self.era_seen_s
-        self._row = self.predecessor = NO_LEADER
+        self._row, self.predecessor, self._proof_s = NO_LEADER, NO_LEADER, None
         self._has_read_era = False
-        self._proof_s = None
         self._changed.set()
 
     # ---- state ----
@@ -161,10 +166,6 @@
         """
         return self._is_first_after(era) and (self.former.is_led or self.former.is_fresh)
 
-    def _last_acting_row(self) -> LeaderRow:
-        """Return the newest leader row whose leader may have sent orders."""
-        return self.predecessor if self.is_named() and not self.is_acting() else self._row
-
     def is_acting(self) -> bool:
         """Return whether the row names this process and `start_acting` was called for its epoch."""
         return self.is_named() and self._acting_epoch == self._row.epoch
@@ -192,7 +193,8 @@
 
     def may_act(self) -> bool:
         """Return whether this process may act as leader now; called right before each order."""
-        is_over = self._is_resigned or self.liveness.heard_later_epoch(self._row.epoch)
+        is_given_up = self._resignation.is_given_up(self._row.epoch)
+        is_over = is_given_up or self.liveness.heard_later_epoch(self._row.epoch)
         return self.is_named() and not is_over and self.proof_age_s() < LEADER_LEASE_S
 
     def proof_age_s(self) -> float:
@@ -203,11 +205,9 @@
 
     def state(self) -> LeaderState:
         """Return the state of this process as leader, for the log."""
-        if self._is_resigned:
-            return LeaderState.RESIGNED
-        if self.is_named():
-            return LeaderState.UNPROVED if self._proof_s is None else LeaderState.LEADS
-        return LeaderState.NEVER_LED if self._acting_epoch is None else LeaderState.LOST
+        is_given_up = self._resignation.is_given_up(self._row.epoch)
+        has_proof, has_acted = self._proof_s is not None, self._acting_epoch is not None
+        return LeaderState.of(is_given_up, self.is_named(), has_proof, has_acted)
 
     def condition(self) -> ExpectedVersion:
         """Return the condition of all transactions of a leader."""
@@ -227,23 +227,33 @@
         if reason is not None and reason != "led_before" and not skips_delay:
             await self._clock.sleep(self._challenge_delay.wait_s(self._row.node))
             reason = self._reason_to_challenge()
-        if reason is not None:
-            await self._take_over(reason)
+        if reason is not None and await self.may_lead():
+            reason = self._reason_to_challenge()
+            if reason is not None:
+                await self._take_over(reason)
 
     async def resign(self) -> None:
-        """Give up the leadership, so that others can take over at once."""
-        self._is_resigned = True
-        if not self.is_named():
-            return
+        """Give up the leadership for good, so that others can take over at once."""
+        await self._resignation.resign(self.is_named())
+
+    async def hand_over(self) -> None:
+        """Give up this epoch, so that another process takes over; this one may challenge later."""
+        await self._resignation.hand_over(
+            self._row.epoch, lambda epoch: self.is_named() and self._row.epoch == epoch
+        )
+
+    async def _give_up_row(self, reason: str) -> bool:
+        """Write a row that names nobody; returns whether the store took it."""
         row = replace(self._row, node="", boot="", version=NO_VERSION)
         self._proof_s = None
         open_orders = leader_log.order_fields(self._orders)
-        result = await self._store.commit(self._row_write(row))
-        leader_log.log_resigned(row.epoch, result.is_ok(), open_orders)
+        result = await self._writer.write(row, self.condition())
+        leader_log.log_resigned(row.epoch, reason, result.is_ok(), open_orders)
+        return result.is_ok()
 
     def _reason_to_challenge(self) -> str | None:
         is_store_healthy = self._has_read_era and self._health.proof_age_s() < MAX_STORE_PROOF_AGE_S
-        if self._is_resigned or not is_store_healthy or self.is_named():
+        if self._resignation.bars_challenge() or not is_store_healthy or self.is_named():
             return None
         if self._row.version != NO_VERSION:
             return self._reasons.for_row(self._row, self._row_seen_s)
@@ -259,24 +269,17 @@
         result = await self.put_own_row(row)
         is_decided = result.is_ok() or isinstance(result.unwrap_err(), ConditionFailed)
         self._challenge_delay.record_outcome(is_failed=not is_decided)
-        if isinstance(result, Err):
-            leader_log.log_challenge_failed(row.epoch, reason, result.unwrap_err().kind)
-        else:
-            leader_log.log_taken(row.epoch, reason, silence_s)
+        leader_log.log_challenge(row.epoch, reason, silence_s, result)
 
     async def put_own_row(self, row: LeaderRow) -> Result[StoreVersion, StoreError]:
         """Write a row that names this process; it is in force here once that is answered."""
         sent_s = self._clock.now()
-        result = await self._store.commit(self._row_write(row))
+        result = await self._writer.write(row, self.condition())
         if isinstance(result, Ok):
             self._accept_row(replace(row, version=result.unwrap()))
             self.record_commit(sent_s)
         return result
 
-    def _row_write(self, row: LeaderRow) -> Transaction:
-        put = RowPut(CONTROL_TABLE, LEADER_KEY, row.encode())
-        return self._group.transaction((self.condition(),), (put,))
-
     def _accept_row(self, row: LeaderRow) -> None:
         if row.version <= self._row.version:
             return
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -1,6 +1,7 @@
 """Whether orders reach servers, as the leader sees it."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from eliot import log_message
@@ -52,11 +53,19 @@
     order until it answers one.
 
     :ivar orders: logs orders that go unanswered; nothing is decided by it.
+    :ivar on_answer: called when a server answers an order.
+    :ivar on_failure: called with the id of a server when an order to it failed, and whether the
+        server was silent.
+    :ivar is_path_lost: returns whether no server is reached from here, so that the silence of one
+        says nothing about it.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.orders = OrderTracker(clock)
+        self.on_answer: Callable[[], None] = _nothing
+        self.on_failure: Callable[[str, bool], None] = _ignore_failure
+        self.is_path_lost: Callable[[], bool] = lambda: False
         self._grant_locks: dict[str, asyncio.Lock] = {}
         self._failures: dict[str, int] = {}
         self._first_failure_s: dict[str, float] = {}
@@ -82,6 +91,10 @@
             return
         self._record_silence(server_id, result, sender)
         self._record_refusal(server_id, result)
+        if result.is_answer:
+            self.on_answer()
+        else:
+            self.on_failure(server_id, result is OrderResult.NOT_SENT)
         if result not in _FAILURES:
             if self._failures.pop(server_id, None) is not None:
                 failed_s = self._clock.now() - self._first_failure_s.pop(server_id)
@@ -169,11 +182,27 @@
 
     def is_lost(self, server_id: str) -> bool:
         """Return whether the server is to lose its ranges."""
+        if self.is_path_lost():
+            return False
         if self._failures.get(server_id, 0) < LOST_FAILURES:
             return False
         return self._clock.now() - self._first_failure_s[server_id] >= LOST_AFTER_S
 
+    def forget_failures(self) -> None:
+        """Drop the failures of orders of an earlier epoch: their cause may have ended."""
+        self._failures.clear()
+        self._first_failure_s.clear()
+        self._refused_since_s.clear()
+
     def _log(self, message_type: str, server_id: str, result: OrderResult, age_s: float) -> None:
         log_message(
             message_type=message_type, server=server_id, result=result.value, failing_s=age_s
         )
+
+
+def _nothing() -> None:
+    """Default of a callback until it is set."""
+
+
+def _ignore_failure(server_id: str, is_silent: bool) -> None:
+    """Default of a callback until it is set."""
--- a/indigoworks/reach/path_monitor.py
+++ b/indigoworks/reach/path_monitor.py
@@ -1,7 +1,7 @@
 """Detects that this gateway has lost its path to all servers."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 
 from eliot import log_message
@@ -17,18 +17,19 @@
 MIN_FAILED = 2
 """Servers that must have failed, with no connection opened in between, before the path is lost."""
 
+MIN_ACCEPTED = 2
+"""Servers of a sample that must accept a connection before a lost path is back."""
+
 RETEST_PERIOD_S = 0.2
 """Pause between tests of a lost path."""
 
-ACCEPT_VALID_S = 0.5
-"""Age up to which an opened connection proves that servers are reached."""
-
 
 class PathMonitor:
     """Tells a lost path from servers that fail, by whether any server accepts a connection.
 
     A path is lost if MIN_FAILED servers have failed since one last accepted a connection, and each
-    server of a sample from all zones fails as well. It is back with the first that accepts one.
+    server of a sample from all zones fails as well. It is back when MIN_ACCEPTED of a sample accept
+    one, or a server answers.
 
     :param listed: returns the servers of the list.
     :ivar changed: called when the path is lost, or is back.
@@ -61,13 +62,23 @@
         """Return for how long the path has been lost, in seconds; 0: it is not."""
         return 0.0 if self._lost_s is None else self._clock.now() - self._lost_s
 
-    def record_accept(self) -> None:
-        """Record that a server accepted a connection."""
-        self._accepted_s = self._clock.now()
-        self._failed_s.clear()
+    def record_answer(self) -> None:
+        """Record that a server answered over a connection that was just opened."""
+        self._record_accept()
         if self._lost_s is not None:
             self._restore()
 
+    def record_test(self, server_id: str, is_accepted: bool) -> None:
+        """Record the result of a test connection; by itself it does not end the path's loss."""
+        if not is_accepted:
+            self.record_failure(server_id, is_silent=True)
+        elif not self.is_lost:
+            self._record_accept()
+
+    def _record_accept(self) -> None:
+        self._accepted_s = self._clock.now()
+        self._failed_s.clear()
+
     def record_response(self) -> None:
         """Record that a server answered a request, perhaps over a kept connection."""
         self._responded_s = self._clock.now()
@@ -94,16 +105,17 @@
         newest_s = max(self._accepted_s, self._responded_s)
         return newest_s >= since_s or await asyncio.shield(self._start_survey())
 
-    async def reaches_servers(self) -> bool:
-        """Return whether connections to servers can be opened from here, as far as it can be told.
+    async def accepting_share(self) -> float:
+        """Test a sample of servers, and return the share that accepts a connection.
 
-        Without any server to test nothing speaks against it.
+        Without any server to test nothing speaks against the path: 1.
         """
-        if self.is_lost:
-            return False
-        if self._clock.now() - self._accepted_s <= ACCEPT_VALID_S:
-            return True
-        return await asyncio.shield(self._start_survey()) or not self.is_lost
+        results = await self._test_sample()
+        if not results:
+            return 1.0
+        if not any(results):
+            self._lose_if_all_fail()
+        return sum(results) / len(results)
 
     def close(self) -> None:
         """End all tests."""
@@ -120,25 +132,29 @@
     async def _run_survey(self) -> bool:
         """Test a sample of servers; return whether any accepts a connection."""
         began_s = self._clock.now()
-        if await self._any_accepts(self._failed_s) or self._accepted_s >= began_s:
+        results = await self._test_sample(set(self._failed_s))
+        if any(results) or self._accepted_s >= began_s:
             return True
-        if not self.is_lost and len(self._failed_s) >= MIN_FAILED:
-            self._lose()
+        self._lose_if_all_fail()
         return False
 
-    async def _any_accepts(self, excluded: Iterable[str]) -> bool:
-        servers = sample_servers(self._listed(), set(excluded), self._random)
-        results = await asyncio.gather(*(self._test(each) for each in servers))
-        return any(results)
+    async def _test_sample(self, excluded: Collection[str] = ()) -> list[bool]:
+        """Test a sample of servers at once; return for each whether it accepts a connection."""
+        servers = sample_servers(self._listed(), excluded, self._random)
+        return await asyncio.gather(*(self._test(each) for each in servers))
 
     async def _test(self, server: ServerRecord) -> bool:
         is_accepted = await self._can_connect(server)
-        if is_accepted:
-            self.record_accept()
-        else:
+        if not is_accepted:
             self._failed_s[server.server_id] = self._clock.now()
+        elif not self.is_lost:
+            self._record_accept()
         return is_accepted
 
+    def _lose_if_all_fail(self) -> None:
+        if not self.is_lost and len(self._failed_s) >= MIN_FAILED:
+            self._lose()
+
     def _lose(self) -> None:
         self._lost_s = self._clock.now()
         log_message(
@@ -151,6 +167,7 @@
         self._notify()
 
     def _restore(self) -> None:
+        self._record_accept()
         lost_for_s = self.lost_for_s()
         self._lost_s = None
         if self._retest is not None:
@@ -161,7 +178,9 @@
     async def _run_retests(self) -> None:
         while self.is_lost:
             await self._clock.sleep(RETEST_PERIOD_S)
-            await self._any_accepts(())
+            results = await self._test_sample()
+            if self.is_lost and sum(results) >= min(MIN_ACCEPTED, len(results)) > 0:
+                self._restore()
 
     def _notify(self) -> None:
         for listener in self.changed:
--- a/indigoworks/reach/peer_reach.py
+++ b/indigoworks/reach/peer_reach.py
@@ -94,6 +94,11 @@
         """Return whether a peer reaches a server."""
         return bool(self._replies) and any(True for _ in self.peers_reaching([server_id]))
 
+    def any_reaches(self) -> bool:
+        """Return whether a peer reaches any of the servers that it was asked for."""
+        oldest_s = self._clock.now() - VALID_S
+        return any(each.reached and each.at_s >= oldest_s for each in self._replies.values())
+
     def peers_reaching(self, server_ids: Iterable[str]) -> list[PeerAddress]:
         """Return the peers that reach any of the servers, as they said within VALID_S."""
         servers = [server_checksum(each) for each in server_ids]
--- a/indigoworks/reach/reach_responder.py
+++ b/indigoworks/reach/reach_responder.py
@@ -57,6 +57,8 @@
         return ReachReply(self._node, self._boot, query.number, checksums)
 
     async def _reached(self, candidates: list[ServerRecord]) -> list[ServerRecord]:
+        if self._path.is_lost:
+            return []
         untested = [each for each in candidates if not self._is_fresh(each)]
         tested = self._random.sample(untested, min(MAX_TESTS, len(untested)))
         results = await asyncio.gather(*(self._test(each) for each in tested))
@@ -85,11 +87,9 @@
 
     async def _run_test(self, server: ServerRecord) -> bool:
         is_accepted = await self._can_connect(server)
+        self._path.record_test(server.server_id, is_accepted)
         if is_accepted:
             self._accepted_s[server.server_id] = self._clock.now()
-            self._path.record_accept()
-        else:
-            self._path.record_failure(server.server_id, is_silent=True)
         return is_accepted
 
     def forget(self, server_id: str) -> None:
--- a/indigoworks_lab/control_simulation/order_carrier.py
+++ b/indigoworks_lab/control_simulation/order_carrier.py
@@ -28,6 +28,10 @@
     is_given_up: bool = False
 
 
+TEST_LATENCY_S = 0.002
+"""Delay of a test connection; it draws nothing, so that runs without a cut stay what they are."""
+
+
 class OrderWatcher(Protocol):
     """Forces what befalls orders."""
 
@@ -72,10 +76,20 @@
         self, node: str, server: ServerRecord, connected: "asyncio.Future[bool]"
     ) -> None:
         """Open a connection; nothing is set where the path is cut."""
-        address = str(server.address)
         if self.watcher is not None:
             self.watcher.connecting(node, server)
-        await asyncio.sleep(self._links.latency_s(node, address))
+        await asyncio.sleep(self._links.latency_s(node, str(server.address)))
+        self._accept(node, server, connected)
+
+    async def test_connection(
+        self, node: str, server: ServerRecord, accepted: "asyncio.Future[bool]"
+    ) -> None:
+        """Open a connection over which nothing is sent; nothing is set where the path is cut."""
+        await asyncio.sleep(TEST_LATENCY_S)
+        self._accept(node, server, accepted)
+
+    def _accept(self, node: str, server: ServerRecord, connected: "asyncio.Future[bool]") -> None:
+        address = str(server.address)
         if self._links.is_cut(node, address):
             return
         target = self._server_at(address)
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -10,6 +10,7 @@
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.exchange.report_sender import ReportSource
+from indigoworks.gateway.connect_tester import CONNECT_TIMEOUT_S
 from indigoworks.gateway.control_subsystem import ControlSubsystem
 from indigoworks.gateway.gateway_settings import GatewaySettings
 from indigoworks.gateway.header_names import HeaderNames
@@ -21,6 +22,7 @@
 from indigoworks.gateway.server_stats import ServerStats
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.transaction import RowPut
 from indigoworks.servers.server_record import ServerRecord
@@ -79,11 +81,21 @@
         self._ports = self._make_ports()
         self._platform = PlatformSubsystem(self._ports, settings, self._clock)
         self._lookup = OwnerLookup(self.tables, self._platform.servers, self._board, self._clock)
+        self.reach = ReachSubsystem(
+            settings.node,
+            boot,
+            self._platform.servers,
+            self._directory,
+            self._can_connect,
+            self._clock,
+            Random(f"{boot}:reach"),
+        )
         self.control = ControlSubsystem(
             boot,
             settings,
             self._ports,
             self._platform,
+            self.reach,
             self._peers,
             self._directory,
             self.tables,
@@ -108,6 +120,8 @@
         self.control.send_report_now = self._exchange.send_soon
         self.control.witnesses.send_datagram = self._exchange.send
         self._exchange.on_witness_datagram = self.control.witnesses.handle_datagram
+        self._exchange.on_reach_datagram = self.reach.handle_datagram
+        self.reach.send_datagram = self._exchange.send
 
     def start(self) -> None:
         """Start the tasks of the process."""
@@ -120,6 +134,7 @@
         self.process.spawn(self._register())
         self.process.spawn(self._exchange.run())
         self.process.spawn(self.control.member.run())
+        self.process.spawn(self.control.fitness.run())
 
     def can_send(self, key: int) -> bool:
         """Tell whether a request for a key would go out at once."""
@@ -159,6 +174,15 @@
         except TimeoutError:
             return False
 
+    async def _can_connect(self, server: ServerRecord) -> bool:
+        accepted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._world.run_outside(self._world.orders.test_connection(self.name, server, accepted))
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await accepted
+        except TimeoutError:
+            return False
+
     # ---- parts ----
 
     def _make_ports(self) -> PlatformPorts:
