Simulation of control: nodes lose their path to all servers, as a drawn fault and as a measured loss

Cause: the simulation cut one server from one node, or a leader from the store, never a node from all servers.

--- a/features/control_simulation_losses.feature
+++ b/features/control_simulation_losses.feature
@@ -28,6 +28,20 @@
     Then control simulation found nothing
     And control simulation served all keys within 5 s of the end of the faults
 
+  # Guards against keys that end with their holds because nobody challenges a leader without a path.
+  Scenario Outline: Keys stay held while <case> loses its path to all servers
+    When the waits of keys are measured in simulated runs of <case> without a path
+    Then no key that a remaining node reaches waited for more than 3 s in any of them
+
+    Examples:
+      | case       |
+      | the leader |
+      | most nodes |
+
+  Scenario: Nodes that lose their path to all servers break no rule of owners
+    When control simulation runs 6 seeds with drawn losses of paths to servers
+    Then control simulation found nothing in any of the runs
+
   Scenario: A leader that is cut off lengthens holds of servers that only it reaches
     When control simulation cuts the leader off with servers that only it reaches
     Then control simulation found nothing in any of the runs
--- a/indigoworks_lab/control_simulation/control_plan.py
+++ b/indigoworks_lab/control_simulation/control_plan.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from indigoworks_lab.control_simulation.drawn_fault import DrawnFault
-from indigoworks_lab.control_simulation.fault_kind import DRAWN_KINDS, FaultKind
+from indigoworks_lab.control_simulation.fault_kind import DRAWN_KINDS, PATH_KINDS, FaultKind
 
 CALM_S = 5.0
 FAULTS_S = 18.0
@@ -13,6 +13,8 @@
 DURATIONS_S = (0.4, 1.5, 3.0, 5.0, 8.0, 12.0)
 COPY_AGES_S = (0.5, 1.0, 3.0, 6.0)
 MAX_RETURNS = 2
+MAX_LOST_PATHS = 3
+MIN_LOST_PATH_S = 1.0
 LONGEST_AWAY_S = 4.5
 """Time until the store is back and all that others wrote is written again."""
 
@@ -45,6 +47,21 @@
     return ControlPlan(random.choice((2, 3, 4)), random.choice((3, 4, 5)), tuple(faults))
 
 
+def with_lost_paths(plan: ControlPlan, seed: int) -> ControlPlan:
+    """Return a plan in which nodes also lose their path to all servers, once to three times.
+
+    Drawn by themselves, so that the other faults of a seed stay what they are.
+    """
+    random = Random(f"{seed}:paths")
+    cuts = []
+    for _ in range(random.randint(1, MAX_LOST_PATHS)):
+        start_s = random.uniform(0.0, FAULTS_S - MIN_LOST_PATH_S)
+        duration_s = random.uniform(MIN_LOST_PATH_S, FAULTS_S - start_s)
+        cuts.append(DrawnFault(random.choice(PATH_KINDS), start_s, duration_s))
+    faults = sorted((*plan.faults, *cuts), key=lambda each: each.start_s)
+    return replace(plan, faults=tuple(faults))
+
+
 def with_returns(plan: ControlPlan, seed: int) -> ControlPlan:
     """Return a plan in which the store also comes back from a copy, once or twice.
 
--- a/indigoworks_lab/control_simulation/explore.py
+++ b/indigoworks_lab/control_simulation/explore.py
@@ -8,7 +8,12 @@
 
 import fire
 
-from indigoworks_lab.control_simulation.control_plan import ControlPlan, draw_plan, with_returns
+from indigoworks_lab.control_simulation.control_plan import (
+    ControlPlan,
+    draw_plan,
+    with_lost_paths,
+    with_returns,
+)
 from indigoworks_lab.control_simulation.control_report import ControlReport
 from indigoworks_lab.control_simulation.control_trace import trace_seed
 from indigoworks_lab.control_simulation.machine_plan import with_machines
@@ -26,6 +31,7 @@
     trace: int = 0,
     returns: bool = True,
     machines: float = 0.0,
+    lost_paths: bool = False,
 ) -> int:
     """Run seeds and print those that broke a rule, with their faults.
 
@@ -36,15 +42,16 @@
     :param returns: the store also comes back from a copy; without, the other faults are the same.
     :param machines: clocks, processes and servers do not run evenly; servers pause for at most so
         many seconds; 0: they all do.
+    :param lost_paths: nodes, the leader among them, also lose their path to all servers.
     :returns: exit code: 0 nothing found, 1 found.
     """
     if trace:
-        report = trace_seed(trace, draw(trace, returns, machines))
+        report = trace_seed(trace, draw(trace, returns, machines, lost_paths))
         print(report.text())
         return 0 if report.is_ok else EXIT_FOUND
     started_s = time.monotonic()
     reports: list[ControlReport] = []
-    for report in _reports(range(first, first + seeds), jobs, returns, machines):
+    for report in _reports(range(first, first + seeds), jobs, returns, machines, lost_paths):
         reports.append(report)
         if not report.is_ok:
             print(report.text(), flush=True)
@@ -54,22 +61,27 @@
     return EXIT_FOUND if any(not report.is_ok for report in reports) else 0
 
 
-def draw(seed: int, returns: bool, machines: float = 0.0) -> ControlPlan:
+def draw(seed: int, returns: bool, machines: float = 0.0, lost_paths: bool = False) -> ControlPlan:
     """Return the plan of a seed."""
     plan = draw_plan(seed)
+    if lost_paths:
+        plan = with_lost_paths(plan, seed)
     if returns:
         plan = with_returns(plan, seed)
     return with_machines(plan, seed, machines) if machines else plan
 
 
-def _reports(seeds: range, jobs: int, returns: bool, machines: float) -> Iterator[ControlReport]:
+def _reports(
+    seeds: range, jobs: int, returns: bool, machines: float, lost_paths: bool
+) -> Iterator[ControlReport]:
     if jobs <= 1:
         for seed in seeds:
-            yield run_control_seed(seed, draw(seed, returns, machines))
+            yield run_control_seed(seed, draw(seed, returns, machines, lost_paths))
         return
     with worker_processes(jobs) as workers:
         running = [
-            workers.submit(run_control_seed, seed, draw(seed, returns, machines)) for seed in seeds
+            workers.submit(run_control_seed, seed, draw(seed, returns, machines, lost_paths))
+            for seed in seeds
         ]
         for done in as_completed(running):
             yield done.result()
--- a/indigoworks_lab/control_simulation/fault_kind.py
+++ b/indigoworks_lab/control_simulation/fault_kind.py
@@ -49,8 +49,13 @@
     LEADER_FROZEN_BEFORE_BYTES = "leader frozen between connection and bytes"
     LEADER_LATE_BEFORE_BYTES = "leader's loop late between connection and bytes"
     LEADERS_LOST_IN_CHAIN = "leaders lost one after the other"
+    NODES_CUT_FROM_SERVERS = "some nodes cut from all servers"
+    LEADER_CUT_FROM_SERVERS = "leader, perhaps others too, cut from all servers"
 
 
+PATH_KINDS = (FaultKind.NODES_CUT_FROM_SERVERS, FaultKind.LEADER_CUT_FROM_SERVERS)
+"""Faults of nodes that lose their path to servers, while the store and peers reach them."""
+
 MACHINE_KINDS = (
     FaultKind.STORE_CLOCK_JUMPS_FORWARD,
     FaultKind.STORE_CLOCK_JUMPS_BACKWARD,
@@ -67,6 +72,7 @@
 _NOT_DRAWN = frozenset(
     {
         *MACHINE_KINDS,
+        *PATH_KINDS,
         FaultKind.ORDERS_ALL_LATE,
         FaultKind.CONFIGURATION_CHANGES,
         FaultKind.STORE_RETURNS_FROM_COPY,
--- a/indigoworks_lab/control_simulation/node_fault_actions.py
+++ b/indigoworks_lab/control_simulation/node_fault_actions.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from indigoworks_lab.control_simulation.control_deployment import ControlDeployment
-from indigoworks_lab.control_simulation.fault_kind import FaultKind
+from indigoworks_lab.control_simulation.fault_kind import PATH_KINDS, FaultKind
 from indigoworks_lab.control_simulation.run_outside import run_outside
 from indigoworks_lab.control_simulation.simulated_node import SimulatedNode
 from indigoworks_lab.control_simulation.simulated_store import STORE
@@ -23,6 +23,7 @@
         FaultKind.LEADER_SUSPENDED,
         FaultKind.LEADER_FROZEN_BEFORE_BYTES,
         FaultKind.LEADER_LATE_BEFORE_BYTES,
+        FaultKind.LEADER_CUT_FROM_SERVERS,
     }
 )
 BEFORE_BYTES = frozenset({FaultKind.LEADER_FROZEN_BEFORE_BYTES, FaultKind.LEADER_LATE_BEFORE_BYTES})
@@ -66,6 +67,8 @@
         elif kind in (FaultKind.NODE_CUT_FROM_PEERS, FaultKind.LEADER_CUT_FROM_PEERS):
             others = [name for name in self._deployment.nodes if name != node.name]
             await self._cut(node, others, duration_s)
+        elif kind in PATH_KINDS:
+            await self._cut_from_servers(node, duration_s)
         elif kind in (FaultKind.NODE_KILLED, FaultKind.LEADER_KILLED):
             await self._kill(node, duration_s)
         elif kind is FaultKind.LEADER_STOPPED:
@@ -99,6 +102,14 @@
         for other in others:
             self._links.heal(node.name, other, self._deployment.loop.time())
 
+    async def _cut_from_servers(self, node: SimulatedNode, duration_s: float) -> None:
+        """Cut a node, and perhaps others but not all, from the addresses of all servers."""
+        others = [each for each in self._deployment.living_nodes() if each is not node]
+        count = self._random.randint(0, max(0, len(others) - 1))
+        addresses = [str(each.address) for each in self._deployment.fleet.up()]
+        nodes = [node, *self._random.sample(others, count)]
+        await asyncio.gather(*(self._cut(each, addresses, duration_s) for each in nodes))
+
     async def _lose_leaders(self, duration_s: float) -> None:
         """Lose leader after leader: killed, cut off or stopped; one that was cut off may lead
         again."""
--- a/indigoworks_lab/control_simulation/wait_losses.py
+++ b/indigoworks_lab/control_simulation/wait_losses.py
@@ -52,6 +52,15 @@
         await asyncio.sleep(1.0)
         await self._kill((self._leader,), SOON_S)
 
+    async def leader_without_path(self) -> None:
+        """The leader loses its path to all servers; store and peers reach it."""
+        await self._cut_paths((self._leader,))
+
+    async def most_without_path(self) -> None:
+        """All nodes but one, the leader too, lose their path to all servers."""
+        others = [each for each in self._deployment.living_nodes() if each is not self._leader]
+        await self._cut_paths((self._leader, *others[:-1]))
+
     async def leader_and_server_ended(self) -> None:
         """A server ends together with the leader, whose node starts again soon."""
         self._random.choice(self._servers).end()
@@ -132,6 +141,10 @@
         for node in nodes:
             self._deployment.restart_node(node.name)
 
+    async def _cut_paths(self, nodes: Sequence[SimulatedNode]) -> None:
+        names = [each.name for each in nodes]
+        await self._cut(nodes, names, [str(each.address) for each in self._servers])
+
     async def _darken(
         self, servers: Sequence[SimulatedServer], nodes: Sequence[SimulatedNode]
     ) -> None:
@@ -165,6 +178,8 @@
         "leader-back-soon",
         "leader-lost",
         "leader-stopped",
+        "leader-without-path",
+        "most-without-path",
         "leader-and-server-ended",
         "leader-and-server-dark",
         "zone-killed",
