Tests of the hop and of lost paths; the simulation of requests draws gateways without a path

Cause: the hop's promises had no test of their own: what a break says, whether fields and cancellation cross, what a peer declines, how a lost path is told from failed servers; and the simulation of requests had no second hop. Before: the run of lost paths could not be played. Conclusion: silent, refused and no new connections; one, three fifths or all but one of 3 to 20 gateways.

--- a/indigoworks_lab/control_simulation/explore.py
+++ b/indigoworks_lab/control_simulation/explore.py
@@ -125,8 +125,9 @@
     trace: int = 0,
     returns: bool = True,
     machines: float = 0.0,
+    lost_paths: bool = False,
 ) -> None:
-    sys.exit(explore(seeds, first, jobs, trace, returns, machines))
+    sys.exit(explore(seeds, first, jobs, trace, returns, machines, lost_paths))
 
 
 if __name__ == "__main__":
--- a/indigoworks_lab/crash_simulation/caller_answer.py
+++ b/indigoworks_lab/crash_simulation/caller_answer.py
@@ -13,5 +13,6 @@
     target: str
     caller: str
     status: int
+    gateway: str
     retry_after_s: float | None
     text: str
--- a/indigoworks_lab/crash_simulation/callers.py
+++ b/indigoworks_lab/crash_simulation/callers.py
@@ -56,6 +56,7 @@
             target=target,
             caller=caller,
             status=answer.status,
+            gateway=chosen.node,
             retry_after_s=None if retry_after is None else float(retry_after),
             text=answer.body.decode(),
         )
--- a/indigoworks_lab/crash_simulation/crash_simulation.py
+++ b/indigoworks_lab/crash_simulation/crash_simulation.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from functools import partial
 from random import Random
 from typing import Any
 
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PEER_PREFIX, encode_peer
+from indigoworks.forwarding.forward_server import ForwardServer
+from indigoworks.gateway.server_connection import ServerConnection
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_version import StoreVersion
@@ -22,6 +25,8 @@
 from indigoworks_lab.crash_simulation.machine_connection import MachineConnection
 from indigoworks_lab.crash_simulation.machine_run import MachineRun
 from indigoworks_lab.crash_simulation.owner_moves import OwnerMoves
+from indigoworks_lab.crash_simulation.path_cuts import PathCuts
+from indigoworks_lab.crash_simulation.peer_connection import PeerConnection
 
 DATAGRAM_S = 0.001
 STRONG_PER_ZONE = 2
@@ -37,6 +42,7 @@
     :ivar lost_datagrams: share of the datagrams that are lost.
     :ivar is_cut: tells whether datagrams from one node to another are lost.
     :ivar is_without_store: tells whether a node learns of no new row.
+    :ivar path_cuts: gateways that are cut from all machines.
     :ivar frozen: gateways that stand still.
     :ivar answers: what callers got.
     """
@@ -50,6 +56,7 @@
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self.is_without_store: Callable[[str], bool] = lambda node: False
         self.frozen = FrozenNodes()
+        self.path_cuts = PathCuts()
         self.answers: list[CallerAnswer] = []
         self.datagrams = 0
         self.datagram_bytes = 0
@@ -110,9 +117,7 @@
             self.store,
             address,
             self._owners.tables,
-            lambda to, _: MachineConnection(
-                to, node, address.boot, self._machine_at, self.frozen.thawed
-            ),
+            lambda to, _: self._connection(to, node, address.boot),
             self._carry,
             self._carry_to_broker,
         )
@@ -128,6 +133,18 @@
         if self.shape.has_brokers:
             self.spawn(gateway.side.brokers.broker.run())
 
+    def _connection(self, to: Address, node: str, boot: str) -> ServerConnection:
+        if to.host in self.gateways:
+            return PeerConnection(to, partial(self._forward_server_at, node))
+        return MachineConnection(
+            to, node, boot, self._machine_at, self.frozen.thawed, self.path_cuts.of
+        )
+
+    def _forward_server_at(self, sender: str, address: Address) -> ForwardServer | None:
+        gateway = self.gateways[address.host]
+        is_reached = gateway.is_up and not self.is_cut(sender, address.host)
+        return gateway.side.forward_server if is_reached else None
+
     def lose_store(self) -> None:
         """From now on no gateway reaches the store."""
         self.store.is_down = True
--- a/indigoworks_lab/crash_simulation/machine_connection.py
+++ b/indigoworks_lab/crash_simulation/machine_connection.py
@@ -10,6 +10,7 @@
 from indigoworks.gateway.server_connection import ServerConnection
 from indigoworks_lab.crash_simulation.crash_machine import CrashMachine
 from indigoworks_lab.crash_simulation.machine_wishes import Arrival
+from indigoworks_lab.crash_simulation.path_cuts import PathCut
 from indigoworks_lab.crash_simulation.simulated_names import (
     CALLER_HEADER,
     LEAVING_HEADER,
@@ -20,6 +21,7 @@
 )
 
 LINK_S = 0.001
+CUT_POLL_S = 0.05
 TURNED_AWAY = 503
 
 
@@ -33,7 +35,9 @@
         boot: str,
         machine_at: Callable[[Address], CrashMachine | None],
         thawed: Callable[[str], Awaitable[None]],
+        cut_of: Callable[[str], PathCut | None] = lambda gateway: None,
     ) -> None:
+        self._cut_of = cut_of
         self._address = address
         self._gateway = gateway
         self._life_of_gateway = f"{gateway}/{boot}"
@@ -46,6 +50,11 @@
         """Connect; a machine that is dark says nothing, one without a process refuses."""
         await asyncio.sleep(LINK_S)
         machine = self._machine_at(self._address)
+        cut = self._cut_of(self._gateway)
+        if cut is not None:
+            self.was_refused = cut is PathCut.REFUSED
+            await asyncio.sleep(0.0 if self.was_refused else timeout_s)
+            return False
         if machine is None:
             return False
         if not machine.is_up:
@@ -71,7 +80,7 @@
         assert machine is not None
         await self._thawed(self._gateway)
         await asyncio.sleep(LINK_S)
-        if not machine.is_up or machine.life != life:
+        if not await self._passes() or not machine.is_up or machine.life != life:
             return None
         status = await self._status(machine, target, headers)
         if status is None:
@@ -79,6 +88,8 @@
             return None
         answer = self._answer(machine, status)
         await asyncio.sleep(LINK_S)
+        if not await self._passes():
+            return None
         await self._thawed(self._gateway)
         self.on_head(answer.status, answer.headers)
         return answer
@@ -87,6 +98,12 @@
         """Break the connection off."""
         self._machine = None
 
+    async def _passes(self) -> bool:
+        """Return whether bytes pass, once they do or the connection has broken off."""
+        while (cut := self._cut_of(self._gateway)) is PathCut.SILENT:  # noqa: ASYNC110
+            await asyncio.sleep(CUT_POLL_S)
+        return cut is not PathCut.REFUSED
+
     async def _status(self, machine: CrashMachine, target: str, headers: HTTPHeaders) -> int | None:
         """Return the status of the answer; None: the connection breaks off."""
         now_s = asyncio.get_running_loop().time()
