A challenger tests only until one server accepts; failures of orders are dropped when the path is back

Why it works: failures say nothing only if the path was lost meanwhile; a challenger whose orders were answered within a second does not test, another stops at the first connection, and only where a leader gave up does the share count. Ruled out: keeping the drop and the refusal's begin. Conclusion: still fails, with keys that wait for the process's own former term; under trace.

--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -94,6 +94,7 @@
         self.order_reach.on_failure = reach.record_failure
         self.order_reach.is_path_lost = lambda: reach.path.is_lost
         reach.order_failures = self._order_failures
+        reach.path.on_back(self.order_reach.forget_failures)
         self.fitness = LeaderFitness(self.leadership, self.order_reach, reach, self._owners, clock)
         self.leadership.may_lead = self.fitness.may_lead
         self.witnesses = WitnessSubsystem(
--- a/indigoworks/ownership/challenge_reasons.py
+++ b/indigoworks/ownership/challenge_reasons.py
@@ -15,6 +15,9 @@
 LEADER_SILENCE_S = 1.0
 """A leader is challenged when neither this process nor a live peer has heard it for this long."""
 
+GIVEN_UP = "given_up"
+"""Reason to challenge a leader that has resigned or handed over."""
+
 FORMER_LEADER_PRIORITY_S = 1.5
 """In a new era other processes wait this long for a former leader that is alive: the longest pause
 between its calls to a store that did not answer."""
@@ -44,7 +47,7 @@
     def for_row(self, row: LeaderRow, row_seen_s: float) -> str | None:
         """Return a reason to replace the leader that a row, first seen at `row_seen_s`, names."""
         if row.node == "":
-            return "given_up"
+            return GIVEN_UP
         if row.node == self._node:
             return "own_earlier_boot"
         boot = self._directory.boot_of(row.node)
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -110,7 +110,6 @@
         """Lead until the leader row no longer names this process for its epoch."""
         watch = self._predecessor = self._make_watch(predecessor)
         epoch = self._leadership.row.epoch
-        self._reach.forget_failures()
         await self._writer.reread()
         watch.start_epoch()
         self._replication.start(epoch, watch.row_to_fence(), watch.use_grants)
--- a/indigoworks/ownership/leader_fitness.py
+++ b/indigoworks/ownership/leader_fitness.py
@@ -52,13 +52,15 @@
             if self._leadership.may_act() and self._should_hand_over():
                 await self._leadership.hand_over()
 
-    async def may_lead(self) -> bool:
-        """Return whether this process may challenge now; tests connections to a few servers."""
-        share = await self._reach.path.accepting_share()
-        if share == 1.0:
-            return True
-        await self._clock.sleep((1 - share) * PARTIAL_REACH_DELAY_S)
-        if not self._reach.path.is_lost:
+    async def may_lead(self, is_given_up: bool) -> bool:
+        """Return whether this process may challenge now; tests connections to a few servers.
+
+        :param is_given_up: the leader gave up: whoever reaches all of the sample comes first.
+        """
+        if is_given_up:
+            share = await self._reach.path.accepting_share()
+            await self._clock.sleep((1 - share) * PARTIAL_REACH_DELAY_S)
+        if await self._reach.path.reaches_any():
             return True
         return (
             not self._reach.peers.any_reaches() and self._reach.path.lost_for_s() > NOBODY_REACHES_S
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -13,7 +13,7 @@
 from indigoworks.exchange.process_id import ProcessId
 from indigoworks.ownership import leader_log
 from indigoworks.ownership.challenge_delay import ChallengeDelay
-from indigoworks.ownership.challenge_reasons import ChallengeReasons
+from indigoworks.ownership.challenge_reasons import GIVEN_UP, ChallengeReasons
 from indigoworks.ownership.control_group import CONTROL_TABLE, ControlGroup
 from indigoworks.ownership.era_numbers import first_number
 from indigoworks.ownership.former_era import NO_FORMER_ERA, FormerEra
@@ -227,7 +227,7 @@
         if reason is not None and reason != "led_before" and not skips_delay:
             await self._clock.sleep(self._challenge_delay.wait_s(self._row.node))
             reason = self._reason_to_challenge()
-        if reason is not None and await self.may_lead():
+        if reason is not None and await self.may_lead(reason == GIVEN_UP):
             reason = self._reason_to_challenge()
             if reason is not None:
                 await self._take_over(reason)
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -189,10 +189,9 @@
         return self._clock.now() - self._first_failure_s[server_id] >= LOST_AFTER_S
 
     def forget_failures(self) -> None:
-        """Drop the failures of orders of an earlier epoch: their cause may have ended."""
+        """Drop the failures of orders: the path to all servers was lost, and is back."""
         self._failures.clear()
         self._first_failure_s.clear()
-        self._refused_since_s.clear()
 
     def _log(self, message_type: str, server_id: str, result: OrderResult, age_s: float) -> None:
         log_message(
--- a/indigoworks/reach/path_monitor.py
+++ b/indigoworks/reach/path_monitor.py
@@ -17,6 +17,9 @@
 MIN_FAILED = 2
 """Servers that must have failed, with no connection opened in between, before the path is lost."""
 
+ACCEPT_VALID_S = 1.0
+"""Age up to which an opened connection proves that servers are reached."""
+
 MIN_ACCEPTED = 2
 """Servers of a sample that must accept a connection before a lost path is back."""
 
@@ -32,7 +35,6 @@
     one, or a server answers.
 
     :param listed: returns the servers of the list.
-    :ivar changed: called when the path is lost, or is back.
     """
 
     def __init__(
@@ -51,7 +53,16 @@
         self._lost_s: float | None = None
         self._survey: asyncio.Task[bool] | None = None
         self._retest: asyncio.Task[None] | None = None
-        self.changed: list[Callable[[], None]] = []
+        self._lost_listeners: list[Callable[[], None]] = []
+        self._back_listeners: list[Callable[[], None]] = []
+
+    def on_lost(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when the path is lost."""
+        self._lost_listeners.append(listener)
+
+    def on_back(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when the path is back."""
+        self._back_listeners.append(listener)
 
     @property
     def is_lost(self) -> bool:
@@ -105,6 +116,27 @@
         newest_s = max(self._accepted_s, self._responded_s)
         return newest_s >= since_s or await asyncio.shield(self._start_survey())
 
+    async def reaches_any(self) -> bool:
+        """Return whether a server accepted a connection recently, or one of a sample does now.
+
+        Without any server to test nothing speaks against the path.
+        """
+        if self.is_lost:
+            return False
+        if self._clock.now() - self._accepted_s <= ACCEPT_VALID_S:
+            return True
+        tests = [asyncio.ensure_future(self._test(each)) for each in self._sample()]
+        try:
+            for test in asyncio.as_completed(tests):
+                if await test:
+                    return True
+        finally:
+            for each in tests:
+                each.cancel()
+        if tests:
+            self._lose_if_all_fail()
+        return not self.is_lost
+
     async def accepting_share(self) -> float:
         """Test a sample of servers, and return the share that accepts a connection.
 
@@ -140,8 +172,10 @@
 
     async def _test_sample(self, excluded: Collection[str] = ()) -> list[bool]:
         """Test a sample of servers at once; return for each whether it accepts a connection."""
-        servers = sample_servers(self._listed(), excluded, self._random)
-        return await asyncio.gather(*(self._test(each) for each in servers))
+        return await asyncio.gather(*(self._test(each) for each in self._sample(excluded)))
+
+    def _sample(self, excluded: Collection[str] = ()) -> list[ServerRecord]:
+        return sample_servers(self._listed(), excluded, self._random)
 
     async def _test(self, server: ServerRecord) -> bool:
         is_accepted = await self._can_connect(server)
@@ -164,7 +198,7 @@
             servers=sum(1 for _ in self._listed()),
         )
         self._retest = asyncio.ensure_future(self._run_retests())
-        self._notify()
+        _call(self._lost_listeners)
 
     def _restore(self) -> None:
         self._record_accept()
@@ -173,7 +207,7 @@
         if self._retest is not None:
             self._retest.cancel()
         log_message(message_type="path:back", lost_for_s=round(lost_for_s, 3))
-        self._notify()
+        _call(self._back_listeners)
 
     async def _run_retests(self) -> None:
         while self.is_lost:
@@ -182,6 +216,7 @@
             if self.is_lost and sum(results) >= min(MIN_ACCEPTED, len(results)) > 0:
                 self._restore()
 
-    def _notify(self) -> None:
-        for listener in self.changed:
-            listener()
+
+def _call(listeners: Collection[Callable[[], None]]) -> None:
+    for listener in listeners:
+        listener()
--- a/indigoworks/reach/reach_subsystem.py
+++ b/indigoworks/reach/reach_subsystem.py
@@ -63,7 +63,8 @@
         )
         self._replies: set[asyncio.Task[None]] = set()
         self.changed: list[Callable[[], None]] = []
-        self.path.changed.append(self._path_changed)
+        self.path.on_lost(self._path_lost)
+        self.path.on_back(self._path_back)
         self.peers.changed = self._notify
 
     def record_failure(self, server_id: str, is_silent: bool) -> None:
@@ -116,11 +117,12 @@
             return [each.server_id for each in self._listed()]
         return sorted({*self.down.failed(), *self.order_failures()})
 
-    def _path_changed(self) -> None:
-        if self.path.is_lost:
-            self.peers.ask()
-        else:
-            self.down.forget_all()
+    def _path_lost(self) -> None:
+        self.peers.ask()
+        self._notify()
+
+    def _path_back(self) -> None:
+        self.down.forget_all()
         self._notify()
 
     def _notify(self) -> None:
