A crash verdict asks only whether another server accepts a connection, not whether it stays open

Cause: since paths are watched, a verdict waited 0.03 s for the test connection to stay open, so that a harmful request ended more servers before its verdict. Why it works: a link that accepts and resets would also have shown the server itself as alive, so the longer look adds nothing to the verdict; the first server of the sample that accepts settles it. Ruled out: no look at other servers, which blames requests for a gateway's own links again. Conclusion: nothing is left open.

--- a/features/steps/gateway_forwarding_steps.py
+++ b/features/steps/gateway_forwarding_steps.py
@@ -228,7 +228,9 @@
 def servers_fail(context, count):
     async def run():
         fleet = context.fleet
-        context.path = PathMonitor(lambda: fleet.servers, fleet.can_connect, LoopClock(), Random(1))
+        context.path = PathMonitor(
+            lambda: fleet.servers, fleet.can_connect, fleet.can_connect, LoopClock(), Random(1)
+        )
         for server in fleet.servers[:count]:
             context.path.record_failure(server.server_id, is_silent=False)
         await asyncio.sleep(MOMENT_S)
--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -157,6 +157,7 @@
             self.platform.servers,
             self.directory,
             ConnectTester().can_connect,
+            ConnectTester().can_open,
             self.clock,
             Random(2),
         )
--- a/indigoworks/gateway/connect_tester.py
+++ b/indigoworks/gateway/connect_tester.py
@@ -12,11 +12,18 @@
 
 
 class ConnectTester:
-    """Opens a connection to a server and closes it again; implements `ConnectTest`."""
+    """Opens a connection to a server and closes it again; its methods are `ConnectTest`s."""
 
     def __init__(self, open_connection: OpenConnection = ServerConnection) -> None:
         self._open_connection = open_connection
 
+    async def can_open(self, server: ServerRecord) -> bool:
+        """Return whether the server accepts a connection, without looking at what follows."""
+        connection = self._open_connection(server.address, "")
+        is_open = await connection.connect(CONNECT_TIMEOUT_S)
+        connection.abort()
+        return is_open
+
     async def can_connect(self, server: ServerRecord) -> bool:
         """Return whether the server accepts a connection that stays open."""
         connection = self._open_connection(server.address, "")
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -94,6 +94,7 @@
             self._platform.servers,
             self._directory,
             ConnectTester().can_connect,
+            ConnectTester().can_open,
             self._clock,
             random,
         )
--- a/indigoworks/reach/path_monitor.py
+++ b/indigoworks/reach/path_monitor.py
@@ -35,17 +35,21 @@
     one, or a server answers.
 
     :param listed: returns the servers of the list.
+    :param can_connect: tests whether a connection to a server stays open for a moment.
+    :param can_open: tests only whether it comes about, which takes less time.
     """
 
     def __init__(
         self,
         listed: Callable[[], Iterable[ServerRecord]],
         can_connect: ConnectTest,
+        can_open: ConnectTest,
         clock: Clock,
         random: Random,
     ) -> None:
         self._listed = listed
         self._can_connect = can_connect
+        self._can_open = can_open
         self._clock = clock
         self._random = random
         self._failed_s: dict[str, float] = {}
@@ -113,8 +117,12 @@
         one now."""
         if self.is_lost:
             return False
-        newest_s = max(self._accepted_s, self._responded_s)
-        return newest_s >= since_s or await asyncio.shield(self._start_survey())
+        if max(self._accepted_s, self._responded_s) >= since_s:
+            return True
+        if await self._first_of(self._can_open, set(self._failed_s)):
+            return True
+        self._lose_if_all_fail()
+        return False
 
     async def reaches_any(self) -> bool:
         """Return whether a server accepted a connection recently, or one of a sample does now.
@@ -125,16 +133,9 @@
             return False
         if self._clock.now() - self._accepted_s <= ACCEPT_VALID_S:
             return True
-        tests = [asyncio.ensure_future(self._test(each)) for each in self._sample()]
-        try:
-            for test in asyncio.as_completed(tests):
-                if await test:
-                    return True
-        finally:
-            for each in tests:
-                each.cancel()
-        if tests:
-            self._lose_if_all_fail()
+        if await self._first_of(self._test, ()):
+            return True
+        self._lose_if_all_fail()
         return not self.is_lost
 
     async def accepting_share(self) -> float:
@@ -170,6 +171,18 @@
         self._lose_if_all_fail()
         return False
 
+    async def _first_of(self, test: ConnectTest, excluded: Collection[str]) -> bool:
+        """Test a sample of servers at once, and return as soon as one passes."""
+        tests = [asyncio.ensure_future(test(each)) for each in self._sample(excluded)]
+        try:
+            for each in asyncio.as_completed(tests):
+                if await each:
+                    return True
+            return False
+        finally:
+            for each in tests:
+                each.cancel()
+
     async def _test_sample(self, excluded: Collection[str] = ()) -> list[bool]:
         """Test a sample of servers at once; return for each whether it accepts a connection."""
         return await asyncio.gather(*(self._test(each) for each in self._sample(excluded)))
--- a/indigoworks/reach/reach_subsystem.py
+++ b/indigoworks/reach/reach_subsystem.py
@@ -39,12 +39,13 @@
         servers: ServerList,
         directory: PeerDirectory,
         can_connect: ConnectTest,
+        can_open: ConnectTest,
         clock: Clock,
         random: Random,
     ) -> None:
         self._servers = servers
         self._directory = directory
-        self.path = PathMonitor(self._listed, can_connect, clock, random)
+        self.path = PathMonitor(self._listed, can_connect, can_open, clock, random)
         self.down = DownServers(lambda: self.path.is_lost)
         self.send_datagram: SendDatagram = _ignore_datagram
         self.order_failures: Callable[[], Iterable[str]] = tuple
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -87,6 +87,7 @@
             self._platform.servers,
             self._directory,
             self._can_connect,
+            self._can_connect,
             self._clock,
             Random(f"{boot}:reach"),
         )
--- a/indigoworks_lab/crash_simulation/crash_gateway.py
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -74,6 +74,7 @@
             self.platform.servers,
             self.directory,
             ConnectTester(open_connection).can_connect,
+            ConnectTester(open_connection).can_open,
             clock,
             random,
         )
