Brokers and peers are not told of servers while the path is in doubt; surveys are bounded

Cause: two gateways that report a server as unreached let a broker exclude it for all gateways; a lost path reports every server. Each answer to a peer's question could start a survey of its own, and each survey opens connections to live servers, several times a second while a server is gone. A survey took a connection that a link accepts and resets 0.03 s later for one that lives. Why it works: gateways with several failed servers tell brokers nothing of them; questions are answered from quick tests that start nothing; no survey within 0.5 s of an accepted connection; a test connection must stay open for 0.1 s. A request waits for the reply to the newest question only, and peers are asked at once when a further server fails. Ruled out: a survey that needs two accepting servers, which would call a zone's loss a lost path.

--- a/features/steps/gateway_broker_world.py
+++ b/features/steps/gateway_broker_world.py
@@ -27,6 +27,7 @@
 from indigoworks.gateway.server_stats import ServerStats
 from indigoworks.gateway.waiting_request import WaitingRequest
 from indigoworks.ownership.ownership_tables import OwnershipTables
+from indigoworks.reach.path_monitor import PathMonitor
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers.server_list import ServerList
 
@@ -41,6 +42,10 @@
 ANSWERED = ServerResponse(ExchangeResult.ANSWERED, 200)
 
 
+async def accepts(server):
+    return True
+
+
 class Directory:
     """All gateways, by their addresses."""
 
@@ -113,7 +118,16 @@
             clock,
         )
         self.queue = BrokeredQueue(
-            ZONE, local, self.choice, self.client, servers, owners, directory, budget, clock
+            ZONE,
+            local,
+            self.choice,
+            self.client,
+            servers,
+            owners,
+            directory,
+            budget,
+            PathMonitor(tuple, accepts, accepts, clock, Random(1)),
+            clock,
         )
 
     def send(self, peer, content):
--- a/indigoworks/broker/brokered_queue.py
+++ b/indigoworks/broker/brokered_queue.py
@@ -1,7 +1,7 @@
 """Places requests through brokers, or in this gateway's own queue if there are none."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 from eliot import log_message
@@ -22,6 +22,7 @@
 from indigoworks.gateway.server_response import ExchangeResult, ServerResponse
 from indigoworks.gateway.server_stats import RequestStart
 from indigoworks.gateway.waiting_request import WaitingRequest
+from indigoworks.reach.path_monitor import PathMonitor
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
@@ -81,6 +82,7 @@
         owners: OwnerLookup,
         directory: PeerDirectory,
         rate_limiter: ServerRateLimiter,
+        path: PathMonitor,
         clock: Clock,
     ) -> None:
         self._zone = zone
@@ -91,6 +93,7 @@
         self._owners = owners
         self._directory = directory
         self._rate_limiter = rate_limiter
+        self._path = path
         self._clock = clock
         self._grants: dict[WaitingRequest, _Grant] = {}
         self._full_zones: dict[tuple[str, str], _FullZone] = {}
@@ -117,7 +120,11 @@
         if grant is None:
             self._local.release(entry, started)
             return
-        self._client.release(grant.broker, _release_of(grant, answer))
+        release = _release_of(grant, answer)
+        if self._path.is_doubtful:
+            # A broker excludes servers for all gateways if two report them as out of reach.
+            release = replace(release, is_unreached=False)
+        self._client.release(grant.broker, release)
 
     # ---- brokers ----
 
--- a/indigoworks/gateway/connect_tester.py
+++ b/indigoworks/gateway/connect_tester.py
@@ -7,7 +7,7 @@
 
 CONNECT_TIMEOUT_S = 0.25
 
-OPEN_FOR_S = 0.03
+OPEN_FOR_S = 0.1
 """Time for which a new connection must stay open: something on the way may accept and reset it."""
 
 
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -147,6 +147,7 @@
             owners,
             directory,
             rate_limiter,
+            reach.path,
             clock,
         )
         self.retry_budget = LocalRetryBudget(
--- a/indigoworks/reach/path_monitor.py
+++ b/indigoworks/reach/path_monitor.py
@@ -20,6 +20,10 @@
 ACCEPT_VALID_S = 1.0
 """Age up to which an opened connection proves that servers are reached."""
 
+SURVEY_PAUSE_S = 0.5
+"""Time after an accepted connection in which failures start no survey: many servers may fail for
+reasons of their own, and each survey opens connections to others."""
+
 MIN_ACCEPTED = 2
 """Servers of a sample that must accept a connection before a lost path is back."""
 
@@ -53,7 +57,7 @@
         self._clock = clock
         self._random = random
         self._failed_s: dict[str, float] = {}
-        self._accepted_s = self._responded_s = float("-inf")
+        self._accepted_s = self._responded_s = self._opened_s = float("-inf")
         self._lost_s: float | None = None
         self._survey: asyncio.Task[bool] | None = None
         self._retest: asyncio.Task[None] | None = None
@@ -73,6 +77,11 @@
         """Return whether no server is reached from here."""
         return self._lost_s is not None
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether several servers have failed since one last accepted a connection."""
+        return self.is_lost or len(self._failed_s) >= MIN_FAILED
+
     def lost_for_s(self) -> float:
         """Return for how long the path has been lost, in seconds; 0: it is not."""
         return 0.0 if self._lost_s is None else self._clock.now() - self._lost_s
@@ -83,13 +92,6 @@
         if self._lost_s is not None:
             self._restore()
 
-    def record_test(self, server_id: str, is_accepted: bool) -> None:
-        """Record the result of a test connection; by itself it does not end the path's loss."""
-        if not is_accepted:
-            self.record_failure(server_id, is_silent=True)
-        elif not self.is_lost:
-            self._record_accept()
-
     def _record_accept(self) -> None:
         self._accepted_s = self._clock.now()
         self._failed_s.clear()
@@ -109,7 +111,8 @@
             each for each, at_s in self._failed_s.items() if now_s - at_s > FAILURE_VALID_S
         ]:
             del self._failed_s[known]
-        if not self.is_lost and (is_silent or len(self._failed_s) >= MIN_FAILED):
+        is_fresh = now_s - self._accepted_s < SURVEY_PAUSE_S
+        if not (self.is_lost or is_fresh) and (is_silent or len(self._failed_s) >= MIN_FAILED):
             self._start_survey()
 
     async def is_sound(self, since_s: float) -> bool:
@@ -117,9 +120,10 @@
         one now."""
         if self.is_lost:
             return False
-        if max(self._accepted_s, self._responded_s) >= since_s:
+        if max(self._accepted_s, self._responded_s, self._opened_s) >= since_s:
             return True
         if await self._first_of(self._can_open, set(self._failed_s)):
+            self._opened_s = self._clock.now()
             return True
         self._lose_if_all_fail()
         return False
--- a/indigoworks/reach/peer_reach.py
+++ b/indigoworks/reach/peer_reach.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from indigoworks.common.clock import Clock
+from indigoworks.common.event_wait import wait_for_event
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.reach_query import ReachQuery, ReachReply
@@ -14,6 +15,9 @@
 ASK_PERIOD_S = 0.25
 """Time between two questions while a server is out of reach."""
 
+MIN_PAUSE_S = 0.02
+"""Shortest time between two questions: servers fail one after the other when a path is lost."""
+
 VALID_S = 0.6
 """Time for which a peer's reply holds: two may be lost, and a frozen peer gets no more soon."""
 
@@ -24,8 +28,11 @@
 MAX_ASKED_SERVERS = 64
 """Servers named in one question."""
 
+MAX_QUESTIONS = 32
+"""Questions whose replies are still taken."""
+
 MIN_REACHED_SHARE = 0.5
-"""Share of the servers it was asked for from which a peer is taken to reach others as well."""
+"""Share of a sample of servers from which a peer is taken to reach the others as well."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +43,7 @@
 
     def includes(self, server: int) -> bool:
         """Return whether the peer reaches a server, by its checksum."""
-        if server in self.asked:
+        if server in self.asked or len(self.asked) < MAX_ASKED_SERVERS:
             return server in self.reached
         return len(self.reached) > MIN_REACHED_SHARE * len(self.asked)
 
@@ -68,13 +75,18 @@
         self._random = random
         self._replies: dict[str, _Reply] = {}
         self._asked: dict[int, frozenset[int]] = {}
-        self._number = 0
+        self._number = self._wanted = self._newest_replied = 0
+        self._wanted_s = float("-inf")
         self._asking: asyncio.Task[None] | None = None
         self._replied = asyncio.Event()
+        self._is_due = asyncio.Event()
         self.changed: Callable[[], None] = _nothing
 
     def ask(self) -> None:
-        """Ask peers from now on until no server is out of reach any more."""
+        """Ask peers now, and from then on until no server is out of reach any more."""
+        self._wanted = self._number + 1
+        self._wanted_s = self._clock.now()
+        self._is_due.set()
         if self._asking is None or self._asking.done():
             self._asking = asyncio.ensure_future(self._run())
 
@@ -86,6 +98,7 @@
         known = self._replies.get(reply.node)
         reached = frozenset(reply.reached)
         self._replies[reply.node] = _Reply(self._clock.now(), asked, reached)
+        self._newest_replied = max(self._newest_replied, reply.number)
         self._replied.set()
         if known is None or known.reached != reached:
             self.changed()
@@ -115,14 +128,13 @@
         return sum(self.reaches(each) for each in server_ids)
 
     async def wait_for_reply(self, timeout_s: float) -> None:
-        """Wait until a peer has replied, if none has within VALID_S."""
-        oldest_s = self._clock.now() - VALID_S
-        if any(each.at_s >= oldest_s for each in self._replies.values()):
-            return
-        self._replied.clear()
-        waiting = asyncio.ensure_future(self._replied.wait())
-        await asyncio.wait({waiting}, timeout=timeout_s)
-        waiting.cancel()
+        """Wait until a peer has replied to the newest question, at most `timeout_s` after it."""
+        while self._newest_replied < self._wanted:
+            left_s = self._wanted_s + timeout_s - self._clock.now()
+            if left_s <= 0:
+                return
+            self._replied.clear()
+            await wait_for_event(self._replied, left_s)
 
     def close(self) -> None:
         """Ask no more."""
@@ -131,8 +143,10 @@
 
     async def _run(self) -> None:
         while servers := self._out_of_reach():
+            self._is_due.clear()
             self._ask_peers(servers)
-            await self._clock.sleep(ASK_PERIOD_S)
+            await self._clock.sleep(MIN_PAUSE_S)
+            await wait_for_event(self._is_due, ASK_PERIOD_S - MIN_PAUSE_S)
         self._replies.clear()
         self._asked.clear()
 
@@ -144,7 +158,7 @@
         self._asked = {
             number: asked
             for number, asked in self._asked.items()
-            if number > self._number - VALID_S / ASK_PERIOD_S
+            if number > self._number - MAX_QUESTIONS
         }
         self._asked[self._number] = frozenset(checksums)
         query = ReachQuery(self._node, self._boot, self._number, checksums)
--- a/indigoworks/reach/reach_responder.py
+++ b/indigoworks/reach/reach_responder.py
@@ -32,7 +32,7 @@
         path: PathMonitor,
         listed: Callable[[], Iterable[ServerRecord]],
         is_down: Callable[[str], bool],
-        can_connect: ConnectTest,
+        can_open: ConnectTest,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -41,7 +41,7 @@
         self._path = path
         self._listed = listed
         self._is_down = is_down
-        self._can_connect = can_connect
+        self._can_open = can_open
         self._clock = clock
         self._random = random
         self._accepted_s: dict[str, float] = {}
@@ -86,8 +86,7 @@
         return await asyncio.shield(test)
 
     async def _run_test(self, server: ServerRecord) -> bool:
-        is_accepted = await self._can_connect(server)
-        self._path.record_test(server.server_id, is_accepted)
+        is_accepted = await self._can_open(server)
         if is_accepted:
             self._accepted_s[server.server_id] = self._clock.now()
         return is_accepted
--- a/indigoworks/reach/reach_subsystem.py
+++ b/indigoworks/reach/reach_subsystem.py
@@ -58,7 +58,7 @@
             self.path,
             self._listed,
             self.down.is_down,
-            can_connect,
+            can_open,
             clock,
             random,
         )
