Scenarios of witnesses and a broken rule reach the leader row's writer where it is now

Cause: the row's writes moved to LeaderRowWriter, and scenarios that put another store under the leadership, as well as the broken rule challenge-blindly, still named the old place. Ruled out: keeping the old attribute for the scenarios. Conclusion: no check changed.

--- a/features/steps/gateway_owner_proof_world.py
+++ b/features/steps/gateway_owner_proof_world.py
@@ -68,7 +68,7 @@
 
     def __init__(self, *owners, era=0):
         super().__init__(0, ManualClock())
-        self.store = self.leadership._store = ShiftedRows(self.health, self.clock)
+        self.store = self.leadership._writer._store = ShiftedRows(self.health, self.clock)
         self.lost_s = 0.0
         self.orders = RecordedServers(self.clock, lambda: self.clock.now() + self.lost_s)
         for number, name in enumerate("ab"):
--- a/features/steps/gateway_witness_era_world.py
+++ b/features/steps/gateway_witness_era_world.py
@@ -24,7 +24,7 @@
     def __init__(self, *nodes):
         super().__init__(*nodes)
         self.store = ShiftedRows(self.health, self.clock)
-        self.leadership._store = self.follower._store = self.store
+        self.leadership._writer._store = self.follower._store = self.store
         table = first_table(SERVICE, ("a", "b"), [1, 1])
         self.store.put(OWNERS_PREFIX + SERVICE, table.encode())
         self.store.begin(1)
--- a/features/steps/gateway_witness_world.py
+++ b/features/steps/gateway_witness_world.py
@@ -73,7 +73,7 @@
     def __init__(self, *nodes):
         super().__init__(0, LoopClock())
         self.store = OutageRows(0, self.health, self.clock)
-        self.leadership._store = self.follower._store = self.store
+        self.leadership._writer._store = self.follower._store = self.store
         self.cut = set()
         self.worlds = {node: ControlWorld(0, self.clock) for node in nodes}
         self.worlds["n1"] = self
--- a/indigoworks_lab/control_simulation/broken_row_rules.py
+++ b/indigoworks_lab/control_simulation/broken_row_rules.py
@@ -2,15 +2,19 @@
 
 from typing import Any
 
+from result import Result
+
 from indigoworks.ownership import table_writer
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
-from indigoworks.ownership.leadership import Leadership
+from indigoworks.ownership.leader_row_writer import LeaderRowWriter
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.routes.configuration import Configuration
 from indigoworks.routes.configuration_holder import ConfigurationHolder
-from indigoworks.rowstore.transaction import RowPut, Transaction
+from indigoworks.rowstore.errors import StoreError
+from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 from indigoworks_lab.control_simulation import (
     configuration_checker,
     grant_row_checker,
@@ -32,9 +36,11 @@
     return Transaction(era, part, expected[1:], puts)
 
 
-def _challenge_blindly(leadership: Leadership, row: LeaderRow) -> Transaction:
+async def _challenge_blindly(
+    writer: LeaderRowWriter, row: LeaderRow, _condition: ExpectedVersion
+) -> Result[StoreVersion, StoreError]:
     put = RowPut(CONTROL_TABLE, LEADER_KEY, row.encode())
-    return leadership._group.transaction((), (put,))
+    return await writer._store.commit(writer._group.transaction((), (put,)))
 
 
 def _take_any_version(holder: ConfigurationHolder, configuration: Configuration) -> None:
@@ -63,7 +69,7 @@
         "challenge-blindly",
         "A challenger writes the leader's row whatever it holds.",
         row_checker.CHECKER,
-        lambda: [Replacement(Leadership, "_row_write", _challenge_blindly)],
+        lambda: [Replacement(LeaderRowWriter, "write", _challenge_blindly)],
         (FaultKind.LEADER_KILLED, 1.0, 6.0),
     ),
     broken_control_rule(
