Watch of the path: a lone server can still be blamed, peers take turns, no test fails for want of descriptors

With no other server to compare with, a crash was never attributed; the first peer in the table took all requests at equal load; a test connection without a descriptor left ended the watch of a lost path for good; results of tests for peers were kept for ever. Ruled out: nothing.

--- a/indigoworks/gateway/connect_tester.py
+++ b/indigoworks/gateway/connect_tester.py
@@ -19,14 +19,18 @@
 
     async def can_open(self, server: ServerRecord) -> bool:
         """Return whether the server accepts a connection, without looking at what follows."""
-        connection = self._open_connection(server.address, "")
+        connection = self._new_connection(server)
+        if connection is None:
+            return False
         is_open = await connection.connect(CONNECT_TIMEOUT_S)
         connection.abort()
         return is_open
 
     async def can_connect(self, server: ServerRecord) -> bool:
         """Return whether the server accepts a connection that stays open."""
-        connection = self._open_connection(server.address, "")
+        connection = self._new_connection(server)
+        if connection is None:
+            return False
         try:
             if not await connection.connect(CONNECT_TIMEOUT_S):
                 return False
@@ -35,3 +39,10 @@
             return connection.is_reusable
         finally:
             connection.abort()
+
+    def _new_connection(self, server: ServerRecord) -> ServerConnection | None:
+        """Return an unconnected connection; None if this process has no descriptor left."""
+        try:
+            return self._open_connection(server.address, "")
+        except OSError:
+            return None
--- a/indigoworks/gateway/request_forwarding.py
+++ b/indigoworks/gateway/request_forwarding.py
@@ -1,5 +1,7 @@
 """Forwards requests whose servers are out of reach from here to peers that reach them."""
 
+from collections import Counter
+
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.forwarding.forward_client import ForwardClient
@@ -60,6 +62,7 @@
         self._log = log
         self._clock = clock
         self._paused_until_s: dict[str, float] = {}
+        self._offered: Counter[str] = Counter()
         self._newest_version = 0
 
     async def is_due(self, state: RequestState) -> bool:
@@ -82,6 +85,7 @@
         if not candidates:
             return None
         peer = min(candidates, key=self._cost)
+        self._offered[peer.node] += 1
         state.forwarded_to.append(peer.node)
         left_s = state.deadline_s - self._clock.now()
         result = await self._client.send(peer, self._message(state), left_s + REPLY_MARGIN_S)
@@ -120,8 +124,10 @@
             and self._paused_until_s.get(each.node, 0.0) <= now_s
         ]
 
-    def _cost(self, peer: PeerAddress) -> tuple[int, bool]:
-        return self._client.in_progress(peer.node), peer.zone != self._zone
+    def _cost(self, peer: PeerAddress) -> tuple[int, bool, int]:
+        """Return the sort key of a peer: traffic between zones costs, and peers take turns."""
+        is_far = peer.zone != self._zone
+        return self._client.in_progress(peer.node), is_far, self._offered[peer.node]
 
     def _message(self, state: RequestState) -> ForwardRequest:
         request = state.request
--- a/indigoworks/reach/path_monitor.py
+++ b/indigoworks/reach/path_monitor.py
@@ -59,7 +59,7 @@
         self._failed_s: dict[str, float] = {}
         self._accepted_s = self._responded_s = self._opened_s = float("-inf")
         self._lost_s: float | None = None
-        self._survey: asyncio.Task[bool] | None = None
+        self._survey: asyncio.Task[None] | None = None
         self._retest: asyncio.Task[None] | None = None
         self._lost_listeners: list[Callable[[], None]] = []
         self._back_listeners: list[Callable[[], None]] = []
@@ -92,10 +92,6 @@
         if self._lost_s is not None:
             self._restore()
 
-    def _record_accept(self) -> None:
-        self._accepted_s = self._clock.now()
-        self._failed_s.clear()
-
     def record_response(self) -> None:
         """Record that a server answered a request, perhaps over a kept connection."""
         self._responded_s = self._clock.now()
@@ -107,10 +103,9 @@
         """
         now_s = self._clock.now()
         self._failed_s[server_id] = now_s
-        for known in [
-            each for each, at_s in self._failed_s.items() if now_s - at_s > FAILURE_VALID_S
-        ]:
-            del self._failed_s[known]
+        earliest_s = now_s - FAILURE_VALID_S
+        for stale in [each for each, at_s in self._failed_s.items() if at_s < earliest_s]:
+            del self._failed_s[stale]
         is_fresh = now_s - self._accepted_s < SURVEY_PAUSE_S
         if not (self.is_lost or is_fresh) and (is_silent or len(self._failed_s) >= MIN_FAILED):
             self._start_survey()
@@ -122,11 +117,13 @@
             return False
         if max(self._accepted_s, self._responded_s, self._opened_s) >= since_s:
             return True
-        if await self._first_of(self._can_open, set(self._failed_s)):
+        servers = self._sample(set(self._failed_s))
+        if await self._first_of(self._can_open, servers):
             self._opened_s = self._clock.now()
             return True
         self._lose_if_all_fail()
-        return False
+        # Without another server to test nothing speaks against the path.
+        return not servers and not self.is_lost
 
     async def reaches_any(self) -> bool:
         """Return whether a server accepted a connection recently, or one of a sample does now.
@@ -137,7 +134,7 @@
             return False
         if self._clock.now() - self._accepted_s <= ACCEPT_VALID_S:
             return True
-        if await self._first_of(self._test, ()):
+        if await self._first_of(self._test, self._sample()):
             return True
         self._lose_if_all_fail()
         return not self.is_lost
@@ -160,24 +157,20 @@
             if task is not None:
                 task.cancel()
 
-    def _start_survey(self) -> "asyncio.Task[bool]":
-        """Return the survey in progress, or a new one."""
+    def _start_survey(self) -> None:
         if self._survey is None or self._survey.done():
             self._survey = asyncio.ensure_future(self._run_survey())
-        return self._survey
 
-    async def _run_survey(self) -> bool:
-        """Test a sample of servers; return whether any accepts a connection."""
+    async def _run_survey(self) -> None:
+        """Test a sample of servers; the path is lost if none accepts a connection."""
         began_s = self._clock.now()
         results = await self._test_sample(set(self._failed_s))
-        if any(results) or self._accepted_s >= began_s:
-            return True
-        self._lose_if_all_fail()
-        return False
+        if not any(results) and self._accepted_s < began_s:
+            self._lose_if_all_fail()
 
-    async def _first_of(self, test: ConnectTest, excluded: Collection[str]) -> bool:
-        """Test a sample of servers at once, and return as soon as one passes."""
-        tests = [asyncio.ensure_future(test(each)) for each in self._sample(excluded)]
+    async def _first_of(self, test: ConnectTest, servers: Collection[ServerRecord]) -> bool:
+        """Test servers at once, and return as soon as one passes."""
+        tests = [asyncio.ensure_future(test(each)) for each in servers]
         try:
             for each in asyncio.as_completed(tests):
                 if await each:
@@ -202,6 +195,10 @@
             self._record_accept()
         return is_accepted
 
+    def _record_accept(self) -> None:
+        self._accepted_s = self._clock.now()
+        self._failed_s.clear()
+
     def _lose_if_all_fail(self) -> None:
         if not self.is_lost and len(self._failed_s) >= MIN_FAILED:
             self._lose()
--- a/indigoworks/reach/reach_responder.py
+++ b/indigoworks/reach/reach_responder.py
@@ -49,6 +49,7 @@
 
     async def reply(self, query: ReachQuery) -> ReachReply:
         """Return which of the servers in a question are reached."""
+        self._drop_stale()
         asked = set(query.servers)
         servers = [each for each in self._listed() if server_checksum(each.server_id) in asked]
         candidates = [each for each in servers if not self._is_down(each.server_id)]
@@ -72,6 +73,12 @@
             return []
         return [each for each in candidates if each.server_id not in failed]
 
+    def _drop_stale(self) -> None:
+        earliest_s = self._clock.now() - VALID_S
+        self._accepted_s = {
+            each: at_s for each, at_s in self._accepted_s.items() if at_s >= earliest_s
+        }
+
     def _is_fresh(self, server: ServerRecord) -> bool:
         accepted_s = self._accepted_s.get(server.server_id, float("-inf"))
         return self._clock.now() - accepted_s <= VALID_S
@@ -90,7 +97,3 @@
         if is_accepted:
             self._accepted_s[server.server_id] = self._clock.now()
         return is_accepted
-
-    def forget(self, server_id: str) -> None:
-        """Drop the result for a server that left."""
-        self._accepted_s.pop(server_id, None)
