A leader's new term counts failed orders anew; a leader's path that comes and goes is measured

Cause: servers that a leader did not reach counted as lost from its next term on at once, by failures of its earlier one, and their ranges moved within 10 ms of new_leader. Found by a loss that cuts whoever leads for half of each second. Why it works: the servers stay suspect, so they get no further ranges, but lose those they have only by failures of this term.

--- a/features/control_simulation_losses.feature
+++ b/features/control_simulation_losses.feature
@@ -34,9 +34,10 @@
     Then no key that a remaining node reaches waited for more than 3 s in any of them
 
     Examples:
-      | case       |
-      | the leader |
-      | most nodes |
+      | case                        |
+      | the leader                  |
+      | most nodes                  |
+      | whoever leads, each second, |
 
   Scenario: Nodes that lose their path to all servers break no rule of owners
     When control simulation runs 6 seeds with drawn losses of paths to servers
--- a/features/steps/control_simulation_path_steps.py
+++ b/features/steps/control_simulation_path_steps.py
@@ -7,7 +7,11 @@
 from indigoworks_lab.control_simulation.measure_waits import measure
 from indigoworks_lab.control_simulation.run_control_seed import run_control_seed
 
-CASES = {"the leader": "leader-without-path", "most nodes": "most-without-path"}
+CASES = {
+    "the leader": "leader-without-path",
+    "most nodes": "most-without-path",
+    "whoever leads, each second,": "leader-path-flaps",
+}
 SEEDS = (1, 2, 3)
 NODES, SERVERS, REQUESTS_PER_S = 6, 8, 10.0
 FIRST_DRAWN = 60_000
--- a/indigoworks/ownership/group_leader.py
+++ b/indigoworks/ownership/group_leader.py
@@ -110,6 +110,7 @@
         """Lead until the leader row no longer names this process for its epoch."""
         watch = self._predecessor = self._make_watch(predecessor)
         epoch = self._leadership.row.epoch
+        self._reach.begin_term()
         await self._writer.reread()
         watch.start_epoch()
         self._replication.start(epoch, watch.row_to_fence(), watch.use_grants)
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -188,6 +188,15 @@
             return False
         return self._clock.now() - self._first_failure_s[server_id] >= LOST_AFTER_S
 
+    def begin_term(self) -> None:
+        """Count failures anew: those of an earlier term may have been this gateway's own fault.
+
+        The servers stay suspect, so that they get no further ranges before they answer an order.
+        """
+        now_s = self._clock.now()
+        self._failures = dict.fromkeys(self._failures, 1)
+        self._first_failure_s = dict.fromkeys(self._first_failure_s, now_s)
+
     def forget_failures(self) -> None:
         """Drop the failures of orders: the path to all servers was lost, and is back."""
         self._failures.clear()
--- a/indigoworks_lab/control_simulation/wait_losses.py
+++ b/indigoworks_lab/control_simulation/wait_losses.py
@@ -14,6 +14,7 @@
 ZONES = 3
 SOON_S = 1.5
 LONG_S = 30.0
+FLAPS, FLAP_S = 20, 0.5
 UNANSWERED_S = 0.6
 """Orders go unanswered for so long: one renewal at least."""
 
@@ -141,9 +142,16 @@
         for node in nodes:
             self._deployment.restart_node(node.name)
 
-    async def _cut_paths(self, nodes: Sequence[SimulatedNode]) -> None:
+    async def leader_path_flaps(self) -> None:
+        """Each second the path of whoever leads then is lost, and back after half a second."""
+        for _ in range(FLAPS):
+            leader = self._deployment.leader() or self._leader
+            await self._cut_paths((leader,), FLAP_S)
+            await asyncio.sleep(FLAP_S)
+
+    async def _cut_paths(self, nodes: Sequence[SimulatedNode], for_s: float = LONG_S) -> None:
         names = [each.name for each in nodes]
-        await self._cut(nodes, names, [str(each.address) for each in self._servers])
+        await self._cut(nodes, names, [str(each.address) for each in self._servers], for_s)
 
     async def _darken(
         self, servers: Sequence[SimulatedServer], nodes: Sequence[SimulatedNode]
@@ -157,13 +165,17 @@
             self._links.lighten(name, self._deployment.loop.time())
 
     async def _cut(
-        self, nodes: Sequence[SimulatedNode], inside: Sequence[str], outside: Sequence[str]
+        self,
+        nodes: Sequence[SimulatedNode],
+        inside: Sequence[str],
+        outside: Sequence[str],
+        for_s: float = LONG_S,
     ) -> None:
         self._meter.lost_nodes.update(each.name for each in nodes)
         for one in inside:
             for other in outside:
                 self._links.cut(one, other)
-        await asyncio.sleep(LONG_S)
+        await asyncio.sleep(for_s)
         for one in inside:
             for other in outside:
                 self._links.heal(one, other, self._deployment.loop.time())
@@ -180,6 +192,7 @@
         "leader-stopped",
         "leader-without-path",
         "most-without-path",
+        "leader-path-flaps",
         "leader-and-server-ended",
         "leader-and-server-dark",
         "zone-killed",
