A hop without a reply counts as one of a request's attempts

Cause: a safe request whose peer brought no reply was offered to up to two more, whatever its route's most attempts, since the server that the peer may have chosen is not known. Found by reading the change. Before: a route of one attempt, two silent peers: offered to both. After: to one, then lost; of three attempts to both; an unsafe one to one only (gateway_forwarding, three scenarios, the second of which fails without the count). Conclusion: the peer stands for the server in the list of those tried.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -65,3 +65,15 @@
       | 1    |
       | 4    |
       | 5    |
+
+  # Guards against a request that runs at more servers than its route allows because hops brought no reply.
+  Scenario Outline: A hop without a reply counts as an attempt: <kind>, at most <most> attempts
+    Given a <kind> request of a route with at most <most> attempts whose servers only peers reach
+    When both peers bring no reply
+    Then it was offered to <peers> of them and then lost
+
+    Examples:
+      | kind   | most | peers |
+      | safe   | 3    | 2     |
+      | safe   | 1    | 1     |
+      | unsafe | 3    | 1     |
--- a/indigoworks/gateway/request_forwarding.py
+++ b/indigoworks/gateway/request_forwarding.py
@@ -172,12 +172,17 @@
         if failure is ForwardFailure.NOT_SENT:
             return None
         state.may_have_run = True
-        is_in_time = self._clock.now() < state.deadline_s
-        if not is_in_time or not state.route.is_repeatable:
-            return self._failures.lost(state, "forwarded")
-        if not self._retry_budget.try_consume(state.service.name):
-            return self._failures.lost(state, "forwarded")
-        return None
+        # The peer stands for the server that it may have chosen.
+        state.tried.append(peer.node)
+        return None if self._may_repeat(state) else self._failures.lost(state, "forwarded")
+
+    def _may_repeat(self, state: RequestState) -> bool:
+        """Return whether a request that may have run is offered to another peer."""
+        if not state.route.is_repeatable or self._clock.now() >= state.deadline_s:
+            return False
+        if len(set(state.tried)) >= state.route.max_attempts:
+            return False
+        return self._retry_budget.try_consume(state.service.name)
 
     def _record(
         self, state: RequestState, peer: PeerAddress, result: ForwardReply | ForwardFailure
