A path is lost only after a test: orders without an answer are no sign, and failed servers are tested again

Cause: an order that stays unanswered counted like a connection that does not come about, and where every known server had failed the sample was empty, which was taken for one in which all fail. Evidence: path:lost failed=3 servers=3 at 14.945 s among late orders, path:back 0.2 s later, leader:resigned reason=out_of_reach. Why it works: only connections that do not come about are signs, and a sample without other servers tests the failed ones. Before: the row all failed and accept again of gateway_forwarding fails without the change.

--- a/features/gateway_forwarding.feature
+++ b/features/gateway_forwarding.feature
@@ -47,6 +47,7 @@
       | a zone is lost                | those of two accept   | 3      | sound   |
       | no server accepts             | none accepts          | 2      | lost    |
       | one server has failed so far  | none accepts          | 1      | sound   |
+      | all failed and accept again   | all others accept     | 9      | sound   |
 
   Scenario: A lost path is back when two servers accept connections
     Given servers in three zones, of which none accepts
--- a/indigoworks/ownership/server_reach.py
+++ b/indigoworks/ownership/server_reach.py
@@ -54,8 +54,8 @@
 
     :ivar orders: logs orders that go unanswered; nothing is decided by it.
     :ivar on_answer: called when a server answers an order.
-    :ivar on_failure: called with the id of a server when an order to it failed, and whether the
-        server was silent.
+    :ivar on_failure: called with the id of a server to which no connection came about, and whether
+        it was silent or refused.
     :ivar is_path_lost: returns whether no server is reached from here, so that the silence of one
         says nothing about it.
     """
@@ -93,7 +93,8 @@
         self._record_refusal(server_id, result)
         if result.is_answer:
             self.on_answer()
-        else:
+        elif result is not OrderResult.UNANSWERED:
+            # An order that stays unanswered was sent over a connection that had come about.
             self.on_failure(server_id, result is OrderResult.NOT_SENT)
         if result not in _FAILURES:
             if self._failures.pop(server_id, None) is not None:
--- a/indigoworks/reach/path_monitor.py
+++ b/indigoworks/reach/path_monitor.py
@@ -117,7 +117,7 @@
             return False
         if max(self._accepted_s, self._responded_s, self._opened_s) >= since_s:
             return True
-        servers = self._sample(set(self._failed_s))
+        servers = self._sample(set(self._failed_s)) or self._sample()
         if await self._first_of(self._can_open, servers):
             self._opened_s = self._clock.now()
             return True
@@ -165,6 +165,8 @@
         """Test a sample of servers; the path is lost if none accepts a connection."""
         began_s = self._clock.now()
         results = await self._test_sample(set(self._failed_s))
+        # Where every server has failed, a failure may be older than its cause.
+        results = results or await self._test_sample()
         if not any(results) and self._accepted_s < began_s:
             self._lose_if_all_fail()
 
