--- a/features/control_simulation_machines.feature
+++ b/features/control_simulation_machines.feature
@@ -33,6 +33,10 @@
     When control simulation lets servers forget the tokens of releases while orders are late
     Then control simulation found nothing in any of the runs
 
+  Scenario: Servers that forget the tokens of releases take back no keys by late orders of leaders whose terms end
+    When control simulation ends the terms of leaders one after the other while orders are late
+    Then control simulation found nothing in any of the runs
+
   Scenario Outline: A leader that stands still between its check and an order's bytes sends nothing of before: <how>
     When control simulation lets the leader stand still before orders' bytes because it is <how>
     Then control simulation found nothing in any of the runs
--- a/features/steps/control_simulation_machine_steps.py
+++ b/features/steps/control_simulation_machine_steps.py
@@ -36,6 +36,13 @@
 )
 LOST_LEADER_SEEDS = (3, 5, 7)
 FORGETTING_SEEDS = (1, 2)
+LEADER_ENDS = (
+    FaultKind.LEADER_STOPPED,
+    FaultKind.LEADER_KILLED,
+    FaultKind.LEADER_CUT_FROM_SERVERS,
+)
+LEADER_ENDS_AT_S = (4.0, 6.0, 8.0, 10.0, 12.0, 14.0)
+LEADER_END_SEEDS = (3, 4, 5)
 SEEDS = (1, 2, 3)
 BEFORE_BYTES = {
     "frozen": FaultKind.LEADER_FROZEN_BEFORE_BYTES,
@@ -108,6 +115,16 @@
     context.reports = [run_control_seed(seed, plan) for seed in FORGETTING_SEEDS]
 
 
+@when("control simulation ends the terms of leaders one after the other while orders are late")
+def step_forgotten_releases_of_leaders(context):
+    late = DrawnFault(FaultKind.ORDERS_LATE, 0.5, 16.0)
+    context.reports = []
+    for kind in LEADER_ENDS:
+        ends = (DrawnFault(kind, start_s, 1.0) for start_s in LEADER_ENDS_AT_S)
+        plan = ControlPlan(NODES, SERVERS, (late, *ends), forgets_releases=True)
+        context.reports += [run_control_seed(seed, plan) for seed in LEADER_END_SEEDS]
+
+
 @when("control simulation lets the leader stand still before orders' bytes because it is {how}")
 def step_before_bytes(context, how):
     """With it the leader is lost: cut off from the store, and from all others as well."""
