--- a/features/steps/gateway_log_bound_steps.py
+++ b/features/steps/gateway_log_bound_steps.py
@@ -213,7 +213,10 @@
     "routes",
     "common/logging",
     "quarantine",
+    "reach",
+    "forwarding",
 )
+TYPES_OF_BOTH_LEVELS = ("request:answered", "request:forwarded")
 MESSAGE_TYPE = re.compile(r'"([a-z]+:[a-z_]+)"')
 
 
@@ -234,7 +237,8 @@
         name: bound.strip() for names, bound in rows for name in re.findall(r"`(.+?)`", names)
     }
     expected = {each: "none" if is_control(each) else str(FAILURE_LINES_PER_S) for each in bounds}
-    expected["request:answered"] = f"{SUCCESS_LINES_PER_S}; {FAILURE_LINES_PER_S}"
+    for each in TYPES_OF_BOTH_LEVELS:
+        expected[each] = f"{SUCCESS_LINES_PER_S}; {FAILURE_LINES_PER_S}"
     assert set(bounds) == types_of_the_code(), set(bounds) ^ types_of_the_code()
     assert bounds == expected, {each for each in bounds if bounds[each] != expected[each]}
 
