--- a/indigoworks/forwarding/forward_server.py
+++ b/indigoworks/forwarding/forward_server.py
@@ -15,10 +15,10 @@
 from indigoworks.forwarding.forward_request import ForwardRequest
 
 MAX_REQUESTS = 256
-"""Forwarded requests in hand at a time. Four times what one gateway serves in half a second."""
+"""Most forwarded requests in hand at a time; further ones are declined."""
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
-"""Bodies of forwarded requests in hand at a time, in bytes."""
+"""Most bytes of the requests in hand at a time, bodies included."""
 
 OK_STATUS = 200
 
