--- a/indigoworks/broker/lock_table.py
+++ b/indigoworks/broker/lock_table.py
@@ -100,6 +100,10 @@
             lock.cleared_until_s = self._clock.now() + CLEARED_S
             self._grant_waiting(lock)
 
+    def is_empty(self) -> bool:
+        """Return whether no lock is known."""
+        return not self._locks
+
     def remove_expired(self) -> None:
         """End expired leases and waits, and remove unused locks."""
         now_s = self._clock.now()
--- a/indigoworks/broker/slot_broker.py
+++ b/indigoworks/broker/slot_broker.py
@@ -43,6 +43,7 @@
         self._queues: dict[str, BrokerQueue] = {}
         self._reservations: dict[tuple[str, int], Reservation] = {}
         self._last_request_s = float("-inf")
+        self._is_acting = asyncio.Event()
         self._locks = LockTable(clock)
         self.is_stopping = False
 
@@ -99,21 +100,35 @@
     async def run(self) -> None:
         """Remove expired reservations and locks, until cancelled."""
         while True:
+            # Most gateways of a large group are no brokers: they need no timer.
+            await self._is_acting.wait()
             await self._clock.sleep(EXPIRY_INTERVAL_S)
-            now_s = self._clock.now()
-            expired = [name for name, each in self._reservations.items() if each.until_s < now_s]
-            for name in expired:
-                self._end(self._reservations.pop(name), is_served=False)
-            self._locks.remove_expired()
-            for queue in self._queues.values():
-                queue.refresh()
+            self._remove_expired()
+            if self._is_idle():
+                self._is_acting.clear()
 
     # ---- helpers ----
 
+    def _remove_expired(self) -> None:
+        now_s = self._clock.now()
+        expired = [name for name, each in self._reservations.items() if each.until_s < now_s]
+        for name in expired:
+            self._end(self._reservations.pop(name), is_served=False)
+        self._locks.remove_expired()
+        for queue in self._queues.values():
+            queue.refresh()
+
+    def _is_idle(self) -> bool:
+        """Return whether nothing that this broker keeps can expire."""
+        is_recent = self._clock.now() - self._last_request_s <= IDLE_S
+        return not is_recent and not self._reservations and self._locks.is_empty()
+
     def _record_activity(self) -> None:
         now_s = self._clock.now()
         if now_s - self._last_request_s > IDLE_S:
             log_message(message_type="broker:acting")
+            self._is_acting.set()
+            self._remove_expired()
             for each in self._queues.values():
                 each.load.start_takeover()
         self._last_request_s = now_s
--- a/indigoworks/common/logging/line_buffer.py
+++ b/indigoworks/common/logging/line_buffer.py
@@ -4,6 +4,7 @@
 import os
 import select
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,6 +39,7 @@
     :param descriptor: file descriptor of the stream; it is set to non-blocking.
     :param process: name of the process, added to every line.
     :param rates: bounds the number of lines, and counts dropped lines.
+    :ivar on_pending: called when a line is added to an empty buffer.
     """
 
     def __init__(self, descriptor: int, process: str, rates: LineRateLimiter) -> None:
@@ -46,6 +48,7 @@
         self._rates = rates
         self._lines: deque[_Line] = deque()
         self._bytes = 0
+        self.on_pending: Callable[[], None] = _nothing
         os.set_blocking(descriptor, False)
 
     @property
@@ -68,8 +71,11 @@
         if self._bytes + len(data) > MAX_BUFFERED_BYTES:
             self._rates.record_dropped(message_type)
             return
+        was_empty = not self._lines
         self._lines.append(_Line(data, "" if is_kept else message_type))
         self._bytes += len(data)
+        if was_empty:
+            self.on_pending()
 
     def flush(self) -> None:
         """Write what the stream accepts now; once a second, log what was dropped."""
@@ -138,6 +144,10 @@
         self._bytes += len(rest)
 
 
+def _nothing() -> None:
+    """Do nothing: the default listener."""
+
+
 def _is_failure(message: dict[str, Any]) -> bool:
     # The many lines on requests name their level, so the set lookup decides them cheaply.
     return message.get(LEVEL_FIELD) not in _SUCCESS_LEVELS and level_of(message) >= LogLevel.WARNING
--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from indigoworks.common.clock import Clock
+from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.exchange.lag_monitor import LagMonitor
 from indigoworks.exchange.leader_beat import LeaderBeat
 from indigoworks.exchange.peer_directory import PeerDirectory
@@ -36,6 +37,10 @@
 from indigoworks.rowstore.store_version import NO_VERSION
 from indigoworks.rowstore.table_follower import TableFollower
 
+REVIEW_DELAY_S = 0.02
+"""Time after a peer's report until waiting requests are reviewed in a large group. A hub gets over
+200 reports a second there, and each is older than this delay when it arrives."""
+
 LEADER_WAIT_S = 0.8
 """Longest poll of the feed of the group's rows at the leader."""
 
@@ -114,6 +119,7 @@
         self._server_stats: ServerStats | None = None
         self.send_report_now: Callable[[], None] = _nothing
         self.owners_changed: Callable[[], None] = _nothing
+        self._review_after_reports = CoalescedCall(lambda: self.owners_changed(), REVIEW_DELAY_S)
         self.on_rows: Callable[[Sequence[Row]], None] = _ignore_rows
         self.member = GroupMember(self.leadership, self._make_leader, clock)
         self.follower = TableFollower(
@@ -187,7 +193,10 @@
         self._lags[1].record_version(report.node, report.group_version)
         if report.leader is not None and report.leader.epoch >= self.leadership.row.epoch:
             self.tables.apply_beat(report.leader)
-        self.owners_changed()
+        if self._directory.has_many():
+            self._review_after_reports.schedule()
+        else:
+            self.owners_changed()
 
     def _feed_wait_s(self) -> float:
         """Return the longest poll: short at a leader, since each answer proves its leadership."""
--- a/indigoworks/ownership/leader_fitness.py
+++ b/indigoworks/ownership/leader_fitness.py
@@ -48,6 +48,7 @@
     async def run(self) -> None:
         """Hand the leadership over whenever a peer should lead; runs until cancelled."""
         while True:
+            await self._leadership.wait_until_named()
             await self._clock.sleep(CHECK_PERIOD_S)
             if self._leadership.may_act() and self._should_hand_over():
                 await self._leadership.hand_over()
--- a/indigoworks/relay/feed_server.py
+++ b/indigoworks/relay/feed_server.py
@@ -44,6 +44,7 @@
         self._health = health
         self._clock = clock
         self._request_tasks: set[asyncio.Task[None]] = set()
+        self._has_requests = asyncio.Event()
 
     def stop(self) -> None:
         """Cancel the waiting requests."""
@@ -53,14 +54,19 @@
     async def run(self) -> None:
         """Wake waiting requests once the store's responses are stale; runs until cancelled."""
         while True:
+            # Most processes of a large group serve nobody: they need no timer.
+            await self._has_requests.wait()
             await self._clock.sleep(FRESHNESS_CHECK_PERIOD_S)
-            if self._request_tasks and not self._is_fresh():
+            if not self._request_tasks:
+                self._has_requests.clear()
+            elif not self._is_fresh():
                 self._store.wake_waiters()
 
     def handle(self, request: HTTPServerRequest) -> None:
         """Start to serve a request of a peer."""
         task = asyncio.ensure_future(self._serve(request))
         self._request_tasks.add(task)
+        self._has_requests.set()
         task.add_done_callback(self._request_tasks.discard)
 
     async def respond(self, query: str) -> HttpResponse:
