--- a/indigoworks/ownership/leader_fitness.py
+++ b/indigoworks/ownership/leader_fitness.py
@@ -8,6 +8,10 @@
 from indigoworks.reach.reach_subsystem import ReachSubsystem
 
 CHECK_PERIOD_S = 0.1
+FOLLOWER_CHECK_PERIOD_S = 0.5
+"""Time until a process that does not lead looks again whether it does. A challenger has tested its
+path just before, so the first check as leader may come this late."""
+
 
 MIN_REACHED_BY_PEERS = 2
 MIN_SHARE_REACHED_BY_PEERS = 1 / 3
@@ -48,8 +52,8 @@
     async def run(self) -> None:
         """Hand the leadership over whenever a peer should lead; runs until cancelled."""
         while True:
-            await self._leadership.wait_until_named()
-            await self._clock.sleep(CHECK_PERIOD_S)
+            is_named = self._leadership.is_named()
+            await self._clock.sleep(CHECK_PERIOD_S if is_named else FOLLOWER_CHECK_PERIOD_S)
             if self._leadership.may_act() and self._should_hand_over():
                 await self._leadership.hand_over()
 
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -87,7 +87,6 @@
         self._followed_s = float("-inf")
         self._acting_epoch: int | None = None
         self._changed = asyncio.Event()
-        self._named = asyncio.Event()
         self._resignation = LeaderResignation(self._give_up_row, clock)
         self.may_lead: MayLead = may_always_lead
         self._orders: OrderTracker | None = None
@@ -144,8 +143,7 @@
         self._row_seen_s = self.era_seen_s = self._clock.now()
         if not (is_led and self.is_first_in_era()):
             self.others_led_until_s = self.era_seen_s
-        self._set_row(NO_LEADER)
-        self.predecessor, self._proof_s = NO_LEADER, None
+        self._row, self.predecessor, self._proof_s = NO_LEADER, NO_LEADER, None
         self._has_read_era = False
         self._changed.set()
 
@@ -220,17 +218,6 @@
         self._changed.clear()
         await wait_for_event(self._changed, timeout_s)
 
-    async def wait_until_named(self) -> None:
-        """Wait until the newest known row names this process; returns at once if it does."""
-        await self._named.wait()
-
-    def _set_row(self, row: LeaderRow) -> None:
-        self._row = row
-        if self.is_named():
-            self._named.set()
-        else:
-            self._named.clear()
-
     # ---- challenge ----
 
     async def challenge_if_lost(self) -> None:
@@ -297,12 +284,12 @@
         if row.version <= self._row.version:
             return
         if row.is_same_leader(self._row):
-            self._set_row(row)
+            self._row = row
             return
         was_ours = self.is_named()
         if not was_ours:
             self.predecessor = self._row
-        self._set_row(row)
+        self._row = row
         self._row_seen_s = self._clock.now()
         self._changed.set()
         if was_ours and not self.is_named():
