Weak gateways of a large group leave the store to the leader and wait for a first relay

Nobody could be a relay, and 79 weak gateways made some 2,000 calls in 10 s, a third of them at each change. At each start they also made three calls for feeds that a relay serves 0.3 s later. Change: the leader stands in where no other relay is left, in large groups only. A gateway whose link is too slow for a relay waits for its first relay for up to 0.5 s after its start. Ruled out: weak gateways as relays, whose links the rows of a zone would fill; longer pauses, which would make leaving servers known too late.

--- a/features/gateway_relay.feature
+++ b/features/gateway_relay.feature
@@ -121,6 +121,47 @@
     When gateway "a" finds that "r" failed
     Then gateway "a" asks gateway "o0"
 
+  Scenario: Weak gateways of a large group read through the leader while every relay is refused
+    Given a gateway relay choice of "a" in zone "z1" with capacity 0
+    And 16 other gateways of capacity 0 in zone "z2" that are heard
+    And gateway "r" in zone "z1" with capacity 3 that is heard
+    And gateway "s" in zone "z2" with capacity 3 that is heard
+    When gateway "s" leads
+    Then gateway "a" asks gateway "r"
+    When gateway "a" finds that "r" failed
+    Then gateway "a" asks gateway "s"
+    When gateway "a" finds that "s" failed
+    Then gateway "a" asks the store
+    When gateway relay time passes the time for which a failed relay is left alone
+    Then gateway "a" asks the store
+
+  Scenario: A weak gateway of a large group waits for a relay for a moment after its start
+    Given a gateway relay choice of "a" in zone "z1" with capacity 0
+    Then gateway "a" awaits its first relay
+    Given 16 other gateways of capacity 0 in zone "z2" that are heard
+    Then gateway "a" awaits its first relay
+    Given gateway "r" in zone "z1" with capacity 3 that is heard
+    Then gateway "a" awaits no relay
+
+  Scenario Outline: A gateway follows the store from its start on where no relay is to be expected: <why>
+    Given a gateway relay choice of "a" in zone "z1" with capacity <capacity>
+    And <count> other gateways of capacity 0 in zone "z2" that are heard
+    When gateway relay time passes <time_s> s
+    Then gateway "a" awaits no relay
+
+    Examples:
+      | why                  | capacity | count | time_s |
+      | it may be one itself | 1        | 16    | 0      |
+      | the group is small   | 0        | 3     | 0      |
+      | none came in time    | 0        | 16    | 0.51   |
+
+  Scenario: In a small group nobody reads through the leader
+    Given a gateway relay choice of "a" in zone "z1" with capacity 0
+    And gateway "s" in zone "z2" with capacity 3 that is heard
+    When gateway "s" leads
+    And the store has left gateway "a" without an answer for 2 s
+    Then gateway "a" asks the store
+
   Scenario: A change reaches a gateway through its relay without a call to the store
     Given a gateway relay "r" with members "a" and "b" over a store at version 10
     When both members follow the store and then a row changes
--- a/features/steps/gateway_pace_steps.py
+++ b/features/steps/gateway_pace_steps.py
@@ -63,6 +63,9 @@
     def is_acting(self):
         return False
 
+    def awaits_first_relay(self):
+        return False
+
     def gateway_count(self):
         return self.gateways
 
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -186,6 +186,12 @@
         hear(context, f"o{number}", zone, 9.0)
 
 
+@given('{count:d} other gateways of capacity {capacity:g} in zone "{zone}" that are heard')
+def step_others_with_capacity(context, count, capacity, zone):
+    for number in range(count):
+        hear(context, f"o{number}", zone, capacity)
+
+
 @given('gateway "{node}" in zone "{zone}" with capacity {capacity:g} that is heard')
 @when('gateway "{node}" in zone "{zone}" with capacity {capacity:g} is heard')
 def step_heard(context, node, zone, capacity):
@@ -243,6 +249,21 @@
     assert context.relay_selector.relay().node == node, context.relay_selector.relay()
 
 
+@when("gateway relay time passes {time_s:g} s")
+def step_passes(context, time_s):
+    context.relay_clock._now_s += time_s
+
+
+@then('gateway "a" awaits its first relay')
+def step_awaits(context):
+    assert context.relay_selector.awaits_first_relay()
+
+
+@then('gateway "a" awaits no relay')
+def step_awaits_none(context):
+    assert not context.relay_selector.awaits_first_relay()
+
+
 @then("gateway relay: a machine offers its cores as relay unless its link is slow")
 def step_offers(context):
     assert relay_capacity(2.15, MIN_LINK_MBIT) == 2.15
--- a/indigoworks/relay/relay_selector.py
+++ b/indigoworks/relay/relay_selector.py
@@ -41,6 +41,10 @@
     return cores if link_mbit >= MIN_LINK_MBIT else 0.0
 
 
+FIRST_RELAY_WAIT_S = 0.5
+"""Time from the start of a process for which the first calls of its feeds wait for a relay. Peers
+are heard 0.1 to 0.3 s after the start; without the wait every start costs three calls more."""
+
 CUT_OFF_S = 0.5
 """Time without a response of the store after which another gateway is asked instead. A slow store
 responds sooner, and the next call or two make up for a lost response."""
@@ -87,6 +91,7 @@
         self._clock = clock
         self._failed_until_s: dict[str, float] = {}
         self._asked_s = float("-inf")
+        self._started_s = clock.now()
 
     def relay(self) -> PeerAddress | None:
         """Return the relay to use; None: read the store directly."""
@@ -94,7 +99,7 @@
             return None
         relay = self._zone_relay()
         if relay is None and (self._is_cut_off() or self._prefers_relays_to_store()):
-            return self._substitute()
+            return self._substitute() or self._leader_as_relay()
         return relay
 
     def relay_for_large_rows(self, asked: Collection[str]) -> PeerAddress | None:
@@ -124,6 +129,16 @@
         """Return whether the link of this machine is too slow for a relay."""
         return self._capacity == 0
 
+    def awaits_first_relay(self) -> bool:
+        """Return whether this process has just started and is about to hear of a relay.
+
+        Only where the link is too slow for a relay: such a machine leaves the store to others.
+        """
+        if not self.has_slow_link() or self._clock.now() - self._started_s > FIRST_RELAY_WAIT_S:
+            return False
+        is_alone = self._directory.has_any() and not self._directory.has_many()
+        return not is_alone and self.relay() is None
+
     def is_leading(self) -> bool:
         """Return whether this process leads."""
         return self._leader_node() == self._node
@@ -174,6 +189,17 @@
                 chosen, chosen_rank = each, rank
         return chosen
 
+    def _leader_as_relay(self) -> PeerAddress | None:
+        """Return the leader, which reads the store itself, if a large group has no other relay.
+
+        Where the store refuses every other strong gateway, 80 weak ones would make 2,000 calls in
+        10 s.
+        """
+        leader = self._directory.get(self._leader_node())
+        if leader is None or leader.capacity == 0 or not self._directory.has_many():
+            return None
+        return leader if self._is_heard(leader) and not self._has_failed(leader) else None
+
     def gateway_count(self) -> int:
         """Return the number of known gateways, this one included."""
         return 1 + self._directory.count_others()
@@ -212,7 +238,9 @@
         return self._clock.now() < self._failed_until_s.get(peer.node, 0.0)
 
     def _is_candidate(self, peer: PeerAddress) -> bool:
-        if peer.capacity == 0 or peer.node == self._leader_node():
-            return False
+        is_relay = peer.capacity > 0 and peer.node != self._leader_node()
+        return is_relay and self._is_heard(peer)
+
+    def _is_heard(self, peer: PeerAddress) -> bool:
         heard_s = self._peers.heard_time_s(peer.node)
         return heard_s is not None and self._clock.now() - heard_s <= HEARD_S
--- a/indigoworks/relay/relayed_store.py
+++ b/indigoworks/relay/relayed_store.py
@@ -50,6 +50,9 @@
 RELAY_PACE_S = 0.05
 """The delay at a relay, which follows the feed for many gateways."""
 
+FIRST_RELAY_POLL_S = 0.05
+"""Interval between looks for a relay right after the start of the process."""
+
 UNAVAILABLE_STATUS = 503
 """Status of a gateway that is no relay, as it reads through another one itself."""
 
@@ -115,6 +118,8 @@
             reason = "The store was restored from a copy since."
             return Err(HistoryGone(reason, "Read the table whole."))
         if self._is_kept(table):
+            while self._selector.awaits_first_relay():
+                await self._clock.sleep(FIRST_RELAY_POLL_S)
             rows = await self._follow_relays(table, after, wait_s)
             if rows is not None:
                 self._keep(table, rows)
