--- a/indigoworks/forwarding/forward_codec.py
+++ b/indigoworks/forwarding/forward_codec.py
@@ -42,6 +42,8 @@
         message.wait_ms = _milliseconds(math.floor, request.wait_s)
     if request.key is not None:
         message.key = request.key
+    if request.is_for_dispatcher:
+        message.is_for_dispatcher = True
     return message.SerializeToString()
 
 
@@ -66,12 +68,13 @@
         message.service,
         message.configuration_version,
         tuple(message.tried),
+        message.is_for_dispatcher,
     )
 
 
 def encode_forward_reply(reply: ForwardReply) -> bytes:
     """Return the encoded reply."""
-    return pb.ForwardReplyMessage(
+    message = pb.ForwardReplyMessage(
         outcome=_OUTCOMES[reply.outcome],
         status=reply.status,
         headers=_headers(reply.headers),
@@ -80,7 +83,10 @@
         retry_after_ms=_milliseconds(math.ceil, reply.retry_after_s),
         configuration_version=reply.configuration_version,
         tried=reply.tried,
-    ).SerializeToString()
+    )
+    if reply.may_repeat:
+        message.may_repeat = True
+    return message.SerializeToString()
 
 
 def decode_forward_reply(data: bytes) -> ForwardReply | None:
@@ -102,6 +108,7 @@
         message.retry_after_ms / MS_PER_S,
         message.configuration_version,
         tuple(message.tried),
+        message.may_repeat,
     )
 
 
--- a/indigoworks/forwarding/forward_reply.py
+++ b/indigoworks/forwarding/forward_reply.py
@@ -27,6 +27,8 @@
     :ivar retry_after_s: of a refusal.
     :ivar configuration_version: in force at the receiver; 0: none.
     :ivar tried: servers that the receiver chose, in order.
+    :ivar may_repeat: the receiver is a dispatcher and would repeat the request; the retry budget of
+        the sender decides.
     """
 
     outcome: ForwardOutcome
@@ -37,3 +39,4 @@
     retry_after_s: float = 0.0
     configuration_version: int = 0
     tried: tuple[str, ...] = ()
+    may_repeat: bool = False
--- a/indigoworks/forwarding/forward_request.py
+++ b/indigoworks/forwarding/forward_request.py
@@ -14,6 +14,7 @@
     :ivar service: service that the forwarding gateway chose.
     :ivar configuration_version: oldest configuration by which the request may be answered.
     :ivar tried: servers that it may have been sent to.
+    :ivar is_for_dispatcher: the receiver was selected as the dispatcher of the owner of its key.
     """
 
     request_id: str
@@ -29,3 +30,4 @@
     service: str
     configuration_version: int
     tried: tuple[str, ...] = ()
+    is_for_dispatcher: bool = False
