Requests for keys go through the dispatcher of their owner in large groups

Cause: each of 85 gateways placed requests for keys by reports that are 0.1 to 0.4 s old, and opened connections of its own to each owner (docs/uneven-load.md). Change: in a group of more than 16 a gateway passes a request for a key whose owner is ready to the owner's dispatcher, by the existing hop. The dispatcher has a second queue for its servers, which gives each exactly its slots: own requests, plus those of others as the server reports, or else as live gateways report. Repeats are decided by the retry budget of the gateway of the caller. Requests that may be repeated are taken back from a dispatcher that falls silent. Metrics, log lines, design note and operators' page. Groups of up to 16 gateways and services without keys keep their queue and limit. Ruled out: brokers for keys (docs/design/dispatchers.md). After: features/gateway_dispatchers.feature; gateway_forwarding, gateway_ownership, gateway_room and gateway_log_bound pass.

--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -141,7 +141,7 @@
 class GatewayWorld:
     """A gateway's request side; the scenario puts configuration, servers and owners in force."""
 
-    def __init__(self, **settings) -> None:
+    def __init__(self, capacity=1.0, **settings) -> None:
         self.clock = ShiftedClock()
         self.address = Address(HOST, free_port())
         self.settings = make_settings(front_address=self.address, **settings)
@@ -161,6 +161,7 @@
             self.clock,
             Random(2),
         )
+        self.metrics = Metrics()
         self.side = RequestSubsystem(
             self.settings,
             ports,
@@ -169,11 +170,11 @@
             self.tables,
             self.peers,
             self.directory,
-            Metrics(),
+            self.metrics,
             LineRateLimiter(self.clock),
             self.clock,
             Random(1),
-            PeerAddress(self.settings.node, "b", ZONE, self.settings.peer_address),
+            PeerAddress(self.settings.node, "b", ZONE, self.settings.peer_address, capacity),
         )
         self.route_fields: dict[str, object] = {}
         self.services = ()
--- a/indigoworks/broker/brokered_queue.py
+++ b/indigoworks/broker/brokered_queue.py
@@ -15,6 +15,7 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.gateway.dispatch_queue import DispatchQueue
+from indigoworks.gateway.gateway_queues import GatewayQueues
 from indigoworks.gateway.owner_lookup import OwnerLookup, OwnerState
 from indigoworks.gateway.placer import Placement
 from indigoworks.gateway.refusal import Refusal, RefusalReason
@@ -75,7 +76,7 @@
     def __init__(
         self,
         zone: str,
-        local: DispatchQueue,
+        local: DispatchQueue | GatewayQueues,
         selector: BrokerSelector,
         client: BrokerClient,
         servers: ServerSource,
--- a/indigoworks/common/logging/line_rate_limiter.py
+++ b/indigoworks/common/logging/line_rate_limiter.py
@@ -27,6 +27,7 @@
     "relay:",
     "hub:",
     "broker:acting",
+    "dispatcher:",
     "zone:",
     "quarantine:begun",
     "quarantine:lifted",
--- a/indigoworks/gateway/failure_responses.py
+++ b/indigoworks/gateway/failure_responses.py
@@ -52,6 +52,14 @@
         self._log.refused(state.request, state, refusal)
         return self._responses.refused(state.request, refusal)
 
+    def to_sender(
+        self, state: RequestState, server: ServerRecord, response: ServerResponse
+    ) -> ClientResponse:
+        """Return what a peer that decides on a repeat is told; only the peer logs the end."""
+        if state.may_have_run:
+            return self._responses.lost(state.request)
+        return self._responses.refused(state.request, self._refusal_of(state, server, response))
+
     def _refusal_of(
         self, state: RequestState, server: ServerRecord, response: ServerResponse
     ) -> Refusal:
--- a/indigoworks/gateway/forwarded_requests.py
+++ b/indigoworks/gateway/forwarded_requests.py
@@ -4,7 +4,7 @@
 from indigoworks.forwarding.forward_reply import ForwardOutcome, ForwardReply
 from indigoworks.forwarding.forward_request import ForwardRequest
 from indigoworks.gateway.client_request import ClientRequest
-from indigoworks.gateway.client_response import ClientResponse
+from indigoworks.gateway.forwarded_result import ForwardedResult
 from indigoworks.gateway.request_pipeline import RequestPipeline
 from indigoworks.gateway.response_outcome import ResponseOutcome
 from indigoworks.routes.configuration_holder import ConfigurationHolder
@@ -32,11 +32,14 @@
         if self._version() < forwarded.configuration_version:
             return ForwardReply(ForwardOutcome.DECLINED, reason="outdated")
         result = await self._pipeline.run_forwarded(
-            self._request(forwarded), forwarded.service, forwarded.tried
+            self._request(forwarded),
+            forwarded.service,
+            forwarded.tried,
+            forwarded.is_for_dispatcher,
         )
         if result is None:
             return ForwardReply(ForwardOutcome.DECLINED, reason="out_of_reach")
-        return self._reply(result.response, result.tried)
+        return self._reply(result)
 
     def _request(self, forwarded: ForwardRequest) -> ClientRequest:
         return ClientRequest(
@@ -52,7 +55,8 @@
             caller=forwarded.caller,
         )
 
-    def _reply(self, response: ClientResponse, tried: tuple[str, ...]) -> ForwardReply:
+    def _reply(self, result: ForwardedResult) -> ForwardReply:
+        response = result.response
         refusal = response.refusal
         return ForwardReply(
             _OUTCOMES[response.outcome],
@@ -62,7 +66,8 @@
             "" if refusal is None else refusal.reason.value,
             0.0 if refusal is None else refusal.retry_after_s,
             self._version(),
-            tried,
+            result.tried,
+            result.may_repeat,
         )
 
     def _version(self) -> int:
--- a/indigoworks/gateway/request_forwarding.py
+++ b/indigoworks/gateway/request_forwarding.py
@@ -7,9 +7,9 @@
 from indigoworks.forwarding.forward_client import ForwardClient
 from indigoworks.forwarding.forward_failure import ForwardFailure
 from indigoworks.forwarding.forward_reply import ForwardOutcome, ForwardReply
-from indigoworks.forwarding.forward_request import ForwardRequest
 from indigoworks.gateway.client_response import ClientResponse
 from indigoworks.gateway.failure_responses import FailureResponses
+from indigoworks.gateway.hop_messages import HopMessages
 from indigoworks.gateway.local_retry_budget import LocalRetryBudget
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.request_log import RequestLog
@@ -36,6 +36,8 @@
 
     A request is forwarded once at most with effect: it is offered to another peer only if the one
     before did nothing with it, or if its route allows that it runs twice.
+
+    :ivar messages: messages to peers, and their replies.
     """
 
     def __init__(
@@ -55,15 +57,14 @@
         self._servers = servers
         self._owners = owners
         self._client = client
-        self._configurations = configurations
         self._retry_budget = retry_budget
         self._failures = failures
         self._zone = zone
         self._log = log
         self._clock = clock
+        self.messages = HopMessages(configurations, failures, clock)
         self._paused_until_s: dict[str, float] = {}
         self._offered: Counter[str] = Counter()
-        self._newest_version = 0
 
     async def is_due(self, state: RequestState) -> bool:
         """Return whether no server can take the request from here and a peer reaches one.
@@ -88,7 +89,9 @@
         self._offered[peer.node] += 1
         state.forwarded_to.append(peer.node)
         left_s = state.deadline_s - self._clock.now()
-        result = await self._client.send(peer, self._message(state), left_s + REPLY_MARGIN_S)
+        result = await self._client.send(
+            peer, self.messages.message(state), left_s + REPLY_MARGIN_S
+        )
         self._record(state, peer, result)
         if isinstance(result, ForwardFailure):
             return self._without_reply(state, peer, result)
@@ -129,24 +132,6 @@
         is_far = peer.zone != self._zone
         return self._client.in_progress(peer.node), is_far, self._offered[peer.node]
 
-    def _message(self, state: RequestState) -> ForwardRequest:
-        request = state.request
-        return ForwardRequest(
-            request.request_id,
-            request.method,
-            request.host,
-            request.target,
-            request.headers,
-            request.body,
-            request.wait_s,
-            request.key,
-            self._clock.now() - request.arrived_s,
-            request.caller,
-            state.service.name,
-            max(self._newest_version, state.configuration_version),
-            tuple(state.tried),
-        )
-
     # ---- results ----
 
     def _with_reply(
@@ -155,15 +140,8 @@
         if reply.outcome is ForwardOutcome.DECLINED:
             self._paused_until_s[peer.node] = self._clock.now() + PAUSE_AFTER_DECLINE_S
             return None
-        state.tried.extend(reply.tried)
-        now_s = self._clock.now()
-        self._newest_version = max(self._newest_version, reply.configuration_version)
-        self._configurations.record_newer_version(reply.configuration_version, now_s)
-        if reply.outcome is ForwardOutcome.LOST:
-            state.may_have_run = True
-        if reply.outcome is ForwardOutcome.REFUSED and state.may_have_run:
-            return self._failures.lost(state, f"then {reply.reason}")
-        return ClientResponse(reply.status, reply.headers, reply.body)
+        self.messages.apply(state, reply)
+        return self.messages.response(state, reply)
 
     def _without_reply(
         self, state: RequestState, peer: PeerAddress, failure: ForwardFailure
--- a/indigoworks/gateway/request_log.py
+++ b/indigoworks/gateway/request_log.py
@@ -18,6 +18,9 @@
 SERVED = "answered"
 """Result of forwarding a request that a server answered."""
 
+WITHOUT_RESPONSE = ("declined", "not_sent", "no_reply")
+"""Results of passing a request to a dispatcher that bring no response for the caller."""
+
 FAILED_STATUS = 500
 """Lowest status that reports a failure of the server."""
 
@@ -108,6 +111,15 @@
             "request:forwarded", result != SERVED, state, peer=peer, result=result, reason=reason
         )
 
+    def dispatched(self, state: RequestState, peer: str, result: str, reason: str) -> None:
+        """Count a request that was passed to its dispatcher; log one that brought no response.
+
+        :param reason: why the dispatcher declined it; empty if it did not.
+        """
+        self._metrics.dispatched(state.service.name, result)
+        if result in WITHOUT_RESPONSE:
+            self._write("request:dispatched", True, state, peer=peer, result=result, reason=reason)
+
     def lost(self, state: RequestState, detail: str) -> None:
         """Record that the response is lost, and that the request may have run."""
         elapsed_s = self._elapsed_s(state.request)
--- a/indigoworks/gateway/request_metrics.py
+++ b/indigoworks/gateway/request_metrics.py
@@ -16,6 +16,9 @@
         self._forwarded = metrics.counter(
             "gateway_forwarded", "Requests offered to peers, by result", "service", "result"
         )
+        self._dispatched = metrics.counter(
+            "gateway_dispatched", "Requests passed to dispatchers, by result", "service", "result"
+        )
         self._request_s = metrics.histogram(
             "gateway_request_seconds", "Arrival to final answer", "service", "outcome"
         )
@@ -36,6 +39,10 @@
         """Count a request that was offered to a peer."""
         self._forwarded.add(service, result)
 
+    def dispatched(self, service: str, result: str) -> None:
+        """Count a request that was passed to its dispatcher."""
+        self._dispatched.add(service, result)
+
     def retried(self, service: str, is_granted: bool) -> None:
         """Count a retry that the budget granted or denied."""
         self._retries.add(service, "granted" if is_granted else "denied")
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -14,6 +14,7 @@
 from indigoworks.gateway.local_retry_budget import LocalRetryBudget
 from indigoworks.gateway.placer import Placer
 from indigoworks.gateway.refusal import Refusal, RefusalReason
+from indigoworks.gateway.request_dispatching import RequestDispatching
 from indigoworks.gateway.request_forwarding import RequestForwarding
 from indigoworks.gateway.request_log import RequestLog
 from indigoworks.gateway.request_routing import RequestRouting
@@ -37,7 +38,8 @@
 class RequestPipeline:
     """Routes a request, places it at a server, sends it, and returns the response.
 
-    A request whose servers are reached by a peer only is forwarded to that peer instead.
+    A request whose key's owner has a dispatcher is passed to that. A request whose servers are
+    reached by a peer only is forwarded to that peer.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         routing: RequestRouting,
         placer: Placer,
         exchange: ServerExchange,
+        dispatching: RequestDispatching,
         forwarding: RequestForwarding,
         server_stats: ServerStats,
         crash_attribution: CrashAttribution,
@@ -60,6 +63,7 @@
         self._routing = routing
         self._placer = placer
         self._exchange = exchange
+        self._dispatching = dispatching
         self._forwarding = forwarding
         self._server_stats = server_stats
         self._crash_attribution = crash_attribution
@@ -85,18 +89,24 @@
             raise
 
     async def run_forwarded(
-        self, request: ClientRequest, service: str, tried: tuple[str, ...]
+        self,
+        request: ClientRequest,
+        service: str,
+        tried: tuple[str, ...],
+        is_dispatched: bool = False,
     ) -> ForwardedResult | None:
         """Return the result of a request that a peer forwarded; None: its servers are out of reach
         from here as well, and it has not run.
 
         :param service: service that the peer chose.
         :param tried: servers that it may have been sent to before.
+        :param is_dispatched: the peer selected this gateway as dispatcher.
         """
         state = self._routing.route(request, service)
         if not isinstance(state, RequestState):
             return ForwardedResult(state)
         state.is_forwarded = True
+        state.is_dispatched = is_dispatched
         state.tried.extend(tried)
         if self._forwarding.is_out_of_reach(state):
             return None
@@ -108,7 +118,7 @@
         is_refused = response.outcome is ResponseOutcome.REFUSED
         if is_refused and self._forwarding.is_out_of_reach(state):
             return None
-        return ForwardedResult(response, tuple(state.tried[len(tried) :]))
+        return ForwardedResult(response, tuple(state.tried[len(tried) :]), state.is_repeat_due)
 
     async def _attempts(self, state: RequestState) -> ClientResponse:
         while True:
@@ -121,6 +131,12 @@
         unrouted = self._route_again(state)
         if unrouted is not None:
             return unrouted
+        dispatcher = self._dispatching.choice(state)
+        if dispatcher is not None:
+            refusal = self._crash_attribution.refusal(state.request)
+            if refusal is not None:
+                return self._failures.refuse(state, refusal)
+            return await self._dispatching.dispatch(state, dispatcher)
         if await self._forwarding.is_due(state):
             return await self._forwarding.forward(state)
         if not self._gate.is_suspect(state.request):
@@ -146,9 +162,10 @@
                 return None
             return self._failures.refuse(state, placement)
         is_new_suspect = not is_locked and self._gate.is_suspect(state.request)
-        if is_new_suspect or not self._routing.is_current(state):
-            # While it waited, a newer configuration changed its route, or a server crashed under
-            # another attempt of it.
+        has_dispatcher = self._dispatching.choice(state) is not None
+        if is_new_suspect or has_dispatcher or not self._routing.is_current(state):
+            # While it waited, a newer configuration changed its route, a server crashed under
+            # another attempt of it, or its key got an owner whose dispatcher is another gateway.
             self._return_placement(state, placement)
             return None
         # It keeps its server, but gets the route and deadline in force; a refusal is only logged
@@ -159,6 +176,8 @@
             self._log.answered(state, response)
             return self._responses.from_server(state.request, response)
         if not await self._retry_policy.may_retry(state, response):
+            if state.is_repeat_due:
+                return self._failures.to_sender(state, placement, response)
             return self._failures.unserved(state, placement, response)
         return None
 
--- a/indigoworks/gateway/request_state.py
+++ b/indigoworks/gateway/request_state.py
@@ -30,6 +30,9 @@
     :ivar started: start of the last attempt at a server, once that has ended.
     :ivar is_served: whether the server of the last attempt ran it and answered.
     :ivar is_forwarded: a peer forwarded it to this gateway, which forwards it no further.
+    :ivar is_dispatched: that peer selected this gateway as dispatcher, and decides on repeats.
+    :ivar may_dispatch: it may be passed to a dispatcher; not after one did nothing with it.
+    :ivar is_repeat_due: this gateway would repeat it, which the peer that forwarded it decides.
     :ivar forwarded_to: peers that it was offered to, in order.
     :ivar verdict: task that determines whether a server crashed, for the last attempt that was sent
         and not answered; None if there was none.
@@ -64,6 +67,9 @@
         self.is_served = False
         self.verdict: asyncio.Task[None] | None = None
         self.is_forwarded = False
+        self.is_dispatched = False
+        self.may_dispatch = True
+        self.is_repeat_due = False
         self.forwarded_to: list[str] = []
         self._unsent = 0
 
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -19,10 +19,9 @@
 from indigoworks.forwarding.forward_client import ForwardClient
 from indigoworks.forwarding.forward_server import ForwardServer
 from indigoworks.gateway.attempt_gate import AttemptGate
-from indigoworks.gateway.capacity_tracker import CapacityTracker
 from indigoworks.gateway.configuration_refusals import ConfigurationRefusals
 from indigoworks.gateway.crash_attribution import CrashAttribution
-from indigoworks.gateway.dispatch_queue import DispatchQueue
+from indigoworks.gateway.dispatcher_subsystem import DispatcherSubsystem
 from indigoworks.gateway.failure_responses import FailureResponses
 from indigoworks.gateway.forwarded_requests import ForwardedRequests
 from indigoworks.gateway.front_server import FrontServer
@@ -62,7 +61,7 @@
 
     :ivar path: whether this gateway has lost its path to servers.
     :ivar forward_server: takes requests that peers forward.
-
+    :ivar dispatchers: selects the dispatchers of the owners of keys.
     :ivar doubts: requests under which servers may have crashed, here and at peers.
     :ivar on_notice: called on a server's notice that peers should learn of soon.
     """
@@ -85,7 +84,10 @@
         open_datagrams: OpenDatagrams = DatagramEndpoint,
     ) -> None:
         self.path = reach.path
-        self.server_stats = ServerStats(peers, clock, reach.down)
+        self.dispatchers = DispatcherSubsystem(
+            own, platform.servers, directory, peers, clock, open_connection
+        )
+        self.server_stats = ServerStats(self.dispatchers.load, clock, reach.down)
         self.sampler = KeySampler()
         self._servers = platform.servers
         self._reachability = ReachabilityMonitor(
@@ -116,12 +118,8 @@
         owners = OwnerLookup(
             tables, platform.servers, self.server_stats, clock, reach.peers.reaches
         )
-        self.queue = DispatchQueue(
-            self.selector,
-            owners,
-            self.server_stats,
-            CapacityTracker(self.server_stats, rate_limiter),
-            clock,
+        self.queue = self.dispatchers.make_queues(
+            self.selector, owners, self.server_stats, rate_limiter
         )
         self.doubts = DoubtTable(clock, random)
         self._cuts = PartitionMonitor(directory, peers, clock)
@@ -183,6 +181,22 @@
         refusals = ConfigurationRefusals(platform.configurations, responses, log, clock)
         failures = FailureResponses(responses, platform.servers, self.server_stats, log)
         self.forward_client = ForwardClient(clock, open_connection)
+        forwarding = RequestForwarding(
+            reach,
+            platform.servers,
+            owners,
+            self.forward_client,
+            platform.configurations,
+            self.retry_budget,
+            failures,
+            settings.zone,
+            log,
+            clock,
+        )
+        retry_policy = RetryPolicy(self._crash_attribution, self.retry_budget, log, clock)
+        self._dispatching = self.dispatchers.make_dispatching(
+            owners, forwarding.messages, self.retry_budget, retry_policy, failures, log
+        )
         pipeline = RequestPipeline(
             RequestRouting(platform.configurations, refusals, clock),
             placer,
@@ -196,18 +210,8 @@
                 self._crash_attribution,
                 log,
             ),
-            RequestForwarding(
-                reach,
-                platform.servers,
-                owners,
-                self.forward_client,
-                platform.configurations,
-                self.retry_budget,
-                failures,
-                settings.zone,
-                log,
-                clock,
-            ),
+            self._dispatching,
+            forwarding,
             self.server_stats,
             self._crash_attribution,
             AttemptGate(
@@ -220,7 +224,7 @@
                 clock,
             ),
             self.retry_budget,
-            RetryPolicy(self._crash_attribution, self.retry_budget, log, clock),
+            retry_policy,
             self.sampler,
             responses,
             failures,
@@ -229,6 +233,7 @@
         )
         forwarded = ForwardedRequests(pipeline, platform.configurations, clock)
         self.forward_server = ForwardServer(forwarded.reply)
+        self.dispatchers.may_act = lambda: not self.forward_server.is_stopping
         self.front = FrontServer(settings.front_address, ports.names, pipeline.run, refusals, clock)
         platform.configurations.on_change(
             lambda configuration: self.front.set_limits(configuration.limits)
@@ -272,6 +277,7 @@
         self.quarantine.remove_expired()
         self.sender.close_expired()
         self.forward_client.close_expired()
+        self.dispatchers.client.close_expired()
         self._servers.remove_expired()
         self._servers.notices.rests.drop_ended()
         self._servers.notices.limits.drop_ended()
@@ -286,6 +292,8 @@
         self._stored_locks.close()
         self._reachability.close()
         self.forward_client.close()
+        self._dispatching.close()
+        self.dispatchers.client.close()
 
 
 def _nothing() -> None:
--- a/indigoworks/gateway/retry_policy.py
+++ b/indigoworks/gateway/retry_policy.py
@@ -6,7 +6,7 @@
 from indigoworks.gateway.request_log import RequestLog
 from indigoworks.gateway.request_sender import MISDIRECTED
 from indigoworks.gateway.request_state import RequestState
-from indigoworks.gateway.server_response import ServerResponse
+from indigoworks.gateway.server_response import ExchangeResult, ServerResponse
 
 MISDIRECTED_PAUSE_S = 0.02
 """Pause before the first retry of a request at a keyed service; the n-th waits n times as long. The
@@ -24,7 +24,8 @@
     only if it is repeatable.
 
     At a keyed service, a request that its server refused is retried only after a 421. A retry
-    consumes one of the retry budget unless the attempt before it reached no server.
+    consumes one of the retry budget unless the attempt before it reached no server. A dispatcher
+    leaves such a retry to the gateway to which the caller's request came.
     """
 
     def __init__(
@@ -58,6 +59,15 @@
             return False
         return self._consume_retry(state, response)
 
+    async def may_repeat_dispatched(self, state: RequestState) -> bool:
+        """Return whether to repeat a request that its dispatcher would send again.
+
+        The budget of the gateway to which the caller's request came is used.
+        """
+        result = ExchangeResult.LOST if state.may_have_run else ExchangeResult.ANSWERED
+        response = ServerResponse(result, detail="dispatched")
+        return await self._may_retry_keyed(state, response)
+
     async def _may_retry_keyed(self, state: RequestState, response: ServerResponse) -> bool:
         """Decide for a keyed service, where only the current owner of the key can serve."""
         if response.is_not_run and response.status != MISDIRECTED:
@@ -74,6 +84,9 @@
         if not response.was_sent:
             # Nothing reached a server, so this does not count as a retry.
             return state.count_unsent() <= MAX_NOT_SENT
+        if state.is_dispatched:
+            state.is_repeat_due = True
+            return False
         is_granted = self._retry_budget.try_consume(state.service.name)
         self._log.retried(state, response, is_granted)
         return is_granted
--- a/indigoworks/gateway/server_stats.py
+++ b/indigoworks/gateway/server_stats.py
@@ -1,5 +1,6 @@
 """Load, service times and reachability of servers as known to this gateway."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from indigoworks.common.clock import Clock
@@ -36,6 +37,7 @@
     """Requests in flight, service times and reachability, by server.
 
     :ivar down: servers out of reach from here.
+    :ivar on_server_load: called with the load that a server reported.
     """
 
     def __init__(self, peers: LoadView, clock: Clock, down: DownServers | None = None) -> None:
@@ -48,6 +50,7 @@
         self._last_answer_s: dict[str, float] = {}
         self.down = down or DownServers()
         self._paces = ServerPaces(clock)
+        self.on_server_load: Callable[[str, SelfReportedLoad], None] = _ignore_load
 
     # ---- changes ----
 
@@ -75,6 +78,7 @@
     def record_server_load(self, server_id: str, server_load: SelfReportedLoad) -> None:
         """Record the load that a server reported."""
         self._paces.record(server_id, server_load.pace)
+        self.on_server_load(server_id, server_load)
 
     def record_response(self, server_id: str) -> None:
         """Record that a server answered."""
@@ -153,3 +157,7 @@
         samples = self._samples[key] = self._samples.get(key, 0) + 1
         before_s = known.get(key, measured_s)
         known[key] = before_s + max(SMOOTHING, 1 / samples) * (measured_s - before_s)
+
+
+def _ignore_load(server_id: str, server_load: SelfReportedLoad) -> None:
+    """Default of a callback until it is set."""
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -58,6 +58,7 @@
         )
         self._add_quarantine(metrics)
         self._add_notices(metrics)
+        self._add_dispatchers(metrics)
         metrics.gauge("gateway_grants", "Ranges that we grant", ("state",), self._grants)
         metrics.gauge(
             "gateway_path_lost",
@@ -131,6 +132,26 @@
             lambda: {("raised",): doubts.raised, ("told",): doubts.announced},
         )
 
+    def _add_dispatchers(self, metrics: Metrics) -> None:
+        metrics.gauge(
+            "gateway_dispatcher_servers",
+            "Servers whose dispatcher this process is",
+            NO_LABELS,
+            self._dispatcher_servers,
+        )
+        metrics.gauge(
+            "gateway_forwarded_in_hand",
+            "Requests of other gateways in hand here",
+            NO_LABELS,
+            lambda: {NO_LABELS: self._requests.forward_server.count},
+        )
+        metrics.read_counter(
+            "gateway_dispatch_connections_opened",
+            "Connections opened to dispatchers",
+            NO_LABELS,
+            lambda: {NO_LABELS: self._requests.dispatchers.client.connections_opened},
+        )
+
     def _add_notices(self, metrics: Metrics) -> None:
         notices = self._platform.servers.notices
         metrics.gauge(
@@ -188,6 +209,12 @@
             values[service, "usable"] = len(self._requests.selector.usable(service))
         return values
 
+    def _dispatcher_servers(self) -> Values:
+        platform = self._platform
+        keyed = [each for each in platform.servers.listed() if platform.is_keyed(each.service)]
+        own_count = self._requests.dispatchers.own_server_count([each.server_id for each in keyed])
+        return {NO_LABELS: own_count}
+
     def _repeat_budget(self) -> Values:
         allowance = self._requests.retry_budget
         values: dict[Labels, float] = {}
