Scenarios of each failure of a dispatcher; a request for a dispatcher is queued exactly at its receiver

Cause: a peer that no longer considers itself the dispatcher sent what it received with the limit of slots and a half. Change: what a peer passes to this gateway as dispatcher waits in the exact queue. Scenarios with three real gateways on loopback for each row of the table of failures.

--- a/features/gateway_dispatchers.feature
+++ b/features/gateway_dispatchers.feature
@@ -90,3 +90,103 @@
     Given 16 gateways with a server of 2 slots that answers
     When 3 callers of the weak gateway send a request
     Then all its connections come from the weak gateway
+
+  # Guards against requests that are lost, or run twice, where the dispatcher has done nothing.
+  Scenario Outline: A gateway sends a request itself if the dispatcher did nothing with it: <failure>
+    Given gateways with a server of 2 slots that answers
+    And the dispatcher <failure>
+    When a caller of the weak gateway sends an unsafe request
+    Then the caller gets status 200
+    And the server got 1 request, from the weak gateway, which counts 1 as <result>
+    And the weak gateway selects <selected> for this server, and <others> for others
+
+    Examples:
+      | failure                     | result   | selected               | others                 |
+      | is stopping                 | declined | the other candidate    | the other candidate    |
+      | has its most requests       | declined | the other candidate    | the other candidate    |
+      | has an older configuration  | declined | the other candidate    | the other candidate    |
+      | does not reach the server   | declined | the other candidate    | each candidate         |
+      | refuses connections         | not_sent | the other candidate    | the other candidate    |
+
+  # Guards against an unsafe request that runs twice, and a safe one that is lost, after a broken hop.
+  Scenario Outline: A request without a reply is repeated only if its route allows it: <kind>
+    Given gateways with a server of 2 slots that answers
+    And the dispatcher breaks off once it has read a request
+    When a caller of the weak gateway sends <kind> request
+    Then the caller gets <end>, and the server got <count> request
+
+    Examples:
+      | kind                     | end         | count |
+      | a safe                   | status 200  | 1     |
+      | a safe, without a budget | a loss      | 0     |
+      | an unsafe                | a loss      | 0     |
+
+  # Guards against callers that wait for a machine that is paused or cut off until their time is over.
+  Scenario Outline: A dispatcher falls silent with a request in hand: <kind>
+    Given gateways with a server of 2 slots that answers
+    And the dispatcher keeps requests and is heard no more
+    When a caller of the weak gateway sends <kind> request
+    Then the caller gets <end>, and the server got <count> request
+
+    Examples:
+      | kind      | end        | count |
+      | a safe    | status 200 | 1     |
+      | an unsafe | a loss     | 0     |
+
+  # Guards against a gateway that stood still, takes all others for silent and sends everything twice.
+  Scenario: A gateway that stood still itself takes no request back
+    Given gateways with a server of 2 slots that holds
+    When the weak gateway stands still for 0.6 s with a safe request at the dispatcher
+    Then the caller gets status 200
+    And the server got 1 request in all
+
+  # Guards against requests that are refused or sent to a former owner when keys move.
+  Scenario: The owner changes while a request waits at the dispatcher
+    Given gateways with a server of 1 slot that holds
+    When the keys move to another server while a request of the weak gateway waits
+    Then the dispatcher has sent that request to the new owner
+
+  # Guards against a herd of requests that each gateway sends itself once an owner is granted its keys.
+  Scenario: A request that waited for its owner is passed to the dispatcher
+    Given gateways with a server of 2 slots that answers
+    When the owner is granted its keys while a request of the weak gateway waits
+    Then the caller gets status 200
+    And all its connections come from the dispatcher
+
+  # Guards against two dispatchers that give out the same slots for longer than reports take.
+  Scenario: A second dispatcher counts the requests of the first
+    Given gateways with a server of 2 slots that holds
+    When the dispatcher has 2 requests there and the weak gateway passes one to the other candidate
+    Then the server has no more than 2 requests at a time
+
+  # Guards against an unsafe request on a connection that has died unnoticed, and against a connection for each hop.
+  Scenario Outline: Idle connections are used while there is a sign of life: <what>
+    Given gateways with a server of 2 slots that answers
+    When 4 <kind> requests are passed on, 1 s apart, and the dispatcher was <heard>
+    Then <count> connections to the dispatcher were opened
+
+    Examples:
+      | what                              | kind   | heard                | count |
+      | datagrams are signs of life       | unsafe | heard just before    | 1     |
+      | none of late                      | unsafe | last heard 0.7 s ago | 4     |
+      | repeatable requests need no sign  | safe   | last heard 0.7 s ago | 1     |
+
+  # Guards against repeats that no budget counts, and a budget that is used at two gateways.
+  Scenario: A lost answer is repeated by the budget of the caller's gateway
+    Given gateways with a server of 2 slots that loses the answer, then answers
+    When a caller of the weak gateway sends a safe request
+    Then the caller gets status 200
+    And the server got 2 request in all
+    And 1 repeat was counted, at the weak gateway
+
+  # Guards against callers that are told another time to come back than the dispatcher computed.
+  Scenario: A refusal of the dispatcher is passed on with its time to come back
+    Given gateways with a server of 1 slot that holds
+    When the dispatcher refuses a request of the weak gateway for overload
+    Then the caller gets the dispatcher's time to come back
+
+  # Guards against work at the dispatcher and its server for callers that have left.
+  Scenario: A caller that leaves ends the work at the server
+    Given gateways with a server of 2 slots that holds
+    When a caller of the weak gateway leaves while its request is at the server
+    Then the server sees the end of the connection
--- a/features/steps/dispatcher_world.py
+++ b/features/steps/dispatcher_world.py
@@ -35,6 +35,7 @@
         self.gateways = {}
         self.listeners = {}
         self._sequence = 0
+        self._asking = []
         for name, capacity in (("weak", WEAK), ("d1", STRONG), ("d2", STRONG)):
             address = Address(HOST, free_port())
             self.addresses[name] = PeerAddress(name, "b", ZONE, address, capacity)
@@ -58,7 +59,7 @@
             server.start()
             gateway.side.front.start()
         self.hear_all()
-        self.hearing = asyncio.ensure_future(self._keep_hearing())
+        self.keep_hearing()
 
     async def add_server(self, server_id, behaviours, slots=2):
         """Add a server that all gateways list."""
@@ -84,6 +85,10 @@
                 if other != name and other not in self.silent:
                     self.hear(gateway, other)
 
+    def keep_hearing(self) -> None:
+        """Let gateways hear each other until `hearing` is cancelled."""
+        self.hearing = asyncio.ensure_future(self._keep_hearing())
+
     def hear(self, gateway, other) -> None:
         loads = ()
         if other in self.gateways:
@@ -105,7 +110,10 @@
         return await ask(self.gateways[name], headers=(f"{NAMES.key}: {key}",), **fields)
 
     def start_asking(self, name="weak", key=7, **fields):
-        return asyncio.ensure_future(self.ask(name, key, **fields))
+        asking = asyncio.ensure_future(self.ask(name, key, **fields))
+        # The loop itself keeps weak references only.
+        self._asking.append(asking)
+        return asking
 
     def dispatched(self, name="weak"):
         """Return how many requests a gateway passed to dispatchers, by result."""
--- a/indigoworks/gateway/gateway_queues.py
+++ b/indigoworks/gateway/gateway_queues.py
@@ -11,7 +11,8 @@
 
 
 class GatewayQueues:
-    """Places a request for a key exactly if this process is the dispatcher of its owner.
+    """Places a request for a key exactly if this process is the dispatcher of its owner, or was
+    selected as such by the peer that passed the request on.
 
     A request stays in its queue if the owner of its key changes: that queue then sends it to the
     new owner.
@@ -34,13 +35,18 @@
 
     async def place(self, entry: WaitingRequest) -> Placement:
         """Return a server with capacity, or a refusal; see `DispatchQueue.place`."""
-        if entry.key is None or not self._is_dispatcher(entry.service, entry.key):
+        if not self._is_dispatched(entry):
             return await self._general.place(entry)
         placement = await self._dispatched.place(entry)
         if isinstance(placement, ServerRecord):
             self._placed.add(entry)
         return placement
 
+    def _is_dispatched(self, entry: WaitingRequest) -> bool:
+        if entry.key is None:
+            return False
+        return entry.is_dispatched or self._is_dispatcher(entry.service, entry.key)
+
     def release(self, entry: WaitingRequest, started: RequestStart) -> None:
         """Release the server of a request that was sent at `started`."""
         if entry in self._placed:
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -244,6 +244,7 @@
                 limit_s=min(limit_s, state.deadline_s),
                 deadline_s=state.deadline_s,
                 content=state.request,
+                is_dispatched=state.is_dispatched,
             )
             return await self._placer.place(state.waiting)
         finally:
