A stopping gateway closes the connections on which it declines requests

Cause: a gateway that stops declines each second again on an idle connection; a request sent in the moment in which the process ends would be lost. Change: replies of a stopping gateway say that the connection is closed. After: the new scenario fails without the change (1 connection opened for 2 requests) and passes with it.

--- a/features/gateway_dispatchers.feature
+++ b/features/gateway_dispatchers.feature
@@ -108,6 +108,13 @@
       | does not reach the server   | declined | the other candidate    | each candidate         |
       | refuses connections         | not_sent | the other candidate    | the other candidate    |
 
+  # Guards against an unsafe request that is sent on a connection at the moment in which its peer ends.
+  Scenario: No connection to a dispatcher that stops is used again
+    Given gateways with a server of 2 slots that answers
+    And the dispatcher is stopping
+    When 2 requests are offered to it
+    Then 2 connections to the dispatcher were opened
+
   # Guards against an unsafe request that runs twice, and a safe one that is lost, after a broken hop.
   Scenario Outline: A request without a reply is repeated only if its route allows it: <kind>
     Given gateways with a server of 2 slots that answers
--- a/features/steps/gateway_dispatcher_hop_steps.py
+++ b/features/steps/gateway_dispatcher_hop_steps.py
@@ -7,6 +7,7 @@
 from gateway_world import Caller, until
 
 from indigoworks.forwarding.forward_reply import ForwardOutcome
+from indigoworks.forwarding.forward_request import ForwardRequest
 
 SHORT_AIM_S = 0.2
 
@@ -33,6 +34,22 @@
     context.run_async(run())
 
 
+@when("{count:d} requests are offered to it")
+def offered_twice(context, count):
+    async def run():
+        world = context.dispatchers
+        client = world.gateways[WEAK].side.dispatchers.client
+        peer = world.addresses[context.dispatcher]
+        request = ForwardRequest(
+            "r", "GET", "shop.example", "/a/x", (), b"", 2.0, 7, 0.0, "c", SERVICE, 1, (), True
+        )
+        for _ in range(count):
+            reply = await client.send(peer, request, LONG_S)
+            assert reply.outcome is ForwardOutcome.DECLINED, reply
+
+    context.run_async(run())
+
+
 @then("{count:d} connections to the dispatcher were opened")
 def opened_connections(context, count):
     client = context.dispatchers.gateways[WEAK].side.dispatchers.client
--- a/indigoworks/forwarding/forward_server.py
+++ b/indigoworks/forwarding/forward_server.py
@@ -89,6 +89,9 @@
         headers = HTTPHeaders(
             {FORWARD_ID: request.headers.get(FORWARD_ID, ""), "Content-Length": str(len(body))}
         )
+        if self.is_stopping:
+            # A request on an idle connection would be lost if the process ended at that moment.
+            headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", OK_STATUS, "")
         connection.set_close_callback(None)
         try:
