An unsafe request asks its dispatcher for a sign of life instead of trusting datagrams

Cause: a hub lists a member for up to 1 s after the member's last report, so a datagram that names a peer may be a sign of life of 1.5 s ago, and a process that stands still keeps its connections. An unsafe request sent then is lost. Change: idle connections to dispatchers are kept for 6 s. If the peer has sent no reply within 0.48 s, a request that may not be repeated is sent with Expect: 100-continue, and its body only after the interim response. The hop of lost paths is as before.

--- a/features/gateway_dispatchers.feature
+++ b/features/gateway_dispatchers.feature
@@ -107,6 +107,7 @@
       | has an older configuration  | declined | the other candidate    | the other candidate    |
       | does not reach the server   | declined | the other candidate    | each candidate         |
       | refuses connections         | not_sent | the other candidate    | the other candidate    |
+      | stands still                | not_sent | the other candidate    | the other candidate    |
 
   # Guards against an unsafe request that is sent on a connection at the moment in which its peer ends.
   Scenario: No connection to a dispatcher that stops is used again
@@ -167,16 +168,17 @@
     Then the server has no more than 2 requests at a time
 
   # Guards against an unsafe request on a connection that has died unnoticed, and against a connection for each hop.
-  Scenario Outline: Idle connections are used while there is a sign of life: <what>
+  Scenario Outline: An unsafe request asks for a sign of life unless there was a reply just before: <what>
     Given gateways with a server of 2 slots that answers
-    When 4 <kind> requests are passed on, 1 s apart, and the dispatcher was <heard>
-    Then <count> connections to the dispatcher were opened
+    When 4 <kind> requests are passed on, <apart_s> s apart
+    Then 1 connections to the dispatcher were opened
+    And <count> signs of life were asked for
 
     Examples:
-      | what                              | kind   | heard                | count |
-      | datagrams are signs of life       | unsafe | heard just before    | 1     |
-      | none of late                      | unsafe | last heard 0.7 s ago | 4     |
-      | repeatable requests need no sign  | safe   | last heard 0.7 s ago | 1     |
+      | what                               | kind   | apart_s | count |
+      | the last reply is old              | unsafe | 1       | 4     |
+      | the last reply is new              | unsafe | 0.3     | 1     |
+      | repeatable requests need no sign   | safe   | 1       | 0     |
 
   # Guards against repeats that no budget counts, and a budget that is used at two gateways.
   Scenario: A lost answer is repeated by the budget of the caller's gateway
--- a/features/steps/gateway_dispatcher_failure_steps.py
+++ b/features/steps/gateway_dispatcher_failure_steps.py
@@ -85,16 +85,27 @@
     context.replacement = await asyncio.start_server(serve, HOST, port)
 
 
-async def read_whole(reader):
+async def read_whole(reader, writer):
     head = await reader.readuntil(b"\r\n\r\n")
+    if b"100-continue" in head:
+        writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r")[0])
     await reader.readexactly(length)
 
 
+@given("the dispatcher stands still")
+def stands_still_there(context):
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.Event().wait()
+
+    context.run_async(replace_dispatcher(context, serve))
+
+
 @given("the dispatcher breaks off once it has read a request")
 def breaks_off(context):
     async def serve(reader, writer):
-        await read_whole(reader)
+        await read_whole(reader, writer)
         writer.transport.abort()
 
     context.run_async(replace_dispatcher(context, serve))
@@ -103,7 +114,7 @@
 @given("the dispatcher keeps requests and is heard no more")
 def keeps(context):
     async def serve(reader, writer):
-        await read_whole(reader)
+        await read_whole(reader, writer)
         context.dispatchers.silent.add(context.dispatcher)
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.Event().wait()
--- a/features/steps/gateway_dispatcher_hop_steps.py
+++ b/features/steps/gateway_dispatcher_hop_steps.py
@@ -15,25 +15,27 @@
 # ---- idle connections ----
 
 
-@when("{count:d} {kind} requests are passed on, 1 s apart, and the dispatcher was {heard}")
-def passed_on_apart(context, count, kind, heard):
-    heard_before_s = 0.0 if heard == "heard just before" else 0.7
-
+@when("{count:d} {kind} requests are passed on, {apart_s:g} s apart")
+def passed_on_apart(context, count, kind, apart_s):
     async def run():
         world = context.dispatchers
         configure_all(world, is_repeatable=kind == "safe", timeout_s=LONG_S, aim_s=LONG_S)
         world.hearing.cancel()
-        clock = world.gateways[WEAK].clock
         for _ in range(count):
             assert (await world.ask()).status == 200
-            clock.shift_s += 1.0 - heard_before_s
+            world.gateways[WEAK].clock.shift_s += apart_s
             world.hear_all()
-            clock.shift_s += heard_before_s
         assert world.dispatched() == {"answered": count}, world.dispatched()
 
     context.run_async(run())
 
 
+@then("{count:d} signs of life were asked for")
+def signs(context, count):
+    client = context.dispatchers.gateways[WEAK].side.dispatchers.client
+    assert client.signs_requested == count, client.signs_requested
+
+
 @when("{count:d} requests are offered to it")
 def offered_twice(context, count):
     async def run():
--- a/indigoworks/forwarding/forward_client.py
+++ b/indigoworks/forwarding/forward_client.py
@@ -1,7 +1,7 @@
 """Forwards requests to peers."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from tornado.httputil import HTTPHeaders
 
@@ -11,6 +11,7 @@
 from indigoworks.forwarding.forward_failure import ForwardFailure
 from indigoworks.forwarding.forward_reply import ForwardReply
 from indigoworks.forwarding.forward_request import ForwardRequest
+from indigoworks.forwarding.peer_connection import PeerConnection
 from indigoworks.forwarding.peer_connections import PeerConnections
 from indigoworks.gateway.response_collector import ResponseCollector
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
@@ -22,49 +23,49 @@
 CONNECT_TIMEOUT_S = 0.2
 
 SIGN_OF_LIFE_S = 0.48
-"""Age up to which a sign of life of the peer counts: a request that must not run twice would be
-lost on a connection that has died unnoticed."""
+"""Age up to which a reply shows that a peer and the connections to it are alive: a request that
+must not run twice would be lost on a connection that has died unnoticed."""
 
 MAX_IDLE_S = 6.0
-"""Time after which an idle connection is closed if the peer's datagrams are signs of life. Gateways
-send each other about one request a second."""
+"""Time after which an idle connection to a dispatcher is closed. Gateways send each other about one
+request a second."""
 
 MAX_IDLE_CONNECTIONS = 4
 """Idle connections kept for each peer. A strong gateway has connections from all others."""
 
 OK_STATUS = 200
 
-HeardTime = Callable[[str], float | None]
-"""Returns when a node was last heard by datagram; None: never."""
-
 
 class ForwardClient:
     """Sends each request once, over an idle or a new connection to the peer.
 
-    An idle connection is used if a sign of life of the peer is at most SIGN_OF_LIFE_S old: the last
-    reply on the connection, or a datagram that arrived after it. For a request that may be repeated
-    any open connection is used.
+    Without `keeps_warm` an idle connection is used within SIGN_OF_LIFE_S of its last reply.
+    Otherwise any open connection is used; a request that must not run twice asks for an interim
+    response first if the peer has sent no reply within SIGN_OF_LIFE_S.
 
     Cancelling `send` closes the connection, by which the peer learns that the caller has left.
 
-    :param heard_time_s: without it only replies count as signs of life.
+    :param keeps_warm: idle connections are kept for MAX_IDLE_S; needs `PeerConnection`.
     :ivar connections_opened: connections opened so far.
+    :ivar signs_requested: interim responses asked for so far.
     """
 
     def __init__(
         self,
         clock: Clock,
         open_connection: OpenConnection = ServerConnection,
-        heard_time_s: HeardTime | None = None,
+        keeps_warm: bool = False,
     ) -> None:
         self._clock = clock
         self._open_connection = open_connection
-        self._heard_time_s = heard_time_s
+        self._max_idle_s = MAX_IDLE_S if keeps_warm else SIGN_OF_LIFE_S
+        self._replied_s: dict[str, float] = {}
         self._connections: dict[str, PeerConnections] = {}
         self._number = 0
         self._in_progress: dict[str, int] = {}
         self._repeatable: dict[str, set[asyncio.Timeout]] = {}
         self.connections_opened = 0
+        self.signs_requested = 0
 
     def in_progress(self, node: str) -> int:
         """Return the number of requests that a peer has from here."""
@@ -113,28 +114,28 @@
         self, peer: PeerAddress, request: ForwardRequest, timeout_s: float, may_repeat: bool
     ) -> ForwardReply | ForwardFailure:
         connections = self._connections_to(peer)
-        connection = connections.acquire(self._released_after_s(peer.node, may_repeat))
+        connection = connections.acquire()
         if connection is None:
             connection = connections.create()
             self.connections_opened += 1
             if not await connection.connect(min(CONNECT_TIMEOUT_S, timeout_s)):
                 return ForwardFailure.NOT_SENT
+        if isinstance(connection, PeerConnection):
+            connection.needs_sign = not may_repeat and not self._is_alive(peer.node)
+            self.signs_requested += connection.needs_sign
         response = await self._exchange(connection, peer, request, timeout_s, may_repeat)
         if response is None:
             is_whole = connection.is_request_sent
             return ForwardFailure.NO_REPLY if is_whole else ForwardFailure.NOT_SENT
         connections.release(connection)
+        self._replied_s[peer.node] = self._clock.now()
         reply = decode_forward_reply(response.body) if response.status == OK_STATUS else None
         return ForwardFailure.NO_REPLY if reply is None else reply
 
-    def _released_after_s(self, node: str, may_repeat: bool) -> float:
-        """Return the clock reading after which a connection must have been released to be used."""
-        earliest_s = self._clock.now() - SIGN_OF_LIFE_S
-        if self._heard_time_s is None:
-            return earliest_s
-        heard_s = self._heard_time_s(node)
-        is_heard = heard_s is not None and heard_s > earliest_s
-        return float("-inf") if may_repeat or is_heard else earliest_s
+    def _is_alive(self, node: str) -> bool:
+        """Return whether a peer has sent a reply recently."""
+        replied_s = self._replied_s.get(node)
+        return replied_s is not None and self._clock.now() - replied_s < SIGN_OF_LIFE_S
 
     async def _exchange(
         self,
@@ -178,7 +179,7 @@
             FORWARD_ID,
             self._clock,
             self._open_connection,
-            SIGN_OF_LIFE_S if self._heard_time_s is None else MAX_IDLE_S,
+            self._max_idle_s,
             MAX_IDLE_CONNECTIONS,
         )
         return made
--- a/indigoworks/forwarding/peer_connections.py
+++ b/indigoworks/forwarding/peer_connections.py
@@ -38,20 +38,14 @@
         self._max_idle_count = max_idle_count
         self._idle: deque[_Idle] = deque()
 
-    def acquire(self, released_after_s: float) -> ServerConnection | None:
-        """Return an open connection released after that clock reading, or None.
-
-        One that was released before stays idle: a request that may be repeated can still use it.
-        """
+    def acquire(self) -> ServerConnection | None:
+        """Return an idle connection that is open, or None."""
         self.close_expired()
         while self._idle:
-            newest = self._idle[-1]
-            if newest.connection.is_reusable and newest.released_s <= released_after_s:
-                return None
-            self._idle.pop()
-            if newest.connection.is_reusable:
-                return newest.connection
-            newest.connection.abort()
+            newest = self._idle.pop().connection
+            if newest.is_reusable:
+                return newest
+            newest.abort()
         return None
 
     def create(self) -> ServerConnection:
--- a/indigoworks/gateway/dispatcher_subsystem.py
+++ b/indigoworks/gateway/dispatcher_subsystem.py
@@ -55,7 +55,7 @@
         # The simulation has connections of its own.
         is_real = open_connection is ServerConnection
         self.client = ForwardClient(
-            clock, PeerConnection if is_real else open_connection, peers.heard_time_s
+            clock, PeerConnection if is_real else open_connection, keeps_warm=True
         )
 
     def make_queues(
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -86,12 +86,9 @@
         can_continue = self.is_request_sent = False
         try:
             connection = HTTP1Connection(self._stream, True, self._parameters)
-            connection.write_headers(
-                RequestStartLine(method, target, "HTTP/1.1"), headers, body or None
+            await self._write(
+                connection, RequestStartLine(method, target, "HTTP/1.1"), headers, body
             )
-            if connection._pending_write is not None:
-                connection._pending_write.add_done_callback(self._record_write)
-            connection.finish()
             for _ in range(SURPLUS_LIMIT):
                 response, is_read_whole = await self._read_answer(connection)
                 if response is None:
@@ -132,6 +129,26 @@
             return None
         return response
 
+    async def _write(
+        self,
+        connection: HTTP1Connection,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        """Write a whole request.
+
+        :raises StreamClosedError: the connection has ended.
+        """
+        connection.write_headers(start_line, headers, body or None)
+        self._finish_request(connection)
+
+    def _finish_request(self, connection: HTTP1Connection) -> None:
+        """End a request whose last bytes were written just now."""
+        if connection._pending_write is not None:
+            connection._pending_write.add_done_callback(self._record_write)
+        connection.finish()
+
     def _record_write(self, writing: "asyncio.Future[None]") -> None:
         """Record the end of a write, which fails if the connection ended before."""
         self.is_request_sent = not writing.cancelled() and writing.exception() is None
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -151,6 +151,12 @@
             NO_LABELS,
             lambda: {NO_LABELS: self._requests.dispatchers.client.connections_opened},
         )
+        metrics.read_counter(
+            "gateway_dispatch_signs_requested",
+            "Requests that asked a dispatcher for an interim response first",
+            NO_LABELS,
+            lambda: {NO_LABELS: self._requests.dispatchers.client.signs_requested},
+        )
 
     def _add_notices(self, metrics: Metrics) -> None:
         notices = self._platform.servers.notices
