--- a/features/gateway_dispatchers.feature
+++ b/features/gateway_dispatchers.feature
@@ -141,6 +141,13 @@
       | a safe    | status 200 | 1     |
       | an unsafe | a loss     | 0     |
 
+  # Guards against an unsafe request that is given up as lost though its dispatcher still answers in time.
+  Scenario: An unsafe request is not taken back from a silent dispatcher
+    Given gateways with a server of 2 slots that answers
+    And the dispatcher is heard no more and then answers a request itself
+    When a caller of the weak gateway sends an unsafe request
+    Then the caller gets status 200, and the server got 0 request
+
   # Guards against a gateway that stood still, takes all others for silent and sends everything twice.
   Scenario: A gateway that stood still itself takes no request back
     Given gateways with a server of 2 slots that holds
--- a/features/steps/gateway_dispatcher_failure_steps.py
+++ b/features/steps/gateway_dispatcher_failure_steps.py
@@ -6,10 +6,14 @@
 
 from behave import given, then, when
 from dispatcher_world import LAST_KEY, SERVICE
+from gateway_scripted_server import NAMES
 from gateway_world import HOST, until
 
 from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
+from indigoworks.forwarding.forward_codec import encode_forward_reply
+from indigoworks.forwarding.forward_reply import ForwardOutcome, ForwardReply
 from indigoworks.forwarding.forward_server import MAX_REQUESTS
+from indigoworks.gateway.request_dispatching import CHECK_INTERVAL_S
 
 SERVER = "s1"
 LOSS_STATUSES = (502, 504)
@@ -91,6 +95,7 @@
         writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r")[0])
     await reader.readexactly(length)
+    return head
 
 
 @given("the dispatcher stands still")
@@ -126,6 +131,25 @@
     context.run_async(run())
 
 
+@given("the dispatcher is heard no more and then answers a request itself")
+def answers_late(context):
+    headers = ((NAMES.request_id, "try-1"),)
+    reply = encode_forward_reply(ForwardReply(ForwardOutcome.ANSWERED, 200, headers))
+
+    async def serve(reader, writer):
+        head = await read_whole(reader, writer)
+        world = context.dispatchers
+        world.silent.add(context.dispatcher)
+        selector = world.gateways[WEAK].side.dispatchers.selector
+        await until(lambda: selector.is_silent(context.dispatcher))
+        await asyncio.sleep(2 * CHECK_INTERVAL_S)
+        number = head.lower().partition(b"forward-id: ")[2].partition(b"\r")[0]
+        lines = (b"HTTP/1.1 200 OK", b"Forward-Id: " + number, b"Content-Length: %d" % len(reply))
+        writer.write(b"\r\n".join((*lines, b"", b"")) + reply)
+
+    context.run_async(replace_dispatcher(context, serve))
+
+
 # ---- requests ----
 
 
--- a/features/steps/gateway_dispatcher_steps.py
+++ b/features/steps/gateway_dispatcher_steps.py
@@ -5,7 +5,14 @@
 
 from behave import given, then, when
 from dispatcher_world import SERVICE, SMALL, DispatcherWorld
-from gateway_world import make_configuration, make_rate_budget, make_record, make_route, until
+from gateway_world import (
+    LONG_S,
+    make_configuration,
+    make_rate_budget,
+    make_record,
+    make_route,
+    until,
+)
 
 from indigoworks.common.address import Address
 from indigoworks.common.clock import LoopClock
@@ -137,6 +144,8 @@
         world = context.dispatchers
         name = world.dispatcher_of(SERVER)
         gateway = world.gateways[name]
+        # A request is placed at the end of its aim in any case: that is later than a step may last.
+        gateway.configure(aim_s=LONG_S, timeout_s=LONG_S)
         asking = world.start_asking(name)
         await until(lambda: sum(gateway.side.queue.waiting_by_service().values()) == 1)
         record = gateway.platform.servers.get(SERVER)
