A leader of many ranges renews each grant every 1 s or 1.5 s

Cause: each renewal is an order over a connection of its own. With 140 ranges the leader opened 280 connections a second for them. Change: the interval is the smallest multiple of 0.5 s, at most 1.5 s, at which the leader sends at most 80 renewals a second: 0.5 s up to 40 ranges, 1 s up to 80, 1.5 s beyond. The hold stays 3 s. It stays 0.5 s for all grants in trouble of the store, and for a server that may yet apply an order of this leader or an earlier one without having answered it, since the bound of such an order depends on how soon a silence is noticed. measure-waits has cases of a server that ends or goes dark. Ruled out: a longer hold (a lost server's keys would wait for longer); one order for neighbouring ranges under one token (at most 20 of 140 orders). Before: 280 renewals a second with 140 ranges at 120 servers, 200 with 100 (2 for each range). Conclusion: a third of the connections from 100 ranges on. Processor time of the leader was not measured.

--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -27,6 +27,7 @@
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.ownership.predecessor_bound import PredecessorBound
 from indigoworks.ownership.range_keeper import RangeKeeper
+from indigoworks.ownership.renewal_schedule import GrowingSchedule
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.ownership.table_writer import TableWriter
 from indigoworks.ownership.witness_subsystem import WitnessSubsystem
@@ -111,6 +112,9 @@
             clock,
         )
         self.keepers = KeeperSet(self._make_keeper)
+        self._schedule = GrowingSchedule(
+            ports.health, self._bounds, self.order_reach, clock, self.keepers.count
+        )
         self._server_stats: ServerStats | None = None
         self.send_report_now: Callable[[], None] = _nothing
         self.owners_changed: Callable[[], None] = _nothing
@@ -219,6 +223,7 @@
             self._clock,
             self._pending_changed,
             self.witnesses.replicator,
+            self._schedule,
         )
 
     def _pending_changed(self) -> None:
--- a/indigoworks/ownership/keeper_set.py
+++ b/indigoworks/ownership/keeper_set.py
@@ -77,6 +77,10 @@
         """Return the number of ranges, over all services, that count as granted."""
         return sum(len(self.granted(service)) for service in self._keepers)
 
+    def count(self) -> int:
+        """Return the number of ranges over all services."""
+        return sum(len(keepers) for keepers in self._keepers.values())
+
     def needing_token(self, service: str) -> list[OwnedRange]:
         """Return the ranges whose owners have seen a higher token."""
         return [each.owned for each in self._keepers_of(service) if each.needs_token]
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -1,7 +1,6 @@
 """Keeps one range granted to its owner, in a task of its own."""
 
 import asyncio
-import zlib
 from collections.abc import Callable
 from functools import partial
 
@@ -16,6 +15,12 @@
 from indigoworks.ownership.owned_range import OwnedRange
 from indigoworks.ownership.range_log import RangeLog
 from indigoworks.ownership.range_move import RangeMove
+from indigoworks.ownership.renewal_schedule import (
+    FIXED_SCHEDULE,
+    MIN_PAUSE_S,
+    RenewalSchedule,
+    until_renewal_s,
+)
 from indigoworks.ownership.server_orders import ServerOrders
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.servers.replacement_evidence import ReplacementEvidence
@@ -24,9 +29,6 @@
 ORDER_TIMEOUT_S = 0.8
 """Longest wait for the answer to a grant."""
 
-MIN_PAUSE_S = 0.001
-"""Shortest pause between two renewals."""
-
 RETRY_DELAY_S = 0.15
 """Pause before an order is sent again."""
 
@@ -55,6 +57,7 @@
         clock: Clock,
         on_granted: Callable[[], None],
         admission: GrantAdmission = ADMIT_ALL,
+        schedule: RenewalSchedule = FIXED_SCHEDULE,
     ) -> None:
         self.service = service
         self.owned = owned
@@ -71,11 +74,13 @@
         )
         self._on_granted = on_granted
         self._admission = admission
+        self._schedule = schedule
         self.is_granted = False
         self.needs_token = False
         self.task: asyncio.Task[None] | None = None
         self._is_quiesced = self._is_first_grant = self._is_confirmation = False
         self._has_answered = False
+        self._answered_s = float("-inf")
         self._last_result: OrderResult | None = None
         self._no_grant_in_flight = asyncio.Event()
         self._no_grant_in_flight.set()
@@ -155,6 +160,21 @@
         while True:
             pause_s = await self._grant()
             await self._clock.sleep(pause_s)
+            if self._has_answered:
+                await self._wait_until_due()
+
+    async def _wait_until_due(self) -> None:
+        """Wait until the renewal of an answered grant is due.
+
+        The interval is looked up after each RENEWAL_S, since trouble shortens it.
+        """
+        server_id = self.owned.server_id
+        while (steps := self._schedule.steps(server_id)) > 1:
+            now_s = self._clock.now()
+            due_s = self._answered_s + until_renewal_s(server_id, self._answered_s, steps)
+            if now_s >= due_s - MIN_PAUSE_S:
+                return
+            await self._clock.sleep(until_renewal_s(server_id, now_s, 1))
 
     # ---- the owner ----
 
@@ -228,7 +248,8 @@
                 )
                 self._on_granted()
             self._former.handover = None
-            return self._until_renewal_s()
+            self._answered_s = self._clock.now()
+            return until_renewal_s(self.owned.server_id, self._answered_s, 1)
         if result is OrderResult.UNANSWERED:
             self._bounds.record_unanswered(self.owned)
         else:
@@ -243,11 +264,3 @@
             self._log.log("range:fenced", level="WARNING")
             return RENEWAL_S
         return RETRY_DELAY_S
-
-    def _until_renewal_s(self) -> float:
-        """Return the pause until the next renewal; all ranges of a server are renewed together."""
-        phase_s = zlib.crc32(self.owned.server_id.encode()) % 1000 / 1000 * RENEWAL_S
-        left_s = RENEWAL_S - (self._clock.now() - phase_s) % RENEWAL_S
-        # After rounding, the pause may be below the clock's resolution: in simulations, where time
-        # passes only in sleeps, this would loop at the same instant for ever.
-        return max(MIN_PAUSE_S, left_s)
--- a/indigoworks_lab/control_simulation/wait_losses.py
+++ b/indigoworks_lab/control_simulation/wait_losses.py
@@ -62,6 +62,14 @@
         others = [each for each in self._deployment.living_nodes() if each is not self._leader]
         await self._cut_paths((self._leader, *others[:-1]))
 
+    async def server_ended(self) -> None:
+        """A server's process ends; its address refuses."""
+        self._random.choice(self._servers).end()
+
+    async def server_dark(self) -> None:
+        """A server is cut off from all others and runs on."""
+        await self._darken((self._random.choice(self._servers),), ())
+
     async def leader_and_server_ended(self) -> None:
         """A server ends together with the leader, whose node starts again soon."""
         self._random.choice(self._servers).end()
@@ -193,6 +201,8 @@
         "leader-without-path",
         "most-without-path",
         "leader-path-flaps",
+        "server-ended",
+        "server-dark",
         "leader-and-server-ended",
         "leader-and-server-dark",
         "zone-killed",
