Metric gateway_connections_opened counts connections to servers by purpose

Change: label purpose: requests, orders (grants, renewals, releases), tests (of reachability). The scenario that read the metric names the label now, and checks that orders are counted too; the orders of that test world count their connections.

--- a/features/gateway_metrics.feature
+++ b/features/gateway_metrics.feature
@@ -11,7 +11,8 @@
     When a gateway process gets 8 requests at once, of which its server has room for 6
     Then the gateway process metric "gateway_in_flight{service=shop}" becomes 6
     And the gateway process metric "gateway_waiting{service=shop}" becomes 2
-    And the gateway process metric "gateway_connections_opened_total" becomes 6
+    And the gateway process metric "gateway_connections_opened_total{purpose=requests}" becomes 6
+    And the gateway process metric "gateway_connections_opened_total{purpose=orders}" grows
     When the gateway process server "s1" answers all
     Then the gateway process metric "gateway_in_flight{service=shop}" becomes 0
     And the gateway process metric "gateway_waiting{service=shop}" becomes 0
--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -98,6 +98,10 @@
         self.gate = asyncio.Event()
         self.gate.set()
 
+    @property
+    def connections_opened(self):
+        return len(self.orders)
+
     def add_notice_listener(self, listener):
         self.listener = listener
 
--- a/indigoworks/gateway/connect_tester.py
+++ b/indigoworks/gateway/connect_tester.py
@@ -12,10 +12,14 @@
 
 
 class ConnectTester:
-    """Opens a connection to a server and closes it again; its methods are `ConnectTest`s."""
+    """Opens a connection to a server and closes it again; its methods are `ConnectTest`s.
+
+    :ivar connections_opened: connections opened so far, failed ones included.
+    """
 
     def __init__(self, open_connection: OpenConnection = ServerConnection) -> None:
         self._open_connection = open_connection
+        self.connections_opened = 0
 
     async def can_open(self, server: ServerRecord) -> bool:
         """Return whether the server accepts a connection, without looking at what follows."""
@@ -43,6 +47,8 @@
     def _new_connection(self, server: ServerRecord) -> ServerConnection | None:
         """Return an unconnected connection; None if this process has no descriptor left."""
         try:
-            return self._open_connection(server.address, "")
+            connection = self._open_connection(server.address, "")
         except OSError:
             return None
+        self.connections_opened += 1
+        return connection
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -88,13 +88,14 @@
             self._relay.choice.is_relayed,
             self._relay.choice.is_acting,
         )
+        tester = ConnectTester()
         self._reach = ReachSubsystem(
             settings.node,
             self._boot,
             self._platform.servers,
             self._directory,
-            ConnectTester().can_connect,
-            ConnectTester().can_open,
+            tester.can_connect,
+            tester.can_open,
             self._clock,
             random,
         )
@@ -177,6 +178,8 @@
             self._requests,
             self._control,
             self._platform,
+            ports.orders,
+            tester,
             self._peers,
             ports.health,
             line_rates,
--- a/indigoworks/gateway/instrumented_orders.py
+++ b/indigoworks/gateway/instrumented_orders.py
@@ -20,6 +20,11 @@
         self._orders = orders
         self._calls = CallMetrics(metrics, clock, "gateway_order", "Orders to servers", "order")
 
+    @property
+    def connections_opened(self) -> int:
+        """Return the number of connections opened so far, failed ones included."""
+        return self._orders.connections_opened
+
     def add_notice_listener(self, listener: NoticeListener) -> None:
         """Call `listener` with the notices in servers' answers to orders."""
         self._orders.add_notice_listener(listener)
--- a/indigoworks/gateway/reachability_monitor.py
+++ b/indigoworks/gateway/reachability_monitor.py
@@ -30,6 +30,8 @@
 
     A server is unreachable after one failed connection of a request, or two failed test connections
     in a row. It is then checked until a connection succeeds or it has left the server list.
+
+    :ivar connections_opened: test connections opened so far, failed ones included.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
     ) -> None:
         self._reach = reach
         self._open_connection = open_connection
+        self.connections_opened = 0
         self._server_stats = server_stats
         self._servers = servers
         self._clock = clock
@@ -109,6 +112,7 @@
 
     async def _can_connect(self, server: ServerRecord) -> bool:
         connection = self._open_connection(server.address, "")
+        self.connections_opened += 1
         is_connected = await connection.connect(CONNECT_TIMEOUT_S)
         connection.abort()
         return is_connected
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -60,6 +60,7 @@
 class RequestSubsystem:
     """The request pipeline and its parts; `front` listens for callers.
 
+    :ivar reachability: checks servers that are silent.
     :ivar path: whether this gateway has lost its path to servers.
     :ivar forward_server: takes requests that peers forward.
 
@@ -88,7 +89,7 @@
         self.server_stats = ServerStats(peers, clock, reach.down)
         self.sampler = KeySampler()
         self._servers = platform.servers
-        self._reachability = ReachabilityMonitor(
+        self.reachability = ReachabilityMonitor(
             self.server_stats, platform.servers, reach, clock, open_connection
         )
         self.sender = RequestSender(
@@ -177,7 +178,7 @@
         self.quarantine.on_refusal = self._quarantine_rows.handle_refusal
         self.quarantine.on_crash = self._quarantine_rows.handle_crash
         self._crash_attribution = CrashAttribution(
-            self.quarantine, self.doubts, self._reachability, reach.path, platform.servers, clock
+            self.quarantine, self.doubts, self.reachability, reach.path, platform.servers, clock
         )
         self.doubts.on_last_lifted = self._open_lock
         refusals = ConfigurationRefusals(platform.configurations, responses, log, clock)
@@ -191,7 +192,7 @@
                 self.server_stats,
                 platform.servers,
                 owners,
-                self._reachability,
+                self.reachability,
                 reach,
                 self._crash_attribution,
                 log,
@@ -284,7 +285,7 @@
         """Cancel background checks of servers and requests."""
         self._crash_attribution.close()
         self._stored_locks.close()
-        self._reachability.close()
+        self.reachability.close()
         self.forward_client.close()
 
 
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -7,9 +7,11 @@
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Labels, Metrics
 from indigoworks.exchange.peer_view import PeerView
+from indigoworks.gateway.connect_tester import ConnectTester
 from indigoworks.gateway.control_subsystem import ControlSubsystem
 from indigoworks.gateway.platform_subsystem import PlatformSubsystem
 from indigoworks.gateway.request_subsystem import RequestSubsystem
+from indigoworks.ownership.server_orders import ServerOrders
 from indigoworks.routes.configuration import Configuration
 from indigoworks.rowstore.store_health import StoreHealth
 
@@ -28,6 +30,8 @@
         requests: RequestSubsystem,
         control: ControlSubsystem,
         platform: PlatformSubsystem,
+        orders: ServerOrders,
+        tester: ConnectTester,
         peers: PeerView,
         health: StoreHealth,
         line_rates: LineRateLimiter,
@@ -36,6 +40,8 @@
         self._requests = requests
         self._control = control
         self._platform = platform
+        self._orders = orders
+        self._tester = tester
         self._peers = peers
         self._health = health
         self._line_rates = line_rates
@@ -95,8 +101,8 @@
         metrics.gauge("gateway_live_peers", "Peers heard", NO_LABELS, self._live_peers)
         metrics.read_counter(
             "gateway_connections_opened",
-            "Connections opened to servers for requests",
-            NO_LABELS,
+            "Connections opened to servers",
+            ("purpose",),
             self._connections_opened,
         )
         metrics.read_counter(
@@ -197,7 +203,12 @@
         return values
 
     def _connections_opened(self) -> Values:
-        return {NO_LABELS: self._requests.sender.connections_opened}
+        tests = self._requests.reachability.connections_opened + self._tester.connections_opened
+        return {
+            ("requests",): self._requests.sender.connections_opened,
+            ("orders",): self._orders.connections_opened,
+            ("tests",): tests,
+        }
 
     def _out_of_reach(self) -> Values:
         return {
--- a/indigoworks/ownership/server_orders.py
+++ b/indigoworks/ownership/server_orders.py
@@ -26,6 +26,11 @@
     `may_send` is called after all that. If it returns False, the outcome is WITHHELD.
     """
 
+    @property
+    def connections_opened(self) -> int:
+        """Return the number of connections opened so far, failed ones included."""
+        ...
+
     def add_notice_listener(self, listener: NoticeListener) -> None:
         """Call `listener` with what servers ask for in their answers to orders."""
         ...
--- a/indigoworks_lab/control_simulation/node_orders.py
+++ b/indigoworks_lab/control_simulation/node_orders.py
@@ -24,8 +24,12 @@
     """Implements `ServerOrders`: each order over a connection of its own, once.
 
     Grants to one server go one after the other, as in the adapter to the platform's servers.
+
+    :ivar connections_opened: not counted.
     """
 
+    connections_opened = 0
+
     def __init__(
         self,
         node: str,
--- a/indigoworks_lab/crash_simulation/no_orders.py
+++ b/indigoworks_lab/crash_simulation/no_orders.py
@@ -10,6 +10,8 @@
 class NoOrders:
     """Implements `ServerOrders` and sends nothing: `OwnerMoves` decides who owns what."""
 
+    connections_opened = 0
+
     def add_notice_listener(self, listener: NoticeListener) -> None:
         """Tell nothing: these servers ask for nothing."""
 
