Brokers prefer servers to which the requesting gateway has an idle connection

Cause: with 85 gateways and 69 servers hardly any connection is used again within the time for which its server keeps it open. Change: a request for a slot names up to four such servers, that with the oldest connection first. The broker takes the first one with a free slot whose service time is at most 1.25 times that of the server it would have taken. New optional field; a request without names is encoded as before. Real processes were not measured.

--- a/features/steps/gateway_broker_world.py
+++ b/features/steps/gateway_broker_world.py
@@ -19,6 +19,7 @@
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.gateway.capacity_tracker import CapacityTracker
+from indigoworks.gateway.connected_servers import no_connected_servers
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.refusal import Refusal
@@ -83,8 +84,9 @@
 class Gateway:
     """One gateway's broker, client and queue."""
 
-    def __init__(self, world, address, servers):
+    def __init__(self, world, address, servers, connected=no_connected_servers):
         self.world, self.address, self.is_up = world, address, True
+        zone = address.zone
         clock = world.clock
         tables = OwnershipTables()
         heard = Heard(world)
@@ -111,14 +113,14 @@
         owners = OwnerLookup(tables, servers, self.board, clock)
         budget = make_rate_budget(clock)
         local = DispatchQueue(
-            ServerSelector(servers, self.board, budget, ZONE, Random(address.node), lambda: True),
+            ServerSelector(servers, self.board, budget, zone, Random(address.node), lambda: True),
             owners,
             self.board,
             CapacityTracker(self.board, budget),
             clock,
         )
         self.queue = BrokeredQueue(
-            ZONE,
+            zone,
             local,
             self.choice,
             self.client,
@@ -128,6 +130,7 @@
             budget,
             PathMonitor(tuple, accepts, accepts, clock, Random(1)),
             clock,
+            connected,
         )
 
     def send(self, peer, content):
@@ -161,7 +164,7 @@
 class BrokerWorld:
     """All gateways, the servers, and every request."""
 
-    def __init__(self, gateway_count, server_count, slots):
+    def __init__(self, gateway_count, server_count, slots, zones=(ZONE,)):
         self.clock = LoopClock()
         self.random = Random(7)
         self.lost_every = 0
@@ -173,16 +176,29 @@
         self.tasks = []
         servers = ServerList(StoreHealth(self.clock), 1.0, self.clock)
         for number in range(server_count):
-            servers.put(make_record(f"s{number}", Address("h", 1), slots=slots, zone=ZONE))
+            zone = zones[number % len(zones)]
+            servers.put(
+                make_record(f"s{number}", self.server_address(number), slots=slots, zone=zone)
+            )
         self.addresses = [
             PeerAddress(
-                f"n{number}", f"b{number}", ZONE, Address("h", number), float(number < STRONG)
+                f"n{number}",
+                f"b{number}",
+                zones[number % len(zones)],
+                Address("h", number),
+                float(number < STRONG * len(zones)),
             )
             for number in range(gateway_count)
         ]
         self.gateways = {}
         for address in self.addresses:
-            self.gateways[address.node] = Gateway(self, address, servers)
+            self.gateways[address.node] = self.make_gateway(address, servers)
+
+    def make_gateway(self, address, servers):
+        return Gateway(self, address, servers)
+
+    def server_address(self, number):
+        return Address("h", 1)
 
     def start(self):
         for each in self.gateways.values():
--- a/indigoworks/broker/broker_codec.py
+++ b/indigoworks/broker/broker_codec.py
@@ -79,6 +79,7 @@
     message.lease_ms = _milliseconds(request.lease_s)
     message.may_wait = request.may_wait
     message.tried.extend(request.tried)
+    message.connected.extend(request.connected)
     message.caller_mark = request.caller_mark
     message.suspect_mark = request.suspect_mark
     if request.key is not None:
@@ -99,6 +100,7 @@
         tried=tuple(message.tried),
         caller_mark=message.caller_mark,
         suspect_mark=message.suspect_mark,
+        connected=tuple(message.connected),
         key=message.key if message.HasField("key") else None,
     )
 
--- a/indigoworks/broker/brokered_queue.py
+++ b/indigoworks/broker/brokered_queue.py
@@ -14,6 +14,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
+from indigoworks.gateway.connected_servers import ConnectedServers, no_connected_servers
 from indigoworks.gateway.dispatch_queue import DispatchQueue
 from indigoworks.gateway.owner_lookup import OwnerLookup, OwnerState
 from indigoworks.gateway.placer import Placement
@@ -84,6 +85,7 @@
         rate_limiter: ServerRateLimiter,
         path: PathMonitor,
         clock: Clock,
+        connected: ConnectedServers = no_connected_servers,
     ) -> None:
         self._zone = zone
         self._local = local
@@ -95,6 +97,7 @@
         self._rate_limiter = rate_limiter
         self._path = path
         self._clock = clock
+        self._connected = connected
         self._grants: dict[WaitingRequest, _Grant] = {}
         self._full_zones: dict[tuple[str, str], _FullZone] = {}
 
@@ -224,6 +227,7 @@
             tried=(*entry.tried, *self._resting_servers(entry)),
             key=entry.key,
             caller_mark=self._caller_mark(entry),
+            connected=self._connected(entry.service, zone) if entry.key is None else (),
         )
 
     def _caller_mark(self, entry: WaitingRequest) -> int:
--- a/indigoworks/broker/slot_broker.py
+++ b/indigoworks/broker/slot_broker.py
@@ -134,6 +134,7 @@
             caller_mark=request.caller_mark,
             priority=request.priority,
             tried=frozenset(request.tried),
+            connected=request.connected,
             limit_s=now_s + request.limit_s,
         )
         until_s = now_s + request.lease_s + LEASE_MARGIN_S
--- a/indigoworks/broker/slot_request.py
+++ b/indigoworks/broker/slot_request.py
@@ -17,6 +17,8 @@
     :ivar caller_mark: hash that identifies retries of the same request; 0: unknown.
     :ivar suspect_mark: mark of a suspect request, whose lock is requested instead of a slot; 0: a
         slot is requested.
+    :ivar connected: checksums of the ids of servers to which the requester has an idle connection,
+        the preferred one first.
     :ivar key: number of the key if only its owner can answer; None: any server can.
     """
 
@@ -33,3 +35,4 @@
     key: int | None = None
     caller_mark: int = 0
     suspect_mark: int = 0
+    connected: tuple[int, ...] = ()
--- a/indigoworks/gateway/connection_pool.py
+++ b/indigoworks/gateway/connection_pool.py
@@ -57,6 +57,7 @@
         """Return a connection that is not yet connected."""
         connection = self._open_connection(self._address, self._id_header)
         connection.on_head = self._on_head
+        connection.opened_s = self._clock.now()
         return connection
 
     def release(self, connection: ServerConnection, keep_alive_s: float | None) -> None:
@@ -68,6 +69,18 @@
         connection.watch_while_idle()
         self._idle.append(_Idle(connection, self._clock.now() + kept_s))
 
+    def idle_opened_s(self) -> float | None:
+        """Return when the oldest reusable idle connection was opened; None: there is none."""
+        now_s = self._clock.now()
+        return min(
+            (
+                each.connection.opened_s
+                for each in self._idle
+                if now_s < each.until_s and each.connection.is_reusable
+            ),
+            default=None,
+        )
+
     def close_expired(self) -> None:
         """Close connections that have been idle for too long."""
         now_s = self._clock.now()
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -188,7 +188,7 @@
             servers = [each for each in free if each.server_id not in entry.tried]
             if not servers or self._is_reserved(queue, entry, usable):
                 return
-            self._grant(queue, entry, chosen := self._selector.select(servers))
+            self._grant(queue, entry, chosen := self._selector.select(servers, entry.connected))
             if not self._capacity.has_capacity(chosen):
                 free.remove(chosen)
 
--- a/indigoworks/gateway/request_sender.py
+++ b/indigoworks/gateway/request_sender.py
@@ -8,6 +8,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.client_request import ClientRequest
+from indigoworks.gateway.connected_servers import oldest_connected
 from indigoworks.gateway.connection_pool import ConnectionPool
 from indigoworks.gateway.header_names import HeaderNames
 from indigoworks.gateway.hop_headers import end_to_end_headers
@@ -83,6 +84,7 @@
         self._read_server_load = read_server_load
         self._clock = clock
         self._pools: dict[str, ConnectionPool] = {}
+        self._pools_by_zone: dict[tuple[str, str], dict[str, ConnectionPool]] = {}
         self.connections_opened = 0
         self.held_back = 0
 
@@ -115,6 +117,8 @@
     def forget(self, server_id: str) -> None:
         """Close the idle connections to a server that has left."""
         pool = self._pools.pop(server_id, None)
+        for pools in self._pools_by_zone.values():
+            pools.pop(server_id, None)
         if pool is not None:
             pool.close()
 
@@ -127,6 +131,11 @@
         """Return the ids of the servers that have a connection pool."""
         return list(self._pools)
 
+    def connected_servers(self, service: str, zone: str) -> tuple[int, ...]:
+        """Return the servers to prefer for their idle connections; see `ConnectedServers`."""
+        pools = self._pools_by_zone.get((service, zone))
+        return () if pools is None else oldest_connected(pools)
+
     async def _exchange(
         self,
         connection: ServerConnection,
@@ -202,4 +211,6 @@
                 partial(self._take_head, server.server_id),
             )
             self._pools[server.server_id] = pool
+            pools = self._pools_by_zone.setdefault((server.service, server.zone), {})
+            pools[server.server_id] = pool
         return pool
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -150,6 +150,7 @@
             rate_limiter,
             reach.path,
             clock,
+            self.sender.connected_servers,
         )
         self.retry_budget = LocalRetryBudget(
             settings.retry_ratio,
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -35,12 +35,14 @@
     :param id_header: header of requests and responses with the request id.
     :ivar was_refused: whether no process listened at the address.
     :ivar is_request_sent: whether the newest request was handed to the kernel whole.
+    :ivar opened_s: clock reading at which its pool created it.
     :ivar on_head: called with the head of each response, also of a truncated or late one.
     """
 
     on_head: HeadListener = staticmethod(ignore_head)
     was_refused = False
     is_request_sent = False
+    opened_s = 0.0
 
     def __init__(self, address: Address, id_header: str) -> None:
         self._address = address
--- a/indigoworks/gateway/server_selector.py
+++ b/indigoworks/gateway/server_selector.py
@@ -1,8 +1,9 @@
 """Selects the server of a request that any server of its service may run."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
+from indigoworks.gateway.connected_servers import prefer_connected
 from indigoworks.gateway.server_rate_limiter import ServerRateLimiter
 from indigoworks.gateway.server_stats import ServerStats
 from indigoworks.servers.server_record import ServerRecord
@@ -76,14 +77,18 @@
             return False
         return not self._rate_limiter.is_paced_elsewhere(server)
 
-    def select(self, servers: list[ServerRecord]) -> ServerRecord:
+    def select(self, servers: list[ServerRecord], connected: Sequence[int] = ()) -> ServerRecord:
         """Return the server with the least expected time, or one drawn among those with a free
-        slot; `servers` must not be empty."""
+        slot; `servers` must not be empty.
+
+        :param connected: see `prefer_connected`.
+        """
         if self._is_large_group():
             drawn = self._draw(servers)
             if drawn is not None:
                 return drawn
-        return min(servers, key=self._cost)
+        best = min(servers, key=self._cost)
+        return prefer_connected(best, servers, connected, self._server_stats.service_time_s)
 
     def _draw(self, servers: list[ServerRecord]) -> ServerRecord | None:
         """Draw a server with a free slot, preferably of the own zone; None if no slot is free."""
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -29,6 +29,8 @@
     :ivar deadline_s: clock reading by which it has ended in any case.
     :ivar content: the request; None if it came from another gateway.
     :ivar caller_mark: hash that identifies the caller's attempts of it; 0 if unknown.
+    :ivar connected: checksums of the ids of servers to which the gateway that sends it has an idle
+        connection, the preferred one first.
     :ivar is_scheduled_retry: whether it is a due scheduled retry.
     :ivar placement: future of its server, or of its refusal.
     :ivar queue: queue in which it waits or was placed; None while it waits for an owner.
@@ -42,6 +44,7 @@
     deadline_s: float = float("inf")
     content: ClientRequest | None = None
     caller_mark: int = 0
+    connected: tuple[int, ...] = ()
     is_scheduled_retry: bool = False
     placement: asyncio.Future[ServerRecord | Refusal] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
