--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -59,6 +59,7 @@
 class RequestSubsystem:
     """The request pipeline and its parts; `front` listens for callers.
 
+    :ivar reachability: checks servers that are silent.
     :ivar path: whether this gateway has lost its path to servers.
     :ivar forward_server: takes requests that peers forward.
     :ivar dispatchers: selects the dispatchers of the owners of keys.
@@ -90,7 +91,7 @@
         self.server_stats = ServerStats(self.dispatchers.load, clock, reach.down)
         self.sampler = KeySampler()
         self._servers = platform.servers
-        self._reachability = ReachabilityMonitor(
+        self.reachability = ReachabilityMonitor(
             self.server_stats, platform.servers, reach, clock, open_connection
         )
         self.sender = RequestSender(
@@ -147,6 +148,7 @@
             rate_limiter,
             reach.path,
             clock,
+            self.sender.connected_servers,
         )
         self.retry_budget = LocalRetryBudget(
             settings.retry_ratio,
@@ -175,7 +177,7 @@
         self.quarantine.on_refusal = self._quarantine_rows.handle_refusal
         self.quarantine.on_crash = self._quarantine_rows.handle_crash
         self._crash_attribution = CrashAttribution(
-            self.quarantine, self.doubts, self._reachability, reach.path, platform.servers, clock
+            self.quarantine, self.doubts, self.reachability, reach.path, platform.servers, clock
         )
         self.doubts.on_last_lifted = self._open_lock
         refusals = ConfigurationRefusals(platform.configurations, responses, log, clock)
@@ -205,7 +207,7 @@
                 self.server_stats,
                 platform.servers,
                 owners,
-                self._reachability,
+                self.reachability,
                 reach,
                 self._crash_attribution,
                 log,
@@ -290,7 +292,7 @@
         """Cancel background checks of servers and requests."""
         self._crash_attribution.close()
         self._stored_locks.close()
-        self._reachability.close()
+        self.reachability.close()
         self.forward_client.close()
         self._dispatching.close()
         self.dispatchers.client.close()
