Servers that fail are ejected from their service, and come back by trial requests

Cause: outcomes of requests were counted nowhere, and selection by least expected time prefers a server that fails at once. Change: a package for outlier ejection. Counts of servers that had faults go with the reports and the releases of slots, as optional fields; gateways and brokers decide by the same rule, and try an ejected server with repeatable requests. Requests for keys of an owner that serves none are refused at once. A failed attempt is no longer measured as a service time. Ruled out: moving the ranges of an ejected owner (left for later).

--- a/indigoworks/broker/broker_codec.py
+++ b/indigoworks/broker/broker_codec.py
@@ -8,6 +8,7 @@
 from indigoworks.broker.slot_release import SlotRelease
 from indigoworks.broker.slot_reply import SlotOutcome, SlotReply
 from indigoworks.broker.slot_request import SlotRequest
+from indigoworks.common.attempt_verdict import FAULTS, AttemptVerdict
 from indigoworks.gateway.refusal import Refusal, RefusalReason
 from indigoworks.quarantine.doubt import Doubt
 from indigoworks.quarantine.request_mark import RequestMark
@@ -81,6 +82,7 @@
     message.tried.extend(request.tried)
     message.caller_mark = request.caller_mark
     message.suspect_mark = request.suspect_mark
+    message.is_repeatable = request.is_repeatable
     if request.key is not None:
         message.key = request.key
 
@@ -100,6 +102,7 @@
         caller_mark=message.caller_mark,
         suspect_mark=message.suspect_mark,
         key=message.key if message.HasField("key") else None,
+        is_repeatable=message.is_repeatable,
     )
 
 
@@ -108,6 +111,7 @@
     message.outcome = _OUTCOMES[reply.outcome]
     message.server = reply.server_id
     message.wait_ms = _milliseconds(reply.wait_s)
+    message.wants_trials = reply.wants_trials
     refusal = reply.refusal
     if refusal is not None:
         message.refusal.reason = refusal.reason.value
@@ -124,7 +128,8 @@
     refusal = _decode_refusal(message.refusal) if message.HasField("refusal") else None
     if outcome is SlotOutcome.REFUSED and refusal is None:
         return None
-    return SlotReply(message.number, outcome, message.server, refusal, message.wait_ms / MS_PER_S)
+    wait_s = message.wait_ms / MS_PER_S
+    return SlotReply(message.number, outcome, message.server, refusal, wait_s, message.wants_trials)
 
 
 def _decode_refusal(message: pb.RefusalMessage) -> Refusal | None:
@@ -146,6 +151,7 @@
     message.is_served = release.is_served
     message.is_unreached = release.is_unreached
     message.has_ended_server = release.has_crashed_server
+    message.fault = release.verdict.value if release.verdict.is_fault else 0
     if release.server_load is not None:
         message.word.running = release.server_load.running
         message.word.waiting = release.server_load.waiting
@@ -166,9 +172,15 @@
         server_load,
         message.is_unreached,
         message.has_ended_server,
+        _decode_fault(message.fault),
     )
 
 
+def _decode_fault(value: int) -> AttemptVerdict:
+    """Return a fault; a value that a newer gateway may send says nothing here."""
+    return next((each for each in FAULTS if each.value == value), AttemptVerdict.NEUTRAL)
+
+
 def _encode_doubts(notice: DoubtNotice, message: pb.DoubtNoticeMessage) -> None:
     message.shares = notice.shares
     message.share = notice.share
--- a/indigoworks/broker/brokered_queue.py
+++ b/indigoworks/broker/brokered_queue.py
@@ -1,7 +1,7 @@
 """Places requests through brokers, or in this gateway's own queue if there are none."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import xxhash
 from eliot import log_message
@@ -29,6 +29,8 @@
 FULL_ZONE_PAUSE_S = 0.05
 """Time for which a broker that had no free slot is only sent requests that may wait."""
 
+TRIALS_WANTED_S = 2.0
+"""Time after a broker's reply that asked for trials for which requests tell if they may be one."""
 
 OTHER_ZONE_PENALTY_S = 0.03
 """A request waits in another zone only if a slot is expected to be free this much earlier: traffic
@@ -68,7 +70,7 @@
 
     :param zone: zone of this process.
     :param local: places requests from this gateway's own data.
-    :param directory: the group, which is small or large.
+    :param directory: the group.
     :param rate_limiter: knows which servers have a rate limit.
     """
 
@@ -97,6 +99,7 @@
         self._clock = clock
         self._grants: dict[WaitingRequest, _Grant] = {}
         self._full_zones: dict[tuple[str, str], _FullZone] = {}
+        self._trials_until_s: dict[str, float] = {}
 
     # ---- Placer ----
 
@@ -120,10 +123,8 @@
         if grant is None:
             self._local.release(entry, started)
             return
-        release = _release_of(grant, answer)
-        if self._path.is_doubtful:
-            # A broker excludes servers for all gateways if two report them as out of reach.
-            release = replace(release, is_unreached=False)
+        # A broker excludes servers for all gateways if two report them as out of reach.
+        release = _release_of(grant, answer, self._path.is_doubtful)
         self._client.release(grant.broker, release)
 
     # ---- brokers ----
@@ -193,10 +194,11 @@
         request = self._request(entry, zone, may_wait)
         if broker is None or request is None:
             return None
-        reply = await self._client.ask(broker, request)
-        self._record_reply(broker, entry, reply)
+        self._record_reply(broker, entry, reply := await self._client.ask(broker, request))
         if reply is None:
             return None
+        if reply.wants_trials:
+            self._trials_until_s[zone] = self._clock.now() + TRIALS_WANTED_S
         if reply.outcome is SlotOutcome.REFUSED:
             return reply.refusal
         if reply.outcome is SlotOutcome.FULL:
@@ -224,6 +226,7 @@
             tried=(*entry.tried, *self._resting_servers(entry)),
             key=entry.key,
             caller_mark=self._caller_mark(entry),
+            is_repeatable=entry.is_repeatable and now_s < self._trials_until_s.get(zone, 0.0),
         )
 
     def _caller_mark(self, entry: WaitingRequest) -> int:
@@ -285,9 +288,13 @@
     return isinstance(placement, Refusal) and placement.reason is RefusalReason.SERVER_LIMITED
 
 
-def _release_of(grant: _Grant, answer: ServerResponse | None) -> SlotRelease:
+def _release_of(
+    grant: _Grant, answer: ServerResponse | None, is_path_doubtful: bool
+) -> SlotRelease:
     if answer is None:
         return SlotRelease(grant.number)
     is_served = answer.result is ExchangeResult.ANSWERED and not answer.is_not_run
-    is_unreached = answer.result is ExchangeResult.NOT_SENT
-    return SlotRelease(grant.number, is_served, answer.server_load, is_unreached)
+    is_unreached = answer.result is ExchangeResult.NOT_SENT and not is_path_doubtful
+    return SlotRelease(
+        grant.number, is_served, answer.server_load, is_unreached, False, answer.verdict
+    )
--- a/indigoworks/broker/slot_broker.py
+++ b/indigoworks/broker/slot_broker.py
@@ -79,9 +79,10 @@
         if reservation is None:
             self._locks.handle_release(boot, release)
             return
-        if reservation.server is not None:
-            reservation.queue.apply_release(reservation.server, boot, release)
-        self._end(reservation, release.is_served)
+        if reservation.server is not None and reservation.started is not None:
+            begun_s = reservation.started.at_s
+            reservation.queue.apply_release(reservation.server, boot, release, begun_s)
+        self._end(reservation, release.is_served and not release.verdict.is_fault)
 
     def servers_changed(self) -> None:
         """Retry placing the queued requests after a change of the servers."""
@@ -133,6 +134,7 @@
             key=request.key,
             caller_mark=request.caller_mark,
             priority=request.priority,
+            is_repeatable=request.is_repeatable,
             tried=frozenset(request.tried),
             limit_s=now_s + request.limit_s,
         )
@@ -156,7 +158,12 @@
         # In the event-loop iteration of the placement: the slot counts from now on.
         reservation.server = placement
         reservation.started = reservation.queue.server_stats.start(placement)
-        reservation.reply = SlotReply(number, SlotOutcome.GRANTED, placement.server_id)
+        reservation.reply = SlotReply(
+            number,
+            SlotOutcome.GRANTED,
+            placement.server_id,
+            wants_trials=reservation.queue.outliers.has_any(),
+        )
         requester.send_reply(reservation.reply)
 
     def _end(self, reservation: Reservation, is_served: bool) -> None:
--- a/indigoworks/broker/slot_release.py
+++ b/indigoworks/broker/slot_release.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from indigoworks.common.attempt_verdict import AttemptVerdict
 from indigoworks.servers.self_reported_load import SelfReportedLoad
 
 
@@ -13,6 +14,7 @@
     :ivar server_load: load that the server reported with its response, or None.
     :ivar has_crashed_server: the server crashed while it ran the request.
     :ivar is_unreached: connecting to the server failed.
+    :ivar verdict: what the attempt says against the server; a good one is told by `is_served`.
     """
 
     number: int
@@ -20,3 +22,4 @@
     server_load: SelfReportedLoad | None = None
     is_unreached: bool = False
     has_crashed_server: bool = False
+    verdict: AttemptVerdict = AttemptVerdict.NEUTRAL
--- a/indigoworks/broker/slot_reply.py
+++ b/indigoworks/broker/slot_reply.py
@@ -25,6 +25,7 @@
 
     :ivar server_id: server of the granted slot; empty if none is granted.
     :ivar wait_s: with FULL, estimated seconds until a slot is free.
+    :ivar wants_trials: a server is ejected: requests are to tell if they are repeatable.
     :ivar refusal: why the caller's request cannot be served in time; None unless REFUSED.
     """
 
@@ -33,3 +34,4 @@
     server_id: str = ""
     refusal: Refusal | None = None
     wait_s: float = 0.0
+    wants_trials: bool = False
--- a/indigoworks/broker/slot_request.py
+++ b/indigoworks/broker/slot_request.py
@@ -17,6 +17,8 @@
     :ivar caller_mark: hash that identifies retries of the same request; 0: unknown.
     :ivar suspect_mark: mark of a suspect request, whose lock is requested instead of a slot; 0: a
         slot is requested.
+    :ivar is_repeatable: the request may be a trial at an ejected server; told only where the broker
+        asked for it.
     :ivar key: number of the key if only its owner can answer; None: any server can.
     """
 
@@ -33,3 +35,4 @@
     key: int | None = None
     caller_mark: int = 0
     suspect_mark: int = 0
+    is_repeatable: bool = False
--- a/indigoworks/exchange/hub_aggregation.py
+++ b/indigoworks/exchange/hub_aggregation.py
@@ -5,6 +5,7 @@
 
 from indigoworks.exchange.peer_report import AgedReport, PeerReport, node_checksum
 from indigoworks.exchange.server_load import ServerLoad
+from indigoworks.exchange.shared_evidence import SharedEvidence, merge_shared
 from indigoworks.exchange.shared_notice import SharedNotice, merge_notices
 
 
@@ -27,10 +28,15 @@
         group_version=max(each.group_version for each in reports),
         operator_row_version=max(each.operator_row_version for each in reports),
         notices=merge_notices((*own.notices, *_aged_notices(members))),
+        evidence=merge_shared((*own.evidence, *_aged_evidence(members))),
         members=tuple((node_checksum(each.report.node), each.report.sequence) for each in members),
     )
 
 
+def _aged_evidence(members: Sequence[AgedReport]) -> Iterable[SharedEvidence]:
+    return (entry.aged(each.age_s) for each in members for entry in each.report.evidence)
+
+
 def _aged_notices(members: Sequence[AgedReport]) -> Iterable[SharedNotice]:
     return (notice.aged(each.age_s) for each in members for notice in each.report.notices)
 
--- a/indigoworks/exchange/peer_report.py
+++ b/indigoworks/exchange/peer_report.py
@@ -7,6 +7,7 @@
 from indigoworks.exchange.key_sample import KeySample
 from indigoworks.exchange.leader_beat import LeaderBeat
 from indigoworks.exchange.server_load import ServerLoad
+from indigoworks.exchange.shared_evidence import SharedEvidence
 from indigoworks.exchange.shared_notice import SharedNotice
 from indigoworks.exchange.suspect_record import SuspectRecord
 from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
@@ -30,6 +31,7 @@
     :ivar is_joining: the hub is to list this process, but not to add up its loads yet.
     :ivar suspects: known requests under which servers crashed.
     :ivar notices: what servers asked of the sender, or of its members.
+    :ivar evidence: outcomes at servers that had faults, of the sender and of its members.
     :ivar members: checksum of each gateway that is aggregated here, and its report's sequence.
     """
 
@@ -50,6 +52,7 @@
     operator_row_version: StoreVersion = NO_VERSION
     suspects: tuple[SuspectRecord, ...] = ()
     notices: tuple[SharedNotice, ...] = ()
+    evidence: tuple[SharedEvidence, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/indigoworks/exchange/report_codec.py
+++ b/indigoworks/exchange/report_codec.py
@@ -6,6 +6,8 @@
 
 from google.protobuf.message import DecodeError
 
+from indigoworks.exchange.evidence_codec import from_message as evidence_of
+from indigoworks.exchange.evidence_codec import to_message as evidence_message
 from indigoworks.exchange.exchange_pb2 import PeerReportMessage
 from indigoworks.exchange.key_sample import KeySample
 from indigoworks.exchange.leader_beat import LeaderBeat, PendingRange
@@ -39,6 +41,7 @@
         member_sequences=[sequence for _, sequence in report.members],
         suspects=[to_message(each) for each in report.suspects],
         notices=[notice_message(each) for each in report.notices],
+        evidence=[evidence_message(each) for each in report.evidence],
         load_servers=[each.server for each in report.loads],
         load_in_flight=[each.in_flight for each in report.loads],
         load_service_ms=[_milliseconds(each.service_s) for each in report.loads],
@@ -116,6 +119,7 @@
         is_joining=message.is_joining,
         suspects=tuple(from_message(each) for each in message.suspects),
         notices=tuple(notice_of(each) for each in message.notices),
+        evidence=tuple(evidence_of(each) for each in message.evidence),
         members=tuple(zip(message.members, message.member_sequences, strict=True)),
     )
 
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -4,7 +4,6 @@
 from itertools import islice
 
 from indigoworks.common.clock import Clock
-from indigoworks.gateway import queue_refusals
 from indigoworks.gateway.admission_control import AdmissionControl, LoadCache
 from indigoworks.gateway.capacity_tracker import CapacityTracker
 from indigoworks.gateway.owner_lookup import OwnerLookup
@@ -185,11 +184,11 @@
     def _serve_any(self, queue: PlacementQueue, usable: list[ServerRecord]) -> None:
         free = self._capacity.with_capacity(usable)
         while free and (entry := queue.head()) is not None:
-            servers = [each for each in free if each.server_id not in entry.tried]
+            servers = self._selector.candidates(entry, free)
             if not servers or self._is_reserved(queue, entry, usable):
                 return
             self._grant(queue, entry, chosen := self._selector.select(servers))
-            if not self._capacity.has_capacity(chosen):
+            if chosen in free and not self._capacity.has_capacity(chosen):
                 free.remove(chosen)
 
     def _serve_owned(self, queue: PlacementQueue) -> None:
@@ -197,8 +196,8 @@
             owner = self.admission.ready_owner(entry)
             if owner is None or owner.server_id != queue.server_id:
                 self._requeue(entry)
-            elif self._capacity.is_paced_elsewhere(owner):
-                self._refuse(entry, queue_refusals.paced_by_broker(owner.server_id))
+            elif (refusal := self._selector.refusal_of_owner(entry, owner)) is not None:
+                self._refuse(entry, refusal)
             elif self._capacity.has_capacity(owner) and not self._is_reserved(
                 queue, entry, [owner]
             ):
--- a/indigoworks/gateway/gateway_reports.py
+++ b/indigoworks/gateway/gateway_reports.py
@@ -66,9 +66,11 @@
             operator_row_version=self._platform.operator_row_version,
             suspects=self._requests.quarantine.next_report(),
             notices=self._requests.notices.next_notes(),
+            evidence=self._requests.outliers.shared(),
         )
 
     def _take(self, report: PeerReport) -> None:
         self._requests.quarantine.merge_suspects(report.suspects)
         self._requests.notices.apply(report.notices)
+        self._requests.outliers.apply(report)
         self._control.apply_report(report)
--- a/indigoworks/gateway/queue_refusals.py
+++ b/indigoworks/gateway/queue_refusals.py
@@ -69,6 +69,11 @@
     )
 
 
+def failing(server_id: str, left_s: float) -> Refusal:
+    """Refuse a request for a key whose owner is ejected, and is tried again in `left_s`."""
+    return Refusal(RefusalReason.SERVER_FAILS, left_s, server_id, expected_s=left_s)
+
+
 def overload(server_id: str, load: CandidateLoad, ahead: int) -> Refusal:
     """Refuse a request that would wait too long behind `ahead` others.
 
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -225,6 +225,7 @@
                 limit_s=min(limit_s, state.deadline_s),
                 deadline_s=state.deadline_s,
                 content=state.request,
+                is_repeatable=state.route.is_repeatable,
             )
             return await self._placer.place(state.waiting)
         finally:
--- a/indigoworks/gateway/request_sender.py
+++ b/indigoworks/gateway/request_sender.py
@@ -13,7 +13,7 @@
 from indigoworks.gateway.hop_headers import end_to_end_headers
 from indigoworks.gateway.response_collector import ResponseCollector
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
-from indigoworks.gateway.server_response import ExchangeResult, ServerResponse
+from indigoworks.gateway.server_response import BROKEN, ExchangeResult, ServerResponse
 from indigoworks.servers.self_reported_load import SelfReportedLoad
 from indigoworks.servers.server_notice import NOTHING_ASKED, ServerNotice
 from indigoworks.servers.server_record import ServerRecord
@@ -145,7 +145,7 @@
         except TimeoutError:
             return None
         if response is None:
-            return ServerResponse(ExchangeResult.LOST, detail="broken")
+            return ServerResponse(ExchangeResult.LOST, detail=BROKEN)
         return self._server_answer(response)
 
     def _server_answer(self, response: ResponseCollector) -> ServerResponse:
@@ -159,6 +159,7 @@
             response.headers.get(self._names.answering_server_id),
             response.keep_alive_s,
             server_load=self._server_load(response),
+            is_signed=bool(response.headers.get(self._names.signature)),
         )
 
     def _take_head(self, server_id: str, status: int, headers: HTTPHeaders) -> None:
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -9,6 +9,7 @@
 from indigoworks.broker.group_locks import GroupLocks
 from indigoworks.broker.stored_locks import StoredLocks
 from indigoworks.common.clock import Clock
+from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.datagram_endpoint import DatagramEndpoint, OpenDatagrams
@@ -31,6 +32,7 @@
 from indigoworks.gateway.key_sampler import KeySampler
 from indigoworks.gateway.local_retry_budget import LocalRetryBudget
 from indigoworks.gateway.notice_reports import NoticeReports
+from indigoworks.gateway.outlier_subsystem import OutlierSubsystem
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.platform_ports import PlatformPorts
 from indigoworks.gateway.platform_subsystem import PlatformSubsystem
@@ -62,7 +64,7 @@
 
     :ivar path: whether this gateway has lost its path to servers.
     :ivar forward_server: takes requests that peers forward.
-
+    :ivar outliers: servers that fail, and get fewer requests.
     :ivar doubts: requests under which servers may have crashed, here and at peers.
     :ivar on_notice: called on a server's notice that peers should learn of soon.
     """
@@ -100,11 +102,13 @@
         self.on_notice: Callable[[], None] = _nothing
         platform.servers.notices.rests.on_change = self._on_server_notice
         platform.servers.notices.on_leaving = self._on_server_notice
-        limits = platform.servers.notices.limits
-        limits.on_change = self._on_server_notice
+        (limits := platform.servers.notices.limits).on_change = self._on_server_notice
         self.sender.is_limit_known = limits.is_known
         self.sender.on_no_limit = platform.servers.record_no_limit
         rate_limiter = ServerRateLimiter(platform.servers.cold, limits, platform.is_keyed, clock)
+        self.outliers = OutlierSubsystem(
+            settings.node, platform.servers, self.server_stats, reach.path, peers, clock, random
+        )
         self.selector = ServerSelector(
             platform.servers,
             self.server_stats,
@@ -112,6 +116,7 @@
             settings.zone,
             random,
             directory.has_many,
+            self.outliers.detector,
         )
         owners = OwnerLookup(
             tables, platform.servers, self.server_stats, clock, reach.peers.reaches
@@ -123,6 +128,7 @@
             CapacityTracker(self.server_stats, rate_limiter),
             clock,
         )
+        self.outliers.detector.on_change = CoalescedCall(self.queue.capacity_changed).schedule
         self.doubts = DoubtTable(clock, random)
         self._cuts = PartitionMonitor(directory, peers, clock)
         self.brokers = BrokerSubsystem(
@@ -194,6 +200,7 @@
                 self._reachability,
                 reach,
                 self._crash_attribution,
+                self.outliers,
                 log,
             ),
             RequestForwarding(
@@ -236,8 +243,7 @@
 
     def _open_lock(self, mark: RequestMark) -> None:
         """Lift the lock of a request whose doubts are lifted, if this broker issues it."""
-        known = self.quarantine.get(mark)
-        if known is None or not known.crashes:
+        if (known := self.quarantine.get(mark)) is None or not known.crashes:
             self.brokers.broker.lift_lock(mark.short)
 
     def servers_changed(self) -> None:
@@ -273,12 +279,14 @@
         self.sender.close_expired()
         self.forward_client.close_expired()
         self._servers.remove_expired()
+        self.outliers.detector.drop_old()
         self._servers.notices.rests.drop_ended()
         self._servers.notices.limits.drop_ended()
         for server_id in self.sender.known_servers():
             if self._servers.get(server_id) is None:
                 self.sender.forget(server_id)
                 self.server_stats.forget(server_id)
+                self.outliers.forget(server_id)
 
     def close(self) -> None:
         """Cancel background checks of servers and requests."""
--- a/indigoworks/gateway/server_exchange.py
+++ b/indigoworks/gateway/server_exchange.py
@@ -3,12 +3,13 @@
 import asyncio
 
 from indigoworks.gateway.crash_attribution import CrashAttribution
+from indigoworks.gateway.outlier_subsystem import OutlierSubsystem
 from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.reachability_monitor import ReachabilityMonitor
 from indigoworks.gateway.request_log import RequestLog
 from indigoworks.gateway.request_sender import CONNECTION_REFUSED, MISDIRECTED, RequestSender
 from indigoworks.gateway.request_state import RequestState
-from indigoworks.gateway.server_response import ExchangeResult, ServerResponse
+from indigoworks.gateway.server_response import OUT_OF_REACH, ExchangeResult, ServerResponse
 from indigoworks.gateway.server_stats import ServerStats
 from indigoworks.reach.reach_subsystem import ReachSubsystem
 from indigoworks.servers.replacement_evidence import ReplacementEvidence
@@ -28,6 +29,7 @@
         reachability: ReachabilityMonitor,
         reach: ReachSubsystem,
         crash_attribution: CrashAttribution,
+        outliers: OutlierSubsystem,
         log: RequestLog,
     ) -> None:
         self._sender = sender
@@ -37,12 +39,14 @@
         self._reachability = reachability
         self._reach = reach
         self._crash_attribution = crash_attribution
+        self._outliers = outliers
         self._log = log
 
     async def run(self, state: RequestState, server: ServerRecord) -> ServerResponse:
         """Send the request once and return the response; `state.is_served` tells if it ran."""
         state.tried.append(server.server_id)
         state.is_served = False
+        is_measured = False
         started = self._server_stats.start(server)
         try:
             self._crash_attribution.record_send(state)
@@ -55,9 +59,12 @@
                 self._server_stats.record_server_load(server.server_id, response.server_load)
             if is_answered:
                 self._record_responder(state, server, response)
+            response = self._outliers.record(state, server, response, started)
+            # A failure may be faster than any service, whose time it says nothing about.
+            is_measured = state.is_served and not response.verdict.is_fault
             return response
         finally:
-            self._server_stats.finish(server, started, state.is_served)
+            self._server_stats.finish(server, started, is_measured)
             state.started = started
 
     async def _exchange(self, state: RequestState, server: ServerRecord) -> ServerResponse:
@@ -73,7 +80,7 @@
                     return response
                 is_reachable = await self._reachability.is_reachable(server)
                 if not is_reachable and state.route.is_repeatable and not sending.done():
-                    return ServerResponse(ExchangeResult.LOST, detail="out_of_reach")
+                    return ServerResponse(ExchangeResult.LOST, detail=OUT_OF_REACH)
         finally:
             sending.cancel()
 
--- a/indigoworks/gateway/server_response.py
+++ b/indigoworks/gateway/server_response.py
@@ -3,8 +3,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from indigoworks.common.attempt_verdict import AttemptVerdict
 from indigoworks.servers.self_reported_load import SelfReportedLoad
 
+BROKEN = "broken"
+"""Detail of a lost request whose connection broke off; any other one names what was invalid."""
+
+OUT_OF_REACH = "out_of_reach"
+"""Detail of a lost request that was taken back because its server went out of reach."""
+
 
 class ExchangeResult(Enum):
     """Ways in which an exchange ends."""
@@ -24,6 +31,8 @@
 class ServerResponse:
     """Result of an exchange; status, headers and body are set only if the server answered.
 
+    :ivar is_signed: the response has the server's signature.
+    :ivar verdict: what the attempt says against the server, once it was judged.
     :ivar server_load: the load that the server reported; None if it reported none.
     """
 
@@ -36,6 +45,8 @@
     keep_alive_s: float | None = None
     detail: str = ""
     server_load: SelfReportedLoad | None = None
+    is_signed: bool = False
+    verdict: AttemptVerdict = AttemptVerdict.NEUTRAL
 
     @property
     def was_sent(self) -> bool:
--- a/indigoworks/gateway/server_selector.py
+++ b/indigoworks/gateway/server_selector.py
@@ -3,8 +3,12 @@
 from collections.abc import Callable
 from random import Random
 
+from indigoworks.gateway import queue_refusals
+from indigoworks.gateway.refusal import Refusal
 from indigoworks.gateway.server_rate_limiter import ServerRateLimiter
 from indigoworks.gateway.server_stats import ServerStats
+from indigoworks.gateway.waiting_request import WaitingRequest
+from indigoworks.outliers.outlier_detector import OutlierDetector
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
@@ -21,6 +25,7 @@
     the same server and overload it. There a server is drawn at random, weighted by the work that it
     can accept now.
 
+    :param outliers: servers that fail and are to be spared; None: none is.
     :param is_large_group: returns whether there are so many gateways that their reports are old.
     """
 
@@ -32,6 +37,7 @@
         zone: str,
         random: Random,
         is_large_group: Callable[[], bool] = lambda: False,
+        outliers: OutlierDetector | None = None,
     ) -> None:
         self._servers = servers
         self._server_stats = server_stats
@@ -39,6 +45,7 @@
         self._zone = zone
         self._random = random
         self._is_large_group = is_large_group
+        self._outliers = outliers
 
     def usable(self, service: str) -> list[ServerRecord]:
         """Return the servers that may get requests from here: reachable, not resting, and not
@@ -46,9 +53,46 @@
         usable = list(self._servers.usable(service))
         if self._servers.has_resting():
             usable = self._without_resting(usable)
-        if not self._server_stats.down.has_any() and not self._rate_limiter.has_rate_limits():
-            return usable
-        return [each for each in usable if self._is_usable(each)]
+        if self._server_stats.down.has_any() or self._rate_limiter.has_rate_limits():
+            usable = [each for each in usable if self._is_usable(each)]
+        return usable if self._outliers is None else self._outliers.without_ejected(usable)
+
+    def candidates(self, entry: WaitingRequest, free: list[ServerRecord]) -> list[ServerRecord]:
+        """Return the servers among which one is selected for a request without a key.
+
+        :param free: usable servers with capacity.
+        """
+        trial = self._trial(entry)
+        if trial is not None:
+            return [trial]
+        return [each for each in free if each.server_id not in entry.tried]
+
+    def _trial(self, entry: WaitingRequest) -> ServerRecord | None:
+        """Return an ejected server that a request without a key is to try, or None."""
+        outliers = self._outliers
+        if outliers is None or not outliers.has_any() or not entry.is_repeatable:
+            return None
+        usable = self._servers.usable(entry.service)
+        resting = self._servers.rest_left_s
+        candidates = [
+            each
+            for each in usable
+            if outliers.is_ejected(each.server_id)
+            and each.server_id not in entry.tried
+            and self._is_usable(each)
+            and not resting(each.server_id)
+        ]
+        return outliers.trial(candidates)
+
+    def refusal_of_owner(self, entry: WaitingRequest, owner: ServerRecord) -> Refusal | None:
+        """Return the refusal of a request for a key whose owner is ejected, or rate-limited by
+        another process; None if it may be placed there."""
+        if self._rate_limiter.has_rate_limits() and self._rate_limiter.is_paced_elsewhere(owner):
+            return queue_refusals.paced_by_broker(owner.server_id)
+        outliers = self._outliers
+        if outliers is None or not outliers.refuses(owner, entry.is_repeatable):
+            return None
+        return queue_refusals.failing(owner.server_id, outliers.retry_after_s(owner.server_id))
 
     def rest_left_s(self, service: str) -> float:
         """Return the seconds until the first server ends its rest if all of them rest, else 0."""
--- a/indigoworks/gateway/server_stats.py
+++ b/indigoworks/gateway/server_stats.py
@@ -93,6 +93,11 @@
         """Return when any server last answered; minus infinity if none ever did."""
         return max(self._last_answer_s.values(), default=float("-inf"))
 
+    def has_other_answered(self, server_id: str, since_s: float) -> bool:
+        """Return whether a server other than this one has answered since `since_s`."""
+        answers = self._last_answer_s.items()
+        return any(at_s >= since_s for each, at_s in answers if each != server_id)
+
     def in_flight(self, server_id: str) -> int:
         """Return the requests in flight to a server, from all gateways."""
         return self._in_flight.get(server_id, 0) + self._peers.in_flight(server_id)
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -58,6 +58,7 @@
         )
         self._add_quarantine(metrics)
         self._add_notices(metrics)
+        self._add_outliers(metrics)
         metrics.gauge("gateway_grants", "Ranges that we grant", ("state",), self._grants)
         metrics.gauge(
             "gateway_path_lost",
@@ -156,6 +157,30 @@
             lambda: {NO_LABELS: self._requests.sender.held_back},
         )
 
+    def _add_outliers(self, metrics: Metrics) -> None:
+        outliers = self._requests.outliers.detector
+        metrics.gauge(
+            "gateway_ejected_servers",
+            "Servers that get trial requests only, since they fail",
+            NO_LABELS,
+            lambda: {NO_LABELS: len(outliers.ejected())},
+        )
+        metrics.read_counter(
+            "gateway_server_faults",
+            "Outcomes that counted against a server",
+            ("kind",),
+            lambda: {(kind,): count for kind, count in outliers.counts.faults.items()},
+        )
+        metrics.read_counter(
+            "gateway_ejections",
+            "Servers ejected, and trial requests to them",
+            ("what",),
+            lambda: {
+                ("ejection",): outliers.counts.ejections,
+                ("trial",): outliers.counts.trials,
+            },
+        )
+
     # ---- requests ----
 
     def _waiting(self) -> Values:
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -30,6 +30,7 @@
     :ivar content: the request; None if it came from another gateway.
     :ivar caller_mark: hash that identifies the caller's attempts of it; 0 if unknown.
     :ivar is_scheduled_retry: whether it is a due scheduled retry.
+    :ivar is_repeatable: it may safely run more than once, and so be a trial at an ejected server.
     :ivar placement: future of its server, or of its refusal.
     :ivar queue: queue in which it waits or was placed; None while it waits for an owner.
     """
@@ -43,6 +44,7 @@
     content: ClientRequest | None = None
     caller_mark: int = 0
     is_scheduled_retry: bool = False
+    is_repeatable: bool = False
     placement: asyncio.Future[ServerRecord | Refusal] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
--- a/indigoworks_lab/crash_simulation/crash_gateway.py
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -155,9 +155,11 @@
             retry_count=0,
             suspects=self.side.quarantine.next_report(),
             notices=self.side.notices.next_notes(),
+            evidence=self.side.outliers.shared(),
         )
 
     def _take(self, report: PeerReport) -> None:
         self.side.quarantine.merge_suspects(report.suspects)
         self.side.notices.apply(report.notices)
+        self.side.outliers.apply(report)
         self.side.queue.capacity_changed()
--- a/indigoworks_lab/crash_simulation/crash_machine.py
+++ b/indigoworks_lab/crash_simulation/crash_machine.py
@@ -5,6 +5,7 @@
 
 from indigoworks.common.address import Address
 from indigoworks_lab.crash_simulation.crash_shape import CrashShape
+from indigoworks_lab.crash_simulation.machine_fault import MachineFault
 from indigoworks_lab.crash_simulation.machine_run import MachineRun
 from indigoworks_lab.crash_simulation.machine_wishes import MachineWishes
 
@@ -20,6 +21,11 @@
     :param loses_answer: tells of a run that ended well whether its answer is lost.
     :param on_end: called with the machine when its process has ended.
     :ivar runs: every run that began here.
+    :ivar fault: how it fails; None: it does not.
+    :ivar honest_errors: share of the runs that it answers with its own 500.
+    :ivar fails_on: target of the requests that it answers with 500.
+    :ivar resets_when_full: it resets connections of requests beyond its slots.
+    :ivar resets: how many it has reset.
     :ivar wishes: what the machine asks of gateways in its answers.
     """
 
@@ -43,6 +49,11 @@
         self.life = 0
         self.runs: list[MachineRun] = []
         self.wishes = MachineWishes()
+        self.fault: MachineFault | None = None
+        self.honest_errors = 0.0
+        self.fails_on = ""
+        self.resets_when_full = False
+        self.resets = 0
         self._name = f"{service}-{number}"
         self._shape = shape
         self._is_harmful = is_harmful
@@ -76,6 +87,10 @@
                 answer.set_result(None)
         self._on_end(self)
 
+    def is_reset_by_load(self) -> bool:
+        """Return whether one more request is beyond the slots, and its connection is reset."""
+        return self.resets_when_full and len(self._in_hand) >= self.slots
+
     async def run(self, target: str, caller: str, gateway: str, meant_id: str) -> int | None:
         """Return the status of a request, or None where the connection breaks off."""
         if meant_id != self.server_id:
--- a/indigoworks_lab/crash_simulation/machine_connection.py
+++ b/indigoworks_lab/crash_simulation/machine_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from random import Random
 
 from tornado.httputil import HTTPHeaders
 
@@ -9,6 +10,7 @@
 from indigoworks.gateway.response_collector import ResponseCollector
 from indigoworks.gateway.server_connection import ServerConnection
 from indigoworks_lab.crash_simulation.crash_machine import CrashMachine
+from indigoworks_lab.crash_simulation.machine_fault import MachineFault
 from indigoworks_lab.crash_simulation.machine_wishes import Arrival
 from indigoworks_lab.crash_simulation.path_cuts import PathCut
 from indigoworks_lab.crash_simulation.simulated_names import (
@@ -23,6 +25,9 @@
 LINK_S = 0.001
 CUT_POLL_S = 0.05
 TURNED_AWAY = 503
+FAILED = 500
+SERVED = 200
+FOREVER_S = 3600.0
 
 
 class MachineConnection(ServerConnection):
@@ -45,6 +50,7 @@
         self._thawed = thawed
         self._machine: CrashMachine | None = None
         self._life = 0
+        self._random = Random(f"{gateway}/{address.host}")
 
     async def connect(self, timeout_s: float) -> bool:
         """Connect; a machine that is dark says nothing, one without a process refuses."""
@@ -110,12 +116,28 @@
         server_id = headers[NAMES.server_id]
         if server_id == machine.server_id:
             sent_s = float(headers.get(SENT_HEADER, "0"))
-            arrival = Arrival(now_s, sent_s, self._life_of_gateway, server_id)
+            arrival = Arrival(now_s, sent_s, self._life_of_gateway, server_id, target)
             machine.wishes.arrivals.append(arrival)
         if machine.wishes.asks_rest(self._gateway):
             return TURNED_AWAY
+        if machine.is_reset_by_load():
+            machine.resets += 1
+            return None
+        if target == machine.fails_on:
+            return FAILED
+        if machine.fault is not None:
+            return await self._fail(machine.fault)
         caller = headers.get(CALLER_HEADER, "")
-        return await machine.run(target, caller, self._gateway, server_id)
+        status = await machine.run(target, caller, self._gateway, server_id)
+        is_error = status == SERVED and self._random.random() < machine.honest_errors
+        return FAILED if is_error else status
+
+    async def _fail(self, fault: MachineFault) -> int | None:
+        if fault is MachineFault.SILENT:
+            await asyncio.sleep(FOREVER_S)
+        if fault is MachineFault.BREAKS_OFF:
+            return None
+        return FAILED if fault is MachineFault.ERROR else SERVED
 
     def _answer(self, machine: CrashMachine, status: int) -> ResponseCollector:
         """Return an answer with what the machine asks for at this moment."""
@@ -126,6 +148,8 @@
         answer = ResponseCollector()
         answer.status = status
         answer.headers = HTTPHeaders({NAMES.answering_server_id: machine.server_id})
+        if machine.fault is not MachineFault.UNSIGNED:
+            answer.headers[NAMES.signature] = "signed"
         if turns_away:
             answer.headers[NAMES.not_run] = "1"
             answer.headers[REST_HEADER] = str(wishes.rest_s)
--- a/indigoworks_lab/crash_simulation/machine_wishes.py
+++ b/indigoworks_lab/crash_simulation/machine_wishes.py
@@ -16,6 +16,7 @@
     sent_s: float
     gateway: str
     server_id: str
+    target: str = ""
 
 
 @dataclass(frozen=True)
