Rules of outlier ejection have scenarios with fakes; good responses before a fault no longer outweigh it

Cause: after a return the proofs of a server stayed in its count, so that a flapping server needed more faults for each further ejection (found by the new scenario of flapping: not ejected after three invalid responses). Change: a fault begins a new count where none was counted before. Scenarios for weights, bounds, peers, flapping, each verdict on an attempt, and the messages (features/gateway_outlier_rules.feature).

--- a/indigoworks/outliers/evidence_table.py
+++ b/indigoworks/outliers/evidence_table.py
@@ -72,7 +72,9 @@
         now_s = self._clock.now()
         by_teller = self._seen.setdefault(server, {})
         known = by_teller.get(self._own)
-        if known is None or now_s - known.at_s > EVIDENCE_VALID_S:
+        is_new = known is None or now_s - known.at_s > EVIDENCE_VALID_S
+        # Good responses before the first fault say nothing of the time since.
+        if known is None or is_new or (verdict.is_fault and not known.evidence.faults):
             known = by_teller[self._own] = _Seen(ServerEvidence(), now_s, now_s)
         if verdict is AttemptVerdict.GOOD and begun_s < known.began_s:
             return
