--- a/indigoworks/broker/slot_request.py
+++ b/indigoworks/broker/slot_request.py
@@ -19,6 +19,8 @@
         slot is requested.
     :ivar connected: checksums of the ids of servers to which the requester has an idle connection,
         the preferred one first.
+    :ivar is_repeatable: the request may be a trial at an ejected server; told only where the broker
+        asked for it.
     :ivar key: number of the key if only its owner can answer; None: any server can.
     """
 
@@ -36,3 +38,4 @@
     caller_mark: int = 0
     suspect_mark: int = 0
     connected: tuple[int, ...] = ()
+    is_repeatable: bool = False
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -245,6 +245,7 @@
                 deadline_s=state.deadline_s,
                 content=state.request,
                 is_dispatched=state.is_dispatched,
+                is_repeatable=state.route.is_repeatable,
             )
             return await self._placer.place(state.waiting)
         finally:
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -33,6 +33,7 @@
         connection, the preferred one first.
     :ivar is_scheduled_retry: whether it is a due scheduled retry.
     :ivar is_dispatched: a peer selected this gateway as dispatcher of its owner.
+    :ivar is_repeatable: it may safely run more than once, and so be a trial at an ejected server.
     :ivar placement: future of its server, or of its refusal.
     :ivar queue: queue in which it waits or was placed; None while it waits for an owner.
     """
@@ -48,6 +49,7 @@
     connected: tuple[int, ...] = ()
     is_scheduled_retry: bool = False
     is_dispatched: bool = False
+    is_repeatable: bool = False
     placement: asyncio.Future[ServerRecord | Refusal] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
