Responses have bounds everywhere, and one budget counts the buffered bytes of a process

Cause: bodies were bounded at 64 MiB each, whatever else was in hand, and a body was held twice while its parts were joined; bytes on an idle connection stayed unread until the connection was used. Change: one reader of responses for servers, orders, peers and the store counts heads, lines, chunks and bodies, and ends a response at the first byte beyond a bound. ByteBudget counts the bytes of requests and responses of the process; responses wait, requests are refused, and a response is cut only where no other way leaves room. The check of log types reads indigoworks/common too. Ruled out: reserving declared lengths, since a server that declares 64 MiB and sends nothing would block all others.

--- a/features/steps/gateway_log_bound_steps.py
+++ b/features/steps/gateway_log_bound_steps.py
@@ -211,6 +211,7 @@
     "rowstore",
     "servers",
     "routes",
+    "common",
     "common/logging",
     "quarantine",
     "reach",
--- a/indigoworks/backend/http_connection.py
+++ b/indigoworks/backend/http_connection.py
@@ -2,18 +2,18 @@
 
 import socket
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, RequestStartLine
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from indigoworks.backend.http_message import HttpMessage
 from indigoworks.backend.http_response import HttpResponse
 from indigoworks.backend.http_response_reader import HttpResponseReader
 from indigoworks.backend.transfer_deadline import TransferDeadline
 from indigoworks.common.address import Address
-
-MAX_HEADERS_BYTES = 64 * 1024
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+from indigoworks.common.bounded_http_connection import BoundedHttpConnection
+from indigoworks.common.bounded_stream import BoundedStream
+from indigoworks.common.exceeded_bound import ExceededBound
+from indigoworks.common.exceeded_responses import EXCEEDED_RESPONSES
 
 
 class HttpConnection:
@@ -26,12 +26,7 @@
     def __init__(self, address: Address) -> None:
         self._address = address
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        self._stream = IOStream(
-            socket.socket(family, socket.SOCK_STREAM), max_buffer_size=MAX_RESPONSE_BYTES
-        )
-        self._parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADERS_BYTES, max_body_size=MAX_RESPONSE_BYTES
-        )
+        self._stream = BoundedStream(socket.socket(family, socket.SOCK_STREAM))
 
     async def connect(self) -> bool:
         """Connect; False if that failed."""
@@ -47,7 +42,11 @@
         return not self._stream.closed()
 
     def watch_while_idle(self) -> None:
-        """Detect when the server closes the connection while it is idle."""
+        """Detect when the server closes the connection, or sends anything, while it is idle."""
+        self._stream.on_surplus = self._end_with_surplus
+        if self._stream._read_buffer_size:
+            self._end_with_surplus()
+            return
         # A stream without a close callback and without a pending read does not poll its socket.
         self._stream.set_close_callback(_ignore_close)
 
@@ -62,7 +61,9 @@
         :param deadline: extended with each part of the response that arrives.
         :returns: None if the response is incomplete: the server may have run the request.
         """
-        reader = HttpResponseReader(message.method, deadline)
+        reader = HttpResponseReader(message.method, deadline, self.close)
+        self._stream.on_surplus = None
+        response: HttpResponse | None = None
         is_reusable = False
         try:
             await self._write_and_read(message, reader)
@@ -72,6 +73,8 @@
         except (OSError, StreamClosedError):
             return None
         finally:
+            if response is None:
+                reader.drop()
             if not is_reusable:
                 self.close()
 
@@ -80,12 +83,14 @@
         self._stream.close()
 
     async def _write_and_read(self, message: HttpMessage, reader: HttpResponseReader) -> None:
-        connection = HTTP1Connection(self._stream, True, self._parameters)
+        connection = BoundedHttpConnection(self._stream)
         start_line = RequestStartLine(message.method, message.path, "HTTP/1.1")
         headers = self._headers_of(message)
-        connection.write_headers(start_line, headers, message.body or None)
-        connection.finish()
+        connection.write_message(start_line, headers, message.body)
         await connection.read_response(reader)
+        exceeded = reader.exceeded or connection.exceeded
+        if exceeded is not None:
+            EXCEEDED_RESPONSES.record(self._address, exceeded, reader.body_bytes)
 
     def _headers_of(self, message: HttpMessage) -> HTTPHeaders:
         headers = HTTPHeaders()
@@ -101,6 +106,12 @@
                 headers[name] = value
         return headers
 
+    def _end_with_surplus(self) -> None:
+        """Close the connection if bytes arrived that no request is due."""
+        if not self._stream.closed() and self._stream._read_buffer_size:
+            EXCEEDED_RESPONSES.record(self._address, ExceededBound.SURPLUS, 0)
+            self.close()
+
 
 def _ignore_close() -> None:
     """Serve as close callback, which makes the stream poll its socket for `is_open`."""
--- a/indigoworks/forwarding/forward_client.py
+++ b/indigoworks/forwarding/forward_client.py
@@ -24,6 +24,8 @@
 may have died without a sign, and a request that must not run twice would be lost on it."""
 
 OK_STATUS = 200
+NO_ROOM_STATUS = 503
+"""Status of a peer that had no memory for the request, see `PeerRequestReader`."""
 
 
 class ForwardClient:
@@ -77,6 +79,9 @@
             is_whole = connection.is_request_sent
             return ForwardFailure.NO_REPLY if is_whole else ForwardFailure.NOT_SENT
         pool.release(connection, KEEP_ALIVE_S)
+        if response.status == NO_ROOM_STATUS:
+            # The peer dropped the request while it read it: as if it had not been sent whole.
+            return ForwardFailure.NOT_SENT
         reply = decode_forward_reply(response.body) if response.status == OK_STATUS else None
         return ForwardFailure.NO_REPLY if reply is None else reply
 
--- a/indigoworks/forwarding/forward_server.py
+++ b/indigoworks/forwarding/forward_server.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from indigoworks.common.byte_budget import PROCESS_BUDGET
 from indigoworks.forwarding.forward_client import FORWARD_ID
 from indigoworks.forwarding.forward_codec import decode_forward_request, encode_forward_reply
 from indigoworks.forwarding.forward_reply import ForwardOutcome, ForwardReply
@@ -90,12 +91,16 @@
             {FORWARD_ID: request.headers.get(FORWARD_ID, ""), "Content-Length": str(len(body))}
         )
         start_line = ResponseStartLine("HTTP/1.1", OK_STATUS, "")
+        share = PROCESS_BUDGET.hold(len(body))
         connection.set_close_callback(None)
         try:
-            connection.write_headers(start_line, headers, body)
+            written = connection.write_headers(start_line, headers, body)
             connection.finish()
+            await written
         except (StreamClosedError, OSError):
             pass
+        finally:
+            share.release()
 
 
 def _cancel(task: "asyncio.Task[None]") -> None:
--- a/indigoworks/gateway/configuration_refusals.py
+++ b/indigoworks/gateway/configuration_refusals.py
@@ -63,6 +63,10 @@
         """Refuse a request that the newest configuration may allow; the caller may retry."""
         return self.refused(request, RefusalReason.CONFIGURATION_BEHIND)
 
+    def no_memory(self, request: ClientRequest) -> ClientResponse:
+        """Refuse a request for whose body the process has no room."""
+        return self.refused(request, RefusalReason.NO_MEMORY)
+
     def refused(self, request: ClientRequest, reason: RefusalReason) -> ClientResponse:
         """Answer that the request has not run, and when to retry."""
         refusal = Refusal(reason, RETRY_AFTER_S)
--- a/indigoworks/gateway/front_exchange.py
+++ b/indigoworks/gateway/front_exchange.py
@@ -1,7 +1,9 @@
 """One request of a caller and its response."""
 
 import asyncio
+import contextlib
 import socket
+from dataclasses import replace
 from typing import Any, Protocol
 
 from eliot import log_message
@@ -15,15 +17,20 @@
 )
 from tornado.iostream import StreamClosedError
 
+from indigoworks.common.byte_budget import PROCESS_BUDGET
+from indigoworks.common.byte_share import ByteUse
 from indigoworks.common.clock import Clock
+from indigoworks.common.held_body import HeldBody
 from indigoworks.common.in_progress_counter import InProgressCounter
 from indigoworks.gateway.client_request import ClientRequest
 from indigoworks.gateway.client_response import ClientResponse
 from indigoworks.gateway.header_names import HeaderNames
 from indigoworks.gateway.hop_headers import end_to_end_headers
+from indigoworks.gateway.response_writer import write_response
 from indigoworks.routes.caller_limits import CallerLimits
 
 MS_PER_S = 1000.0
+
 BODILESS = frozenset({204, 304})
 
 UNCONFIGURED = CallerLimits()
@@ -59,6 +66,10 @@
         """Refuse a request whose body exceeds outdated limits; the caller may retry."""
         ...
 
+    def no_memory(self, request: ClientRequest) -> ClientResponse:
+        """Refuse a request for whose body the process has no room."""
+        ...
+
 
 class FrontExchange(HTTPMessageDelegate):
     """Reads one request, answers it, and cancels its handling if the caller disconnects."""
@@ -72,10 +83,11 @@
         self._clock = clock
         self._start_line = RequestStartLine("", "", "")
         self._headers = HTTPHeaders()
-        self._chunks: list[bytes] = []
+        self._body = HeldBody(PROCESS_BUDGET.share(ByteUse.REQUEST))
         self._body_bytes = 0
         self._is_header_too_large = False
         self._is_body_too_large = False
+        self._is_out_of_memory = False
         self._task: asyncio.Task[None] | None = None
         self._idle_since_s = clock.now()
         self._first_limits = server.limits
@@ -95,18 +107,23 @@
         self._connection.set_max_body_size(read_bytes)
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body; a body over the limits in force is read and discarded."""
+        """Store a part of the body; one over the limits or the budget is read and discarded."""
         self._body_bytes += len(chunk)
         if self._body_bytes > self._most_body_bytes():
             self._is_body_too_large = True
-        if self._is_body_too_large:
-            self._chunks.clear()
+        if self._is_body_too_large or self._is_out_of_memory:
+            self._body.clear()
+        elif self._body.share.take(len(chunk)):
+            self._body.append(chunk)
         else:
-            self._chunks.append(chunk)
+            PROCESS_BUDGET.refused += 1
+            self._is_out_of_memory = True
+            self._body.clear()
 
     def finish(self) -> None:
         """Start handling the request, which has been read completely."""
         assert isinstance(self._connection, HTTP1Connection)
+        self._body.share.finish()
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.ensure_future(self._run(self._request()))
 
@@ -185,12 +202,15 @@
                 )
                 response = FAULT_ANSWER
             await self._write(request, response)
+            self._body.clear()
 
     async def _answer(self, request: ClientRequest) -> ClientResponse:
         if self._is_header_too_large:
             return self._server.header_too_large(request)
         if self._is_body_too_large:
             return self._server.retry_later(request)
+        if self._is_out_of_memory:
+            return self._server.no_memory(request)
         return await self._server.respond(request)
 
     async def _write(self, request: ClientRequest, response: ClientResponse) -> None:
@@ -201,18 +221,11 @@
             headers["Content-Length"] = str(len(response.body))
         if self._server.is_stopping:
             headers["Connection"] = "close"
-        has_body = bool(response.body) and request.method != "HEAD"
         start_line = ResponseStartLine("HTTP/1.1", response.status, "")
-        connection = self._connection
-        connection.set_close_callback(None)
-        try:
-            written = connection.write_headers(
-                start_line, headers, response.body if has_body else None
-            )
-            connection.finish()
-            await written
-        except (StreamClosedError, OSError):
-            pass
+        self._connection.set_close_callback(None)
+        sent = response if request.method != "HEAD" else replace(response, body=b"")
+        with contextlib.suppress(StreamClosedError, OSError):
+            await write_response(self._connection, start_line, headers, sent)
 
     def _request(self) -> ClientRequest:
         headers = self._headers
@@ -222,7 +235,7 @@
             host=headers.get("Host", "").partition(":")[0],
             target=self._start_line.path,
             headers=end_to_end_headers(headers),
-            body=b"".join(self._chunks),
+            body=self._body.value(),
             wait_s=_milliseconds(headers.get(self._names.deadline_ms)),
             key=_whole_number(headers.get(self._names.key)),
             arrived_s=self._clock.now(),
--- a/indigoworks/gateway/front_server.py
+++ b/indigoworks/gateway/front_server.py
@@ -104,6 +104,10 @@
         """Refuse a request whose body exceeds outdated limits; the caller may retry."""
         return self._refusals.retry_later(request)
 
+    def no_memory(self, request: ClientRequest) -> ClientResponse:
+        """Refuse a request for whose body the process has no room."""
+        return self._refusals.no_memory(request)
+
     def stop_listening(self) -> None:
         """Accept no further connections."""
         self._server.stop()
--- a/indigoworks/gateway/gateway_responses.py
+++ b/indigoworks/gateway/gateway_responses.py
@@ -29,7 +29,9 @@
 
     def from_server(self, request: ClientRequest, response: ServerResponse) -> ClientResponse:
         """Return the server's response unchanged."""
-        return ClientResponse(response.status, response.headers, response.body)
+        return ClientResponse(
+            response.status, response.headers, response.body, share=response.share
+        )
 
     def refused(self, request: ClientRequest, refusal: Refusal) -> ClientResponse:
         """Return the guarantee that the request did not run, and when to retry."""
--- a/indigoworks/gateway/gateway_settings.py
+++ b/indigoworks/gateway/gateway_settings.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from indigoworks.common.address import Address
+from indigoworks.common.byte_budget import DEFAULT_MEMORY_MB
 from indigoworks.common.errors import IndigoworksError
 from indigoworks.gateway.settings_checks import TEMPLATE, InvalidField, find_invalid_field
 
@@ -32,6 +33,7 @@
     :ivar peer_address: for the exchange with other gateways: UDP for reports, TCP for feeds.
     :ivar capacity_cores: processor cores that the process may use.
     :ivar link_mbit: bandwidth of the machine's link, in Mbit/s.
+    :ivar memory_mb: memory of the machine, in MiB.
     :ivar metrics_address: HTTP address of metrics and administration.
     :ivar server_heartbeat_s: period in which servers renew their entries.
     :ivar drain_s: time after which a draining server must get no new requests.
@@ -59,6 +61,7 @@
     retry_slack: float
     capacity_cores: float = 1.0
     link_mbit: float = 1000.0
+    memory_mb: float = DEFAULT_MEMORY_MB
     configuration_apply_s: float = 2.0
     bounds_cold_servers: bool = False
 
@@ -112,6 +115,7 @@
         retry_slack=float(document.get("retry_slack", 10.0)),
         capacity_cores=float(document.get("core_share", 1.0)) * float(document.get("cores", 1)),
         link_mbit=float(document.get("link_mbit", 1000.0)),
+        memory_mb=float(document.get("memory_mb", DEFAULT_MEMORY_MB)),
         configuration_apply_s=float(document.get("configuration_apply_ms", 2000.0)) / MS_PER_S,
         bounds_cold_servers="cold_overshoot" in document,
     )
--- a/indigoworks/gateway/refusal.py
+++ b/indigoworks/gateway/refusal.py
@@ -20,6 +20,8 @@
     """Each server that could run it asked for a rest: no requests for a while."""
     SERVER_LIMITED = "server_limited"
     """Each server that could run it has a rate limit."""
+    NO_MEMORY = "no_memory"
+    """The process has no room for its body."""
     SUSPECT = "suspect"
     """A server crashed under an attempt of it, and another attempt is in flight or waiting."""
     QUARANTINED = "quarantined"
--- a/indigoworks/gateway/request_sender.py
+++ b/indigoworks/gateway/request_sender.py
@@ -34,6 +34,9 @@
 CONNECTION_REFUSED = "refused"
 """Detail of a request that was not sent because its server refused the connection."""
 
+EXCEEDED = "exceeded"
+"""Detail of a request whose response exceeded a bound."""
+
 ReadNotice = Callable[[int, HTTPHeaders], ServerNotice]
 """Parses a server's notice from status and headers of a response."""
 
@@ -145,7 +148,8 @@
         except TimeoutError:
             return None
         if response is None:
-            return ServerResponse(ExchangeResult.LOST, detail="broken")
+            detail = "broken" if connection.exceeded is None else EXCEEDED
+            return ServerResponse(ExchangeResult.LOST, detail=detail, exceeded=connection.exceeded)
         return self._server_answer(response)
 
     def _server_answer(self, response: ResponseCollector) -> ServerResponse:
@@ -159,6 +163,7 @@
             response.headers.get(self._names.answering_server_id),
             response.keep_alive_s,
             server_load=self._server_load(response),
+            share=response.share,
         )
 
     def _take_head(self, server_id: str, status: int, headers: HTTPHeaders) -> None:
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -8,6 +8,7 @@
 from indigoworks.broker.brokered_queue import BrokeredQueue
 from indigoworks.broker.group_locks import GroupLocks
 from indigoworks.broker.stored_locks import StoredLocks
+from indigoworks.common.byte_budget import PROCESS_BUDGET
 from indigoworks.common.clock import Clock
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Metrics
@@ -85,6 +86,7 @@
         open_datagrams: OpenDatagrams = DatagramEndpoint,
     ) -> None:
         self.path = reach.path
+        PROCESS_BUDGET.set_memory(settings.memory_mb)
         self.server_stats = ServerStats(peers, clock, reach.down)
         self.sampler = KeySampler()
         self._servers = platform.servers
--- a/indigoworks/gateway/response_collector.py
+++ b/indigoworks/gateway/response_collector.py
@@ -1,10 +1,14 @@
 """Collects one response of a server."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
 
+from indigoworks.common.byte_share import ByteShare
+from indigoworks.common.exceeded_bound import ExceededBound
+from indigoworks.common.response_body import ResponseBody
+
 INFORMATIONAL_LIMIT = 200
 """Statuses below this are informational: the final response follows."""
 
@@ -16,19 +20,26 @@
     """Default listener, which does nothing."""
 
 
+def _nothing() -> None:
+    """Default of a callback."""
+
+
 class ResponseCollector(HTTPMessageDelegate):
     """Receives the parts of one response from the HTTP library.
 
     :param on_head: called with the head, even if the rest of the response never arrives.
+    :param on_cut: called if the response has to end for lack of memory.
     :ivar finished: done when the response is complete.
     """
 
-    def __init__(self, on_head: HeadListener = ignore_head) -> None:
+    def __init__(
+        self, on_head: HeadListener = ignore_head, on_cut: Callable[[], None] = _nothing
+    ) -> None:
         self._on_head = on_head
         self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.status = 0
         self.headers = HTTPHeaders()
-        self._chunks: list[bytes] = []
+        self._body = ResponseBody(on_cut)
         self._version = ""
 
     def headers_received(
@@ -41,24 +52,45 @@
         self.status = start_line.code
         self.headers = headers
         self._version = start_line.version
+        self._body.begin(headers)
         self._on_head(start_line.code, headers)
 
-    def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        self._chunks.append(chunk)
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Store a part of the body; the connection is not read until the result is done."""
+        return self._body.add(chunk)
 
     def finish(self) -> None:
         """Mark the response as complete."""
-        if self.status and not self.finished.done():
+        if self.status and self.exceeded is None and not self.finished.done():
+            self._body.finish()
             self.finished.set_result(None)
 
     def on_connection_close(self) -> None:
         """Do nothing: reading ends without a call of `finish`."""
 
+    def drop(self) -> None:
+        """Drop a body that is not complete."""
+        self._body.drop()
+
     @property
     def body(self) -> bytes:
         """Return the body received so far."""
-        return b"".join(self._chunks)
+        return self._body.value()
+
+    @property
+    def body_bytes(self) -> int:
+        """Return the number of bytes received, also of a body that was dropped."""
+        return self._body.size
+
+    @property
+    def share(self) -> ByteShare:
+        """Return the body's share of the budget; it is to be kept as long as the body."""
+        return self._body.share
+
+    @property
+    def exceeded(self) -> ExceededBound | None:
+        """Return the bound that the body exceeded; None if it exceeded none."""
+        return self._body.exceeded
 
     @property
     def has_known_end(self) -> bool:
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -7,16 +7,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, RequestStartLine
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from indigoworks.common.address import Address
+from indigoworks.common.bounded_http_connection import BoundedHttpConnection
+from indigoworks.common.bounded_stream import BoundedStream
+from indigoworks.common.exceeded_bound import ExceededBound
+from indigoworks.common.exceeded_responses import EXCEEDED_RESPONSES
 from indigoworks.gateway.response_collector import HeadListener, ResponseCollector, ignore_head
 
-MAX_HEADER_BYTES = 64 * 1024
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-
 SURPLUS_LIMIT = 3
 """Responses to other requests that are skipped before a connection is closed."""
 
@@ -35,23 +35,20 @@
     :param id_header: header of requests and responses with the request id.
     :ivar was_refused: whether no process listened at the address.
     :ivar is_request_sent: whether the newest request was handed to the kernel whole.
+    :ivar exceeded: the bound that ended the newest response; None if it ended otherwise.
     :ivar on_head: called with the head of each response, also of a truncated or late one.
     """
 
     on_head: HeadListener = staticmethod(ignore_head)
     was_refused = False
     is_request_sent = False
+    exceeded: ExceededBound | None = None
 
     def __init__(self, address: Address, id_header: str) -> None:
         self._address = address
         self._id_header = id_header
-        self._stream = IOStream(
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=MAX_ANSWER_BYTES
-        )
+        self._stream = BoundedStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self._stream.set_nodelay(True)
-        self._parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_ANSWER_BYTES
-        )
 
     async def connect(self, timeout_s: float) -> bool:
         """Connect; return False if that fails or times out."""
@@ -70,7 +67,10 @@
         return not self._stream.closed() and self._stream._read_buffer_size == 0
 
     def watch_while_idle(self) -> None:
-        """Detect a close by the server while no request is in flight."""
+        """Detect a close or surplus bytes by the server while no request is in flight."""
+        self._stream.on_surplus = self._end_with_surplus
+        if self._stream._read_buffer_size:
+            self._end_with_surplus()
         # A stream without a close callback and a pending read does not watch its socket.
         self._stream.set_close_callback(_ignore_close)
 
@@ -84,24 +84,25 @@
         :returns: None without a complete response: the server may have run the request.
         """
         can_continue = self.is_request_sent = False
+        self._stream.on_surplus = None
         try:
-            connection = HTTP1Connection(self._stream, True, self._parameters)
-            connection.write_headers(
-                RequestStartLine(method, target, "HTTP/1.1"), headers, body or None
-            )
+            connection = BoundedHttpConnection(self._stream)
+            connection.write_message(RequestStartLine(method, target, "HTTP/1.1"), headers, body)
             if connection._pending_write is not None:
                 connection._pending_write.add_done_callback(self._record_write)
-            connection.finish()
             for _ in range(SURPLUS_LIMIT):
                 response, is_read_whole = await self._read_answer(connection)
                 if response is None:
                     return None
                 if response.headers.get(self._id_header) == request_id:
                     can_continue = is_read_whole and response.keeps_connection
+                    if can_continue and not self.is_reusable:
+                        self._end_with_surplus()
                     return response
                 if not (is_read_whole and response.keeps_connection):
                     return None
-                connection = HTTP1Connection(self._stream, True, self._parameters)
+                response.drop()
+                connection = BoundedHttpConnection(self._stream)
                 connection._request_start_line = RequestStartLine(method, target, "HTTP/1.1")
                 connection._finish_future.set_result(None)
             return None
@@ -120,9 +121,8 @@
         incomplete.
         """
         try:
-            connection = HTTP1Connection(self._stream, True, self._parameters)
-            connection.write_headers(RequestStartLine(method, target, "HTTP/1.1"), headers, body)
-            connection.finish()
+            connection = BoundedHttpConnection(self._stream)
+            connection.write_message(RequestStartLine(method, target, "HTTP/1.1"), headers, body)
             response, is_read_whole = await self._read_answer(connection)
         except (OSError, StreamClosedError):
             return None
@@ -145,10 +145,10 @@
         self._stream.close()
 
     async def _read_answer(
-        self, connection: HTTP1Connection
+        self, connection: BoundedHttpConnection
     ) -> tuple[ResponseCollector | None, bool]:
         """Read one response; the second value is True if the exchange is complete."""
-        collector = ResponseCollector(self.on_head)
+        collector = ResponseCollector(self.on_head, self.abort)
         reading: asyncio.Future[bool] = asyncio.ensure_future(connection.read_response(collector))
         reading.add_done_callback(_retrieve)
         try:
@@ -156,11 +156,15 @@
             await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
         except asyncio.CancelledError:
             reading.cancel()
+            collector.drop()
             raise
         if not collector.finished.done():
+            self._record_exceeded(collector.exceeded or connection.exceeded, collector.body_bytes)
+            collector.drop()
             return None, False
         if not collector.has_known_end and self._stream.error is not None:
             # A response without a length is incomplete if its connection was reset.
+            collector.drop()
             return None, False
         is_read_whole = reading.done()
         if not is_read_whole:
@@ -172,6 +176,18 @@
             reading.cancel()
         return collector, is_read_whole
 
+    def _end_with_surplus(self) -> None:
+        """Close the connection if bytes arrived that no request is due."""
+        if not self._stream.closed() and self._stream._read_buffer_size:
+            self._record_exceeded(ExceededBound.SURPLUS, 0)
+            self.abort()
+
+    def _record_exceeded(self, bound: ExceededBound | None, body_bytes: int) -> None:
+        self.exceeded = bound
+        if bound is not None:
+            EXCEEDED_RESPONSES.record(self._address, bound, body_bytes)
+            self.abort()
+
 
 def _ignore_close() -> None:
     """Do nothing on close: `is_reusable` reports it."""
--- a/indigoworks/gateway/server_response.py
+++ b/indigoworks/gateway/server_response.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from indigoworks.common.byte_share import ByteShare
+from indigoworks.common.exceeded_bound import ExceededBound
 from indigoworks.servers.self_reported_load import SelfReportedLoad
 
 
@@ -25,6 +27,8 @@
     """Result of an exchange; status, headers and body are set only if the server answered.
 
     :ivar server_load: the load that the server reported; None if it reported none.
+    :ivar exceeded: the bound that ended the response, if that is why it is LOST.
+    :ivar share: the body's share of the budget, kept as long as the body.
     """
 
     result: ExchangeResult
@@ -36,6 +40,8 @@
     keep_alive_s: float | None = None
     detail: str = ""
     server_load: SelfReportedLoad | None = None
+    exceeded: ExceededBound | None = None
+    share: ByteShare | None = None
 
     @property
     def was_sent(self) -> bool:
--- a/indigoworks/gateway/settings_checks.py
+++ b/indigoworks/gateway/settings_checks.py
@@ -8,6 +8,7 @@
 
 MAX_PORT = 65_535
 MAX_CORES = 4096
+MAX_MEMORY_MB = 64 * 1024 * 1024
 MAX_TIME_S = 86_400.0
 MAX_TIME_MS = MAX_TIME_S * 1000.0
 
@@ -53,6 +54,7 @@
     "retry_slack": NumberRange(0, 1_000_000),
     "core_share": NumberRange(0, MAX_CORES, is_open=True),
     "link_mbit": NumberRange(0, 1_000_000, is_open=True),
+    "memory_mb": NumberRange(0, MAX_MEMORY_MB, is_open=True),
     "cores": NumberRange(0, MAX_CORES, is_open=True),
 }
 """Optional numeric fields."""
--- a/indigoworks/gateway/state_gauges.py
+++ b/indigoworks/gateway/state_gauges.py
@@ -3,7 +3,9 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from indigoworks.common.byte_budget import PROCESS_BUDGET
 from indigoworks.common.clock import Clock
+from indigoworks.common.exceeded_responses import EXCEEDED_RESPONSES
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Labels, Metrics
 from indigoworks.exchange.peer_view import PeerView
@@ -58,6 +60,7 @@
         )
         self._add_quarantine(metrics)
         self._add_notices(metrics)
+        _add_bytes(metrics)
         metrics.gauge("gateway_grants", "Ranges that we grant", ("state",), self._grants)
         metrics.gauge(
             "gateway_path_lost",
@@ -247,5 +250,37 @@
         return {(message_type,): count for message_type, count in self._line_rates.dropped.items()}
 
 
+def _add_bytes(metrics: Metrics) -> None:
+    budget = PROCESS_BUDGET
+    metrics.gauge(
+        "gateway_buffered_bytes",
+        "Bytes of requests and responses held in memory, and the most that may be",
+        ("state",),
+        lambda: {
+            ("small",): budget.small_used,
+            ("large",): budget.large_used,
+            ("limit",): budget.limit,
+        },
+    )
+    metrics.gauge(
+        "gateway_responses_waiting_for_memory",
+        "Responses that are not read further until there is room",
+        NO_LABELS,
+        lambda: {NO_LABELS: budget.waiting},
+    )
+    metrics.read_counter(
+        "gateway_memory_refusals",
+        "Requests refused and responses cut for lack of room",
+        ("kind",),
+        lambda: {("refused",): budget.refused, ("cut",): budget.cut},
+    )
+    metrics.read_counter(
+        "gateway_responses_exceeded",
+        "Responses that exceeded a bound",
+        ("address", "bound"),
+        lambda: {each: count for each, count in EXCEEDED_RESPONSES.counts.items()},
+    )
+
+
 def _age(age_s: float) -> Values:
     return UNKNOWN if age_s == float("inf") else {NO_LABELS: age_s}
