--- a/indigoworks/backend/http_connection.py
+++ b/indigoworks/backend/http_connection.py
@@ -87,10 +87,12 @@
         start_line = RequestStartLine(message.method, message.path, "HTTP/1.1")
         headers = self._headers_of(message)
         connection.write_message(start_line, headers, message.body)
-        await connection.read_response(reader)
-        exceeded = reader.exceeded or connection.exceeded
-        if exceeded is not None:
-            EXCEEDED_RESPONSES.record(self._address, exceeded, reader.body_bytes)
+        try:
+            await connection.read_response(reader)
+        finally:
+            exceeded = reader.exceeded or connection.exceeded
+            if exceeded is not None:
+                EXCEEDED_RESPONSES.record(self._address, exceeded, reader.body_bytes)
 
     def _headers_of(self, message: HttpMessage) -> HTTPHeaders:
         headers = HTTPHeaders()
--- a/indigoworks/common/bounded_http_connection.py
+++ b/indigoworks/common/bounded_http_connection.py
@@ -19,12 +19,16 @@
 """Lines of a response's heads together. 64 KiB of the shortest lines, of which there may be 13,000,
 held the event loop for 80 ms while the HTTP library parsed them; these take 8 ms."""
 
+MAX_INTERIM = 10
+"""Interim responses before the final one, as the HTTP library has it, which names no reason."""
+
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_LENGTH_DIGITS = 18
 LARGE_BODY_BYTES = 64 * 1024
 """A body from this size on is written after its head: the HTTP library joins what it gets at once,
 and would hold the body twice."""
 
+_INTERIM_START = (b"HTTP/1.1 1", b"HTTP/1.0 1")
 _UNBOUNDED = 2**62
 _PARAMETERS = HTTP1ConnectionParameters(max_header_size=MAX_HEAD_BYTES, max_body_size=_UNBOUNDED)
 
@@ -39,6 +43,7 @@
     def __init__(self, stream: BoundedStream) -> None:
         super().__init__(stream, True, _PARAMETERS)
         self._bounded = stream
+        self._heads = 0
         self._head_bytes = 0
         self._head_lines = 0
         self._has_body = False
@@ -64,7 +69,10 @@
         self.finish()
 
     def _parse_headers(self, data: bytes) -> tuple[str, HTTPHeaders]:
+        self._heads += 1
         self._head_bytes += len(data)
+        if self._heads > MAX_INTERIM and data.lstrip().startswith(_INTERIM_START):
+            self._exceed(ExceededBound.INTERIM)
         self._head_lines += data.count(b"\n")
         if self._head_bytes > MAX_HEAD_BYTES:
             self._exceed(ExceededBound.HEAD)
@@ -76,7 +84,7 @@
         self, code: int, headers: HTTPHeaders, delegate: HTTPMessageDelegate
     ) -> Awaitable[None] | None:
         self._has_body = True
-        self._bounded.chunks = 0
+        self._bounded.begin_body()
         length = headers.get("Content-Length", "")
         if length.isdecimal() and (len(length) > MAX_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES):
             self._exceed(ExceededBound.LENGTH)
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -10,6 +10,7 @@
 from indigoworks.broker.stored_locks import StoredLocks
 from indigoworks.common.byte_budget import PROCESS_BUDGET
 from indigoworks.common.clock import Clock
+from indigoworks.common.large_blocks import map_large_blocks
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.datagram_endpoint import DatagramEndpoint, OpenDatagrams
@@ -86,6 +87,7 @@
         open_datagrams: OpenDatagrams = DatagramEndpoint,
     ) -> None:
         self.path = reach.path
+        map_large_blocks()
         PROCESS_BUDGET.set_memory(settings.memory_mb)
         self.server_stats = ServerStats(peers, clock, reach.down)
         self.sampler = KeySampler()
