--- a/indigoworks/forwarding/forward_client.py
+++ b/indigoworks/forwarding/forward_client.py
@@ -34,6 +34,8 @@
 """Idle connections kept for each peer. A strong gateway has connections from all others."""
 
 OK_STATUS = 200
+NO_ROOM_STATUS = 503
+"""Status of a peer that had no memory for the request, see `PeerRequestReader`."""
 
 
 class ForwardClient:
@@ -129,6 +131,9 @@
             return ForwardFailure.NO_REPLY if is_whole else ForwardFailure.NOT_SENT
         connections.release(connection)
         self._replied_s[peer.node] = self._clock.now()
+        if response.status == NO_ROOM_STATUS:
+            # The peer dropped the request while it read it: as if it had not been sent whole.
+            return ForwardFailure.NOT_SENT
         reply = decode_forward_reply(response.body) if response.status == OK_STATUS else None
         return ForwardFailure.NO_REPLY if reply is None else reply
 
--- a/indigoworks/forwarding/peer_connection.py
+++ b/indigoworks/forwarding/peer_connection.py
@@ -4,11 +4,11 @@
 import contextlib
 import socket
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import StreamClosedError
 
 from indigoworks.common.address import Address
+from indigoworks.common.bounded_http_connection import BoundedHttpConnection
 from indigoworks.gateway.server_connection import ServerConnection
 
 PROBE_IDLE_S = 1
@@ -57,7 +57,7 @@
 
     async def _write(
         self,
-        connection: HTTP1Connection,
+        connection: BoundedHttpConnection,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
@@ -74,4 +74,5 @@
             raise StreamClosedError
         # It is not awaited: whether the whole body was written is recorded.
         connection.write(body)
-        self._finish_request(connection)
+        connection.finish()
+        self._record_end_of_write(connection)
--- a/indigoworks/gateway/refusal.py
+++ b/indigoworks/gateway/refusal.py
@@ -22,6 +22,8 @@
     """Each server that could run it has a rate limit."""
     SERVER_FAILS = "server_fails"
     """The owner of its key is ejected: it serves no request."""
+    NO_MEMORY = "no_memory"
+    """The process has no room for its body."""
     SUSPECT = "suspect"
     """A server crashed under an attempt of it, and another attempt is in flight or waiting."""
     QUARANTINED = "quarantined"
--- a/indigoworks/gateway/request_sender.py
+++ b/indigoworks/gateway/request_sender.py
@@ -35,6 +35,9 @@
 CONNECTION_REFUSED = "refused"
 """Detail of a request that was not sent because its server refused the connection."""
 
+EXCEEDED = "exceeded"
+"""Detail of a request whose response exceeded a bound."""
+
 ReadNotice = Callable[[int, HTTPHeaders], ServerNotice]
 """Parses a server's notice from status and headers of a response."""
 
@@ -154,7 +157,8 @@
         except TimeoutError:
             return None
         if response is None:
-            return ServerResponse(ExchangeResult.LOST, detail=BROKEN)
+            detail = BROKEN if connection.exceeded is None else EXCEEDED
+            return ServerResponse(ExchangeResult.LOST, detail=detail, exceeded=connection.exceeded)
         return self._server_answer(response)
 
     def _server_answer(self, response: ResponseCollector) -> ServerResponse:
@@ -169,6 +173,7 @@
             response.keep_alive_s,
             server_load=self._server_load(response),
             is_signed=bool(response.headers.get(self._names.signature)),
+            share=response.share,
         )
 
     def _take_head(self, server_id: str, status: int, headers: HTTPHeaders) -> None:
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -8,8 +8,10 @@
 from indigoworks.broker.brokered_queue import BrokeredQueue
 from indigoworks.broker.group_locks import GroupLocks
 from indigoworks.broker.stored_locks import StoredLocks
+from indigoworks.common.byte_budget import PROCESS_BUDGET
 from indigoworks.common.clock import Clock
 from indigoworks.common.coalesced_call import CoalescedCall
+from indigoworks.common.large_blocks import map_large_blocks
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Metrics
 from indigoworks.exchange.datagram_endpoint import DatagramEndpoint, OpenDatagrams
@@ -88,6 +90,8 @@
         open_datagrams: OpenDatagrams = DatagramEndpoint,
     ) -> None:
         self.path = reach.path
+        map_large_blocks()
+        PROCESS_BUDGET.set_memory(settings.memory_mb)
         self.dispatchers = DispatcherSubsystem(
             own, platform.servers, directory, peers, clock, open_connection
         )
--- a/indigoworks/gateway/server_response.py
+++ b/indigoworks/gateway/server_response.py
@@ -4,6 +4,8 @@
 from enum import Enum
 
 from indigoworks.common.attempt_verdict import AttemptVerdict
+from indigoworks.common.byte_share import ByteShare
+from indigoworks.common.exceeded_bound import ExceededBound
 from indigoworks.servers.self_reported_load import SelfReportedLoad
 
 BROKEN = "broken"
@@ -34,6 +36,8 @@
     :ivar is_signed: the response has the server's signature.
     :ivar verdict: what the attempt says against the server, once it was judged.
     :ivar server_load: the load that the server reported; None if it reported none.
+    :ivar exceeded: the bound that ended the response, if that is why it is LOST.
+    :ivar share: the body's share of the budget, kept as long as the body.
     """
 
     result: ExchangeResult
@@ -47,6 +51,8 @@
     server_load: SelfReportedLoad | None = None
     is_signed: bool = False
     verdict: AttemptVerdict = AttemptVerdict.NEUTRAL
+    exceeded: ExceededBound | None = None
+    share: ByteShare | None = None
 
     @property
     def was_sent(self) -> bool:
