Servers are found by address without a scan of the list

Cause: a leader asks for each server with an open grant whether its address has a new holder. Change: AddressHolders keeps the listed servers by address, and which of them came first.

--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -6,7 +6,7 @@
 
 from indigoworks.common.clock import Clock
 from indigoworks.rowstore.store_health import StoreHealth
-from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.servers.address_holders import AddressHolders
 from indigoworks.servers.cold_servers import ColdServers
 from indigoworks.servers.replaced_servers import ReplacedServers
 from indigoworks.servers.replacement_evidence import ReplacementEvidence
@@ -56,9 +56,9 @@
         self.set_heartbeat(heartbeat_s)
         self._clock = clock
         self._listed: dict[str, ServerRecord] = {}
+        self._addresses = AddressHolders()
         self._vanished: dict[str, tuple[ServerRecord, float]] = {}
         self._replaced = ReplacedServers()
-        self._first_versions: dict[str, StoreVersion] = {}
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
         self._services_at: dict[str, str] = {}
 
@@ -82,9 +82,9 @@
             self.notices.forget(record.server_id)
             self._replaced.forget(record.server_id)
         self._listed[record.server_id] = record
+        self._addresses.put(known, record)
         self._vanished.pop(record.server_id, None)
         self.cold.record_reported(record.server_id, record.warm_up_left_s)
-        self._first_versions.setdefault(record.server_id, record.version)
         self._by_service.setdefault(record.service, {})[record.server_id] = record
         self._services_at[record.address.host] = record.service
         if known is None or known.is_draining != record.is_draining:
@@ -100,6 +100,7 @@
         record = self._listed.pop(server_id, None)
         if record is None:
             return
+        self._addresses.remove(record)
         self._vanished[server_id] = (record, self._clock.now())
         self._log("server:vanished", record, store_trouble_age_s=self._health.trouble_age_s())
 
@@ -222,21 +223,8 @@
         return None if vanished is None else vanished[0]
 
     def holder_of_address(self, record: ServerRecord) -> ServerRecord | None:
-        """Return the listed server that took over the address of `record`, if there is one.
-
-        The entry of an ended server stays listed for some heartbeats beside that of its successor.
-        Only the later entry is evidence on the earlier server.
-        """
-        at_address = [each for each in self._listed.values() if each.address == record.address]
-        later = [each for each in at_address if self._came_after(each, record)]
-        return max(later, key=lambda each: each.version, default=None)
-
-    def _came_after(self, one: ServerRecord, other: ServerRecord) -> bool:
-        first = self._first_versions[one.server_id]
-        other_first = self._first_versions.get(other.server_id, other.version)
-        # A restored copy of the store may bring back an old entry, unless start times exclude it.
-        may_be_old = one.started_ms == 0 and first.era != other_first.era
-        return first > other_first and not may_be_old and not 0 < one.started_ms < other.started_ms
+        """Return the listed server that took over the address of `record`, if there is one."""
+        return self._addresses.successor(record)
 
     def service_at(self, host: str) -> str | None:
         """Return the service of the server last listed at a host; None: none was."""
@@ -253,7 +241,7 @@
             if at_s < earliest_s:
                 del self._vanished[server_id]
                 self._replaced.forget(server_id)
-                self._first_versions.pop(server_id, None)
+                self._addresses.forget(server_id)
                 self.cold.forget(server_id)
                 self.notices.forget(server_id)
                 self._by_service.get(record.service, {}).pop(server_id, None)
