Dispatcher scenarios: a caller that leaves, and a silent dispatcher, are told from the end of the request's time

Cause: a receiver that cancels nothing was not noticed: the request left its server at the end of its time. No check for silent dispatchers ran in the scenario of unsafe requests. Change: the time of the request is longer than a step lasts; the step causes a check.

--- a/features/steps/gateway_dispatcher_failure_steps.py
+++ b/features/steps/gateway_dispatcher_failure_steps.py
@@ -142,6 +142,8 @@
         world.silent.add(context.dispatcher)
         selector = world.gateways[WEAK].side.dispatchers.selector
         await until(lambda: selector.is_silent(context.dispatcher))
+        # A check that a request which may be repeated has caused.
+        world.gateways[WEAK].side._dispatching._schedule_check()
         await asyncio.sleep(2 * CHECK_INTERVAL_S)
         number = head.lower().partition(b"forward-id: ")[2].partition(b"\r")[0]
         lines = (b"HTTP/1.1 200 OK", b"Forward-Id: " + number, b"Content-Length: %d" % len(reply))
--- a/features/steps/gateway_dispatcher_hop_steps.py
+++ b/features/steps/gateway_dispatcher_hop_steps.py
@@ -106,6 +106,9 @@
 @when("a caller of the weak gateway leaves while its request is at the server")
 def caller_leaves(context):
     async def run():
+        # The request leaves its server at the end of its time: later than a step lasts.
+        never_s = 5 * LONG_S
+        configure_all(context.dispatchers, timeout_s=never_s, aim_s=never_s)
         caller = await Caller(context.dispatchers.gateways[WEAK]).open()
         caller.send(headers=(f"{NAMES.key}: 7",))
         await until(lambda: len(context.scripted.working) == 1)
