Full servers are not ejected for resets; a service that mostly errs, servers on probation and log bounds

Cause: in a simulated overload (60 callers, 24 slots, full servers reset connections) servers were ejected: gateways that hold none of a server's slots see only resets, and the good responses of the others were dropped when their own count ended. Change: good responses are kept, two at most, while peers have faults. Twice the sum is needed while more than half of a service has faults. A server that came back within 10 s is on probation. Evidence counts as news for reports. The bound check of log lines reads the new package too (features/steps/gateway_log_bound_steps.py, one more entry in PACKAGES), and the lines are without bound.

--- a/features/gateway_outlier_rules.feature
+++ b/features/gateway_outlier_rules.feature
@@ -39,6 +39,14 @@
     When server 1 has 3 outcomes "invalid" of one caller, and 1 good one of another in between
     Then the outlier detector has ejected none
 
+  Scenario: Errors that most servers answer eject none of them by chance
+    Given an outlier detector before 6 servers
+    When server 1 to 4 have 1 outcomes "error" each
+    And server 1 has 3 outcomes "error" 0 s apart
+    Then the outlier detector has ejected none
+    When server 1 has 3 outcomes "error" 0 s apart
+    Then the outlier detector has ejected 1
+
   Scenario Outline: A stated share of a service is ejected at most
     Given an outlier detector before <servers> servers
     When server 1 to <failing> have 3 outcomes "invalid" each
--- a/features/gateway_outliers.feature
+++ b/features/gateway_outliers.feature
@@ -43,6 +43,13 @@
     Then no server but the faulty ones was ejected
     And at least 0.97 of all outlier requests were served
 
+  Scenario: Two servers that flap in turn with invalid answers are ejected each time
+    Given 3 outlier gateways before 6 servers, and 12 callers without a pause
+    And from 2 s to 12 s in turn 2 of these servers for 1 s each answers without its signature
+    When the outlier callers have worked for 14 s
+    Then no server but the faulty ones was ejected
+    And the flapping servers got less than 0.1 of all requests while they failed
+
   Scenario: A service that fails as a whole is left alone, and works again at once
     Given 3 outlier gateways before 6 servers, and 18 callers without a pause
     And from 2 s to 5 s 6 of these servers answers 500
--- a/features/steps/gateway_log_bound_steps.py
+++ b/features/steps/gateway_log_bound_steps.py
@@ -214,6 +214,7 @@
     "common/logging",
     "quarantine",
     "reach",
+    "outliers",
     "forwarding",
 )
 TYPES_OF_BOTH_LEVELS = ("request:answered", "request:forwarded")
--- a/features/steps/gateway_outlier_steps.py
+++ b/features/steps/gateway_outlier_steps.py
@@ -66,12 +66,25 @@
         for turn in range(int((until_s - from_s) / each_s)):
             machine = machines[turn % count]
             machine.fault = MachineFault(fault)
+            now_s = asyncio.get_running_loop().time()
+            world.phases.append((machine.server_id, now_s, now_s + each_s))
             await asyncio.sleep(each_s)
             machine.fault = None
 
     world.scripts.append(flap)
 
 
+@then("the flapping servers got less than {share:g} of all requests while they failed")
+def step_flap_share(context, share):
+    world = context.outliers
+    assert world.phases
+    sent = total = 0
+    for server_id, from_s, until_s in world.phases:
+        arrivals = world.arrivals(from_s, until_s)
+        sent, total = sent + arrivals[server_id], total + arrivals.total()
+    assert sent < share * total, (sent, total)
+
+
 @given("each of these servers answers {share:g} of its requests with its own 500")
 def step_honest(context, share):
     async def set_errors(world):
--- a/features/steps/gateway_outlier_world.py
+++ b/features/steps/gateway_outlier_world.py
@@ -22,6 +22,7 @@
 
     :ivar scripts: coroutines beside the callers, called with the world.
     :ivar evidence: entries in reports.
+    :ivar phases: server, begin and end of each time in which one that flaps fails.
     """
 
     shape: CrashShape
@@ -33,6 +34,7 @@
     unsafe_share: float = 0.0
     evidence: list = field(default_factory=list)
     ejected: set = field(default_factory=set)
+    phases: list = field(default_factory=list)
     simulation: CrashSimulation | None = None
     duration_s: float = 0.0
 
--- a/indigoworks/common/logging/line_rate_limiter.py
+++ b/indigoworks/common/logging/line_rate_limiter.py
@@ -20,6 +20,7 @@
     "server:",
     "reach:",
     "path:",
+    "outlier:",
     "store:",
     "feed:",
     "configuration:",
--- a/indigoworks/gateway/attempt_judge.py
+++ b/indigoworks/gateway/attempt_judge.py
@@ -1,6 +1,7 @@
 """Decides what each attempt of a request says about its server."""
 
 import zlib
+from collections.abc import Callable
 from functools import lru_cache
 
 from indigoworks.common.attempt_verdict import AttemptVerdict
@@ -46,6 +47,9 @@
     are in flight there, from all gateways, than it has slots, and it has not just answered others.
     A server that ends breaks all connections at once: of those that break off only one that was
     begun after the last counts.
+
+    :ivar is_on_probation: returns whether a server has failed recently, so that a missing answer is
+        likelier to be a fault than a sign of load.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         self._marks = RequestMarks(clock)
         self._signing: set[str] = set()
         self._broken_s: dict[str, float] = {}
+        self.is_on_probation: Callable[[str], bool] = lambda server_id: False
 
     def judge(
         self,
@@ -139,7 +144,9 @@
         """Return whether neither load nor this gateway's path explains a missing answer."""
         usual_s = self._server_stats.mean_service_time_s(server.service)
         answered_s = self._server_stats.last_response_s(server.server_id)
-        if self._clock.now() - answered_s < max(MIN_ANSWER_GAP_S, ANSWER_GAP_TIMES * usual_s):
+        gap_s = max(MIN_ANSWER_GAP_S, ANSWER_GAP_TIMES * usual_s)
+        is_working = self._clock.now() - answered_s < gap_s
+        if is_working and not self.is_on_probation(server.server_id):
             return False
         in_flight = self._server_stats.in_flight(server.server_id)
         if started.rounds > 1 or in_flight > server.slots:
--- a/indigoworks/gateway/gateway_reports.py
+++ b/indigoworks/gateway/gateway_reports.py
@@ -41,6 +41,7 @@
     def _has_news(self) -> bool:
         is_changed = self._requests.server_stats.loads() != self._reported_loads
         has_notes = self._requests.quarantine.has_unreported() or self._requests.notices.has_any()
+        has_notes = has_notes or bool(self._requests.outliers.shared())
         return is_changed or has_notes or self._requests.sampler.has_samples()
 
     def _make(self) -> PeerReport:
--- a/indigoworks/gateway/outlier_subsystem.py
+++ b/indigoworks/gateway/outlier_subsystem.py
@@ -38,6 +38,7 @@
         self.detector = OutlierDetector(
             node_checksum(node), servers, clock, random, lambda: peers.live_count() + 1
         )
+        self._judge.is_on_probation = self.detector.is_on_probation
 
     def record(
         self,
--- a/indigoworks/outliers/evidence_table.py
+++ b/indigoworks/outliers/evidence_table.py
@@ -13,6 +13,9 @@
 """Time after the newest fault for which evidence counts. A gateway that sends a server a request
 each 18 s adds to what others saw within this time."""
 
+MAX_KEPT_GOODS = 2
+"""Good responses kept from an ended count: more would delay the next ejection."""
+
 SHARED_ERROR_SCORE = 0.75 * THRESHOLD
 """Score from which errors alone are reported: about three in a row at one gateway."""
 
@@ -27,11 +30,16 @@
 @dataclass(slots=True)
 class _Seen:
     """Evidence of one gateway; `at_s`: clock reading of its newest fault, or if it has none of its
-    start: without faults elsewhere it ends, so that two gateways do not keep it up for ever."""
+    start: without faults elsewhere it ends, so that two gateways do not keep it up for ever.
+
+    :ivar began_s: clock reading of its start.
+    :ivar is_proof: it counts trials of an ejected server.
+    """
 
     evidence: ServerEvidence
     at_s: float
     began_s: float = float("-inf")
+    is_proof: bool = False
 
 
 class EvidenceTable:
@@ -72,9 +80,9 @@
         now_s = self._clock.now()
         by_teller = self._seen.setdefault(server, {})
         known = by_teller.get(self._own)
-        is_new = known is None or now_s - known.at_s > EVIDENCE_VALID_S
-        # Good responses before the first fault say nothing of the time since.
-        if known is None or is_new or (verdict.is_fault and not known.evidence.faults):
+        is_over = known is not None and now_s - known.at_s > EVIDENCE_VALID_S
+        # Proofs were counted for the return, and do not excuse what the server does since.
+        if known is None or is_over or (known.is_proof and verdict.is_fault):
             known = by_teller[self._own] = _Seen(ServerEvidence(), now_s, now_s)
         if verdict is AttemptVerdict.GOOD and begun_s < known.began_s:
             return
@@ -82,13 +90,25 @@
         if verdict.is_fault:
             known.at_s = now_s
         if known.evidence.faults and failure_score(known.evidence) <= 0:
-            del by_teller[self._own]
-            if not by_teller:
-                del self._seen[server]
+            self._end_own(server, known.evidence)
+
+    def _end_own(self, server: int, evidence: ServerEvidence) -> None:
+        """End the count of this process; where peers have faults, go on with some of the good
+        responses, which excuse theirs."""
+        by_teller = self._seen[server]
+        del by_teller[self._own]
+        if not by_teller:
+            del self._seen[server]
+        elif evidence.good:
+            now_s = self._clock.now()
+            good = min(evidence.good, MAX_KEPT_GOODS)
+            kept = ServerEvidence(good=good, good_caller=evidence.good_caller)
+            by_teller[self._own] = _Seen(kept, now_s, now_s)
 
     def restart(self, server: int) -> None:
         """Begin the count of this process anew, and forget that of peers."""
-        self._seen[server] = {self._own: _Seen(ServerEvidence(), self._clock.now())}
+        seen = _Seen(ServerEvidence(), self._clock.now(), is_proof=True)
+        self._seen[server] = {self._own: seen}
 
     def record_shared(self, entry: SharedEvidence) -> None:
         """Record what a peer saw; an older entry than the known one is ignored."""
@@ -105,15 +125,20 @@
             by_teller[entry.teller] = _Seen(entry.evidence, at_s, began_s)
 
     def total(self, server: int, since_s: float) -> ServerEvidence:
-        """Return the evidence of all tellers whose newest outcome is younger than `since_s`."""
+        """Return the evidence of all tellers whose newest outcome is younger than `since_s`.
+
+        After a recent return (`since_s` is finite) broken connections count at once: the server
+        has failed before, so that a fault is likelier than load.
+        """
         now_s = self._clock.now()
         earliest_s = max(since_s, now_s - EVIDENCE_VALID_S)
         seen = self._seen.get(server, {}).values()
-        return sum_evidence(self._counted(each) for each in seen if each.at_s > earliest_s)
-
-    def tellers_with_faults(self, server: int) -> int:
-        """Return how many gateways had faults at a server."""
-        return sum(1 for each in self._seen.get(server, {}).values() if each.evidence.faults)
+        is_suspect = since_s > float("-inf")
+        return sum_evidence(
+            each.evidence if is_suspect else self._counted(each)
+            for each in seen
+            if each.at_s > earliest_s
+        )
 
     def own_entries(self) -> Iterable[SharedEvidence]:
         """Return what this process saw, for its reports."""
--- a/indigoworks/outliers/failure_rule.py
+++ b/indigoworks/outliers/failure_rule.py
@@ -25,6 +25,11 @@
 connections in a row. At a share of 0.4 in 100 honest errors, four in a row come once in 4e9."""
 
 
+WIDESPREAD_FACTOR = 2.0
+"""Factor on the threshold while more than half of a service's servers have faults: then errors are
+usual there, or the load is too high, and chance alone reaches the threshold now and then."""
+
+
 def failure_score(evidence: ServerEvidence) -> float:
     """Return how much speaks for a failing server, at most 0 for a healthy one."""
     broken = max(0, evidence.broken - BROKEN_PER_GOOD * evidence.good)
@@ -32,9 +37,13 @@
     return faults + BROKEN_WEIGHT * broken - GOOD_WEIGHT * evidence.good
 
 
-def is_failing(evidence: ServerEvidence) -> bool:
-    """Return whether the server fails, and not the requests of one caller alone."""
-    return failure_score(evidence) >= THRESHOLD and not _blames_caller(evidence)
+def is_failing(evidence: ServerEvidence, is_widespread: bool = False) -> bool:
+    """Return whether the server fails, and not the requests of one caller alone.
+
+    :param is_widespread: more than half of the servers of its service have faults.
+    """
+    threshold = THRESHOLD * WIDESPREAD_FACTOR if is_widespread else THRESHOLD
+    return failure_score(evidence) >= threshold and not _blames_caller(evidence)
 
 
 def _blames_caller(evidence: ServerEvidence) -> bool:
--- a/indigoworks/outliers/outlier_detector.py
+++ b/indigoworks/outliers/outlier_detector.py
@@ -20,8 +20,9 @@
     EjectedServer,
 )
 from indigoworks.outliers.evidence_table import EvidenceTable
-from indigoworks.outliers.failure_rule import failure_score, is_failing
+from indigoworks.outliers.failure_rule import is_failing
 from indigoworks.outliers.outlier_counts import OutlierCounts
+from indigoworks.outliers.outlier_log import log_decision
 from indigoworks.outliers.service_bounds import ServiceBounds
 from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
@@ -135,6 +136,10 @@
         """Return whether a server is ejected."""
         return server_id in self._ejected
 
+    def is_on_probation(self, server_id: str) -> bool:
+        """Return whether a server came back from an ejection recently."""
+        return server_id in self._returned
+
     def without_ejected(self, servers: list[ServerRecord]) -> list[ServerRecord]:
         """Return the servers that are not ejected; all of them if that would leave none."""
         if not self._ejected:
@@ -181,6 +186,8 @@
         if not is_failing(evidence):
             return
         usable = list(self._servers.usable(server.service))
+        with_faults = sum(1 for each in usable if self._evidence(each.server_id).faults)
+        is_widespread = with_faults > len(usable) / 2
         failing = [each for each in usable if self._is_failing(each.server_id)]
         ejected = [each for each in usable if each.server_id in self._ejected]
         decision = self._bounds.decide(server.service, len(usable), len(failing), len(ejected))
@@ -188,9 +195,10 @@
             for each in ejected:
                 self._return(each.server_id, "service")
         if decision.may_eject:
-            self._eject(server, evidence, len(ejected) + 1, len(usable))
+            if is_failing(evidence, is_widespread):
+                self._eject(server, evidence, len(ejected) + 1, len(usable))
         elif decision.is_told:
-            self._tell("outlier:withheld", server, evidence, len(ejected), len(usable))
+            log_decision("outlier:withheld", server, evidence, len(ejected), len(usable))
 
     def _is_failing(self, server_id: str) -> bool:
         return server_id in self._ejected or is_failing(self._evidence(server_id))
@@ -213,7 +221,7 @@
             next_trial_s=now_s + TRIAL_PERIOD_S,
         )
         self.counts.ejections += 1
-        self._tell("outlier:ejected", server, evidence, ejected, servers)
+        log_decision("outlier:ejected", server, evidence, ejected, servers)
         self.on_change()
 
     def _record_trial(
@@ -269,29 +277,6 @@
         )
         self.on_change()
 
-    def _tell(
-        self,
-        message_type: str,
-        server: ServerRecord,
-        evidence: ServerEvidence,
-        ejected: int,
-        servers: int,
-    ) -> None:
-        log_message(
-            message_type=message_type,
-            level="WARNING",
-            server=server.server_id,
-            service=server.service,
-            score=round(failure_score(evidence), 1),
-            broken=evidence.broken,
-            errors=evidence.error,
-            invalid=evidence.invalid,
-            good=evidence.good,
-            tellers=self._table.tellers_with_faults(server_checksum(server.server_id)),
-            ejected=ejected,
-            servers=servers,
-        )
-
 
 def _nothing() -> None:
     """Default of a callback until it is set."""
--- a/indigoworks_lab/crash_simulation/crash_gateway.py
+++ b/indigoworks_lab/crash_simulation/crash_gateway.py
@@ -139,6 +139,7 @@
 
     def _has_news(self) -> bool:
         has_notes = self.side.quarantine.has_unreported() or self.side.notices.has_any()
+        has_notes = has_notes or bool(self.side.outliers.shared())
         return bool(self.side.server_stats.loads()) or has_notes
 
     def _make_report(self) -> PeerReport:
