--- a/features/steps/gateway_broker_world.py
+++ b/features/steps/gateway_broker_world.py
@@ -76,6 +76,9 @@
     def in_flight(self, server_id):
         return 0
 
+    def load_age_s(self):
+        return 0.0
+
     def service_s(self, server_id):
         return None
 
--- a/indigoworks/broker/reported_load.py
+++ b/indigoworks/broker/reported_load.py
@@ -90,3 +90,7 @@
         if server_id not in self._peer_times_s:
             self._peer_times_s[server_id] = self._peers.service_s(server_id)
         return self._peer_times_s[server_id]
+
+    def load_age_s(self) -> float:
+        """Return 0: granted slots are counted as they are granted."""
+        return 0.0
--- a/indigoworks/exchange/load_view.py
+++ b/indigoworks/exchange/load_view.py
@@ -13,3 +13,7 @@
     def service_s(self, server_id: str) -> float | None:
         """Return the service time of a request at a server as others measured it; None: unknown."""
         ...
+
+    def load_age_s(self) -> float:
+        """Return the mean age of the reports counted by `in_flight`; 0 if there is none."""
+        ...
--- a/indigoworks/exchange/peer_table.py
+++ b/indigoworks/exchange/peer_table.py
@@ -32,6 +32,7 @@
         self._own_node = own_node
         self._reports: dict[str, PeerReport] = {}
         self._times_s: dict[str, float] = {}
+        self._mean_report_s: float | None = None
         self._counted: dict[str, dict[int, int]] = {}
         self._in_flight: dict[int, int] = {}
         self._times_by_peer: dict[int, dict[str, float]] = {}
@@ -57,6 +58,7 @@
         own_loads = self._list.record_report(report, age_s)
         self._reports[report.node] = report
         self._times_s[report.node] = self._clock.now() - age_s
+        self._mean_report_s = None
         self._add_counts(report, own_loads)
         if report.hub and known is not None and not known.hub:
             self._forget_times(report.node)
@@ -80,6 +82,7 @@
         """Remove the reports of peers that are no longer live."""
         for node in [each for each in self._reports if not self._is_live(each)]:
             report = self._reports.pop(node)
+            self._mean_report_s = None
             self._drop_counts(node)
             self._forget_times(node)
             if not report.hub or self._is_member(report):
@@ -132,6 +135,15 @@
         """Return the requests in flight to a server from all live peers."""
         return self._in_flight.get(server_checksum(server_id), 0)
 
+    def load_age_s(self) -> float:
+        """Return the mean age of the reports that `in_flight` counts; 0 if there is none."""
+        if not self._reports:
+            return 0.0
+        if self._mean_report_s is None:
+            times_s = [self._times_s[node] for node in self._reports]
+            self._mean_report_s = sum(times_s) / len(times_s)
+        return max(0.0, self._clock.now() - self._mean_report_s)
+
     def service_s(self, server_id: str) -> float | None:
         """Return the service time of a request at a server as peers measured it; None: unknown."""
         known = self._times_by_peer.get(server_checksum(server_id))
--- a/indigoworks/gateway/candidate_load.py
+++ b/indigoworks/gateway/candidate_load.py
@@ -14,6 +14,7 @@
 
     :ivar slots: slots of the servers; a rate-limited one counts only those that its rate can use,
         unless all are rate-limited.
+    :ivar in_flight: requests of all gateways, estimated from the age of the reports.
     :ivar mean_service_time_s: seconds per request, mean over the servers.
     :ivar min_service_time_s: seconds per request at the fastest server.
     :ivar rate_per_s: sum of the rate limits; None if a server has no rate limit.
@@ -21,7 +22,7 @@
     """
 
     slots: float
-    in_flight: int
+    in_flight: float
     mean_service_time_s: float
     min_service_time_s: float
     rate_per_s: float | None = None
@@ -35,11 +36,15 @@
         times_s = [server_stats.service_time_s(each) for each in servers]
         rate_per_s = capacity.total_rate_per_s(servers)
         is_mixed = rate_per_s is None
+        age_s = server_stats.report_age_s()
+        expected = server_stats.expected_in_flight
         return cls(
             sum(map(capacity.effective_slots, servers, times_s))
             if is_mixed
             else sum(each.slots for each in servers),
-            sum(server_stats.in_flight(each.server_id) for each in servers),
+            sum(
+                expected(each, time_s, age_s) for each, time_s in zip(servers, times_s, strict=True)
+            ),
             sum(times_s) / len(times_s),
             min(times_s),
             rate_per_s,
--- a/indigoworks/gateway/dispatch_queue.py
+++ b/indigoworks/gateway/dispatch_queue.py
@@ -14,6 +14,7 @@
 from indigoworks.gateway.placer import Placement
 from indigoworks.gateway.queue_timers import QueueTimers
 from indigoworks.gateway.refusal import Refusal
+from indigoworks.gateway.request_hold import RequestHold
 from indigoworks.gateway.server_selector import ServerSelector
 from indigoworks.gateway.server_stats import RequestStart, ServerStats
 from indigoworks.gateway.waiting_request import WaitingRequest
@@ -55,6 +56,7 @@
         self._capacity = capacity
         self._counts_all = counts_all
         self._timers = QueueTimers(self._serve)
+        self._hold = RequestHold(selector, self._timers, clock)
         self._sequence = 0
 
     async def place(self, entry: WaitingRequest) -> Placement:
@@ -188,7 +190,9 @@
             servers = [each for each in free if each.server_id not in entry.tried]
             if not servers or self._is_reserved(queue, entry, usable):
                 return
-            self._grant(queue, entry, chosen := self._selector.select(servers))
+            if (chosen := self._hold.select(queue, entry, servers)) is None:
+                return
+            self._grant(queue, entry, chosen)
             if not self._capacity.has_capacity(chosen):
                 free.remove(chosen)
 
@@ -214,15 +218,12 @@
         if entry.is_scheduled_retry or not self._capacity.has_rate_limits():
             return False
         reserved_s = self.admission.reserved_for_s(queue.name, servers)
-        if reserved_s > 0:
-            self._timers.schedule(queue, reserved_s)
+        self._timers.schedule(queue, reserved_s)
         return reserved_s > 0
 
     def _await_permit(self, queue: PlacementQueue, servers: list[ServerRecord]) -> None:
         """Serve a queue again at the next permit of its servers, which no event announces."""
-        permit_s = self._capacity.permit_in_s(servers) if queue else 0.0
-        if permit_s > 0:
-            self._timers.schedule(queue, permit_s)
+        self._timers.schedule(queue, self._capacity.permit_in_s(servers) if queue else 0.0)
 
     def _grant(self, queue: PlacementQueue, entry: WaitingRequest, server: ServerRecord) -> None:
         queue.grant(entry, self._server_stats.service_time_s(server))
--- a/indigoworks/gateway/queue_refusals.py
+++ b/indigoworks/gateway/queue_refusals.py
@@ -80,6 +80,6 @@
         RefusalReason.SERVER_LIMITED if is_limited else RefusalReason.OVERLOAD,
         max(MIN_RETRY_AFTER_S, wait_s),
         server_id,
-        load.in_flight,
+        round(load.in_flight),
         wait_s + load.min_service_time_s,
     )
--- a/indigoworks/gateway/queue_timers.py
+++ b/indigoworks/gateway/queue_timers.py
@@ -17,7 +17,10 @@
         self._timers: dict[PlacementQueue, asyncio.TimerHandle] = {}
 
     def schedule(self, queue: PlacementQueue, after_s: float) -> None:
-        """Call `on_due` for a queue in `after_s` seconds, unless an earlier call is scheduled."""
+        """Call `on_due` for a queue in `after_s` seconds, unless an earlier call is scheduled;
+        0: nothing is to be awaited."""
+        if after_s <= 0:
+            return
         loop = asyncio.get_running_loop()
         known = self._timers.get(queue)
         if known is not None:
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -28,6 +28,7 @@
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_responses import GatewayResponses
 from indigoworks.gateway.gateway_settings import GatewaySettings
+from indigoworks.gateway.home_assignment import HomeAssignment
 from indigoworks.gateway.key_sampler import KeySampler
 from indigoworks.gateway.local_retry_budget import LocalRetryBudget
 from indigoworks.gateway.notice_reports import NoticeReports
@@ -105,6 +106,7 @@
         self.sender.is_limit_known = limits.is_known
         self.sender.on_no_limit = platform.servers.record_no_limit
         rate_limiter = ServerRateLimiter(platform.servers.cold, limits, platform.is_keyed, clock)
+        home = HomeAssignment(own, platform.servers, self.server_stats, peers, directory, clock)
         self.selector = ServerSelector(
             platform.servers,
             self.server_stats,
@@ -112,6 +114,7 @@
             settings.zone,
             random,
             directory.has_many,
+            home.slots,
         )
         owners = OwnerLookup(
             tables, platform.servers, self.server_stats, clock, reach.peers.reaches
--- a/indigoworks/gateway/server_selector.py
+++ b/indigoworks/gateway/server_selector.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
+from indigoworks.gateway.home_assignment import NO_SLOTS
+from indigoworks.gateway.load_estimate import HOLD_FACTOR, HOLD_PROBABILITY, OVERFLOW_FACTOR
 from indigoworks.gateway.server_rate_limiter import ServerRateLimiter
 from indigoworks.gateway.server_stats import ServerStats
 from indigoworks.servers.server_record import ServerRecord
@@ -16,11 +18,13 @@
 class ServerSelector:
     """Selects the server with the least expected response time.
 
-    The estimate uses requests in flight and measured service times. In a large group the reported
-    loads are up to 0.4 s old and the same for many gateways, so all gateways of a zone would choose
-    the same server and overload it. There a server is drawn at random, weighted by the work that it
-    can accept now.
+    The estimate uses requests in flight and measured service times. The loads that other gateways
+    report are up to 0.4 s old and the same for all, so all would choose the same server and
+    overload it. Therefore each gateway prefers the slots assigned to it, which others use less
+    often, then the servers whose slots are most probably free (`load_estimate`). In a large group
+    without an assignment a server is drawn at random, weighted by the work that it can accept now.
 
+    :param home: returns the slots assigned to this gateway, by server; empty: none are assigned.
     :param is_large_group: returns whether there are so many gateways that their reports are old.
     """
 
@@ -32,6 +36,7 @@
         zone: str,
         random: Random,
         is_large_group: Callable[[], bool] = lambda: False,
+        home: Callable[[str], dict[str, float]] = lambda service: NO_SLOTS,
     ) -> None:
         self._servers = servers
         self._server_stats = server_stats
@@ -39,6 +44,7 @@
         self._zone = zone
         self._random = random
         self._is_large_group = is_large_group
+        self._home = home
 
     def usable(self, service: str) -> list[ServerRecord]:
         """Return the servers that may get requests from here: reachable, not resting, and not
@@ -79,11 +85,11 @@
     def select(self, servers: list[ServerRecord]) -> ServerRecord:
         """Return the server with the least expected time, or one drawn among those with a free
         slot; `servers` must not be empty."""
-        if self._is_large_group():
+        if self._is_large_group() and not self._home(servers[0].service):
             drawn = self._draw(servers)
             if drawn is not None:
                 return drawn
-        return min(servers, key=self._cost)
+        return self._least_cost(servers)
 
     def _draw(self, servers: list[ServerRecord]) -> ServerRecord | None:
         """Draw a server with a free slot, preferably of the own zone; None if no slot is free."""
@@ -102,12 +108,37 @@
     def _free_slots(self, server: ServerRecord) -> int:
         return max(0, server.slots - self._server_stats.in_flight(server.server_id))
 
-    def _cost(self, server: ServerRecord) -> tuple[float, float]:
-        in_flight = self._server_stats.in_flight(server.server_id)
-        waiting = max(0, in_flight + 1 - server.slots)
-        service_s = self._server_stats.service_time_s(server)
-        expected_s = service_s * (1 + waiting / server.slots)
-        if server.zone != self._zone:
-            expected_s *= OTHER_ZONE_FACTOR
-        busy = in_flight / server.slots
-        return expected_s * (1 + busy), self._random.random()
+    def hold_s(self, server: ServerRecord) -> float:
+        """Return for how long a request may be held since all slots of the best server are probably
+        taken; 0: it is to be sent.
+
+        It is held only while a request of this gateway runs whose end frees a slot.
+        """
+        home = self._home(server.service)
+        if not home or not any(map(self._server_stats.own_in_flight_at, home)):
+            return 0.0
+        age_s = self._server_stats.report_age_s()
+        if self._server_stats.busy_probability(server, age_s) <= HOLD_PROBABILITY:
+            return 0.0
+        return HOLD_FACTOR * self._server_stats.mean_service_time_s(server.service)
+
+    def _least_cost(self, servers: list[ServerRecord]) -> ServerRecord:
+        """Return the server with the least cost; slots of other gateways cost more."""
+        service = servers[0].service
+        home = self._home(service)
+        age_s = self._server_stats.report_age_s()
+        overflow_s = OVERFLOW_FACTOR * self._server_stats.mean_service_time_s(service)
+
+        def cost(server: ServerRecord) -> tuple[float, float]:
+            cost_s = self._server_stats.cost_s(server, age_s)
+            if home and not self._has_home_slot(server, home):
+                cost_s += overflow_s
+            if server.zone != self._zone:
+                cost_s *= OTHER_ZONE_FACTOR
+            return cost_s, self._random.random()
+
+        return min(servers, key=cost)
+
+    def _has_home_slot(self, server: ServerRecord, home: dict[str, float]) -> bool:
+        own = self._server_stats.own_in_flight_at(server.server_id)
+        return own < home.get(server.server_id, 0.0)
--- a/indigoworks/gateway/server_stats.py
+++ b/indigoworks/gateway/server_stats.py
@@ -5,7 +5,9 @@
 from indigoworks.common.clock import Clock
 from indigoworks.exchange.load_view import LoadView
 from indigoworks.exchange.server_load import ServerLoad, server_checksum
+from indigoworks.gateway import load_estimate
 from indigoworks.gateway.server_paces import ServerPaces
+from indigoworks.gateway.usual_loads import UsualLoads
 from indigoworks.reach.down_servers import DownServers
 from indigoworks.servers.self_reported_load import SelfReportedLoad
 from indigoworks.servers.server_record import ServerRecord
@@ -48,6 +50,7 @@
         self._last_answer_s: dict[str, float] = {}
         self.down = down or DownServers()
         self._paces = ServerPaces(clock)
+        self._usual = UsualLoads(clock)
 
     # ---- changes ----
 
@@ -86,6 +89,7 @@
             known.pop(server_id, None)
         self.down.set_down(server_id, False)
         self._paces.forget(server_id)
+        self._usual.forget(server_id)
 
     # ---- queries ----
 
@@ -97,6 +101,29 @@
         """Return the requests in flight to a server, from all gateways."""
         return self._in_flight.get(server_id, 0) + self._peers.in_flight(server_id)
 
+    def report_age_s(self) -> float:
+        """Return the mean age of the loads of others; 0 where they are exact or there are none."""
+        return self._peers.load_age_s()
+
+    def cost_s(self, server: ServerRecord, age_s: float) -> float:
+        """Return the cost of one more request at a server; `age_s`: result of `report_age_s`."""
+        own, reported, usual = self._counts(server)
+        service_s = self.service_time_s(server)
+        return load_estimate.cost_s(own, reported, usual, age_s, server.slots, service_s)
+
+    def busy_probability(self, server: ServerRecord, age_s: float) -> float:
+        """Return the probability that all slots of a server are taken now."""
+        own, reported, usual = self._counts(server)
+        certain = load_estimate.certainty(age_s, self.service_time_s(server))
+        expected = load_estimate.expected_requests(reported, usual, certain)
+        return load_estimate.busy_probability(own, reported, expected, server.slots, certain)
+
+    def expected_in_flight(self, server: ServerRecord, service_s: float, age_s: float) -> float:
+        """Return the requests that all gateways are expected to have at a server now."""
+        own, reported, usual = self._counts(server)
+        certain = load_estimate.certainty(age_s, service_s)
+        return own + load_estimate.expected_requests(reported, usual, certain)
+
     def own_in_flight_at(self, server_id: str) -> int:
         """Return the requests in flight from this gateway to a server."""
         return self._in_flight.get(server_id, 0)
@@ -137,6 +164,12 @@
             for server_id, count in self._in_flight.items()
         )
 
+    def _counts(self, server: ServerRecord) -> tuple[int, int, float]:
+        """Return the requests of this gateway, those that others reported, and their mean."""
+        server_id = server.server_id
+        reported = self._peers.in_flight(server_id)
+        return self._in_flight.get(server_id, 0), reported, self._usual.mean(server_id, reported)
+
     def _measured_s(self, server_id: str) -> float | None:
         """Return the service time measured by this gateway and its peers; None without any.
 
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -30,6 +30,7 @@
     :ivar content: the request; None if it came from another gateway.
     :ivar caller_mark: hash that identifies the caller's attempts of it; 0 if unknown.
     :ivar is_scheduled_retry: whether it is a due scheduled retry.
+    :ivar held_until_s: clock reading up to which it is held for a free slot; None: it was not.
     :ivar placement: future of its server, or of its refusal.
     :ivar queue: queue in which it waits or was placed; None while it waits for an owner.
     """
@@ -43,6 +44,7 @@
     content: ClientRequest | None = None
     caller_mark: int = 0
     is_scheduled_retry: bool = False
+    held_until_s: float | None = None
     placement: asyncio.Future[ServerRecord | Refusal] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
