--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -11,6 +11,7 @@
 from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Metrics
+from indigoworks.common.process_memory import limit_memory
 from indigoworks.exchange.datagram_endpoint import DatagramEndpoint, OpenDatagrams
 from indigoworks.exchange.partition_monitor import PartitionMonitor
 from indigoworks.exchange.peer_address import PeerAddress
@@ -85,6 +86,7 @@
         open_datagrams: OpenDatagrams = DatagramEndpoint,
     ) -> None:
         self.path = reach.path
+        limit_memory(settings.memory_mb)
         self.dispatchers = DispatcherSubsystem(
             own, platform.servers, directory, peers, clock, open_connection
         )
