--- a/features/steps/gateway_connections_world.py
+++ b/features/steps/gateway_connections_world.py
@@ -52,7 +52,9 @@
     async def exchange(self, method, target, headers, body, request_id):
         await self.world.work(self.address.port)
         self.used_s = self.world.clock.now()
-        return SimpleNamespace(status=200, headers=HTTPHeaders(), body=b"", keep_alive_s=None)
+        return SimpleNamespace(
+            status=200, headers=HTTPHeaders(), body=b"", keep_alive_s=None, share=None
+        )
 
 
 class ConnectedGateway(Gateway):
