--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -30,6 +30,7 @@
 from indigoworks.gateway.front_server import FrontServer
 from indigoworks.gateway.gateway_responses import GatewayResponses
 from indigoworks.gateway.gateway_settings import GatewaySettings
+from indigoworks.gateway.home_assignment import HomeAssignment
 from indigoworks.gateway.key_sampler import KeySampler
 from indigoworks.gateway.local_retry_budget import LocalRetryBudget
 from indigoworks.gateway.notice_reports import NoticeReports
@@ -117,6 +118,7 @@
         self.outliers = OutlierSubsystem(
             settings.node, platform.servers, self.server_stats, reach.path, peers, clock, random
         )
+        home = HomeAssignment(own, platform.servers, self.server_stats, peers, directory, clock)
         self.selector = ServerSelector(
             platform.servers,
             self.server_stats,
@@ -124,7 +126,8 @@
             settings.zone,
             random,
             directory.has_many,
-            self.outliers.detector,
+            outliers=self.outliers.detector,
+            home=home.slots,
         )
         owners = OwnerLookup(
             tables, platform.servers, self.server_stats, clock, reach.peers.reaches
--- a/indigoworks/gateway/waiting_request.py
+++ b/indigoworks/gateway/waiting_request.py
@@ -34,6 +34,7 @@
     :ivar is_scheduled_retry: whether it is a due scheduled retry.
     :ivar is_dispatched: a peer selected this gateway as dispatcher of its owner.
     :ivar is_repeatable: it may safely run more than once, and so be a trial at an ejected server.
+    :ivar held_until_s: clock reading up to which it is held for a free slot; None: it was not.
     :ivar placement: future of its server, or of its refusal.
     :ivar queue: queue in which it waits or was placed; None while it waits for an owner.
     """
@@ -50,6 +51,7 @@
     is_scheduled_retry: bool = False
     is_dispatched: bool = False
     is_repeatable: bool = False
+    held_until_s: float | None = None
     placement: asyncio.Future[ServerRecord | Refusal] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
