--- a/features/steps/even_load_rules.py
+++ b/features/steps/even_load_rules.py
@@ -101,7 +101,7 @@
                     ZONE,
                     Random(gateway),
                     lambda: world.plan.gateways > 16,
-                    lambda _, gateway=gateway: self.home(gateway),
+                    home=lambda _, gateway=gateway: self.home(gateway),
                 )
             )
 
