--- a/indigoworks/broker/brokered_queue.py
+++ b/indigoworks/broker/brokered_queue.py
@@ -33,7 +33,7 @@
 """Time for which a broker that had no free slot is only sent requests that may wait."""
 
 TRIALS_WANTED_S = 2.0
-"""Time after a broker's reply that asked for trials for which requests tell if they may be one."""
+"""Time for which slot requests state whether they are repeatable, after a broker asked for that."""
 
 OTHER_ZONE_PENALTY_S = 0.03
 """A request waits in another zone only if a slot is expected to be free this much earlier: traffic
--- a/indigoworks/broker/slot_request.py
+++ b/indigoworks/broker/slot_request.py
@@ -19,8 +19,8 @@
         slot is requested.
     :ivar connected: checksums of the ids of servers to which the requester has an idle connection,
         the preferred one first.
-    :ivar is_repeatable: the request may be a trial at an ejected server; told only where the broker
-        asked for it.
+    :ivar is_repeatable: the request may run twice, and so probe an ejected server; set only if the
+        broker asked for it.
     :ivar key: number of the key if only its owner can answer; None: any server can.
     """
 
--- a/indigoworks/relay/relay_selector.py
+++ b/indigoworks/relay/relay_selector.py
@@ -192,8 +192,7 @@
     def _leader_as_relay(self) -> PeerAddress | None:
         """Return the leader, which reads the store itself, if a large group has no other relay.
 
-        Where the store refuses every other strong gateway, 80 weak ones would make 2,000 calls in
-        10 s.
+        Otherwise each weak gateway would read the store itself while it refuses the strong ones.
         """
         leader = self._directory.get(self._leader_node())
         if leader is None or leader.capacity == 0 or not self._directory.has_many():
--- a/indigoworks/servers/address_holders.py
+++ b/indigoworks/servers/address_holders.py
@@ -8,8 +8,7 @@
 class AddressHolders:
     """Finds the listed server that took over the address of another one.
 
-    The servers are indexed by address: a leader asks for every server with an open grant, and with
-    189 servers scans of the whole list were an eighth of its processor time.
+    The servers are indexed by address, as a leader asks for every server with an open grant.
     """
 
     def __init__(self) -> None:
