--- a/review/common/http_io.py
+++ b/review/common/http_io.py
@@ -31,7 +31,7 @@
 
 
 Handler = Callable[[Request], Awaitable[Answer | None]]
-"""Returns the answer to a request; None: there is none, and the connection ends."""
+"""Returns the answer to a request; None: there is none, and the connection is reset."""
 
 
 def encode(answer: Answer) -> bytes:
@@ -84,6 +84,7 @@
                 surplus = b""
             answer = await _run_while_open(handler, request, reader)
             if answer is None:
+                writer.transport.abort()
                 return
             writer.write(encode(answer))
             surplus = answer.surplus
