--- a/review/common/stand_in_server.py
+++ b/review/common/stand_in_server.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from http_io import Answer, HttpServer, Request
 from key_book import KEYS, KeyBook
@@ -40,6 +41,7 @@
         self.is_keyed, self.slots, self.work_s = is_keyed, slots, work_s
         self.state = "ready"
         self.book = KeyBook()
+        self.on_taken: Callable[[Target, int, int, int], None] = _ignore_grant
         self.is_up = False
         self.draining_s: float | None = None
         self.runs: list[tuple[float, str, int | None]] = []
@@ -128,6 +130,8 @@
         is_taken = self.book.take(first, last, token, until_s)
         words = ("grant", self.name, f"{first}-{last}", "fence", token, order["hold_ms"], "ms")
         self._record.note(*words, "taken" if is_taken else "refused", "from", request.peer)
+        if is_taken:
+            self.on_taken(self, first, last, token)
         return self._reply(request, 200 if is_taken else 409, {})
 
     async def _release(self, request: Request, order: dict[str, int]) -> Answer:
@@ -188,3 +192,7 @@
         if number is not None:
             fields[ID] = number
         return Answer(status, fields, body)
+
+
+def _ignore_grant(target: Target, first: int, last: int, token: int) -> None:
+    """Do nothing: the default listener."""
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -20,6 +20,7 @@
 from store import Store
 
 ZONES = ("abdali", "sweifieh", "marka")
+STORE_HOST = "127.40.0.1"
 MS_PER_S = 1000.0
 CALM, BROKEN, CANNOT_RUN = 0, 1, 2
 
@@ -67,12 +68,12 @@
 
         :param has_proxy: the gateways reach the store through `proxy`.
         """
-        await self.store.server.start("127.40.0.1")
+        await self.store.server.start(STORE_HOST)
         for each in self.targets.values():
             await each.start()
-        address = f"127.40.0.1:{self.store.server.port}"
+        address = f"{STORE_HOST}:{self.store.server.port}"
         if has_proxy:
-            self.proxy = SilentProxy("127.40.0.1", self.store.server.port)
+            self.proxy = SilentProxy(STORE_HOST, self.store.server.port)
             await self.proxy.start("127.40.0.2")
             address = f"127.40.0.2:{self.proxy.port}"
         for number in range(gateways):
