A listed successor is no proof that a server has ended

Cause: ServerList.is_gone counted a server as ended once a later entry of the list had its address, and FormerOwners lets that proof set aside release and hold. Ruled out: the reader alone. A refused state would close this form and leave a well-formed entry, or one of a service that no configuration names.

Fix: only an answer from the address (421 with another id) proves an end. The scenario 'The entry of a server that has ended ...' held the list for a proof; it now asks that the list ends neither server, and that an answer ends the right one.

--- a/features/gateway_owner_lines.feature
+++ b/features/gateway_owner_lines.feature
@@ -84,7 +84,14 @@
       | answer                  | sign             | doubt          |
       | an answer without an id | order            | unnamed_server |
       | an order with an id     | order            | nothing        |
-      | the list of servers     | list             | nothing        |
+
+  # Anybody may write an entry: who is at the address is asked.
+  Scenario: A server with a later entry at its address does not count as gone by it
+    Given a gateway owner lines keeper of keys that "a" holds under token 4
+    When another gateway owner lines entry comes at the address of "a"
+    Then the one gateway owner lines passing from "a" to "b" is by "released"
+    And the gateway owner lines name no sign
+    And the gateway owners' story of key 150 doubts only "nothing"
 
   Scenario: A release that another server answers names it
     Given a gateway owner lines keeper of keys that "a" holds under token 4
--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -21,6 +21,20 @@
       | the gateway owner store's clock jumps by -20 s   |
       | the gateway owner store's clock drifts for a day |
 
+  # An entry may be written by anybody; only an answer from the address shows who is there.
+  Scenario Outline: A later entry at an owner's address does not end the owner's hold, which <owner>
+    Given a gateway owner world in which "a" has all keys
+    When another gateway owner entry "x" comes at the address of "a"
+    And gateway owner "a" <owner>
+    And 8 s of gateway owner time pass
+    Then gateway owner "b" holds all keys
+    And no two gateway owners held one key
+
+    Examples:
+      | owner                         |
+      | leaves                        |
+      | falls silent after its answer |
+
   Scenario: An answer that waited proves nothing of the time since it was made
     Then gateway owner proofs: an answer read late is true as of when it was made, after a jump too
 
--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -128,6 +128,9 @@
     When gateway server entry "a" comes at port 1 with version 5
     And gateway server entry "b" comes at port 1 with version 8
     And gateway server entry "a" comes at port 1 with version 9
+    Then gateway server "a" is not known to have ended
+    And gateway server "b" is not known to have ended
+    When gateway server "b" answers at the address of "a"
     Then gateway server "a" is known to have ended
     And gateway server "b" is not known to have ended
 
--- a/features/steps/gateway_lag_steps.py
+++ b/features/steps/gateway_lag_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from indigoworks.exchange.lag_monitor import LagMonitor
+from indigoworks.servers.replacement_evidence import ReplacementEvidence
 
 STEP_S = 0.1
 
@@ -38,6 +39,11 @@
     assert len(context.lag_asked) == count, len(context.lag_asked)
 
 
+@when('gateway server "{by_id}" answers at the address of "{server_id}"')
+def step_answers(context, by_id, server_id):
+    context.gateway_list.record_replaced(server_id, by_id, ReplacementEvidence.REQUEST)
+
+
 @then('gateway server "{server_id}" is known to have ended')
 def step_gone(context, server_id):
     assert context.gateway_list.is_gone(server_id)
--- a/features/steps/gateway_owner_lines_steps.py
+++ b/features/steps/gateway_owner_lines_steps.py
@@ -119,14 +119,9 @@
 
 @when('the gateway owner lines take "a" for gone by {answer}')
 def step_gone(context, answer):
-    world = context.owners
-    if answer == "the list of servers":
-        context.replaced_by = "c"
-        world.list_at_address_of_a("c")
-    else:
-        by = context.replaced_by = "" if answer == "an answer without an id" else "c"
-        world.servers.record_replaced("a", by, ReplacementEvidence.ORDER)
-    context.run_async(world.pass_on())
+    by = context.replaced_by = "" if answer == "an answer without an id" else "c"
+    context.owners.servers.record_replaced("a", by, ReplacementEvidence.ORDER)
+    context.run_async(context.owners.pass_on())
 
 
 @when('server "c" answers the release of the gateway owner lines keys of "a"')
--- a/features/steps/gateway_owner_proof_steps.py
+++ b/features/steps/gateway_owner_proof_steps.py
@@ -1,8 +1,11 @@
 """Steps that break on purpose what the ends of holds rest on."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 from gateway_control_world import HOLD_MAX_S, SERVICE
 from gateway_owner_proof_world import ProofWorld
+from store_versions import at
 
 # isort: split
 
@@ -105,6 +108,17 @@
     step_jump(context, 0.0)
 
 
+@when('another gateway owner entry "{name}" comes at the address of "{owner}"')
+def step_other_entry(context, name, owner):
+    record = context.proof.servers.get(owner)
+    context.proof.servers.put(replace(record, server_id=name, service="other", version=at(40)))
+
+
+@when('gateway owner "{name}" leaves')
+def step_leaves(context, name):
+    context.proof.list_server(name, 50, is_draining=True)
+
+
 @when('gateway owner "{name}" falls silent after its answer')
 def step_silent(context, name):
     """It leaves as well, so that no order is sent to it between the two: its hold has an end."""
--- a/features/steps/gateway_owner_takeover_steps.py
+++ b/features/steps/gateway_owner_takeover_steps.py
@@ -1,8 +1,8 @@
-"""Steps on a leader that takes over what another one has left."""
+"""Steps on a leader that takes over what another one has left, or another server seems to."""
 
 import asyncio
 
-from behave import then
+from behave import then, when
 from gateway_control_world import SERVICE
 from gateway_owner_proof_world import ProofWorld
 from store_versions import at
@@ -20,6 +20,17 @@
 """Of the table as the leader before left it."""
 
 
+@when('another gateway owner lines entry comes at the address of "a"')
+def step_other_entry(context):
+    context.owners.list_at_address_of_a("c")
+    context.run_async(context.owners.pass_on())
+
+
+@then("the gateway owner lines name no sign")
+def step_no_sign(context):
+    assert not any(each["message_type"] == "server:replaced" for each in context.owner_lines)
+
+
 @then("gateway owner proofs: a table is taken under new tokens however late its service is known")
 def step_late_service(context):
     async def run():
--- a/indigoworks/gateway/crash_attribution.py
+++ b/indigoworks/gateway/crash_attribution.py
@@ -163,8 +163,9 @@
         if not await self._reachability.has_responded_since(server, lost_s):
             # While no server is reached from here, the silence of one says nothing about it.
             return await self._path.is_sound(lost_s)
-        # A new process of the server may already use its address.
-        return self._servers.is_gone(server.server_id)
+        # A new process of the server may already use its address. Here the list is evidence enough:
+        # a wrong suspicion only delays a request until a server answers it.
+        return self._servers.has_successor(server.server_id)
 
     def _content(self, request: ClientRequest) -> RequestContent:
         """Return the content by which attempts of the same request are recognised.
--- a/indigoworks/servers/address_holders.py
+++ b/indigoworks/servers/address_holders.py
@@ -37,7 +37,7 @@
         """Return the listed server that took over the address of `record`, if there is one.
 
         The entry of an ended server stays listed for some heartbeats beside that of its successor.
-        Only the later entry is evidence on the earlier server.
+        Only the later entry is evidence on the earlier server, and no proof of its end.
         """
         at_address = self._records.get(record.address, {}).values()
         later = [each for each in at_address if self._came_after(each, record)]
--- a/indigoworks/servers/replaced_servers.py
+++ b/indigoworks/servers/replaced_servers.py
@@ -18,10 +18,6 @@
     def add(self, server_id: str, by_server_id: str, evidence: ReplacementEvidence) -> None:
         """Record that another server answers at the address of `server_id`."""
         self._replaced.add(server_id)
-        self.log_once(server_id, by_server_id, evidence)
-
-    def log_once(self, server_id: str, by_server_id: str, evidence: ReplacementEvidence) -> None:
-        """Log once that another server has taken over the address of `server_id`."""
         if (server_id, evidence) not in self._logged:
             self._logged.add((server_id, evidence))
             log_message(
--- a/indigoworks/servers/replacement_evidence.py
+++ b/indigoworks/servers/replacement_evidence.py
@@ -10,5 +10,3 @@
     """Status 421 in response to an order, with the id of the server that answers."""
     REQUEST = "request"
     """Status 421 in response to a request, with the id of another server."""
-    LIST = "list"
-    """The server list has a later server at the address."""
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -130,15 +130,19 @@
     # ---- queries ----
 
     def is_gone(self, server_id: str) -> bool:
-        """Return whether the server's process is known to have ended."""
-        if server_id in self._replaced:
-            return True
+        """Return whether the server's process is known to have ended.
+
+        Only an answer from its address shows that. A later entry at the address does not: anybody
+        may have written it, and keys of a server that counts as gone are granted at once.
+        """
+        return server_id in self._replaced
+
+    def has_successor(self, server_id: str) -> bool:
+        """Return whether another server is known or listed at the address of `server_id`."""
         record = self.get(server_id)
-        holder = None if record is None else self.holder_of_address(record)
-        if holder is None:
-            return False
-        self._replaced.log_once(server_id, holder.server_id, ReplacementEvidence.LIST)
-        return True
+        return self.is_gone(server_id) or (
+            record is not None and self.holder_of_address(record) is not None
+        )
 
     def is_listed(self, server_id: str) -> bool:
         """Return whether the list has the server's entry."""
