--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -134,6 +134,35 @@
     Then gateway server "a" is known to have ended
     And gateway server "b" is not known to have ended
 
+  # An entry of another writer may lack any field: servers that state their start all do.
+  Scenario Outline: An entry without a start <place> entries that have one names no server until it is renewed
+    Given a gateway server list
+    When gateway server entries come, one without a start <place> others
+    Then gateway server entry "lone" is unknown, the others are usable
+    When gateway server entry "lone" comes again without a start, unchanged
+    Then gateway server entry "lone" is unknown, the others are usable
+    When gateway server entry "lone" comes again without a start, renewed
+    Then gateway server entry "lone" is usable
+
+    Examples:
+      | place  |
+      | before |
+      | beside |
+
+  Scenario: An entry without a start under a server's id does not replace the server's own
+    Given a gateway server list
+    When gateway server entry "a" has a start, then comes without one at another address
+    Then gateway server entry "a" is usable where it started
+    When gateway server entry "a" vanishes
+    Then gateway server entry "a" is known and not usable
+
+  Scenario: Where no server states its start each entry counts at once
+    Given a gateway server list
+    When gateway server entry "a" comes at port 1 with version 5
+    And gateway server entry "b" comes at port 2 with version 6
+    Then gateway server entry "a" is usable
+    And gateway server entry "b" is usable
+
   Scenario: A feed that stays behind a peer is asked anew, ever less often
     Given a gateway lag watch at version 4
     When a gateway peer says version 4 for 2 s
--- a/features/steps/platform_folder_store_steps.py
+++ b/features/steps/platform_folder_store_steps.py
@@ -178,7 +178,8 @@
 
 def server_entry(state):
     entry = {"service": "shop", "address": "127.0.0.1:80", "zone": "z", "state": state}
-    return json.dumps({**entry, "slots": 4, wire("warmupLeft"): 0, "seq": 1}).encode()
+    rest = {"version": "v1", "slots": 4, wire("warmupLeft"): 0, "seq": 1}
+    return json.dumps(entry | rest).encode()
 
 
 @given("the platform folder store holds configuration {version:d} and a server")
@@ -219,6 +220,11 @@
     seen = len(calls)
     # The feed is asked again by both followers before the server changes.
     context.run_async(until(lambda: len(calls) > seen + 4))
+    change_server(context)
+
+
+@when("the platform folder store gets a change of the server")
+def change_server(context):
     context.platform_stand_in.put("servers", "", "s1", server_entry("draining"))
 
 
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Iterable
 
-from eliot import log_message
-
 from indigoworks.common.clock import Clock
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.servers.address_holders import AddressHolders
 from indigoworks.servers.cold_servers import ColdServers
 from indigoworks.servers.replaced_servers import ReplacedServers
 from indigoworks.servers.replacement_evidence import ReplacementEvidence
+from indigoworks.servers.server_log import log_server
 from indigoworks.servers.server_notice import ServerNotice
 from indigoworks.servers.server_notices import ServerNotices
 from indigoworks.servers.server_record import ServerRecord
+from indigoworks.servers.unconfirmed_entries import UnconfirmedEntries
 from indigoworks.servers.zone_evacuations import ZoneEvacuations
 
 RETENTION_S = 60.0
@@ -59,6 +59,7 @@
         self._addresses = AddressHolders()
         self._vanished: dict[str, tuple[ServerRecord, float]] = {}
         self._replaced = ReplacedServers()
+        self._unconfirmed = UnconfirmedEntries()
         self._by_service: dict[str, dict[str, ServerRecord]] = {}
         self._services_at: dict[str, str] = {}
 
@@ -77,6 +78,9 @@
         if earlier is not None and record.is_older_entry_than(earlier):
             self._log_older_entry(record, earlier)
             return
+        if not self._unconfirmed.accepts(record):
+            log_server("server:unconfirmed", record)
+            return
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
             # Notices and replacement of an earlier run do not apply to this one.
             self.notices.forget(record.server_id)
@@ -88,24 +92,35 @@
         self._by_service.setdefault(record.service, {})[record.server_id] = record
         self._services_at[record.address.host] = record.service
         if known is None or known.is_draining != record.is_draining:
-            self._log("server:listed", record, is_draining=record.is_draining)
+            log_server("server:listed", record, is_draining=record.is_draining)
+        for unconfirmed in self._unconfirmed.take_withdrawn(self._listed):
+            self._withdraw(self._listed.pop(unconfirmed))
+
+    def _withdraw(self, record: ServerRecord) -> None:
+        """Take back an entry that was applied before it was seen that it may not be a server's."""
+        self._addresses.remove(record)
+        self._addresses.forget(record.server_id)
+        self._by_service[record.service].pop(record.server_id, None)
+        log_server("server:unconfirmed", record)
 
     def _log_older_entry(self, record: ServerRecord, known: ServerRecord) -> None:
-        is_vanished = known.server_id in self._vanished
-        if is_vanished or known.is_draining != record.is_draining:
-            self._log("server:kept", known, is_vanished=is_vanished, is_draining=known.is_draining)
+        is_gone = known.server_id in self._vanished
+        if is_gone or known.is_draining != record.is_draining:
+            log_server("server:kept", known, is_vanished=is_gone, is_draining=known.is_draining)
 
     def remove(self, server_id: str) -> None:
         """Record that an entry vanished."""
+        self._unconfirmed.forget(server_id)
         record = self._listed.pop(server_id, None)
         if record is None:
             return
         self._addresses.remove(record)
         self._vanished[server_id] = (record, self._clock.now())
-        self._log("server:vanished", record, store_trouble_age_s=self._health.trouble_age_s())
+        log_server("server:vanished", record, store_trouble_age_s=self._health.trouble_age_s())
 
     def keep_only(self, server_ids: set[str]) -> None:
         """Remove the entries that a full read of the list no longer contains."""
+        self._unconfirmed.keep_only(server_ids)
         for server_id in [each for each in self._listed if each not in server_ids]:
             self.remove(server_id)
 
@@ -280,13 +295,3 @@
             return False
         latest_s = self._health.last_trouble_s
         return latest_s is not None and self._clock.now() - latest_s <= self._settle_s
-
-    def _log(self, message_type: str, record: ServerRecord, **fields: object) -> None:
-        log_message(
-            message_type=message_type,
-            server=record.server_id,
-            service=record.service,
-            address=str(record.address),
-            version=str(record.version),
-            **fields,
-        )
