A connection is not lent again for a request that it has carried

Cause: answers are told apart by the id of the caller's attempt, and the gateway sends a refused request again under the same id, mostly over the connection that it has just put back. The copy of the first answer then counts for the second send. Ruled out: a server that runs what it has refused; its record has each run after a send of its own.

Evidence: in the new scenario the server got three requests, the first two over connection 1; with a surplus 503 the caller was refused. Both rows failed before.

Fix: a connection remembers the ids that it has carried until their deadline is past, and is lent for other requests only. Closing each connection whose answer leads to another send was weighed and costs a connection for every refusal.

--- a/features/gateway_repeats.feature
+++ b/features/gateway_repeats.feature
@@ -24,6 +24,30 @@
     Then every gateway answer is the server's, whole
     And the gateway servers got 2 requests, each server one
 
+  # A second send has the id of the first, so that only its connection tells their answers apart.
+  Scenario Outline: A surplus <surplus> to the first send of an unsafe request is not taken for the answer to the second
+    Given a gateway
+    And the gateway's service has keys
+    And the gateway route is not repeatable
+    And gateway server "a" that says misdirected, then sends a late <surplus> first
+    And gateway server "a" has all keys from the start
+    When a gateway caller asks for key 7
+    Then every gateway answer is the server's, whole
+    And the gateway servers got 2 requests
+    And the gateway used 2 connections to server "a"
+
+    Examples:
+      | surplus |
+      | 421     |
+      | 503     |
+
+  Scenario: A connection that carried a request is used for other requests
+    Given a gateway
+    And gateway server "a" that answers
+    When a gateway caller sends 3 requests one after the other
+    Then every gateway answer is the server's, whole
+    And the gateway used 1 connections to server "a"
+
   Scenario: An unsafe request that failed at its server is not sent again
     Given a gateway
     And 2 gateway servers that each answers 500
--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -141,7 +141,7 @@
     context.idle = []
     for number in range(count):
         pool = context.sender._pool(make_record(f"s{number}", Address("h", number), zone="za"))
-        connection = pool.create()
+        connection = pool.create(f"r{number}", 0.0)
         connection.is_open = True
         context.idle.append((pool, connection))
         context.clock.now_s += 0.1
@@ -161,11 +161,11 @@
 @when("the oldest connection is in use, the next is closed by its server and a third one expires")
 def step_gone(context):
     pools = [pool for pool, _ in context.idle]
-    assert pools[0].acquire() is context.idle[0][1]
+    assert pools[0].acquire("r", 0.0) is context.idle[0][1]
     context.idle[1][1].is_open = False
     context.clock.now_s += DEFAULT_KEEP_ALIVE_S
     for pool, connection in context.idle[3:]:
-        assert pool.acquire() is None
+        assert pool.acquire("r", 0.0) is None
         connection.is_open = True
         pool.release(connection, None)
 
--- a/features/steps/gateway_connections_world.py
+++ b/features/steps/gateway_connections_world.py
@@ -119,7 +119,8 @@
             return
         self.waits_s.append(self.clock.now() - began_s)
         started = gateway.board.start(server)
-        request = ClientRequest("r", "GET", "h", "/", (), b"", None, None, began_s)
+        number = f"r{len(self.waits_s)}"
+        request = ClientRequest(number, "GET", "h", "/", (), b"", None, None, began_s)
         answer = await gateway.sender.send(request, server, began_s + DEADLINE_S)
         gateway.board.finish(server, started, answer.result is ExchangeResult.ANSWERED)
         gateway.queue.release(entry, started, answer)
--- a/indigoworks/gateway/connection_pool.py
+++ b/indigoworks/gateway/connection_pool.py
@@ -6,6 +6,7 @@
 from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.response_collector import HeadListener, ignore_head
+from indigoworks.gateway.sent_ids import SentIds
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 
 DEFAULT_KEEP_ALIVE_S = 4.0
@@ -43,21 +44,35 @@
         self._clock = clock
         self._idle: deque[_Idle] = deque()
 
-    def acquire(self) -> ServerConnection | None:
-        """Return a reusable idle connection, or None."""
+    def acquire(self, request_id: str, deadline_s: float) -> ServerConnection | None:
+        """Return a reusable idle connection for a request that it has not carried yet, or None.
+
+        :param deadline_s: clock reading after which the request is not sent again.
+        """
         now_s = self._clock.now()
-        while self._idle:
+        passed_over: list[_Idle] = []
+        found = None
+        while self._idle and found is None:
             idle = self._idle.pop()
-            if idle.connection.is_reusable and now_s < idle.until_s:
-                return idle.connection
-            idle.connection.abort()
-        return None
-
-    def create(self) -> ServerConnection:
-        """Return a connection that is not yet connected."""
+            if not idle.connection.is_reusable or now_s >= idle.until_s:
+                idle.connection.abort()
+            elif request_id in idle.connection.sent_ids:
+                passed_over.append(idle)
+            else:
+                found = idle.connection
+        self._idle.extend(reversed(passed_over))
+        if found is not None:
+            found.sent_ids.add(request_id, deadline_s, now_s)
+        return found
+
+    def create(self, request_id: str, deadline_s: float) -> ServerConnection:
+        """Return a connection for a request; it is not yet connected."""
+        now_s = self._clock.now()
         connection = self._open_connection(self._address, self._id_header)
         connection.on_head = self._on_head
-        connection.opened_s = self._clock.now()
+        connection.opened_s = now_s
+        connection.sent_ids = SentIds()
+        connection.sent_ids.add(request_id, deadline_s, now_s)
         return connection
 
     def release(self, connection: ServerConnection, keep_alive_s: float | None) -> None:
--- a/indigoworks/gateway/request_sender.py
+++ b/indigoworks/gateway/request_sender.py
@@ -96,9 +96,9 @@
     ) -> ServerResponse:
         """Send `request`, and wait for the response until the clock reads `deadline_s`."""
         pool = self._pool(server)
-        connection = pool.acquire()
+        connection = pool.acquire(request.request_id, deadline_s)
         if connection is None:
-            connection = pool.create()
+            connection = pool.create(request.request_id, deadline_s)
             self.connections_opened += 1
             left_s = deadline_s - self._clock.now()
             if left_s <= 0 or not await connection.connect(min(left_s, CONNECT_TIMEOUT_S)):
--- a/indigoworks/gateway/server_connection.py
+++ b/indigoworks/gateway/server_connection.py
@@ -16,6 +16,7 @@
 from indigoworks.common.exceeded_bound import ExceededBound
 from indigoworks.common.exceeded_responses import EXCEEDED_RESPONSES
 from indigoworks.gateway.response_collector import HeadListener, ResponseCollector, ignore_head
+from indigoworks.gateway.sent_ids import SentIds
 
 SURPLUS_LIMIT = 3
 """Responses to other requests that are skipped before a connection is closed."""
@@ -36,6 +37,7 @@
     :ivar was_refused: whether no process listened at the address.
     :ivar is_request_sent: whether the newest request was handed to the kernel whole.
     :ivar opened_s: clock reading at which its pool created it.
+    :ivar sent_ids: ids of the requests that it has carried, as its pool records them.
     :ivar exceeded: the bound that ended the newest response; None if it ended otherwise.
     :ivar on_head: called with the head of each response, also of a truncated or late one.
     """
@@ -44,6 +46,7 @@
     was_refused = False
     is_request_sent = False
     opened_s = 0.0
+    sent_ids: SentIds
     exceeded: ExceededBound | None = None
 
     def __init__(self, address: Address, id_header: str) -> None:
