Silent connections to the store delay no change of the operator's rows

Cause: a poll for configurations waits for 10 s and is found lost 1 s later; the next one takes another idle connection, silent as well, since these are kept for 30 s. Ruled out as remedies that stand: the poll for servers has a busy connection that lives on, and no peer is ahead.

Fix: two gateways of a group, or its relays, poll in 0.7 s, and the others read when these report newer rows; whole reads use a new connection; idle connections to the store and to relays are kept for 1 s; after a request without an answer those that have carried nothing since are closed; the poll for servers waits 1.5 s.

--- a/features/steps/platform_large_answers_steps.py
+++ b/features/steps/platform_large_answers_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 from gateway_world import until
-from platform_folder_store_steps import TABLE, reads
+from platform_folder_store_steps import TABLE, follow
 from platform_paced_answers import PacedAnswers
 from store_versions import at
 
@@ -63,7 +63,8 @@
 def next_call(context):
     stand_in = context.platform_stand_in
     stand_in.paced = None
-    reads(context, "p")
+    # A whole reading would take a new connection in any case.
+    follow(context, 0)
     assert len(context.platform_result.unwrap().rows) == len(stand_in.rows)
     return stand_in.streams[-2:]
 
--- a/indigoworks/backend/http_sender.py
+++ b/indigoworks/backend/http_sender.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from indigoworks.backend.errors import BackendAnswerLost, BackendError, BackendUnreachable
-from indigoworks.backend.http_connection_pool import HttpConnectionPool
+from indigoworks.backend.http_connection_pool import MAX_IDLE_S, HttpConnectionPool
 from indigoworks.backend.http_message import HttpMessage
 from indigoworks.backend.http_response import HttpResponse
 from indigoworks.backend.transfer_deadline import TransferDeadline
@@ -19,10 +19,19 @@
 
 
 class HttpSender:
-    """Sends each request at most once, over a bounded number of connections per server."""
+    """Sends each request at most once, over a bounded number of connections per server.
 
-    def __init__(self, clock: Clock, connections_per_server: int) -> None:
+    Open connections may go silent without a reset. Where a request is not answered in time, the
+    connections that have carried nothing since it was sent are not used again.
+
+    :param max_idle_s: idle time after which a connection is not reused.
+    """
+
+    def __init__(
+        self, clock: Clock, connections_per_server: int, max_idle_s: float = MAX_IDLE_S
+    ) -> None:
         self._clock = clock
+        self._max_idle_s = max_idle_s
         self._connections_per_server = connections_per_server
         self._pools: dict[Address, HttpConnectionPool] = {}
 
@@ -32,6 +41,7 @@
         build: MessageBuilder,
         timeout_s: float,
         transfer: TransferLimits | None = None,
+        needs_new: bool = False,
     ) -> Result[HttpResponse, BackendError]:
         """Send one request and wait for its complete response.
 
@@ -39,15 +49,17 @@
             `transfer`, for all that up to the response's headers.
         :param transfer: limits of the rest of a large response, for which a slow link may need
             longer than the time after which a server counts as lost.
+        :param needs_new: use a new connection: the response must not depend on how an idle one is.
         :returns: BackendUnreachable only when no byte was sent, otherwise BackendAnswerLost.
         """
         if timeout_s <= 0:
             return Err(_unreachable(address))
         pool = self._pool_of(address)
         is_sent = False
+        started_s = self._clock.now()
         try:
             async with asyncio.timeout(timeout_s) as limit:
-                connection = await pool.acquire()
+                connection = await pool.acquire(needs_new)
                 if connection is None:
                     return Err(_unreachable(address))
                 try:
@@ -59,6 +71,8 @@
                 finally:
                     pool.release(connection)
         except TimeoutError:
+            if is_sent:
+                pool.close_idle_since(started_s)
             return Err(_answer_lost(address) if is_sent else _unreachable(address))
         return Ok(response) if response is not None else Err(_answer_lost(address))
 
@@ -76,7 +90,9 @@
     def _pool_of(self, address: Address) -> HttpConnectionPool:
         pool = self._pools.get(address)
         if pool is None:
-            pool = HttpConnectionPool(address, self._connections_per_server, self._clock)
+            pool = HttpConnectionPool(
+                address, self._connections_per_server, self._clock, self._max_idle_s
+            )
             self._pools[address] = pool
         return pool
 
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -86,7 +86,7 @@
             self._relay.choice.probe_wait_s,
             self._directory.has_many,
             self._relay.choice.is_relayed,
-            self._relay.choice.is_acting,
+            self._relay.choice.is_watching,
         )
         tester = ConnectTester()
         self._reach = ReachSubsystem(
--- a/indigoworks/gateway/platform_subsystem.py
+++ b/indigoworks/gateway/platform_subsystem.py
@@ -18,18 +18,22 @@
 from indigoworks.servers.server_list import ServerList
 
 FEED_WAIT_S = 10.0
-"""Longest poll of the feeds other than that of servers; they are reread when that feed fails, and
-when a peer is ahead."""
+"""Longest poll of the configuration feed; it is reread when the feed of servers fails, and when a
+peer is ahead."""
 
 LARGE_GROUP_FEED_WAIT_S = 25.0
 """Longest poll of the configuration feed in a large group, for gateways that poll a relay, where a
 waiting poll costs nothing and ends when the relay fails, and for gateways that have no relay: 195
 gateways make 8 calls a second with it, and 20 with the shorter poll."""
 
-RELAY_FEED_WAIT_S = 1.0
-"""Longest poll of the configuration feed at a relay. If a response of the store is lost, no gateway
-behind the relay gets the change, so none sees a peer ahead, until the next poll: with the longest
-poll after more than 20 s, with this one after at most 2 s. A configuration must be in force within
+WATCH_WAIT_S = 0.7
+"""Longest poll of the configuration feed at relays and at gateways that watch it for their peers.
+
+If a response of the store is lost, or a connection has gone silent, none of the others sees a peer
+ahead until this poll has failed and been repeated. That takes this time, 1 s without a response and
+0.1 s until the next call. Peers hear of it after 0.3 s at most, tolerate the lag for 0.4 to 0.7 s,
+and read over a new connection: 2.5 s together, and 0.4 s more with a slow store. Every gateway must
+be up to date again 3 s after the silence began. A change that comes later takes 1 to 1.4 s of
 `configuration_apply_s`, 2 s by default."""
 
 CONFIGURATION_PACE_SHARE = 0.3
@@ -57,7 +61,7 @@
     :param is_large_group: returns whether there are so many gateways that calls to the store must
         be limited.
     :param is_relayed: returns whether this gateway is a relay or polls one.
-    :param is_relay: returns whether other gateways poll this one.
+    :param is_watching: returns whether peers rely on this gateway to notice a new configuration.
     """
 
     def __init__(
@@ -68,7 +72,7 @@
         probe_wait_s: Callable[[], float] = lambda: PROBE_WAIT_S,
         is_large_group: Callable[[], bool] = lambda: False,
         is_relayed: Callable[[], bool] = lambda: False,
-        is_relay: Callable[[], bool] = lambda: False,
+        is_watching: Callable[[], bool] = lambda: False,
     ) -> None:
         self._ports = ports
         self.configurations = ConfigurationHolder()
@@ -79,7 +83,7 @@
         self._configuration_apply_s = settings.configuration_apply_s
         self._is_large_group = is_large_group
         self._is_relayed = is_relayed
-        self._is_relay = is_relay
+        self._is_watching = is_watching
         self._configuration_row_version = NO_VERSION
         self._has_read_servers = False
         self._written_zones: set[str] = set()
@@ -254,8 +258,8 @@
         )
 
     def _configuration_wait_s(self) -> float:
-        if self._is_relay():
-            return RELAY_FEED_WAIT_S
+        if self._is_watching():
+            return WATCH_WAIT_S
         return LARGE_GROUP_FEED_WAIT_S if self._is_large_group() else FEED_WAIT_S
 
     def _configuration_pace_s(self) -> float:
--- a/indigoworks/gateway/relay_subsystem.py
+++ b/indigoworks/gateway/relay_subsystem.py
@@ -16,6 +16,9 @@
 from indigoworks.rowstore.probing_store import ProbingStore
 
 RELAY_CONNECTIONS = 5
+
+MAX_IDLE_S = 1.0
+"""Idle time after which a connection to a relay is not reused: it may have gone silent."""
 """Connections to a relay: one per followed table, one for reading a whole table, and one spare."""
 
 
@@ -51,7 +54,7 @@
             ProbingStore(ports.store, self.choice.gateway_count, directory.has_many, random, clock),
             ports.health,
             self.choice,
-            HttpSender(clock, RELAY_CONNECTIONS),
+            HttpSender(clock, RELAY_CONNECTIONS, MAX_IDLE_S),
             frozenset({ports.servers_table, CONTROL_TABLE}),
             clock,
             frozenset({ports.configuration_table}),
--- a/indigoworks/relay/relay_client.py
+++ b/indigoworks/relay/relay_client.py
@@ -36,6 +36,7 @@
         build: Callable[[], HttpMessage],
         timeout_s: float,
         grace_s: float = 0.0,
+        needs_new: bool = False,
     ) -> Result[HttpResponse, BackendError]:
         """Send a request; BackendUnreachable also if `fail_pending` is called meanwhile.
 
@@ -45,9 +46,10 @@
         :param grace_s: seconds that this request may still take after such a failure. On a slow
             link the other request may have failed by packets that queue there, while this response
             is on its way.
+        :param needs_new: use a new connection.
         """
         failure = self._failures.setdefault(relay.node, asyncio.Event())
-        sending = self._sender.send(relay.address, build, timeout_s, TRANSFER_LIMITS)
+        sending = self._sender.send(relay.address, build, timeout_s, TRANSFER_LIMITS, needs_new)
         pending = asyncio.ensure_future(sending)
         failed = asyncio.ensure_future(failure.wait())
         try:
--- a/indigoworks/relay/relay_selector.py
+++ b/indigoworks/relay/relay_selector.py
@@ -24,9 +24,14 @@
 """Time for which a process counts as relay after the last request to it."""
 
 
-PROBE_WAIT_S = 2.0
-"""Longest wait of the feed that probes the path to the store. A broken path is detected after at
-most this time, well within what leaving servers and new configurations allow."""
+PROBE_WAIT_S = 1.5
+"""Longest wait of the feed that probes the path to the store. If all connections go silent at once,
+it fails 1 s after this time, and all feeds are then reread over new connections: a gateway must
+know of leaving servers and new configurations again within 3 s."""
+
+WATCHERS = 2
+"""Gateways of a group without relays that poll the operator's rows in short intervals; two, as one
+may be cut off from the store."""
 
 RELAY_PROBE_WAIT_S = 0.7
 """Longest wait of that feed at a relay, and of a request to a relay: the two waits add up."""
@@ -222,6 +227,19 @@
         """Return whether other gateways use this one as relay."""
         return self._clock.now() - self._asked_s < ACTING_S
 
+    def is_watching(self) -> bool:
+        """Return whether this gateway polls the operator's rows in short intervals.
+
+        A poll whose connection has gone silent shows that only when its time is over. The others
+        poll in long intervals, and read the rows again once a peer reports newer ones.
+        """
+        if self.is_acting():
+            return True
+        if self.relay() is not None:
+            return False
+        heard = (each for each in self._directory.others() if self._is_heard(each))
+        return sum(each.node < self._node for each in heard) < WATCHERS
+
     def probe_wait_s(self) -> float:
         """Return the longest wait of the feed that probes the path to the store."""
         return RELAY_PROBE_WAIT_S if self.is_relayed() else PROBE_WAIT_S
--- a/indigoworks/relay/relayed_store.py
+++ b/indigoworks/relay/relayed_store.py
@@ -234,7 +234,10 @@
         is_large = table in self._large_tables
         margin_s = LARGE_RESPONSE_MARGIN_S if is_large else RESPONSE_MARGIN_S
         grace_s = LARGE_RESPONSE_MARGIN_S if is_large and self._selector.has_slow_link() else 0.0
-        result = await self._client.send(relay, lambda: message, wait_s + margin_s, grace_s)
+        # Whole rows are read when the feed is in doubt, and with it every open connection.
+        result = await self._client.send(
+            relay, lambda: message, wait_s + margin_s, grace_s, needs_new=after.counter == 0
+        )
         if isinstance(result, Err):
             self._record_failure(relay, result.unwrap_err().kind)
             return None
