Parts of a gateway that fail are started again, and make it not ready

Cause: BackgroundTasks logged the exception that ended a task and started nothing anew; an exception in any listener ended its follower. The same at a leader's epoch tasks, the keepers of ranges and the tests of a lost path. Ruled out: the decoder alone, which closes one way into it.

Evidence: process:fault once in each gateway's log, then nothing more of that part.

Fix: supervise starts such work again with a growing delay; a follower begins again with a full read; while a part keeps failing the readiness probe is answered with 503, so that callers are sent elsewhere. Ending the process was weighed: where a row causes the fault, all would end in turn.

--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Iterable
 from dataclasses import replace
 from random import Random
 
@@ -11,6 +12,7 @@
 from indigoworks.common.coalesced_call import CoalescedCall
 from indigoworks.common.logging.line_rate_limiter import LineRateLimiter
 from indigoworks.common.metrics import Metrics
+from indigoworks.common.supervision import Work
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.exchange.peer_directory import PeerDirectory
 from indigoworks.exchange.peer_server import PeerServer
@@ -165,7 +167,8 @@
             self._metrics,
             self._clock,
         )
-        self._tasks = BackgroundTasks()
+        self._tasks = BackgroundTasks(self._clock)
+        self._status.failing_parts = self._tasks.failing
         self._peer_server = PeerServer(
             settings.peer_address,
             {
@@ -202,28 +205,30 @@
         self._status.start()
         self._peer_server.start()
         self._requests.front.start()
-        for work in (
-            *(each.run() for each in self._platform.followers),
-            self._control.follow_rows(),
-            self._registration.run(),
-            self._exchange.run(),
-            self._requests.brokers.broker.run(),
-            self._requests.run(),
-            self._relay.server.run(),
-            self._control.member.run(),
-            self._control.fitness.run(),
-            self._run_maintenance(),
-        ):
-            self._tasks.start(work)
-        log_message(
-            message_type="process:started",
-            node=self._settings.node,
-            boot=self._boot,
-            zone=self._settings.zone,
-        )
+        for name, work in self._parts():
+            self._tasks.start(name, work)
+        node, zone = self._settings.node, self._settings.zone
+        log_message(message_type="process:started", node=node, boot=self._boot, zone=zone)
         await stop.wait()
         await self._stop()
 
+    def _parts(self) -> Iterable[tuple[str, Work]]:
+        """Return what runs until the process stops, by name."""
+        operator_rows, servers = self._platform.followers
+        return (
+            ("operator_rows", operator_rows.run),
+            ("servers", servers.run),
+            ("group_rows", self._control.follow_rows),
+            ("registration", self._registration.run),
+            ("exchange", self._exchange.run),
+            ("broker", self._requests.brokers.broker.run),
+            ("quarantine", self._requests.run),
+            ("relay", self._relay.server.run),
+            ("group_member", self._control.member.run),
+            ("leader_fitness", self._control.fitness.run),
+            ("maintenance", self._run_maintenance),
+        )
+
     async def _stop(self) -> None:
         log_message(
             message_type="process:stopping", in_progress=self._requests.front.in_progress.count
--- a/indigoworks/gateway/status_subsystem.py
+++ b/indigoworks/gateway/status_subsystem.py
@@ -1,5 +1,7 @@
 """Readiness probe, metrics and administration API of a gateway."""
 
+from collections.abc import Callable, Collection
+
 from tornado.httputil import HTTPServerRequest
 
 from indigoworks.common.clock import Clock
@@ -20,6 +22,8 @@
     """Serves the readiness probe at one address, metrics and administration at another.
 
     :ivar is_stopping: whether the process is stopping, so that it reports not ready.
+    :ivar failing_parts: returns the parts of the process that keep failing; it reports not ready
+        while there are any.
     """
 
     def __init__(
@@ -44,6 +48,7 @@
         self._metrics = metrics
         self._clock = clock
         self.is_stopping = False
+        self.failing_parts: Callable[[], Collection[str]] = tuple
         addresses = settings.current
         self._readiness = StatusServer(addresses.readiness_address, self._answer_readiness)
         self._status = StatusServer(addresses.metrics_address, self._answer_status)
@@ -58,7 +63,7 @@
 
     async def _answer_readiness(self, request: HTTPServerRequest) -> ClientResponse:
         is_known = self._platform.is_loaded and self._control.leadership.has_read
-        is_ready = is_known and not self.is_stopping
+        is_ready = is_known and not self.is_stopping and not self.failing_parts()
         if request.path != self._ports.readiness_path:
             return ClientResponse(404, (), b"")
         return ClientResponse(200 if is_ready else 503, (), b"")
--- a/indigoworks/ownership/leader_replication.py
+++ b/indigoworks/ownership/leader_replication.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
-from eliot import log_message
-
+from indigoworks.common.clock import Clock
+from indigoworks.common.supervision import Work, supervise
 from indigoworks.ownership.grant_replicator import GrantReplicator
 from indigoworks.ownership.leader_row import LeaderRow
 from indigoworks.ownership.predecessor_fence import FencedGrants, PredecessorFence
@@ -40,11 +41,16 @@
     """Implements `LeaderReplication` with witnesses among the peers."""
 
     def __init__(
-        self, replicator: GrantReplicator, supervisor: WitnessSupervisor, fence: PredecessorFence
+        self,
+        replicator: GrantReplicator,
+        supervisor: WitnessSupervisor,
+        fence: PredecessorFence,
+        clock: Clock,
     ) -> None:
         self._replicator = replicator
         self._supervisor = supervisor
         self._fence = fence
+        self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(
@@ -52,12 +58,16 @@
     ) -> None:
         """Start the tasks of an epoch."""
         self._replicator.start_epoch(epoch)
-        work = [self._replicator.run(), self._supervisor.run()]
+        parts: list[tuple[str, Work]] = [
+            ("grant_replicator", self._replicator.run),
+            ("witness_supervisor", self._supervisor.run),
+        ]
         if predecessor is not None:
-            work.append(self._fence_predecessor(predecessor, on_predecessor_grants))
-        self._tasks = [asyncio.ensure_future(each) for each in work]
-        for task in self._tasks:
-            task.add_done_callback(_log_fault)
+            fence = partial(self._fence_predecessor, predecessor, on_predecessor_grants)
+            parts.append(("predecessor_fence", fence))
+        self._tasks = [
+            asyncio.ensure_future(supervise(name, work, self._clock)) for name, work in parts
+        ]
 
     async def sync_possible_holds(self) -> bool:
         """Wait until any successor learns of the possible holds recorded; False: not in time."""
@@ -76,14 +86,6 @@
             self._replicator.request_record()
 
 
-def _log_fault(task: asyncio.Task[None]) -> None:
-    """Log an exception, which ends the task: nothing further is granted in this epoch."""
-    error = None if task.cancelled() else task.exception()
-    if error is not None:
-        reason = f"{type(error).__name__}: {error}"
-        log_message(message_type="process:fault", level="ERROR", reason=reason)
-
-
 class NoReplication:
     """Implements `LeaderReplication` where no other process can take over."""
 
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from indigoworks.common.clock import Clock
+from indigoworks.common.supervision import supervise
 from indigoworks.ownership.former_owners import FormerOwners
 from indigoworks.ownership.grant_admission import ADMIT_ALL, GrantAdmission
 from indigoworks.ownership.hold_bounds import HoldBounds
@@ -117,7 +118,8 @@
         """
         self.is_granted = is_granted
         self._is_first_grant = not is_granted
-        self.task = asyncio.ensure_future(self._run())
+        # Without its keeper a range is renewed no more, and its owner loses the keys.
+        self.task = asyncio.ensure_future(supervise("range_keeper", self._run, self._clock))
 
     def stop(self) -> None:
         """End the task; a grant in flight counts as unanswered."""
--- a/indigoworks/ownership/witness_subsystem.py
+++ b/indigoworks/ownership/witness_subsystem.py
@@ -65,7 +65,7 @@
         )
         supervisor = WitnessSupervisor(leadership, self.replicator, witnesses, selector, clock)
         self._fence = PredecessorFence(own, self._witness, self._send)
-        self.replication = WitnessReplication(self.replicator, supervisor, self._fence)
+        self.replication = WitnessReplication(self.replicator, supervisor, self._fence, clock)
 
     def handle_datagram(self, data: bytes) -> None:
         """Handle a datagram of a peer."""
--- a/indigoworks/reach/path_monitor.py
+++ b/indigoworks/reach/path_monitor.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from indigoworks.common.clock import Clock
+from indigoworks.common.supervision import supervise
 from indigoworks.reach.connect_test import ConnectTest
 from indigoworks.reach.server_sample import sample_servers
 from indigoworks.servers.server_record import ServerRecord
@@ -213,7 +214,9 @@
             failed=len(self._failed_s),
             servers=sum(1 for _ in self._listed()),
         )
-        self._retest = asyncio.ensure_future(self._run_retests())
+        self._retest = asyncio.ensure_future(
+            supervise("path_retests", self._run_retests, self._clock)
+        )
         _call(self._lost_listeners)
 
     def _restore(self) -> None:
--- a/indigoworks/rowstore/table_follower.py
+++ b/indigoworks/rowstore/table_follower.py
@@ -84,7 +84,8 @@
         self._reread_requested.set()
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table until cancelled; a further call begins with a full read."""
+        self._version = None
         while True:
             error = await self._step()
             if error is None:
