Requests for keys run on no more servers than their route allows

Cause: RetryPolicy decided for keyed services before it compared the servers tried with the route's bound. Ruled out: the hop to a dispatcher, which the scenario does without.

Evidence: the row 'loses the answer, 1 allowed' of the new outline failed before, with a 200 of the second server; the other rows hold what has to stay: a 421 and an ended server do not count, the same owner may be asked again.

--- a/features/gateway_repeats.feature
+++ b/features/gateway_repeats.feature
@@ -86,6 +86,35 @@
       | says not run     | 1    | 503    |
       | says not run     | 4    | 503    |
 
+  # The owner of a key may change between two attempts.
+  Scenario Outline: At a service with keys no more servers run a request than its route allows: <what>, <most> allowed
+    Given a gateway
+    And the gateway's service has keys
+    And the gateway route allows <most> servers
+    And gateway server "a" that <what> as its keys pass to "b"
+    And gateway server "b" that answers
+    And gateway server "a" has all keys from the start
+    When a gateway caller asks for key 7
+    Then the gateway answers have the statuses <status>
+    And the gateway servers got <requests> requests, each server one at most
+
+    Examples:
+      | what             | most | status | requests |
+      | loses the answer | 1    | 502    | 1        |
+      | loses the answer | 2    | 200    | 2        |
+      | says misdirected | 1    | 200    | 2        |
+      | ends             | 1    | 200    | 2        |
+
+  Scenario: At a service with keys the owner that lost the answer may be asked again
+    Given a gateway
+    And the gateway's service has keys
+    And the gateway route allows 1 servers
+    And gateway server "a" that loses the answer, then answers
+    And gateway server "a" has all keys from the start
+    When a gateway caller asks for key 7
+    Then the gateway answers have the statuses 200
+    And the gateway servers got 2 requests
+
   Scenario: A server to which no connection comes about has not been asked
     Given a gateway
     And a gateway server at whose address nothing listens
--- a/features/steps/gateway_surplus_steps.py
+++ b/features/steps/gateway_surplus_steps.py
@@ -1,4 +1,4 @@
-"""Steps on surplus answers to a request that is sent again."""
+"""Steps on requests that are sent again: surplus answers, and keys that pass meanwhile."""
 
 from behave import given, then
 from gateway_scripted_server import BEHAVIOURS, NAMES, answer, whole
@@ -25,10 +25,33 @@
     BEHAVIOURS[f"sends a late {refusal} first"] = surplus_behaviour(refusal)
 
 
+def passing_behaviour(outcome):
+    """Return a behaviour that passes all keys to "b" before it does as `outcome` says."""
+
+    async def behave(server, request, writer):
+        server.pass_keys()
+        return await BEHAVIOURS[outcome](server, request, writer)
+
+    return behave
+
+
+for what in ("loses the answer", "says misdirected", "ends"):
+    BEHAVIOURS[f'{what} as its keys pass to "b"'] = passing_behaviour(what)
+
+
+def put_owner(context, server_id, token):
+    owned = OwnedRange(0, KEY_COUNT - 1, server_id, token)
+    context.gateway.tables.put(OwnershipTable("shop", (owned,), token, at(token)))
+    context.gateway.side.queue.capacity_changed()
+
+
 @given('gateway server "{server_id}" has all keys from the start')
 def step_owner(context, server_id):
-    owned = OwnedRange(0, KEY_COUNT - 1, server_id, 1)
-    context.gateway.tables.put(OwnershipTable("shop", (owned,), 1, at(1)))
+    async def run():
+        put_owner(context, server_id, 1)
+
+    context.run_async(run())
+    context.gateway.servers[server_id].pass_keys = lambda: put_owner(context, "b", 2)
 
 
 @then('the gateway used {count:d} connections to server "{server_id}"')
--- a/indigoworks/gateway/hop_messages.py
+++ b/indigoworks/gateway/hop_messages.py
@@ -39,7 +39,7 @@
             request.caller,
             state.service.name,
             max(self._newest_version, state.configuration_version),
-            tuple(state.tried),
+            tuple(sorted(state.may_have_run_at) if state.service.is_keyed else state.tried),
             is_for_dispatcher,
         )
 
@@ -50,6 +50,7 @@
         self._configurations.record_newer_version(reply.configuration_version, self._clock.now())
         if reply.outcome is ForwardOutcome.LOST:
             state.may_have_run = True
+            state.may_have_run_at.update(reply.tried)
 
     def response(self, state: RequestState, reply: ForwardReply) -> ClientResponse:
         """Return the final response that a reply brings."""
--- a/indigoworks/gateway/request_dispatching.py
+++ b/indigoworks/gateway/request_dispatching.py
@@ -138,6 +138,7 @@
             state.may_dispatch = False
             return None
         state.may_have_run = True
+        state.may_have_run_at.add(choice.server_id)
         # The peer stands for the server that it may have sent the request to.
         state.tried.append(node)
         is_allowed = not is_late and state.route.is_repeatable
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -35,6 +35,10 @@
 attempt: a response in time is worth ten times as much as a late one, and takes the same slot."""
 
 
+ATTEMPTS_USED = "attempts_used"
+"""Detail of a request that may have run at as many servers as its route allows."""
+
+
 class RequestPipeline:
     """Routes a request, places it at a server, sends it, and returns the response.
 
@@ -99,7 +103,7 @@
         from here as well, and it has not run.
 
         :param service: service that the peer chose.
-        :param tried: servers that it may have been sent to before.
+        :param tried: servers that it may have been sent to, or with a key that may have run it.
         :param is_dispatched: the peer selected this gateway as dispatcher.
         """
         state = self._routing.route(request, service)
@@ -108,6 +112,8 @@
         state.is_forwarded = True
         state.is_dispatched = is_dispatched
         state.tried.extend(tried)
+        if state.service.is_keyed:
+            state.may_have_run_at.update(tried)
         if self._forwarding.is_out_of_reach(state):
             return None
         try:
@@ -131,6 +137,8 @@
         unrouted = self._route_again(state)
         if unrouted is not None:
             return unrouted
+        if not self._retry_policy.may_send_to_owner(state):
+            return self._failures.lost(state, ATTEMPTS_USED)
         dispatcher = self._dispatching.choice(state)
         if dispatcher is not None:
             refusal = self._crash_attribution.refusal(state.request)
@@ -168,6 +176,9 @@
             # another attempt of it, or its key got an owner whose dispatcher is another gateway.
             self._return_placement(state, placement)
             return None
+        if not self._retry_policy.may_send_to(state, placement.server_id):
+            self._return_placement(state, placement)
+            return self._failures.lost(state, ATTEMPTS_USED)
         # It keeps its server, but gets the route and deadline in force; a refusal is only logged
         # and counted.
         self._route_again(state)
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -189,7 +189,7 @@
             log,
             clock,
         )
-        retry_policy = RetryPolicy(self._crash_attribution, self.retry_budget, log, clock)
+        retry_policy = RetryPolicy(self._crash_attribution, self.retry_budget, owners, log, clock)
         self._dispatching = self.dispatchers.make_dispatching(
             owners, forwarding.messages, self.retry_budget, retry_policy, failures, log
         )
--- a/indigoworks/gateway/retry_policy.py
+++ b/indigoworks/gateway/retry_policy.py
@@ -3,6 +3,7 @@
 from indigoworks.common.clock import Clock
 from indigoworks.gateway.crash_attribution import CrashAttribution
 from indigoworks.gateway.local_retry_budget import LocalRetryBudget
+from indigoworks.gateway.owner_lookup import OwnerLookup
 from indigoworks.gateway.request_log import RequestLog
 from indigoworks.gateway.request_sender import MISDIRECTED
 from indigoworks.gateway.request_state import RequestState
@@ -26,16 +27,21 @@
     At a keyed service, a request that its server refused is retried only after a 421. A retry
     consumes one of the retry budget unless the attempt before it reached no server. A dispatcher
     leaves such a retry to the gateway to which the caller's request came.
+
+    At a keyed service the next attempt goes to whoever owns the key by then, so that the bound of
+    the route on servers is checked when the owner is known.
     """
 
     def __init__(
         self,
         crash_attribution: CrashAttribution,
         retry_budget: LocalRetryBudget,
+        owners: OwnerLookup,
         log: RequestLog,
         clock: Clock,
     ) -> None:
         self._crash_attribution = crash_attribution
+        self._owners = owners
         self._retry_budget = retry_budget
         self._log = log
         self._clock = clock
@@ -46,7 +52,9 @@
         Records in `state` whether the request may have run, consumes the retry from the budget,
         and pauses before a retry at a keyed service.
         """
-        state.may_have_run |= response.may_have_run
+        if response.may_have_run:
+            state.may_have_run = True
+            state.may_have_run_at.add(state.tried[-1])
         if self._clock.now() >= state.deadline_s:
             return False
         if response.may_have_run and not state.route.is_repeatable:
@@ -59,6 +67,23 @@
             return False
         return self._consume_retry(state, response)
 
+    def may_send_to(self, state: RequestState, server_id: str) -> bool:
+        """Return whether the route allows a request to run at a server, after its other attempts.
+
+        Servers that provably did not run it do not count, nor do those that have left since.
+        """
+        if server_id in state.may_have_run_at:
+            return True
+        others = (each for each in state.may_have_run_at if not self._owners.has_left(each))
+        return sum(1 for _ in others) < state.route.max_attempts
+
+    def may_send_to_owner(self, state: RequestState) -> bool:
+        """Return whether the present owner of a request's key, if it has one, may get it."""
+        if not state.may_have_run_at or state.request.key is None or not state.service.is_keyed:
+            return True
+        owner = self._owners.find(state.service.name, state.request.key).server
+        return owner is None or self.may_send_to(state, owner.server_id)
+
     async def may_repeat_dispatched(self, state: RequestState) -> bool:
         """Return whether to repeat a request that its dispatcher would send again.
 
