An owner that has started again is not asked by the grant of a lost span

Cause: a leader that remembers nothing asks the owners of the copy's table by a renewal under the old token. A server that has started again has forgotten its release and every higher token, and takes the grant.

The entry 'An owner that renews ...' stays: its owner lives on, and entries without a start tell nothing.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -143,6 +143,14 @@
     When 2 s of gateway owner time pass
     Then no two gateway owners held one key
 
+  # A server that starts again knows nothing of before: it would take its old grant again.
+  Scenario: An owner that started again since the copy was made is not asked by its old grant
+    Given a gateway owner world of a new era, whose owner "a" started again since the copy was made, while "b" had its keys
+    When 6 s of gateway owner time pass
+    Then gateway owner "a" took no grant under a token that is not above that of the lost move
+    And gateway owner "a" holds all keys
+    And no two gateway owners held one key
+
   Scenario: An owner that renews after the store came back from a copy may have lost its keys by waiting
     Given a gateway owner world of a new era, in which silent "b" has all keys by a lost move
     When 8 s of gateway owner time pass
--- a/features/steps/gateway_control_world.py
+++ b/features/steps/gateway_control_world.py
@@ -206,6 +206,7 @@
             self.store,
             self.clock,
             lambda: None,
+            servers=self.servers,
         )
         return GroupLeader(
             self.leadership,
--- a/features/steps/gateway_owner_proof_steps.py
+++ b/features/steps/gateway_owner_proof_steps.py
@@ -17,6 +17,9 @@
 DRIFT = 50e-6
 """By which two steady clocks may well differ."""
 
+LOST_TOKEN = 8
+"""Under which a server had keys by a move that the store has lost."""
+
 SERVED_S = 8.0
 """Within it a sound leader gives keys away whose owner fell silent."""
 
@@ -55,6 +58,26 @@
     context.run_async(build())
 
 
+@given(
+    'a gateway owner world of a new era, whose owner "{name}" {state} since the copy was made, '
+    'while "{other}" had its keys'
+)
+def step_restarted(context, name, state, other):
+    """The other had them by a lost move, and has them no more."""
+    started_ms = 2000 if state == "started again" else 1000
+
+    async def build():
+        world = context.proof = ProofWorld(name, era=1, starts={name: 1000})
+        for record in list(world.servers.listed()):
+            begun_ms = started_ms if record.server_id == name else 1000
+            world.servers.put(replace(record, version=at(60, 1), started_ms=begun_ms, sequence=1))
+        world.orders.take(other, KeyGrant(0, KEY_COUNT - 1, LOST_TOKEN, HOLD_S))
+        world.orders.spans.clear()
+        await world.lead()
+
+    context.run_async(build())
+
+
 @given('a gateway owner world of a new leader, with a grant on its way to "a", which {state}')
 def step_inherited(context, state):
     """The leader before was heard, acts no more and has told of no late grant."""
@@ -177,6 +200,13 @@
     step_time(context, SERVED_S)
 
 
+@then('gateway owner "{name}" took {grants} under a token that is not above that of the lost move')
+def step_took(context, name, grants):
+    seen = context.proof.orders._seen
+    low = [token for server, _, _, token in seen if server == name and token <= LOST_TOKEN]
+    assert bool(low) == (grants == "a grant"), seen
+
+
 @then("no two gateway owners held one key")
 def step_no_overlap(context):
     for keeper in context.proof.keepers._keepers_of(SERVICE):
--- a/features/steps/gateway_owner_proof_world.py
+++ b/features/steps/gateway_owner_proof_world.py
@@ -64,9 +64,10 @@
     """One process; steps say when it leads, and when time passes; `lost_s`: its clock lacks it.
 
     :param era: in which it starts; the table is of era 0.
+    :param starts: of owners, as the table's row names them.
     """
 
-    def __init__(self, *owners, era=0):
+    def __init__(self, *owners, era=0, starts=()):
         super().__init__(0, ManualClock())
         self.store = self.leadership._writer._store = ShiftedRows(self.health, self.clock)
         self.lost_s = 0.0
@@ -74,7 +75,7 @@
         for number, name in enumerate("ab"):
             self.list_server(name, number + 1)
         if owners:
-            table = first_table(SERVICE, owners, [1] * len(owners))
+            table = replace(first_table(SERVICE, owners, [1] * len(owners)), starts=dict(starts))
             self.store.put(OWNERS_PREFIX + SERVICE, table.encode())
         if era:
             self.store.begin(era)
--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -252,6 +252,7 @@
             self._clock,
             self._pending_changed,
             self.witnesses.replication,
+            self._platform.servers,
         )
         return GroupLeader(
             self.leadership,
--- a/indigoworks/ownership/ownership_table.py
+++ b/indigoworks/ownership/ownership_table.py
@@ -2,6 +2,7 @@
 
 import json
 from bisect import bisect_right
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,12 +19,15 @@
 
     :ivar highest_token: at least every token that any range of the service ever had.
     :ivar version: version of the row that holds this table; NO_VERSION: there is no row yet.
+    :ivar starts: Unix milliseconds at which owners had started when the row was written, of those
+        whose start was known.
     """
 
     service: str
     ranges: tuple[OwnedRange, ...]
     highest_token: int
     version: StoreVersion
+    starts: Mapping[str, int] = field(default_factory=dict, compare=False)
     _firsts: list[int] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -52,9 +56,10 @@
             ]
             for each in self.ranges
         ]
-        return json.dumps(
-            {"highest_token": self.highest_token, "ranges": ranges}, separators=(",", ":")
-        ).encode()
+        document: dict[str, Any] = {"highest_token": self.highest_token, "ranges": ranges}
+        if self.starts:
+            document["starts"] = dict(self.starts)
+        return json.dumps(document, separators=(",", ":")).encode()
 
     @classmethod
     def decode(cls, service: str, value: bytes, version: StoreVersion) -> "OwnershipTable":
@@ -67,7 +72,8 @@
             OwnedRange(first, last, server_id, token, _read_former(former))
             for first, last, server_id, token, former in document["ranges"]
         )
-        return cls(service, ranges, int(document["highest_token"]), version)
+        starts = {name: int(each) for name, each in document.get("starts", {}).items()}
+        return cls(service, ranges, int(document["highest_token"]), version, starts)
 
     @classmethod
     def empty(cls, service: str) -> "OwnershipTable":
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -136,10 +136,22 @@
         if owned not in granted if is_own else owned.former:
             # A leader knows that it has not granted a range; another one may have done it or not.
             return is_own
+        if not is_own and self._has_restarted(table, owned.server_id):
+            return False
         tries = 1 if self._leadership.knows_former_era(table.version.era) else UNKNOWN_ERA_TRIES
         result = await self._confirm(table.service, owned, tries)
         return result is OrderResult.DONE or (is_own and result is not OrderResult.FENCED)
 
+    def _has_restarted(self, table: OwnershipTable, server_id: str) -> bool:
+        """Return whether an owner is known to have started again after the row was written.
+
+        Its earlier run took the grant along, and what it had seen of higher tokens: it would renew
+        a grant that another server has got in the meantime.
+        """
+        written_ms = table.starts.get(server_id, 0)
+        record = self._servers.get(server_id)
+        return record is not None and 0 < written_ms < record.started_ms
+
     async def _confirm(self, service: str, owned: OwnedRange, tries: int) -> OrderResult | None:
         """Have the owner renew its grant, with retries if it does not answer."""
         result = await self._keepers.confirm(service, owned)
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -18,6 +18,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
+from indigoworks.servers.server_source import ServerSource
 
 READ_RETRY_S = 0.1
 
@@ -32,6 +33,7 @@
     Renewals of a range stop before a write takes keys from its owner, so that its hold ends.
 
     :param on_pending_changed: called after each write, when new ranges are not granted yet.
+    :param servers: whose starts are written beside the ranges that they own; None: none are.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         clock: Clock,
         on_pending_changed: Callable[[], None],
         replication: LeaderReplication = NO_REPLICATION,
+        servers: ServerSource | None = None,
     ) -> None:
         self._group = group
         self._leadership = leadership
@@ -53,6 +56,7 @@
         self._clock = clock
         self._on_pending_changed = on_pending_changed
         self._replication = replication
+        self._servers = servers
         self._unsettled: set[str] = set()
 
     def is_unsettled(self, service: str) -> bool:
@@ -115,6 +119,7 @@
         # A successor that reads the table has to know of the holds that it was made by.
         if not await self._replication.sync_possible_holds():
             return False
+        table = replace(table, starts=self._starts(table))
         await self._keepers.quiesce(table.service, table)
         async with self._leadership.row_lock:
             if not self._leadership.may_act():
@@ -138,7 +143,7 @@
             return False
         self._unsettled.discard(table.service)
         self._leadership.record_commit(sent_s)
-        written = OwnershipTable(table.service, table.ranges, table.highest_token, result.unwrap())
+        written = replace(table, version=result.unwrap())
         self._tables.put(written)
         self._keepers.update(table.service, written)
         self._keepers.resume(table.service)
@@ -154,6 +159,14 @@
         )
         return True
 
+    def _starts(self, table: OwnershipTable) -> dict[str, int]:
+        """Return when the owners in a table started, as far as that is known."""
+        if self._servers is None:
+            return {}
+        owners = {each.server_id for each in table.ranges}
+        records = (self._servers.get(each) for each in sorted(owners))
+        return {each.server_id: each.started_ms for each in records if each and each.started_ms}
+
     def _transaction(self, table: OwnershipTable) -> Transaction:
         key = OWNERS_PREFIX + table.service
         return Transaction(
