The soak of servers that hold keys draws entries of another writer

An event now writes one at a living server's address or under its id, in eight forms: states and services that nobody names, missing and ill-typed fields, bytes that cannot be read.

Surplus answers beside restarts and silent connections in series are not drawn yet.

--- a/features/steps/key_soak_steps.py
+++ b/features/steps/key_soak_steps.py
@@ -25,6 +25,7 @@
     KeyEventKind.PAUSE_LEADER,
     KeyEventKind.KILL_LEADERS,
     KeyEventKind.STORE_CLOCK,
+    KeyEventKind.FOREIGN_ENTRY,
 )
 
 SENDER, PORT = "127.0.1.1", 4001
--- a/indigoworks_lab/gateway_soak/disturbed_world.py
+++ b/indigoworks_lab/gateway_soak/disturbed_world.py
@@ -38,6 +38,9 @@
     def leader(self) -> LeaderRow | None:
         """Return the newest row of the leader."""
 
+    def put(self, table: str, part: str, key: str, value: bytes) -> None:
+        """Write a row."""
+
     async def trouble(self, mode: str, duration_s: float) -> None:
         """Be slow, down, or lose answers for a while."""
 
--- a/indigoworks_lab/gateway_soak/draw_key_plan.py
+++ b/indigoworks_lab/gateway_soak/draw_key_plan.py
@@ -35,27 +35,36 @@
     KeyEventKind.BUSY: (0.5, 3.0),
 }
 ANY_DURATION_S = (0.2, 2.0)
+FOREIGN_ENTRIES = (1, 4)
+DRAWN_APART = (KeyEventKind.HOT, KeyEventKind.FOREIGN_ENTRY)
 
 
 def draw_key_plan(
     random: Random, seconds: float, kinds: Sequence[KeyEventKind] = ()
 ) -> list[KeyPlanEvent]:
-    """Return events within `seconds`, by time; `kinds`: of these only, besides changes of load."""
-    chosen = list(kinds) or _kinds(random)
+    """Return events within `seconds`, by time; `kinds`: of these only, besides changes of load.
+
+    Foreign entries are drawn last: they may stand beside events of any other kind.
+    """
+    chosen = [each for each in kinds if each not in DRAWN_APART] if kinds else _kinds(random)
     events = []
     at_s = FIRST_S
-    while at_s < seconds:
+    while chosen and at_s < seconds:
         events.append(_event(random, random.choice(chosen), at_s))
         at_s += random.expovariate(1 / MEAN_GAP_S)
     at_s = random.uniform(*HOT_GAP_S)
     while at_s < seconds:
         events.append(_event(random, KeyEventKind.HOT, at_s))
         at_s += random.uniform(*HOT_GAP_S)
+    if not kinds or KeyEventKind.FOREIGN_ENTRY in kinds:
+        for _ in range(random.randint(*FOREIGN_ENTRIES)):
+            at_s = random.uniform(FIRST_S, seconds)
+            events.append(_event(random, KeyEventKind.FOREIGN_ENTRY, at_s))
     return sorted(events, key=lambda each: each.at_s)
 
 
 def _kinds(random: Random) -> list[KeyEventKind]:
-    every: list[KeyEventKind] = [each for each in KeyEventKind if each is not KeyEventKind.HOT]
+    every: list[KeyEventKind] = [each for each in KeyEventKind if each not in DRAWN_APART]
     if random.random() < ALL_KINDS_PART:
         return every
     return random.sample(every, random.choice(FEW_KINDS))
--- a/indigoworks_lab/gateway_soak/key_event_kind.py
+++ b/indigoworks_lab/gateway_soak/key_event_kind.py
@@ -26,4 +26,5 @@
     LATE_GRANT_AT_KILL = "SIGKILL of the leader with a grant under way, which is applied late"
     LATE_GRANT_AT_STOP = "SIGTERM of the leader with a grant under way, which is applied late"
     BUSY = "the machine is busy"
+    FOREIGN_ENTRY = "another program writes an entry at a server's address, or under its id"
     HOT = "other keys are busy"
--- a/indigoworks_lab/gateway_soak/key_soak_events.py
+++ b/indigoworks_lab/gateway_soak/key_soak_events.py
@@ -6,6 +6,7 @@
 
 from indigoworks_lab.client.polling import becomes_true
 from indigoworks_lab.gateway_soak.disturbed_world import DisturbedGateway, DisturbedWorld
+from indigoworks_lab.gateway_soak.foreign_entry_event import ForeignEntryEvent
 from indigoworks_lab.gateway_soak.gateway_waits import is_ready
 from indigoworks_lab.gateway_soak.healed_path import HealedPath
 from indigoworks_lab.gateway_soak.key_event_kind import KeyEventKind
@@ -67,6 +68,7 @@
             KeyEventKind.LATE_GRANT_AT_KILL: self._late_grant,
             KeyEventKind.LATE_GRANT_AT_STOP: self._late_grant,
             KeyEventKind.BUSY: self._stutter,
+            KeyEventKind.FOREIGN_ENTRY: ForeignEntryEvent(world).play,
             KeyEventKind.HOT: self._move_load,
         }
 
