The interim responses of a connection are read one in each turn of the event loop

Ruled out: memory (growth of 2 MB of 64) and a callback of its own (the longest took 2 ms). The new scenario 'The interim responses of a connection do not hold up the other connections' failed before: all heads were read in one turn. The measured process freezes its modules before it serves, as the gateway's process does at its start; its bounds are unchanged.

--- a/features/gateway_endless_answers.feature
+++ b/features/gateway_endless_answers.feature
@@ -84,6 +84,12 @@
       | peer               | chunks                 | memory     |
       | peer               | a body until the close | memory     |
 
+  # Twelve connections with ten interim responses each held the event loop for 20 ms.
+  Scenario: The interim responses of a connection do not hold up the other connections
+    Given an endless store that sends interim answers
+    When the endless store is asked while turns of the event loop are counted
+    Then each of its heads was read in a turn of its own
+
   Scenario Outline: Endless answers grow the process by 64 MB at most and leave others their turn: <way>
     Given a gateway process with 3 servers that send <way> without end, and one that answers
     When 12 callers ask the endless servers for 3 s, and one asks the other server
--- a/features/steps/gateway_bounds_process.py
+++ b/features/steps/gateway_bounds_process.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import json
 import sys
 import threading
@@ -81,4 +82,6 @@
 if __name__ == "__main__":
     measured_loop = MeasuredLoop()
     asyncio.set_event_loop(measured_loop)
+    # As a gateway's process does, which spends no time on the modules in its collections.
+    gc.freeze()
     measured_loop.run_until_complete(main(measured_loop, sys.argv[1]))
--- a/features/steps/gateway_endless_answer_steps.py
+++ b/features/steps/gateway_endless_answer_steps.py
@@ -7,6 +7,7 @@
 import time
 from pathlib import Path
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 from gateway_endless_servers import EndlessServer
@@ -18,6 +19,7 @@
 from indigoworks.backend.http_message import HttpMessage
 from indigoworks.backend.http_sender import HttpSender
 from indigoworks.common.address import Address
+from indigoworks.common.bounded_http_connection import MAX_INTERIM, BoundedHttpConnection
 from indigoworks.common.clock import LoopClock
 from indigoworks.common.exceeded_responses import EXCEEDED_RESPONSES
 from indigoworks.exchange.peer_address import PeerAddress
@@ -148,6 +150,40 @@
     assert context.endless_result is ForwardFailure.NO_REPLY, context.endless_result
 
 
+@when("the endless store is asked while turns of the event loop are counted")
+def ask_store_with_turns(context):
+    context.head_turns = []
+    turn = 0
+
+    async def count_turns():
+        nonlocal turn
+        while True:
+            await asyncio.sleep(0)
+            turn += 1
+
+    def parse(connection, data):
+        context.head_turns.append(turn)
+        return parse_headers(connection, data)
+
+    async def run():
+        counting = asyncio.ensure_future(count_turns())
+        sender = HttpSender(LoopClock(), 1)
+        message = HttpMessage("GET", "/rows")
+        await sender.send(context.endless.address, lambda: message, ANSWER_S)
+        counting.cancel()
+
+    parse_headers = BoundedHttpConnection._parse_headers
+    with patch.object(BoundedHttpConnection, "_parse_headers", parse):
+        context.run_async(run())
+
+
+@then("each of its heads was read in a turn of its own")
+def one_head_a_turn(context):
+    turns = context.head_turns
+    assert len(turns) == MAX_INTERIM + 1, turns
+    assert len(set(turns)) == len(turns), turns
+
+
 # ---- a process of its own ----
 
 
--- a/indigoworks/common/bounded_http_connection.py
+++ b/indigoworks/common/bounded_http_connection.py
@@ -43,6 +43,7 @@
     def __init__(self, stream: BoundedStream) -> None:
         super().__init__(stream, True, _PARAMETERS)
         self._bounded = stream
+        stream.heads = 0
         self._heads = 0
         self._head_bytes = 0
         self._head_lines = 0
--- a/indigoworks/common/bounded_stream.py
+++ b/indigoworks/common/bounded_stream.py
@@ -26,12 +26,14 @@
 
     :ivar exceeded: the bound that a response exceeded; None if none did.
     :ivar chunks: chunks of the body that is being read; `body_start` is where it begins.
+    :ivar heads: heads of the response that were asked for, interim ones included.
     :ivar on_surplus: called once with the first bytes that arrive; None while a response is due.
     """
 
     exceeded: ExceededBound | None = None
     chunks = 0
     body_start = 0
+    heads = 0
     on_surplus: Callable[[], None] | None = None
     _total_read = 0
 
@@ -46,6 +48,17 @@
             raise HTTPInputError("too many chunks")
         return self._read_until_later(delimiter, max_bytes)
 
+    def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
+        """Read a head; the one after an interim response is read in a later turn."""
+        self.heads += 1
+        if self.heads == 1:
+            return super().read_until_regex(regex, max_bytes)
+        return self._read_until_regex_later(regex, max_bytes)
+
+    async def _read_until_regex_later(self, regex: bytes, max_bytes: int | None) -> bytes:
+        await asyncio.sleep(0)
+        return await super().read_until_regex(regex, max_bytes)
+
     async def _read_until_later(self, delimiter: bytes, max_bytes: int | None) -> bytes:
         await asyncio.sleep(0)
         return await super().read_until(delimiter, max_bytes)
