An answer from another server's address does not end a server

Callers could be served by two servers for one key (OWNER): another program writes an entry under a living server's id that names the address of a second one, and the keys pass on with 2.6 s of the first one's hold left.

Cause: orders and requests go to the newest entry's address; the server there answers 421 with its own id, and the id that was meant counted as gone, whatever address had answered.

Fix: ReplacedServers keeps the address of an answer; a server is gone once others answer at all addresses that it was listed with. Two steps of tests pass the entry in place of its id; their assertions are unchanged.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -35,6 +35,14 @@
       | leaves                        |
       | falls silent after its answer |
 
+  # An entry of another program may stand under a server's id and name the address of another server.
+  Scenario: An answer from an address that is not the owner's does not end the owner's hold
+    Given a gateway owner world in which "a" has all keys
+    When another program writes the address of gateway owner "b" under the id of "a"
+    And 8 s of gateway owner time pass
+    Then gateway owner "b" holds all keys
+    And no two gateway owners held one key
+
   Scenario: An answer that waited proves nothing of the time since it was made
     Then gateway owner proofs: an answer read late is true as of when it was made, after a jump too
 
--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -156,6 +156,16 @@
     When gateway server entry "a" vanishes
     Then gateway server entry "a" is known and not usable
 
+  Scenario: An answer from an address that another program wrote does not end a server
+    Given a gateway server list
+    When gateway server entry "a" comes with start 5 and sequence 30 at port 1
+    And gateway server entry "a" comes with start 9 and sequence 1 at port 2
+    And gateway server "b" answers at the address of "a"
+    Then gateway server entry "a" is known and not usable
+    And gateway server "a" is not known to have ended
+    When gateway server entry "a" comes with start 5 and sequence 31 at port 1
+    Then gateway server entry "a" is usable at port 1
+
   Scenario: Where no server states its start each entry counts at once
     Given a gateway server list
     When gateway server entry "a" comes at port 1 with version 5
--- a/features/steps/gateway_lag_steps.py
+++ b/features/steps/gateway_lag_steps.py
@@ -41,7 +41,8 @@
 
 @when('gateway server "{by_id}" answers at the address of "{server_id}"')
 def step_answers(context, by_id, server_id):
-    context.gateway_list.record_replaced(server_id, by_id, ReplacementEvidence.REQUEST)
+    servers = context.gateway_list
+    servers.record_replaced(servers.get(server_id), by_id, ReplacementEvidence.REQUEST)
 
 
 @then('gateway server "{server_id}" is known to have ended')
--- a/features/steps/gateway_owner_lines_steps.py
+++ b/features/steps/gateway_owner_lines_steps.py
@@ -120,7 +120,8 @@
 @when('the gateway owner lines take "a" for gone by {answer}')
 def step_gone(context, answer):
     by = context.replaced_by = "" if answer == "an answer without an id" else "c"
-    context.owners.servers.record_replaced("a", by, ReplacementEvidence.ORDER)
+    servers = context.owners.servers
+    servers.record_replaced(servers.get("a"), by, ReplacementEvidence.ORDER)
     context.run_async(context.owners.pass_on())
 
 
--- a/features/steps/gateway_owner_proof_steps.py
+++ b/features/steps/gateway_owner_proof_steps.py
@@ -137,6 +137,15 @@
     context.proof.servers.put(replace(record, server_id=name, service="other", version=at(40)))
 
 
+@when('another program writes the address of gateway owner "{other}" under the id of "{owner}"')
+def step_other_address(context, other, owner):
+    world = context.proof
+    world.orders.addresses = {each.server_id: each.address for each in world.servers.listed()}
+    record = world.servers.get(owner)
+    address = world.servers.get(other).address
+    world.servers.put(replace(record, address=address, version=at(40)))
+
+
 @when('gateway owner "{name}" leaves')
 def step_leaves(context, name):
     context.proof.list_server(name, 50, is_draining=True)
--- a/features/steps/gateway_server_entry_steps.py
+++ b/features/steps/gateway_server_entry_steps.py
@@ -48,6 +48,22 @@
     put(context, server_id, 2, 6, sequence=1)
 
 
+@when(
+    'gateway server entry "{server_id}" comes with start {start:d} and sequence {sequence:d} '
+    "at port {port:d}"
+)
+def step_run(context, server_id, start, sequence, port):
+    context.entry_version = getattr(context, "entry_version", 20) + 1
+    started_ms = STARTED_MS + start
+    put(context, server_id, port, context.entry_version, started_ms=started_ms, sequence=sequence)
+
+
+@then('gateway server entry "{server_id}" is usable at port {port:d}')
+def step_usable_at(context, server_id, port):
+    assert context.gateway_list.is_usable(server_id)
+    assert context.gateway_list.get(server_id).address.port == port
+
+
 @then('gateway server entry "{server_id}" is usable where it started')
 def step_usable_there(context, server_id):
     assert context.gateway_list.is_usable(server_id)
--- a/indigoworks/broker/zone_servers.py
+++ b/indigoworks/broker/zone_servers.py
@@ -79,6 +79,8 @@
         """Tell whether the server's process is known to have ended."""
         return self._servers.is_gone(server_id)
 
-    def record_replaced(self, server_id: str, by_server_id: str, sign: ReplacementEvidence) -> None:
-        """Record that another server answers at the address of `server_id`."""
-        self._servers.record_replaced(server_id, by_server_id, sign)
+    def record_replaced(
+        self, record: ServerRecord, by_server_id: str, evidence: ReplacementEvidence
+    ) -> None:
+        """Record that another server answers at the address of `record`."""
+        self._servers.record_replaced(record, by_server_id, evidence)
--- a/indigoworks/gateway/server_exchange.py
+++ b/indigoworks/gateway/server_exchange.py
@@ -98,13 +98,13 @@
     ) -> None:
         """Record what a response says about the identity and the keys of its sender.
 
-        A server that answers with another id uses the address of a server that is gone.
+        A server that answers with another id uses the address of the record in place of its server.
         """
         responder_id = response.answering_id
         is_other = responder_id is not None and responder_id != server.server_id
         if response.status == MISDIRECTED and is_other:
             sign = ReplacementEvidence.REQUEST
-            self._servers.record_replaced(server.server_id, responder_id or "", sign)
+            self._servers.record_replaced(server, responder_id or "", sign)
             return
         self._server_stats.record_response(server.server_id)
         if (
--- a/indigoworks/ownership/former_owners.py
+++ b/indigoworks/ownership/former_owners.py
@@ -172,8 +172,10 @@
             return self._record_release(server_id, release, outcome)
         if outcome.is_from_other(server_id):
             by_server_id = outcome.answering_id or ""
-            self._servers.record_replaced(server_id, by_server_id, ReplacementEvidence.ORDER)
-            return TransferProof.ORDER_MISDIRECTED
+            self._servers.record_replaced(record, by_server_id, ReplacementEvidence.ORDER)
+            # The address may have been written under the server's id by another program.
+            is_gone = self._servers.is_gone(server_id)
+            return TransferProof.ORDER_MISDIRECTED if is_gone else None
         return None
 
     def _record_release(
--- a/indigoworks/ownership/range_keeper.py
+++ b/indigoworks/ownership/range_keeper.py
@@ -25,6 +25,7 @@
 from indigoworks.ownership.server_orders import ServerOrders
 from indigoworks.ownership.server_reach import ServerReach
 from indigoworks.servers.replacement_evidence import ReplacementEvidence
+from indigoworks.servers.server_record import ServerRecord
 from indigoworks.servers.server_source import ServerSource
 
 ORDER_TIMEOUT_S = 0.8
@@ -225,7 +226,7 @@
             raise
         finally:
             self._no_grant_in_flight.set()
-        return self._record_outcome(outcome, hold_s)
+        return self._record_outcome(record, outcome, hold_s)
 
     def _may_send_now(self, hold_s: float) -> bool:
         """Return whether a grant may be sent; its bound then counts from now."""
@@ -237,7 +238,7 @@
     def _may_send(self) -> bool:
         return not self._is_quiesced and self._leadership.may_act()
 
-    def _record_outcome(self, outcome: OrderOutcome, hold_s: float) -> float:
+    def _record_outcome(self, record: ServerRecord, outcome: OrderOutcome, hold_s: float) -> float:
         result = self._last_result = outcome.result
         self._reach.record_result(self.owned.server_id, result, self)
         self._has_answered = result is OrderResult.DONE
@@ -259,7 +260,7 @@
         if outcome.is_from_other(self.owned.server_id):
             by_server_id = outcome.answering_id or ""
             sign = ReplacementEvidence.ORDER
-            self._servers.record_replaced(self.owned.server_id, by_server_id, sign)
+            self._servers.record_replaced(record, by_server_id, sign)
         if result is OrderResult.FENCED:
             self.needs_token = True
             self.is_granted = False
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -84,8 +84,9 @@
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
             # Notices and replacement of an earlier run do not apply to this one.
             self.notices.forget(record.server_id)
-            self._replaced.forget(record.server_id)
+            self._replaced.record_new_run(record)
         self._listed[record.server_id] = record
+        self._replaced.record_listed(record)
         self._addresses.put(known, record)
         self._vanished.pop(record.server_id, None)
         self.cold.record_reported(record.server_id, record.warm_up_left_s)
@@ -125,10 +126,10 @@
             self.remove(server_id)
 
     def record_replaced(
-        self, server_id: str, by_server_id: str, evidence: ReplacementEvidence
+        self, record: ServerRecord, by_server_id: str, evidence: ReplacementEvidence
     ) -> None:
-        """Record that another server answers at the address of `server_id`, which is gone."""
-        self._replaced.add(server_id, by_server_id, evidence)
+        """Record that another server answers at the address of `record`."""
+        self._replaced.add(record, by_server_id, evidence)
 
     def record_notice(self, server_id: str, notice: ServerNotice) -> None:
         """Record what a server asks for in a response."""
@@ -147,10 +148,10 @@
     def is_gone(self, server_id: str) -> bool:
         """Return whether the server's process is known to have ended.
 
-        Only an answer from its address shows that. A later entry at the address does not: anybody
-        may have written it, and keys of a server that counts as gone are granted at once.
+        Only an answer from each of its addresses shows that. A later entry at the address does not:
+        anybody may have written it, and keys of a server that is gone are granted at once.
         """
-        return server_id in self._replaced
+        return self._replaced.is_gone(server_id)
 
     def has_successor(self, server_id: str) -> bool:
         """Return whether another server is known or listed at the address of `server_id`."""
@@ -268,11 +269,9 @@
                     self._services_at.pop(record.address.host, None)
 
     def _is_in_service(self, server_id: str) -> bool:
-        if server_id in self._replaced:
-            return False
         record = self._listed.get(server_id)
         if record is not None:
-            return not record.is_draining
+            return not record.is_draining and not self._replaced.is_replaced(record)
         return self._vanished_in_trouble(server_id)
 
     def _vanished_in_trouble(self, server_id: str) -> bool:
@@ -282,7 +281,7 @@
         out a little after the entry vanished.
         """
         vanished = self._vanished.get(server_id)
-        if vanished is None or vanished[0].is_draining:
+        if vanished is None or vanished[0].is_draining or self._replaced.is_replaced(vanished[0]):
             return False
         if self.holder_of_address(vanished[0]) is not None:
             return False
--- a/indigoworks/servers/server_source.py
+++ b/indigoworks/servers/server_source.py
@@ -65,9 +65,9 @@
         ...
 
     def record_replaced(
-        self, server_id: str, by_server_id: str, evidence: ReplacementEvidence
+        self, record: ServerRecord, by_server_id: str, evidence: ReplacementEvidence
     ) -> None:
-        """Record that another server answers at the address of `server_id`.
+        """Record that another server answers at the address of `record`.
 
         :param by_server_id: id of that server; empty if its response does not name it.
         """
--- a/indigoworks_lab/control_simulation/recorded_servers.py
+++ b/indigoworks_lab/control_simulation/recorded_servers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 from itertools import combinations
 
+from indigoworks.common.address import Address
 from indigoworks.common.clock import Clock
 from indigoworks.ownership.key_grant import KeyGrant
 from indigoworks.ownership.key_release import KeyRelease
@@ -33,6 +34,7 @@
     :param clock: of who sends orders.
     :param true_s: returns true time, which may have gone on while that clock stood still.
     :ivar silent: servers that answer nothing; grants to them wait in `waiting`.
+    :ivar addresses: of servers by id, where orders may go to the address of another one.
     :ivar remembers_releases: a release's token refuses lower grants, as that of a grant does.
     """
 
@@ -40,6 +42,7 @@
         self._clock = clock
         self._true_s = true_s
         self.silent: set[str] = set()
+        self.addresses: dict[str, Address] = {}
         self.remembers_releases = True
         self.waiting: list[tuple[str, KeyGrant]] = []
         self.spans: list[HoldSpan] = []
@@ -54,6 +57,8 @@
         """Take a grant now, or leave it waiting."""
         if not may_send():
             return OrderOutcome(OrderResult.WITHHELD)
+        if (misdirected := self._misdirected(server)) is not None:
+            return misdirected
         if server.server_id in self.silent:
             self.waiting.append((server.server_id, grant))
             await self._clock.sleep(timeout_s)
@@ -67,6 +72,8 @@
         """End holds of keys now."""
         if not may_send():
             return OrderOutcome(OrderResult.WITHHELD)
+        if (misdirected := self._misdirected(server)) is not None:
+            return misdirected
         if server.server_id in self.silent:
             await self._clock.sleep(timeout_s)
             return OrderOutcome(OrderResult.UNANSWERED)
@@ -81,6 +88,13 @@
         ]
         return OrderOutcome(OrderResult.DONE, "handed")
 
+    def _misdirected(self, server: ServerRecord) -> OrderOutcome | None:
+        """Return how the server at an address refuses an order for another one; None: it is it."""
+        for name, address in self.addresses.items():
+            if address == server.address and name != server.server_id:
+                return OrderOutcome(OrderResult.OTHER_SERVER, answering_id=name)
+        return None
+
     def take(self, server_id: str, grant: KeyGrant) -> bool:
         """Take a grant now; False where a higher token was seen on one of its keys."""
         for name, first, last, token in self._seen:
