An entry with an earlier start does not replace that of the server under its id

Callers could get refusals for the keys of a living server until its next heartbeat: an entry of another writer under its id, with any earlier start than the server's, replaced the server's own.

Cause: ServerList.put compared starts across returns of the store alone. Fix: such an entry is held back until it is renewed, so that a server whose clock was set back is taken with its second entry; an entry that renews a run seen before is taken at once. Sequences are kept by run, four at most. The scenario 'An entry with an earlier start ...' failed before; 'A server's own entry replaces one with a later start at once' holds what has to stay and passed before too.

--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -156,6 +156,22 @@
     When gateway server entry "a" vanishes
     Then gateway server entry "a" is known and not usable
 
+  # Servers whose clock was set back start earlier than they did before, and renew their entries.
+  Scenario: An entry with an earlier start under a server's id does not replace the server's own
+    Given a gateway server list
+    When gateway server entry "a" comes with start 9 and sequence 30 at port 1
+    And gateway server entry "a" comes with start 5 and sequence 1 at port 2
+    Then gateway server entry "a" is usable at port 1
+    When gateway server entry "a" comes with start 5 and sequence 2 at port 2
+    Then gateway server entry "a" is usable at port 2
+
+  Scenario: A server's own entry replaces one with a later start at once
+    Given a gateway server list
+    When gateway server entry "a" comes with start 5 and sequence 30 at port 1
+    And gateway server entry "a" comes with start 9 and sequence 1 at port 2
+    And gateway server entry "a" comes with start 5 and sequence 31 at port 1
+    Then gateway server entry "a" is usable at port 1
+
   Scenario: An answer from an address that another program wrote does not end a server
     Given a gateway server list
     When gateway server entry "a" comes with start 5 and sequence 30 at port 1
--- a/indigoworks/servers/server_list.py
+++ b/indigoworks/servers/server_list.py
@@ -78,7 +78,7 @@
         if earlier is not None and record.is_older_entry_than(earlier):
             self._log_older_entry(record, earlier)
             return
-        if not self._unconfirmed.accepts(record):
+        if not self._unconfirmed.accepts(record, earlier):
             log_server("server:unconfirmed", record)
             return
         if earlier is not None and 0 < earlier.started_ms < record.started_ms:
--- a/indigoworks/servers/unconfirmed_entries.py
+++ b/indigoworks/servers/unconfirmed_entries.py
@@ -4,34 +4,40 @@
 
 from indigoworks.servers.server_record import ServerRecord
 
+MAX_RUNS = 4
+"""Runs of a server whose sequences are kept; those that wrote last are."""
+
 
 class UnconfirmedEntries:
-    """Holds back entries without a start time while other entries have one.
+    """Holds back entries without a start time while other entries have one, and of earlier runs.
 
     All servers of a platform state their start time, or none does. A lone entry without it is
-    probably another program's. It is accepted once it has been renewed, as servers renew theirs
-    with each heartbeat.
+    probably another program's, and so is one with an earlier start than the server under whose id
+    it stands. Such an entry is accepted once it has been renewed, as servers renew theirs with each
+    heartbeat.
     """
 
     def __init__(self) -> None:
         self._with_start: set[str] = set()
-        self._sequences: dict[str, int] = {}
+        self._sequences: dict[str, dict[int, int]] = {}
         self._renewed: set[str] = set()
         self._is_withdrawal_due = False
 
-    def accepts(self, record: ServerRecord) -> bool:
-        """Return whether an entry is to be applied, and record it."""
+    def accepts(self, record: ServerRecord, earlier: ServerRecord | None) -> bool:
+        """Return whether an entry is to be applied, and record it.
+
+        :param earlier: the entry that the server has had until now.
+        """
         server_id = record.server_id
+        is_renewed = self._record_sequence(record)
         if record.started_ms > 0:
             self._is_withdrawal_due = self._is_withdrawal_due or not self._with_start
-            self.forget(server_id)
+            self._renewed.discard(server_id)
             self._with_start.add(server_id)
-            return True
-        known_sequence = self._sequences.get(server_id)
-        if known_sequence is not None and record.sequence > known_sequence:
+            return earlier is None or record.started_ms >= earlier.started_ms or is_renewed
+        if is_renewed:
             self._renewed.add(server_id)
             self._with_start.discard(server_id)
-        self._sequences[server_id] = record.sequence
         return self._is_confirmed(server_id)
 
     def take_withdrawn(self, applied: Mapping[str, ServerRecord]) -> list[str]:
@@ -50,8 +56,17 @@
 
     def keep_only(self, server_ids: set[str]) -> None:
         """Drop what is known of entries that are not among `server_ids`."""
-        for server_id in {*self._with_start, *self._sequences} - server_ids:
+        for server_id in self._sequences.keys() - server_ids:
             self.forget(server_id)
 
+    def _record_sequence(self, record: ServerRecord) -> bool:
+        """Record an entry's sequence; return whether it renews an entry of the same run."""
+        runs = self._sequences.setdefault(record.server_id, {})
+        known = runs.pop(record.started_ms, None)
+        runs[record.started_ms] = record.sequence
+        if len(runs) > MAX_RUNS:
+            del runs[next(iter(runs))]
+        return known is not None and record.sequence > known
+
     def _is_confirmed(self, server_id: str) -> bool:
         return not self._with_start or server_id in self._renewed
