A connection looks up the ids that it has carried without a scan

A dictionary in order of sending does the same in one step. The comment of RELAY_CONNECTIONS stood below MAX_IDLE_S; it is back. gateway_repeats and gateway_connections pass as before. Not measured: the deadlines of the deployments are short, so that the gain there is small.

--- a/indigoworks/gateway/relay_subsystem.py
+++ b/indigoworks/gateway/relay_subsystem.py
@@ -16,10 +16,10 @@
 from indigoworks.rowstore.probing_store import ProbingStore
 
 RELAY_CONNECTIONS = 5
+"""Connections to a relay: one per followed table, one for reading a whole table, and one spare."""
 
 MAX_IDLE_S = 1.0
 """Idle time after which a connection to a relay is not reused: it may have gone silent."""
-"""Connections to a relay: one per followed table, one for reading a whole table, and one spare."""
 
 
 class RelaySubsystem:
--- a/indigoworks/gateway/sent_ids.py
+++ b/indigoworks/gateway/sent_ids.py
@@ -1,7 +1,5 @@
 """Ids of the requests that a connection has carried."""
 
-from collections import deque
-
 RETENTION_S = 1.0
 """Time after its deadline for which an id is kept: a gateway that forwards the request to this one
 counts the deadline a little differently."""
@@ -15,13 +13,16 @@
     """
 
     def __init__(self) -> None:
-        self._ids: deque[tuple[str, float]] = deque()
+        self._kept_until_s: dict[str, float] = {}
 
     def add(self, request_id: str, deadline_s: float, now_s: float) -> None:
         """Record that a request is sent."""
-        while self._ids and self._ids[0][1] < now_s:
-            self._ids.popleft()
-        self._ids.append((request_id, deadline_s + RETENTION_S))
+        while self._kept_until_s:
+            oldest = next(iter(self._kept_until_s))
+            if self._kept_until_s[oldest] >= now_s:
+                break
+            del self._kept_until_s[oldest]
+        self._kept_until_s[request_id] = deadline_s + RETENTION_S
 
     def __contains__(self, request_id: str) -> bool:
-        return any(each == request_id for each, _ in self._ids)
+        return request_id in self._kept_until_s
