The soak of servers with keys draws repeated refusals and silent connections

Silent connections that stay silent while new ones work were drawn nowhere.

Every second caller's requests may run once now; check_key_requests finds those that ran twice, or ran and were refused.

--- a/features/key_soak.feature
+++ b/features/key_soak.feature
@@ -42,6 +42,17 @@
       | two servers hold a key together right after the link healed           | owner_hold |
       | two servers hold a key together by a grant that was late              | owner_hold |
 
+  Scenario Outline: A checker of requests with keys sees that <rule>
+    Given a record of key servers in which <rule>
+    Then the checkers of requests with keys find just <finding>
+
+    Examples:
+      | rule                                                | finding       |
+      | a request that may run once ran at two servers      | single_runs   |
+      | a request that ran was refused by the gateway       | refusals_kept |
+      | a request that ran was answered with 502            | nothing       |
+      | a request that did not run was refused              | nothing       |
+
   Scenario: Plans of the soak with keys depend on the seed alone, and hold events of every kind
     Then plans of the soak with keys of 40 seeds are drawn alike twice and hold every kind
 
@@ -65,6 +76,13 @@
     Then the checkers of owners find just nothing
     And every server of the soak with keys began requests, and keys passed on
 
+  # Guards against a repeated refusal that is taken for the answer to the request's second send.
+  Scenario: Real servers that start again and repeat refusals run no request twice
+    When a short soak with keys of seed 11 runs in which servers start again and repeat refusals
+    Then the checkers of owners find just nothing
+    And the checkers of requests with keys find just nothing
+    And every server of the soak with keys began requests, and keys passed on
+
   Scenario: The checkers of owners find two real servers that hold the same keys
     When a soak with keys runs in which a stranger grants what a server holds to another one
     Then the checkers of owners find owner_hold and owner_token
--- a/features/steps/key_soak_command.py
+++ b/features/steps/key_soak_command.py
@@ -11,6 +11,7 @@
 
 from key_soak_world import CALLERS, GATEWAYS, SERVERS, KeySoakWorld
 
+from indigoworks_lab.gateway_soak.check_key_requests import check_key_requests
 from indigoworks_lab.gateway_soak.check_owner import check_owner, excused
 from indigoworks_lab.gateway_soak.draw_key_plan import draw_key_plan
 from indigoworks_lab.gateway_soak.key_event_kind import KeyEventKind
@@ -39,6 +40,7 @@
     )
     parser.add_argument("--without", nargs="*", choices=kinds, default=[], help="of events")
     parser.add_argument("--forget-releases", action="store_true", help="servers forget tokens")
+    parser.add_argument("--repeat-refusals", action="store_true", help="servers send some twice")
     parser.add_argument("--keep", action="store_true", help="keep logs also where nothing broke")
     chosen = parser.parse_args(arguments)
     seeds = range(chosen.first, chosen.first + chosen.seeds)
@@ -57,7 +59,7 @@
     plan = [each for each in drawn if each.kind not in left_out]
     world = asyncio.run(soak(seed, folder, chosen, plan))
     history = world.history
-    violations = check_owner(history)
+    violations = [*check_owner(history), *check_key_requests(history)]
     passed = excused(history)
     found = Counter(each.checker for each in violations)
     verdict = ", ".join(f"{count} {kind}" for kind, count in found.items()) or "nothing broke"
@@ -94,6 +96,7 @@
         hold_max_s=chosen.hold_max,
         callers=chosen.callers,
         forgets_release_tokens=chosen.forget_releases,
+        repeats_refusals=chosen.repeat_refusals,
     )
     await world.run(plan, chosen.seconds)
     return world
--- a/features/steps/key_soak_steps.py
+++ b/features/steps/key_soak_steps.py
@@ -8,6 +8,7 @@
 from behave import given, step, then, when
 from key_soak_run import run_short_soak
 
+from indigoworks_lab.gateway_soak.check_key_requests import check_key_requests
 from indigoworks_lab.gateway_soak.check_owner import check_owner, excused
 from indigoworks_lab.gateway_soak.draw_key_plan import draw_key_plan
 from indigoworks_lab.gateway_soak.healed_path import HealedPath
@@ -26,6 +27,13 @@
     KeyEventKind.KILL_LEADERS,
     KeyEventKind.STORE_CLOCK,
     KeyEventKind.FOREIGN_ENTRY,
+    KeyEventKind.SILENT_CONNECTIONS,
+)
+RESTART_KINDS = (
+    KeyEventKind.RESTART_SERVER,
+    KeyEventKind.KILL_LEADERS,
+    KeyEventKind.FOREIGN_ENTRY,
+    KeyEventKind.SILENT_CONNECTIONS,
 )
 
 SENDER, PORT = "127.0.1.1", 4001
@@ -68,7 +76,17 @@
     return made
 
 
+def answered(status, *begun_at):
+    """The request "r1" may run once, and began at a server for each letter of `begun_at`."""
+    events = {name: [BEGUN] if name in begun_at else [] for name in "ab"}
+    return history(events["a"], events["b"], unsafe_answers={"r1": status})
+
+
 HISTORIES = {
+    "a request that may run once ran at two servers": lambda: answered(200, "a", "b"),
+    "a request that ran was refused by the gateway": lambda: answered(503, "a"),
+    "a request that ran was answered with 502": lambda: answered(502, "a"),
+    "a request that did not run was refused": lambda: answered(503),
     "two servers hold a key together for 0.6 s": lambda: history([TAKEN], [taken(102.4)]),
     "two servers hold a key together for 0.4 s": lambda: history([TAKEN], [taken(102.6)]),
     # Nothing in the record of a stopped server says that it stopped.
@@ -151,6 +169,13 @@
     assert found == (set() if finding == "nothing" else {finding}), violations
 
 
+@then("the checkers of requests with keys find just {finding}")
+def find_requests(context, finding):
+    violations = check_key_requests(context.key_history)
+    found = {each.checker for each in violations}
+    assert found == (set() if finding == "nothing" else {finding}), violations
+
+
 @then("the checkers of owners find owner_hold and owner_token")
 def find_both(context):
     violations = check_owner(context.key_history)
@@ -213,6 +238,15 @@
     context.key_history = run_short_soak(context, seed, plan, SHORT_S)
 
 
+@when(
+    "a short soak with keys of seed {seed:d} runs in which servers start again and repeat refusals"
+)
+def short_restart_soak(context, seed):
+    plan = draw_key_plan(Random(seed), SHORT_S, RESTART_KINDS)
+    options = {"repeats_refusals": True}
+    context.key_history = run_short_soak(context, seed, plan, SHORT_S, **options)
+
+
 @when("a soak with keys runs in which a stranger grants what a server holds to another one")
 def strange_grant(context):
     context.key_history = run_short_soak(context, 8, [], SHORT_S, _grant_again)
--- a/features/steps/key_soak_world.py
+++ b/features/steps/key_soak_world.py
@@ -62,6 +62,7 @@
     ) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self.statuses = Counter()
+        self._unsafe_answers = {}
         self.most_lag_s = 0.0
         self._random = Random(f"world {seed}")
         self._ports = HeldPorts()
@@ -173,7 +174,12 @@
         return document
 
     def _caller(self, name, gateway, random):
-        return KeyCaller(name, gateway, HEADER_NAMES, "/safe1/", self.keys, random, self.statuses)
+        """Return a caller; every second one sends requests that may run once."""
+        common = (self.keys, random, self.statuses)
+        if int(name.rpartition("c")[2]) % 2:
+            return KeyCaller(name, gateway, HEADER_NAMES, "/safe1/", *common)
+        record = self._unsafe_answers.__setitem__
+        return KeyCaller(name, gateway, HEADER_NAMES, "/unsafe1/", *common, record)
 
     async def _is_served(self) -> bool:
         return self.statuses[200] > 0
@@ -188,7 +194,9 @@
                 for source, gate in each.link.gates.items():
                     sent_s[server_id, source] = gate.sent_s
         names = {source: name for name, source in self.sources.items()}
-        self.history = KeyHistory(lives, self.events.healed, woken_s, sent_s, names)
+        self.history = KeyHistory(
+            lives, self.events.healed, woken_s, sent_s, names, self._unsafe_answers
+        )
 
     async def _watch_lag(self) -> None:
         loop = asyncio.get_running_loop()
--- a/indigoworks_lab/gateway_soak/caller_gate.py
+++ b/indigoworks_lab/gateway_soak/caller_gate.py
@@ -13,6 +13,7 @@
     :ivar passing: set while bytes are handed on.
     :ivar delivers: what the caller sent before it gave up is handed on after a silence.
     :ivar tasks: connections.
+    :ivar silent_below: connections with a lower number have gone silent for good.
     :ivar sent_s: by the port that the target sees, when the caller had sent something.
     """
 
@@ -21,10 +22,21 @@
     delivers: bool = True
     tasks: "set[asyncio.Task[Any]]" = field(default_factory=set)
     sent_s: dict[int, list[float]] = field(default_factory=dict)
+    silent_below: int = 0
+    _connections: int = 0
 
     def __post_init__(self) -> None:
         self.passing.set()
 
+    def next_connection(self) -> int:
+        """Return the number of a new connection."""
+        self._connections += 1
+        return self._connections - 1
+
+    def silence_open(self) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        self.silent_below = self._connections
+
     def reset_all(self) -> None:
         """Reset all connections."""
         for task in list(self.tasks):
--- a/indigoworks_lab/gateway_soak/draw_key_plan.py
+++ b/indigoworks_lab/gateway_soak/draw_key_plan.py
@@ -35,17 +35,17 @@
     KeyEventKind.BUSY: (0.5, 3.0),
 }
 ANY_DURATION_S = (0.2, 2.0)
-FOREIGN_ENTRIES = (1, 4)
-DRAWN_APART = (KeyEventKind.HOT, KeyEventKind.FOREIGN_ENTRY)
+DRAWN_LAST = {KeyEventKind.FOREIGN_ENTRY: (1, 4), KeyEventKind.SILENT_CONNECTIONS: (0, 2)}
+"""Least and most events of kinds that may stand beside those of any other kind. They are drawn
+last: the other events of a seed do not depend on them."""
+
+DRAWN_APART = (KeyEventKind.HOT, *DRAWN_LAST)
 
 
 def draw_key_plan(
     random: Random, seconds: float, kinds: Sequence[KeyEventKind] = ()
 ) -> list[KeyPlanEvent]:
-    """Return events within `seconds`, by time; `kinds`: of these only, besides changes of load.
-
-    Foreign entries are drawn last: they may stand beside events of any other kind.
-    """
+    """Return events within `seconds`, by time; `kinds`: of these only, besides changes of load."""
     chosen = [each for each in kinds if each not in DRAWN_APART] if kinds else _kinds(random)
     events = []
     at_s = FIRST_S
@@ -56,10 +56,11 @@
     while at_s < seconds:
         events.append(_event(random, KeyEventKind.HOT, at_s))
         at_s += random.uniform(*HOT_GAP_S)
-    if not kinds or KeyEventKind.FOREIGN_ENTRY in kinds:
-        for _ in range(random.randint(*FOREIGN_ENTRIES)):
-            at_s = random.uniform(FIRST_S, seconds)
-            events.append(_event(random, KeyEventKind.FOREIGN_ENTRY, at_s))
+    for kind, counts in DRAWN_LAST.items():
+        if kinds and kind not in kinds:
+            continue
+        for _ in range(random.randint(*counts)):
+            events.append(_event(random, kind, random.uniform(FIRST_S, seconds)))
     return sorted(events, key=lambda each: each.at_s)
 
 
--- a/indigoworks_lab/gateway_soak/key_caller.py
+++ b/indigoworks_lab/gateway_soak/key_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 from indigoworks.gateway.header_names import HeaderNames
@@ -17,11 +18,16 @@
 MS_PER_S = 1000.0
 
 
+def _ignore(request_id: str, status: int) -> None:
+    """Do nothing: the default of `record`."""
+
+
 class KeyCaller:
     """Keeps a connection to one gateway until that ends it, then opens another one.
 
     :param route: beginning of the path of a route to the service with keys.
     :param statuses: counts the answers; 0: none came.
+    :param record: called with the id of each request and the status of its answer.
     """
 
     def __init__(
@@ -33,6 +39,7 @@
         keys: HotKeys,
         random: Random,
         statuses: Counter[int],
+        record: Callable[[str, int], None] = _ignore,
     ) -> None:
         self._name = name
         self._gateway = gateway
@@ -41,6 +48,7 @@
         self._keys = keys
         self._random = random
         self._statuses = statuses
+        self._record = record
         self._count = 0
 
     async def run(self) -> None:
@@ -64,12 +72,15 @@
             async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
                 outcome = await connection.receive()
         except TimeoutError:
-            self._statuses[0] += 1
+            self._record_status(0)
             return False
-        status = outcome.status if isinstance(outcome, RawAnswer) else 0
-        self._statuses[status] += 1
+        self._record_status(outcome.status if isinstance(outcome, RawAnswer) else 0)
         return isinstance(outcome, RawAnswer) and outcome.keeps
 
+    def _record_status(self, status: int) -> None:
+        self._statuses[status] += 1
+        self._record(f"{self._name}-{self._count}", status)
+
     def _message(self) -> bytes:
         self._count += 1
         lines = (
--- a/indigoworks_lab/gateway_soak/key_event_kind.py
+++ b/indigoworks_lab/gateway_soak/key_event_kind.py
@@ -27,4 +27,7 @@
     LATE_GRANT_AT_STOP = "SIGTERM of the leader with a grant under way, which is applied late"
     BUSY = "the machine is busy"
     FOREIGN_ENTRY = "another program writes an entry at a server's address, or under its id"
+    SILENT_CONNECTIONS = (
+        "open connections to the store, at times to servers too, go silent in series"
+    )
     HOT = "other keys are busy"
--- a/indigoworks_lab/gateway_soak/key_history.py
+++ b/indigoworks_lab/gateway_soak/key_history.py
@@ -18,6 +18,7 @@
     :ivar healed: senders that were thawed and links that healed.
     :ivar sent_s: by server and sender, and the port of the connection: when something was sent.
     :ivar names: of senders, by their address.
+    :ivar unsafe_answers: statuses that callers got for requests that may run once, by their id.
     :ivar woken_s: by server, when its process went on after a stop; it excuses nothing.
     """
 
@@ -26,6 +27,7 @@
     woken_s: dict[str, list[float]] = field(default_factory=dict)
     sent_s: Mapping[tuple[str, str], Mapping[int, Sequence[float]]] = field(default_factory=dict)
     names: Mapping[str, str] = field(default_factory=dict)
+    unsafe_answers: Mapping[str, int] = field(default_factory=dict)
 
     def is_counted(self, life: KeyServerLife, grant: KeyEvent) -> bool:
         """Tell whether the rules count a grant."""
--- a/indigoworks_lab/gateway_soak/key_link.py
+++ b/indigoworks_lab/gateway_soak/key_link.py
@@ -58,6 +58,11 @@
         self.gates[caller].delivers = delivers
         self.gates[caller].passing.clear()
 
+    def silence_open(self) -> None:
+        """Let the open connections of all callers go silent for good, without a reset."""
+        for gate in self.gates.values():
+            gate.silence_open()
+
     def drop_connects(self, caller: str) -> None:
         """Leave the caller's attempts to connect unanswered until `heal`; its connections go on."""
         self._dropped.add(caller)
@@ -83,6 +88,7 @@
             writer.transport.abort()
             return
         gate.tasks.add(task)
+        number = gate.next_connection()
         far_writer = None
         accepted_s = time.monotonic()
         # A cut cancels: then the connection ends like one that was reset.
@@ -96,8 +102,8 @@
                 # A caller sends at once when it has connected.
                 gate.sent_s.setdefault(port, []).append(accepted_s)
                 async with asyncio.TaskGroup() as group:
-                    group.create_task(_hand_on(gate, reader, far_writer, port))
-                    group.create_task(_hand_on(gate, far_reader, writer))
+                    group.create_task(_hand_on(gate, number, reader, far_writer, port))
+                    group.create_task(_hand_on(gate, number, far_reader, writer))
             except* OSError:
                 pass
             finally:
@@ -109,6 +115,7 @@
 
 async def _hand_on(
     gate: CallerGate,
+    number: int,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     port: int | None = None,
@@ -121,8 +128,18 @@
             gate.note_sent(port)
         is_first = False
         await gate.pass_on(reader)
+        if number < gate.silent_below:
+            await _discard(reader, is_caller=port is not None)
         if not piece:
             # Either end closes the whole connection: nobody here closes one side only.
             raise ConnectionResetError
         writer.write(piece)
         await writer.drain()
+
+
+async def _discard(reader: asyncio.StreamReader, is_caller: bool) -> None:
+    """Hand on nothing more of a silent connection; it ends when the caller closes it."""
+    while await reader.read(PIECE_BYTES):
+        pass
+    if not is_caller:
+        await asyncio.Event().wait()
--- a/indigoworks_lab/gateway_soak/key_server.py
+++ b/indigoworks_lab/gateway_soak/key_server.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from random import Random
 
 from indigoworks_lab.gateway_soak.grant_delay import GrantDelay
 from indigoworks_lab.gateway_soak.grant_delay_call import DELAY_PATH
@@ -16,6 +17,7 @@
 MS_PER_S = 1000.0
 MISDIRECTED = 421
 RELEASE_POLL_S = 0.01
+REPEATED_SHARE = 0.5
 HEAD_END = b"\r\n\r\n"
 
 
@@ -42,6 +44,7 @@
         self._write = write
         self._book = KeyBook(settings.forgets_release_tokens)
         self._delay = GrantDelay()
+        self._random = Random(settings.server_id)
 
     def holds_any(self) -> bool:
         """Tell whether any key is held now."""
@@ -50,17 +53,24 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends."""
         sender = writer.get_extra_info("peername")
+        surplus = b""
         try:
             while True:
                 request = await _read(reader, sender)
+                writer.write(surplus)
                 status, headers = await self._answer(request)
-                writer.write(self._encode(request, status, headers))
+                answer = self._encode(request, status, headers)
+                surplus = answer if status == MISDIRECTED and self._is_repeated() else b""
+                writer.write(answer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.transport.abort()
 
+    def _is_repeated(self) -> bool:
+        return self._settings.repeats_refusals and self._random.random() < REPEATED_SHARE
+
     async def _answer(self, request: KeyServerRequest) -> Answer:
         meant = request.headers.get(self._settings.server_id_header.lower())
         if meant not in (None, self._settings.server_id):
--- a/indigoworks_lab/gateway_soak/key_server_place.py
+++ b/indigoworks_lab/gateway_soak/key_server_place.py
@@ -44,6 +44,7 @@
         random: Random,
         names: HeaderNames,
         forgets_release_tokens: bool = False,
+        repeats_refusals: bool = False,
         hold_max_s: float = HOLD_MAX_S,
         service: str = SERVICE,
         needs_keys: bool = True,
@@ -60,6 +61,7 @@
         self._random = random
         self._names = names
         self._forgets_release_tokens = forgets_release_tokens
+        self._repeats_refusals = repeats_refusals
         self._hold_max_s = hold_max_s
         self._service = service
         self.needs_keys = needs_keys
@@ -95,6 +97,7 @@
             handover_header=names.handover,
             signature_header=names.signature,
             forgets_release_tokens=self._forgets_release_tokens,
+            repeats_refusals=self._repeats_refusals,
             needs_keys=self.needs_keys,
         )
         path = self._folder / f"{name}.json"
--- a/indigoworks_lab/gateway_soak/key_server_settings.py
+++ b/indigoworks_lab/gateway_soak/key_server_settings.py
@@ -15,6 +15,8 @@
     :ivar clock_factor: true seconds that a second of its clock for holds takes, 1 to 1.02.
     :ivar hold_max_s: longest hold that it accepts.
     :ivar forgets_release_tokens: the token of a release does not count as seen.
+    :ivar repeats_refusals: sends a part of its refusals again, right before the connection's next
+        answer.
     :ivar needs_keys: runs only requests on keys that it holds; otherwise any, as if on key 0.
     """
 
@@ -38,6 +40,7 @@
     handover_header: str
     signature_header: str
     forgets_release_tokens: bool = False
+    repeats_refusals: bool = False
     needs_keys: bool = True
 
     def to_text(self) -> str:
--- a/indigoworks_lab/gateway_soak/key_soak_events.py
+++ b/indigoworks_lab/gateway_soak/key_soak_events.py
@@ -17,6 +17,7 @@
 from indigoworks_lab.gateway_soak.late_grant_event import LateGrantEvent
 from indigoworks_lab.gateway_soak.lost_path_gateways import lost_path_gateways
 from indigoworks_lab.gateway_soak.lost_path_way import LostPathWay
+from indigoworks_lab.gateway_soak.silent_connections_event import SilentConnectionsEvent
 from indigoworks_lab.launcher.managed_process import ManagedProcess
 
 STORE_MODES = ("slow", "down", "loses")
@@ -69,6 +70,7 @@
             KeyEventKind.LATE_GRANT_AT_STOP: self._late_grant,
             KeyEventKind.BUSY: self._stutter,
             KeyEventKind.FOREIGN_ENTRY: ForeignEntryEvent(world).play,
+            KeyEventKind.SILENT_CONNECTIONS: SilentConnectionsEvent(world).play,
             KeyEventKind.HOT: self._move_load,
         }
 
