The soak of gateways silences connections to the store and watches configurations

In every fourth seed the store's only trouble is now that connections go silent for good, all or those that have rested, in series, and nothing but the configuration after each series changes that feed. The steps of servers' wishes moved to a module of their own, unchanged.

--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -53,6 +53,9 @@
   Scenario: Plans of the soak depend on the seed alone, and hold events of every kind
     Then soak plans of 20 seeds are drawn alike twice and hold every kind of event
 
+  Scenario: Series of silent connections depend on the seed alone, and end when bounds of time count
+    Then series of silent connections of 20 seeds are drawn alike twice, and of every rest
+
   Scenario: Real gateways under overlapping planned work keep every rule
     When a short gateway soak of seed 7 runs
     Then the soak checkers find just nothing
--- a/features/steps/gateway_soak_command.py
+++ b/features/steps/gateway_soak_command.py
@@ -19,6 +19,7 @@
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
 from indigoworks_lab.gateway_soak.draw_rests import draw_rests
 from indigoworks_lab.gateway_soak.draw_returns import draw_returns
+from indigoworks_lab.gateway_soak.draw_silences import draw_silences
 from indigoworks_lab.gateway_soak.event_kind import EventKind
 from indigoworks_lab.simulation.worker_processes import worker_processes
 
@@ -85,6 +86,12 @@
     return next(LOGS / name for name in numbers if not (LOGS / name).exists())
 
 
+SILENT_STORE_SEEDS = 4
+"""In one of so many seeds the store has no trouble but connections that go silent."""
+
+LEFT_OUT_BESIDE_SILENCE = (EventKind.STORE, EventKind.CONFIGURE)
+"""Other troubles excuse what follows; configurations keep the connection of their feed busy."""
+
 CALM_STORE_SEEDS = 2
 """In one of so many seeds the store has no trouble but its returns."""
 
@@ -99,7 +106,12 @@
     rests = draw_rests(Random(f"rests {seed}"), seconds, SERVERS)
     limits = draw_limits(Random(f"limits {seed}"), seconds, SERVERS)
     returns = draw_returns(Random(f"returns {seed}"), seconds)
-    await world.run(plan, seconds, rests, limits, returns)
+    silences = []
+    if seed % SILENT_STORE_SEEDS == 1:
+        plan = [each for each in plan if each.kind not in LEFT_OUT_BESIDE_SILENCE]
+        rests, limits, returns = [], [], []
+        silences = draw_silences(Random(f"silences {seed}"), seconds)
+    await world.run(plan, seconds, rests, limits, returns, silences)
     return world, check_soak(world.history)
 
 
--- a/features/steps/gateway_soak_steps.py
+++ b/features/steps/gateway_soak_steps.py
@@ -15,6 +15,7 @@
 from indigoworks_lab.gateway_soak.draw_plan import draw_plan
 from indigoworks_lab.gateway_soak.draw_rests import draw_rests
 from indigoworks_lab.gateway_soak.draw_returns import draw_returns
+from indigoworks_lab.gateway_soak.draw_silences import IN_TOUCH_S, RESTED_S, draw_silences
 from indigoworks_lab.gateway_soak.event_kind import EventKind
 from indigoworks_lab.gateway_soak.process_life import ProcessLife
 from indigoworks_lab.gateway_soak.server_run import ServerRun
@@ -145,6 +146,16 @@
     assert {each.kind for plan in drawn[0] for each in plan} == set(EventKind)
 
 
+@then("series of silent connections of {count:d} seeds are drawn alike twice, and of every rest")
+def silences_drawn(context, count):
+    drawn = [[draw_silences(Random(seed), 40.0) for seed in range(count)] for _ in range(2)]
+    assert drawn[0] == drawn[1]
+    every = [series for seed in drawn[0] for series in seed]
+    assert {each.rested_s for each in every} == set(RESTED_S)
+    assert {len(each.gaps_s) for each in every} == {0, 1, 2}
+    assert min(each.configured_after_s for each in every) > IN_TOUCH_S
+
+
 @when("a short gateway soak of seed {seed:d} runs")
 def short_soak(context, seed):
     folder = Path(tempfile.mkdtemp())
@@ -156,7 +167,8 @@
         rests = draw_rests(Random(f"rests {seed}"), SHORT_S, SERVERS)
         limits = draw_limits(Random(f"limits {seed}"), SHORT_S, SERVERS)
         returns = draw_returns(Random(f"returns {seed}"), SHORT_S)
-        await world.run(plan, SHORT_S, rests, limits, returns)
+        silences = draw_silences(Random(f"silences {seed}"), SHORT_S)
+        await world.run(plan, SHORT_S, rests, limits, returns, silences)
         world.history.is_timed = False
         return world.history
 
--- a/features/steps/gateway_soak_store.py
+++ b/features/steps/gateway_soak_store.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 from random import Random
+from weakref import WeakKeyDictionary, WeakSet
 
 from platform_folder_store_stand_in import ERA_HEADER, StoreStandIn, wire
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -34,6 +35,8 @@
         self._spell = 0
         self._is_away = False
         self._open = set()
+        self._used_s = WeakKeyDictionary()
+        self._silent = WeakSet()
         self.troubles: list[TimeSpan] = []
 
     def put(self, table, part, key, value) -> None:
@@ -57,6 +60,12 @@
         if spell == self._spell:
             self._mode = ""
 
+    def silence(self, rested_s) -> None:
+        """Let connections that rested for a time go silent for good, without a reset."""
+        now_s = asyncio.get_running_loop().time()
+        self.troubles.append(TimeSpan(now_s, now_s))
+        self._silent.update(e for e, at_s in self._used_s.items() if at_s <= now_s - rested_s)
+
     async def return_from_copy(self, age_s, away_s) -> None:
         """Copy all, go away after a while, and come back from the copy."""
         copy = self.copy()
@@ -82,6 +91,7 @@
     async def _serve(self, request) -> None:
         stream = request.connection.stream
         self._open.add(stream)
+        self._used_s[stream] = asyncio.get_running_loop().time()
         try:
             with contextlib.suppress(StreamClosedError):
                 await self._one(request, stream)
@@ -99,6 +109,8 @@
             "/rows-feed": self._feed,
             "/rows-tx": self._transaction,
         }[request.path]
+        if stream in self._silent:
+            return
         before = self.version
         status, document = make(request)
         if self.version != before:
@@ -125,6 +137,8 @@
         return status, document
 
     async def _send(self, request, stream, status, document) -> None:
+        if stream in self._silent:
+            return
         document = {"ver": self.version, "now": self._now_ms(), **document}
         body = json.dumps(document).encode()
         parts = 1
@@ -139,6 +153,7 @@
             await asyncio.sleep(TRICKLE_S)
             await request.connection.write(body[first : first + size])
         request.connection.finish()
+        self._used_s[stream] = asyncio.get_running_loop().time()
 
     def _now_ms(self) -> float:
         return asyncio.get_running_loop().time() * MS_PER_S
--- a/features/steps/gateway_soak_world.py
+++ b/features/steps/gateway_soak_world.py
@@ -7,6 +7,7 @@
 from gateway_soak_gateway import SoakGateway
 from gateway_soak_server import SoakServer
 from gateway_soak_store import SoakStore
+from gateway_soak_wishes import ask_for_rest, name_limit
 from platform_folder_store_stand_in import FOLDER  # noqa: F401 - makes header_names importable
 
 from indigoworks_lab.gateway_soak.held_ports import HeldPorts
@@ -73,14 +74,15 @@
         self._callers = []
         self._tasks = []
 
-    async def run(self, plan, seconds, rests=(), limits=(), returns=()) -> None:
-        """Play `plan`, `rests`, `limits` and `returns`; ends every process that it started."""
+    async def run(self, plan, seconds, rests=(), limits=(), returns=(), silences=()) -> None:
+        """Play `plan` and what is drawn apart from it; ends every process that it started."""
         try:
             await self._start()
-            resting = (self._rest(each) for each in rests)
-            naming = (self._name_limit(each) for each in limits)
+            resting = (ask_for_rest(self._server_at, each) for each in rests)
+            naming = (name_limit(self._server_at, each) for each in limits)
             returning = (self._return(each) for each in returns)
-            events = (*resting, *naming, *returning)
+            silent = (self._silence(each) for each in silences)
+            events = (*resting, *naming, *returning, *silent)
             await asyncio.gather(self._play(plan), asyncio.sleep(seconds), *events)
             await self._finish()
         finally:
@@ -248,21 +250,18 @@
                 if not server.is_leaving:
                     self._list(server_id)
 
-    async def _rest(self, rest) -> None:
-        """Let a server turn all away for a while, whichever is at the place when it begins."""
-        await asyncio.sleep(rest.at_s)
-        server = self._servers[self._places[rest.place]][0]
-        server.rests.append(rest.rest_s)
-        await asyncio.sleep(rest.for_s)
-        server.rests.remove(rest.rest_s)
-
-    async def _name_limit(self, limit) -> None:
-        """Let a server name a limit for a while, whichever is at the place when it begins."""
-        await asyncio.sleep(limit.at_s)
-        server = self._servers[self._places[limit.place]][0]
-        server.name_limit(limit.per_s)
-        await asyncio.sleep(limit.for_s)
-        server.drop_limit(limit.per_s)
+    def _server_at(self, place) -> SoakServer:
+        return self._servers[self._places[place]][0]
+
+    async def _silence(self, series) -> None:
+        """Silence connections to the store in series, then write a configuration."""
+        await asyncio.sleep(series.at_s)
+        self._store.silence(series.rested_s)
+        for gap_s in series.gaps_s:
+            await asyncio.sleep(gap_s)
+            self._store.silence(series.rested_s)
+        await asyncio.sleep(series.configured_after_s)
+        self._configure(0, self._limits.idle_timeout_s, self._limits.max_body_bytes)
 
     async def _return(self, event) -> None:
         """Let the store come back from a copy; operator and servers write again."""
