--- a/features/gateway_endless_answers.feature
+++ b/features/gateway_endless_answers.feature
@@ -84,7 +84,7 @@
       | peer               | chunks                 | memory     |
       | peer               | a body until the close | memory     |
 
-  # Twelve connections with ten interim responses each held the event loop for 20 ms.
+  # Guards against a turn of the event loop that parses what many connections sent at once.
   Scenario: The interim responses of a connection do not hold up the other connections
     Given an endless store that sends interim answers
     When the endless store is asked while turns of the event loop are counted
