--- a/review/6/case.py
+++ b/review/6/case.py
@@ -62,7 +62,7 @@
     callers.cancel()
     taken = sorted((each for target in targets for each in target.taken), key=lambda e: e.at_s)
     _note_runs(world)
-    return check_tokens(taken, excused_s)
+    return check_tokens(taken, excused_s, world.started_s)
 
 
 async def _call(world: World) -> None:
--- a/review/lab_2/owner_check.py
+++ b/review/lab_2/owner_check.py
@@ -18,10 +18,11 @@
     life: int
 
 
-def check_tokens(taken: list[Taken], excused_s: list[float]) -> list[str]:
+def check_tokens(taken: list[Taken], excused_s: list[float], started_s: float = 0.0) -> list[str]:
     """Return the grants whose token isn't above all with which other targets had a key before.
 
     :param excused_s: when senders were thawed, and links healed.
+    :param started_s: clock reading from which the texts count.
     """
     breaches = []
     for number, grant in enumerate(taken):
@@ -31,10 +32,11 @@
             is_other = before.server_id != grant.server_id
             first, last = max(before.first, grant.first), min(before.last, grant.last)
             if is_other and first <= last and grant.token <= before.token:
+                at_s, before_s = grant.at_s - started_s, before.at_s - started_s
                 breaches.append(
                     f"OWNER: {grant.server_id} takes keys {first}-{last} with token "
-                    f"{grant.token} at {grant.at_s:.3f}; {before.server_id} had them with token "
-                    f"{before.token} at {before.at_s:.3f}"
+                    f"{grant.token} at {at_s:.3f}; {before.server_id} had them with token "
+                    f"{before.token} at {before_s:.3f}"
                 )
                 break
     return breaches
--- a/review/lab_2/stand_in_target.py
+++ b/review/lab_2/stand_in_target.py
@@ -50,6 +50,7 @@
         self._seen: dict[int, int] = {}
         self._slots = asyncio.Semaphore(slots)
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._beat: asyncio.Task[None] | None = None
 
@@ -79,6 +80,8 @@
             self._beat.cancel()
         for writer in list(self._writers):
             writer.transport.abort()
+        for task in self._tasks:
+            task.cancel()
 
     async def crash_for(self, seconds: float) -> None:
         """Crash, and come back at the same address under the same id after a while."""
@@ -141,6 +144,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         with suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             while True:
                 request = await read_message(reader)
--- a/review/lab_2/world.py
+++ b/review/lab_2/world.py
@@ -42,7 +42,7 @@
         """Record a line."""
         self.record.append(f"{time.monotonic() - self.started_s:8.3f} {text}")
 
-    async def start(self, targets: list[Target], gateways: int, **settings) -> None:
+    async def start(self, targets: list[Target], gateways: int, zones: int = 3, **settings) -> None:
         """Start targets and gateways, and wait until these are ready."""
         await self.store.start()
         self.targets = targets
@@ -52,7 +52,7 @@
             await target.start()
         self.configure()
         for number in range(gateways):
-            zone = f"z{number + 1}"
+            zone = f"z{number % zones + 1}"
             host = f"127.0.0.{11 + number}"
             gateway = Gateway(
                 f"g{number}", host, zone, self.store.address, self.folder.path, **settings
@@ -80,6 +80,10 @@
         """Return a target that holds a key now."""
         return next((each for each in self.targets if each.holds(key)), None)
 
+    def since_start(self, at_s: float) -> float:
+        """Return a reading of the clock as seconds since the start."""
+        return at_s - self.started_s
+
     def kill_all(self) -> None:
         """Kill all gateways at the same moment."""
         for gateway in self.gateways:
