Review case 6: after a drill of the store the leader goes on by the copy's old rows

In a group of more than 16 gateways a read that waited for the store to answer again reads the old era's part and is taken for rows of the new era. The leader of before then grants keys under old tokens while their new owners hold them.

--- a/review/lab_2/stand_in_target.py
+++ b/review/lab_2/stand_in_target.py
@@ -8,10 +8,11 @@
 from contextlib import suppress
 
 from http_stream import Message, encode, read_message
-from owner_check import Taken
+from owner_check import Span, Taken
 from store import Store
 
 HEARTBEAT_S = 0.8
+KEYS = 65536
 Behaviour = Callable[["Target", Message, asyncio.StreamWriter], Awaitable[bool]]
 """Answers a request in its own way; returns False if the usual answer is due."""
 
@@ -46,6 +47,7 @@
         self.is_listed = True
         self.lease: list[tuple[int, int, int, float]] = []
         self.taken: list[Taken] = []
+        self.spans: list[Span] = []
         self.life = 0
         self._seen: dict[int, int] = {}
         self._slots = asyncio.Semaphore(slots)
@@ -82,6 +84,7 @@
             writer.transport.abort()
         for task in self._tasks:
             task.cancel()
+        self._end_spans(0, KEYS - 1)
 
     async def crash_for(self, seconds: float) -> None:
         """Crash, and come back at the same address under the same id after a while."""
@@ -221,6 +224,7 @@
         self._cut(first, last)
         self.lease.append((first, last, token, until_s))
         now_s = time.monotonic()
+        self.spans.append(Span(self.server_id, first, last, token, now_s, until_s))
         self.taken.append(Taken(now_s, self.server_id, first, last, token, self.life))
         self.note(f"takes {first}-{last} token {token} for {order['hold_ms']} ms")
         return 200, {}
@@ -232,7 +236,22 @@
             self._seen[key] = max(order["token"], self._seen.get(key, 0))
         self.note(f"releases {order['first']}-{order['last']} token {order['token']}")
 
+    def _end_spans(self, first: int, last: int) -> None:
+        """End what is held of some keys now."""
+        now_s = time.monotonic()
+        for span in [each for each in self.spans if each.until_s > now_s]:
+            if span.first > last or span.last < first:
+                continue
+            rest = ((span.first, first - 1), (last + 1, span.last))
+            self.spans += [
+                Span(span.server_id, low, high, span.token, now_s, span.until_s)
+                for low, high in rest
+                if low <= high
+            ]
+            span.until_s = now_s
+
     def _cut(self, first: int, last: int) -> None:
+        self._end_spans(first, last)
         kept = []
         for a, b, token, until_s in self.lease:
             if a < first:
