A read names the era in which it is valid, so that none is sent in the next one

Cause: ProbingStore holds reads back while the store does not respond, in groups of more than 16 gateways. The part was a string, chosen before the wait. Once a peer had told of the new era the read of the old era's part was sent, and its rows, those of the copy, got versions of the new era: the leader led on by the copy's leader row and granted by the copy's table. Ruled out: transactions and feeds, which carry their era and are refused.

Change: a read names a TablePart (name, era of its rows, era in which it is valid), made in ControlGroup alone. The adapter sends and answers it only in that era and gives rows the era in which they were written; the follower and the table writer drop a result whose era ended before their turn. A transaction with a condition on a version of another era is not sent. The control simulation's nodes read through ProbingStore as gateways do.

--- a/features/steps/gateway_lagging_feed_steps.py
+++ b/features/steps/gateway_lagging_feed_steps.py
@@ -12,6 +12,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.table_follower import MAX_RETRY_DELAY_S, TableFollower
+from indigoworks.rowstore.table_part import UNDIVIDED
 from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 FIRST = 10
@@ -63,7 +64,7 @@
         context.lagging_versions = [0]
         take = lambda rows: context.lagging_versions.extend(row.version.counter for row in rows)  # noqa: E731
         context.lagging_feed = TableFollower(
-            context.lagging_store, "op", lambda: "", lambda: 1.0, LoopClock(), take, take
+            context.lagging_store, "op", lambda: UNDIVIDED, lambda: 1.0, LoopClock(), take, take
         )
 
     context.run_async(make())
@@ -140,7 +141,7 @@
         take = lambda rows: context.lagging_versions.extend(row.version.counter for row in rows)  # noqa: E731
         context.lagging_clock = ManualClock()
         context.doubted_feed = TableFollower(
-            store, "op", lambda: "", lambda: 1.0, context.lagging_clock, take, take
+            store, "op", lambda: UNDIVIDED, lambda: 1.0, context.lagging_clock, take, take
         )
         context.doubted_task = asyncio.ensure_future(context.doubted_feed.run())
         await settle()
@@ -223,7 +224,7 @@
         context.era_feed = TableFollower(
             context.era_store,
             "op",
-            lambda: "",
+            lambda: UNDIVIDED,
             lambda: 1.0,
             context.lagging_clock,
             lambda rows: None,
--- a/features/steps/gateway_owner_proof_world.py
+++ b/features/steps/gateway_owner_proof_world.py
@@ -38,7 +38,7 @@
 
     async def read(self, table, part):
         rows = (*self.former, *self.rows.values())
-        return self.answer([each for each in rows if each.part == part])
+        return self.answer([each for each in rows if each.part == part.name])
 
     async def commit(self, transaction):
         await self.gate.wait()
--- a/features/steps/gateway_paced_feed_steps.py
+++ b/features/steps/gateway_paced_feed_steps.py
@@ -10,6 +10,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.table_follower import TableFollower
+from indigoworks.rowstore.table_part import UNDIVIDED
 from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 ROW_PERIOD_S = 0.01
@@ -56,7 +57,14 @@
     async def make():
         take = lambda rows: context.paced_rows.extend(row.version.counter for row in rows)  # noqa: E731
         context.paced_feed = TableFollower(
-            store, "servers", lambda: "", lambda: wait, clock, take, take, pace_s=lambda: pace
+            store,
+            "servers",
+            lambda: UNDIVIDED,
+            lambda: wait,
+            clock,
+            take,
+            take,
+            pace_s=lambda: pace,
         )
         context.paced_task = asyncio.ensure_future(context.paced_feed.run())
         await clock.advance(2 * ROW_PERIOD_S)
--- a/features/steps/gateway_relay_world.py
+++ b/features/steps/gateway_relay_world.py
@@ -19,6 +19,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.table_part import UNDIVIDED
 
 TABLE = "t"
 ZONE = "z1"
@@ -162,7 +163,7 @@
 
     async def start(self):
         for gateway in (self.relay, *self.members.values()):
-            await gateway.relayed.read(TABLE, "")
+            await gateway.relayed.read(TABLE, UNDIVIDED)
         self.relay.server.start()
         self.watching = asyncio.ensure_future(self.relay.feed.run())
         self.probing = asyncio.ensure_future(self._probe())
@@ -181,7 +182,7 @@
         while True:
             answer = await gateway.relayed.follow(TABLE, version, LONG_S)
             if isinstance(answer, Err):
-                answer = await gateway.relayed.read(TABLE, "")
+                answer = await gateway.relayed.read(TABLE, UNDIVIDED)
             version = answer.unwrap().version
 
     async def let_serve(self, member):
--- a/features/steps/gateway_relay_world_steps.py
+++ b/features/steps/gateway_relay_world_steps.py
@@ -10,6 +10,7 @@
 from indigoworks.common.address import Address
 from indigoworks.exchange.peer_address import PeerAddress
 from indigoworks.rowstore.store_version import NO_VERSION
+from indigoworks.rowstore.table_part import UNDIVIDED
 
 MEASURED_S = 15.0
 """Bound of a step, against one that never ends; nothing asserts how long it took."""
@@ -87,9 +88,9 @@
             await asyncio.sleep(0.01)
         world.store.come_back(version)
         follower = world.relay.relayed
-        await follower.read(TABLE, "")
+        await follower.read(TABLE, UNDIVIDED)
         world.restart_following()
-        known = (await world.members["a"].relayed.read(TABLE, "")).unwrap().version
+        known = (await world.members["a"].relayed.read(TABLE, UNDIVIDED)).unwrap().version
         asked = world.member_asks("a", known, LONG_S)
         await asyncio.sleep(0.1)
         world.store.put("k")
@@ -161,7 +162,7 @@
 
     async def run():
         for table in (TABLE, "large"):
-            before = (await relayed.read(table, "")).unwrap().version
+            before = (await relayed.read(table, UNDIVIDED)).unwrap().version
             world.store.put(table)
             assert (await relayed.follow(table, before, LONG_S)).unwrap().rows
 
--- a/features/steps/gateway_sick_leader_steps.py
+++ b/features/steps/gateway_sick_leader_steps.py
@@ -9,6 +9,7 @@
 from indigoworks.exchange.peer_report import PeerReport
 from indigoworks.ownership.leader_row import LEADER_KEY, LeaderRow
 from indigoworks.rowstore.store_version import NO_VERSION
+from indigoworks.rowstore.table_part import UNDIVIDED
 from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
 EPOCH = 3
@@ -28,7 +29,7 @@
     async def build():
         world = ControlWorld(0, ManualClock())
         world.store.put(LEADER_KEY, LeaderRow(EPOCH, "n2", "boot-9", NO_VERSION).encode())
-        answer = (await world.store.read("", "")).unwrap()
+        answer = (await world.store.read("", UNDIVIDED)).unwrap()
         world.take_rows(answer.rows)
         world.leadership.record_proof(answer.as_of_s)
         hear(world, 1, age_s)
--- a/features/steps/gateway_silent_steps.py
+++ b/features/steps/gateway_silent_steps.py
@@ -8,6 +8,7 @@
 from gateway_world import HOST, make_configuration, make_ports, make_settings
 from platform_folder_store_stand_in import FOLDER  # noqa: F401
 
+from indigoworks.rowstore.table_part import UNDIVIDED
 from indigoworks_lab.simulation.core.manual_clock import ManualClock, settle
 
 # isort: split
@@ -266,7 +267,7 @@
 def step_read_twice(context, table):
     async def run():
         for _ in range(2):
-            assert (await context.platform_store.read(table, "")).is_ok()
+            assert (await context.platform_store.read(table, UNDIVIDED)).is_ok()
 
     context.run_async(run())
 
--- a/features/steps/gateway_store_probe_steps.py
+++ b/features/steps/gateway_store_probe_steps.py
@@ -11,6 +11,7 @@
 from indigoworks.rowstore.probing_store import ProbingStore
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.table_follower import TableFollower
+from indigoworks.rowstore.table_part import UNDIVIDED
 from indigoworks.rowstore.transaction import Transaction
 from indigoworks_lab.simulation.core.manual_clock import ManualClock
 
@@ -74,7 +75,7 @@
             clock,
         )
         context.probe_followers = [
-            TableFollower(store, f"t{number}", lambda: "", lambda: 2.0, clock, _pass, _pass)
+            TableFollower(store, f"t{number}", lambda: UNDIVIDED, lambda: 2.0, clock, _pass, _pass)
             for number in range(tables)
         ]
         context.probe_tasks = [
--- a/features/steps/platform_folder_store_steps.py
+++ b/features/steps/platform_folder_store_steps.py
@@ -19,6 +19,7 @@
 from indigoworks.common.clock import LoopClock
 from indigoworks.gateway.platform_subsystem import MAX_SERVERS_PACE_S, PlatformSubsystem
 from indigoworks.rowstore.store_health import StoreHealth
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import ABSENT, ExpectedVersion, RowPut, Transaction
 
 TABLE = "t"
@@ -68,7 +69,7 @@
 
 @when('the platform folder reads part "{part}"')
 def reads(context, part):
-    context.platform_result = context.run_async(context.platform_store.read(TABLE, part))
+    context.platform_result = context.run_async(context.platform_store.read(TABLE, TablePart(part)))
 
 
 @then(
--- a/features/steps/platform_large_answers_steps.py
+++ b/features/steps/platform_large_answers_steps.py
@@ -14,6 +14,7 @@
 from indigoworks.backend.http_sender import HttpSender
 from indigoworks.backend.transfer_limits import TransferLimits
 from indigoworks.common.clock import LoopClock
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import Transaction
 
 ROW_BYTES = 8000
@@ -95,7 +96,7 @@
     paced = stand_in.paced
 
     async def run():
-        reading = asyncio.ensure_future(context.platform_store.read(TABLE, part))
+        reading = asyncio.ensure_future(context.platform_store.read(TABLE, TablePart(part)))
         await until(lambda: len(paced.sent_s) > SOME_PIECES)
         stand_in.paced = None
         stand_in.troubles = ["503"]
--- a/indigoworks/gateway/instrumented_store.py
+++ b/indigoworks/gateway/instrumented_store.py
@@ -11,6 +11,7 @@
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import Transaction
 
 
@@ -27,7 +28,7 @@
             metrics, clock, "gateway_store_call", "Calls to the row store", "call"
         )
 
-    async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
+    async def read(self, table: str, part: TablePart) -> Result[Rows, StoreError]:
         """Read one part of a table completely."""
         return await self._calls.observe("read", self._store.read(table, part), _outcome)
 
--- a/indigoworks/gateway/platform_subsystem.py
+++ b/indigoworks/gateway/platform_subsystem.py
@@ -14,6 +14,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
 from indigoworks.rowstore.table_follower import TableFollower
+from indigoworks.rowstore.table_part import UNDIVIDED
 from indigoworks.servers.cold_servers import ColdLimit
 from indigoworks.servers.server_list import ServerList
 
@@ -94,7 +95,7 @@
             TableFollower(
                 ports.store,
                 ports.configuration_table,
-                lambda: "",
+                lambda: UNDIVIDED,
                 self._configuration_wait_s,
                 clock,
                 self._take_all_operator_rows,
@@ -104,7 +105,7 @@
             TableFollower(
                 ports.store,
                 ports.servers_table,
-                lambda: "",
+                lambda: UNDIVIDED,
                 probe_wait_s,
                 clock,
                 self._take_all_servers,
--- a/indigoworks/ownership/control_group.py
+++ b/indigoworks/ownership/control_group.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from indigoworks.rowstore.store_eras import StoreEras
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
 
 CONTROL_TABLE = "indigoworks"
@@ -28,16 +29,16 @@
         self._group_id = group_id
 
     @property
-    def part(self) -> str:
-        """Return the partition of the current era."""
+    def part(self) -> TablePart:
+        """Return the partition of the current era; reads of it are valid in this era alone."""
         return self.part_in(self.eras.current)
 
-    def part_in(self, era: int) -> str:
-        """Return the partition of an era."""
-        return part_of(era, self._group_id)
+    def part_in(self, era: int) -> TablePart:
+        """Return the partition of an era, to be read in the current one."""
+        return TablePart(part_of(era, self._group_id), era, self.eras.current)
 
     def transaction(
         self, expected: Sequence[ExpectedVersion], puts: Sequence[RowPut]
     ) -> Transaction:
         """Return a transaction on the rows of the current era."""
-        return Transaction(self.eras.current, self.part, tuple(expected), tuple(puts))
+        return Transaction(self.eras.current, self.part.name, tuple(expected), tuple(puts))
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -66,8 +66,10 @@
     async def reread(self) -> bool:
         """Read all rows of the group; returns False if this process no longer leads."""
         while self._leadership.proof_age_s() < LEADER_LEASE_S:
-            result = await self._store.read(CONTROL_TABLE, self._group.part)
-            if isinstance(result, Err):
+            part = self._group.part
+            result = await self._store.read(CONTROL_TABLE, part)
+            # An era may begin between the response and this turn of the event loop.
+            if isinstance(result, Err) or not part.is_valid_in(self._group.eras.current):
                 await self._clock.sleep(READ_RETRY_S)
                 continue
             answer = result.unwrap()
@@ -98,17 +100,12 @@
                 break
         return self._leadership.may_act()
 
-    async def _read_former_era(self, era: int) -> list[Row] | None:
-        """Return the rows of a former era, versioned in it; None: this process no longer leads."""
+    async def _read_former_era(self, era: int) -> tuple[Row, ...] | None:
+        """Return the rows of a former era; None: this process no longer leads."""
         while self._leadership.may_act():
             result = await self._store.read(CONTROL_TABLE, self._group.part_in(era))
             if isinstance(result, Ok):
-                rows = result.unwrap().rows
-                return [
-                    replace(row, version=replace(row.version, era=era))
-                    for row in rows
-                    if row.part == self._group.part_in(era)
-                ]
+                return result.unwrap().rows
             await self._clock.sleep(READ_RETRY_S)
         return None
 
@@ -169,12 +166,6 @@
 
     def _transaction(self, table: OwnershipTable) -> Transaction:
         key = OWNERS_PREFIX + table.service
-        return Transaction(
-            self._group.eras.current,
-            self._group.part,
-            (
-                self._leadership.condition(),
-                ExpectedVersion(CONTROL_TABLE, key, table.version),
-            ),
-            (RowPut(CONTROL_TABLE, key, table.encode()),),
-        )
+        expected = ExpectedVersion(CONTROL_TABLE, key, table.version)
+        put = RowPut(CONTROL_TABLE, key, table.encode())
+        return self._group.transaction((self._leadership.condition(), expected), (put,))
--- a/indigoworks/relay/relayed_store.py
+++ b/indigoworks/relay/relayed_store.py
@@ -21,6 +21,7 @@
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import Transaction
 
 FEED_PATH = "/feed"
@@ -98,7 +99,7 @@
 
     # ---- the port ----
 
-    async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
+    async def read(self, table: str, part: TablePart) -> Result[Rows, StoreError]:
         """Read all rows of one part of a table; of a table of large rows at a relay, if any."""
         if table in self._large_tables:
             rows = await self._read_at_relay(table)
--- a/indigoworks/rowstore/probing_store.py
+++ b/indigoworks/rowstore/probing_store.py
@@ -11,6 +11,7 @@
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import Transaction
 
 PROBE_WAIT_S = 0.3
@@ -70,7 +71,7 @@
         self._failures = 0
         self._probing = asyncio.Lock()
 
-    async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
+    async def read(self, table: str, part: TablePart) -> Result[Rows, StoreError]:
         """Read all rows of one part of a table."""
         return await self._paced(lambda _: self._store.read(table, part))
 
--- a/indigoworks/rowstore/row_store.py
+++ b/indigoworks/rowstore/row_store.py
@@ -7,6 +7,7 @@
 from indigoworks.rowstore.errors import StoreError
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import Transaction
 
 
@@ -17,10 +18,12 @@
     are then invalid, and nothing of the response was passed on.
     """
 
-    async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
+    async def read(self, table: str, part: TablePart) -> Result[Rows, StoreError]:
         """Read all rows of one part of a table.
 
-        :returns: StoreRefused or StoreUnreachable if there is no response.
+        :returns: rows with versions of the era in which they were written; EraEnded if the part is
+            not valid in the store's era when the call is sent or answered; StoreRefused or
+            StoreUnreachable if there is no response.
         """
         ...
 
--- a/indigoworks/rowstore/table_follower.py
+++ b/indigoworks/rowstore/table_follower.py
@@ -12,6 +12,7 @@
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_version import NO_VERSION, StoreVersion
+from indigoworks.rowstore.table_part import TablePart
 
 RETRY_DELAY_S = 0.1
 """Delay after the first failed call."""
@@ -45,7 +46,7 @@
         self,
         store: RowStore,
         table: str,
-        part: Callable[[], str],
+        part: Callable[[], TablePart],
         wait_s: Callable[[], float],
         clock: Clock,
         on_all: Callable[[Sequence[Row]], None],
@@ -105,14 +106,14 @@
 
     async def _step(self) -> StoreError | None:
         if self._version is None:
-            return self._apply_all(await self._read())
+            return self._apply_read(await self._read())
         self._reread_requested.clear()
         feed = asyncio.ensure_future(self._feed(self._version))
         whole = asyncio.ensure_future(self._read_when_requested())
         try:
             await asyncio.wait({feed, whole}, return_when=asyncio.FIRST_COMPLETED)
             if whole.done():
-                return self._apply_all(whole.result())
+                return self._apply_read(whole.result())
             return self._apply_changes(feed.result())
         finally:
             feed.cancel()
@@ -129,11 +130,13 @@
         self._log_if_large("changes", sent_s, result)
         return result
 
-    async def _read(self) -> Result[Rows, StoreError]:
+    async def _read(self) -> tuple[TablePart, Result[Rows, StoreError]]:
+        """Return the result of a full read, and the part that was read."""
         sent_s = self._clock.now()
-        result = await self._store.read(self._table, self._part())
+        part = self._part()
+        result = await self._store.read(self._table, part)
         self._log_if_large("whole", sent_s, result)
-        return result
+        return part, result
 
     def _log_if_large(self, call: str, sent_s: float, result: Result[Rows, StoreError]) -> None:
         """Log the transfer time of a large response, since it delays requests on the link."""
@@ -154,14 +157,14 @@
             true_ago_s=round(now_s - response.as_of_s, 3),
         )
 
-    async def _read_when_requested(self) -> Result[Rows, StoreError]:
+    async def _read_when_requested(self) -> tuple[TablePart, Result[Rows, StoreError]]:
         """Return a full read, once one is requested during this feed call and succeeds."""
         await self._reread_requested.wait()
         failures = 0
-        while isinstance(result := await self._read(), Err):
+        while (read := await self._read())[1].is_err():
             failures += 1
             await self._clock.sleep(min(RETRY_DELAY_S * failures, MAX_RETRY_DELAY_S))
-        return result
+        return read
 
     def _apply_changes(self, result: Result[Rows, StoreError]) -> StoreError | None:
         if isinstance(result, Err):
@@ -171,13 +174,20 @@
             self._rows_received_s = self._clock.now()
         if response.is_whole:
             return self._apply_all(result)
-        part = self._part()
+        part = self._part().name
         rows = [row for row in response.rows if row.part == part]
         if rows:
             self._on_changes(rows)
         self._record_version(response)
         return None
 
+    def _apply_read(self, read: tuple[TablePart, Result[Rows, StoreError]]) -> StoreError | None:
+        part, result = read
+        if part != self._part():
+            # An era may begin between the response and this turn of the event loop.
+            return EraEnded("The part that was read is no longer followed.", "Read the new part.")
+        return self._apply_all(result)
+
     def _apply_all(self, result: Result[Rows, StoreError]) -> StoreError | None:
         if isinstance(result, Err):
             return result.unwrap_err()
--- a/indigoworks/rowstore/transaction.py
+++ b/indigoworks/rowstore/transaction.py
@@ -37,3 +37,13 @@
     part: str
     expected: tuple[ExpectedVersion, ...]
     puts: tuple[RowPut, ...]
+
+    def is_valid_in(self, era: int) -> bool:
+        """Return whether it may be sent in an era of the store.
+
+        The store compares the counters of versions alone: the version of a row in another era could
+        match by chance.
+        """
+        return self.era == era and all(
+            each.version == ABSENT or each.version.era == era for each in self.expected
+        )
--- a/indigoworks_lab/control_simulation/node_store.py
+++ b/indigoworks_lab/control_simulation/node_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
 from typing import Any, Protocol, TypeVar
 
 from result import Err, Ok, Result
@@ -17,6 +18,7 @@
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.rowstore.table_part import TablePart
 from indigoworks.rowstore.transaction import Transaction
 from indigoworks_lab.control_simulation.memory_rows import RowState
 from indigoworks_lab.control_simulation.simulated_store import SimulatedStore, StoreAnswer
@@ -72,13 +74,16 @@
         self._watcher = watcher
         self._run_outside = run_outside
 
-    async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
+    async def read(self, table: str, part: TablePart) -> Result[Rows, StoreError]:
         """Read one part of a table whole."""
 
         async def operation() -> Result[RowState, StoreError]:
-            return Ok(self._store.rows.read(table, part))
+            return Ok(self._store.rows.read(table, part.name))
 
-        return _rows(await self._call("read", operation, 0.0, False))
+        if not part.is_valid_in(self._health.eras.current):
+            return Err(_era_ended())
+        result = _rows(await self._call("read", operation, 0.0, False))
+        return result.map(lambda rows: _of_part(rows, part))
 
     async def follow(
         self, table: str, after: StoreVersion, wait_s: float
@@ -95,7 +100,7 @@
 
     async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
         """Make a transaction."""
-        if transaction.era != self._health.eras.current:
+        if not transaction.is_valid_in(self._health.eras.current):
             return Err(_era_ended())
 
         async def operation() -> Result[StoreVersion, StoreError]:
@@ -149,6 +154,13 @@
     return EraEnded("The store has come back from a copy.", REMEDY)
 
 
+def _of_part(rows: Rows, part: TablePart) -> Rows:
+    """Return rows with versions of the era in which they were written."""
+    era = part.row_era(rows.version.era)
+    versioned = (replace(row, version=replace(row.version, era=era)) for row in rows.rows)
+    return replace(rows, rows=tuple(versioned))
+
+
 def _rows(result: Result[tuple[RowState, float], StoreError]) -> Result[Rows, StoreError]:
     if isinstance(result, Err):
         return result
--- a/indigoworks_lab/control_simulation/simulated_node.py
+++ b/indigoworks_lab/control_simulation/simulated_node.py
@@ -23,6 +23,7 @@
 from indigoworks.ownership.control_group import CONTROL_TABLE
 from indigoworks.ownership.ownership_tables import OwnershipTables
 from indigoworks.reach.reach_subsystem import ReachSubsystem
+from indigoworks.rowstore.probing_store import ProbingStore
 from indigoworks.rowstore.store_health import StoreHealth
 from indigoworks.rowstore.transaction import RowPut
 from indigoworks.servers.server_record import ServerRecord
@@ -201,7 +202,13 @@
         )
         return PlatformPorts(
             names=HeaderNames(*([""] * 8)),
-            store=store,
+            store=ProbingStore(
+                store,
+                lambda: self._directory.count_others() + 1,
+                self._directory.has_many,
+                Random(f"{self.boot}:probes"),
+                self._clock,
+            ),
             health=health,
             orders=orders,
             configuration_table=CONFIGURATION_TABLE,
--- a/indigoworks_lab/crash_simulation/group_store.py
+++ b/indigoworks_lab/crash_simulation/group_store.py
@@ -9,6 +9,7 @@
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.rows import Rows
 from indigoworks.rowstore.store_version import StoreVersion
+from indigoworks.rowstore.table_part import UNDIVIDED, TablePart
 from indigoworks.rowstore.transaction import ABSENT, Transaction
 
 COMMIT_S = 0.005
@@ -38,7 +39,7 @@
         else:
             self._on_row(self.rows[key])
 
-    async def read(self, table: str, part: str) -> Result[Rows, StoreError]:
+    async def read(self, table: str, part: TablePart) -> Result[Rows, StoreError]:
         """Return all rows."""
         await asyncio.sleep(COMMIT_S)
         now_s = asyncio.get_running_loop().time()
@@ -48,7 +49,7 @@
         self, table: str, after: StoreVersion, wait_s: float
     ) -> Result[Rows, StoreError]:
         """Return all rows: the simulation hands changes on itself."""
-        return await self.read(table, "")
+        return await self.read(table, UNDIVIDED)
 
     async def commit(self, transaction: Transaction) -> Result[StoreVersion, StoreError]:
         """Make a transaction if its conditions hold."""
