A leader whose write is refused by a condition acts no more until it has read the rows again

Cause: a failed condition on rows that only leaders write shows that the leader's view is wrong. It was handled like a lost answer: the proof of before stayed valid for its lease of 6 s, and rows that were read as they had been known were believed again.

Change: ProofRecord (out of Leadership) keeps the newest proof; a conflict discards it and every later one that was true before. TableWriter reads the rows at once and hands over if they do not explain the failure; a failed rewrite of the leader row counts as well. Ruled out: resigning on each conflict, since a leader's own write that is applied late explains most of them (third scenario).

--- a/indigoworks/gateway/control_subsystem.py
+++ b/indigoworks/gateway/control_subsystem.py
@@ -124,7 +124,7 @@
         self.send_report_now: Callable[[], None] = _nothing
         self.owners_changed: Callable[[], None] = _nothing
         self._review_after_reports = CoalescedCall(lambda: self.owners_changed(), REVIEW_DELAY_S)
-        self.on_rows: Callable[[Sequence[Row]], None] = _ignore_rows
+        self.on_rows: Callable[[Sequence[Row]], None] = lambda rows: None
         self.member = GroupMember(self.leadership, self._make_leader, clock)
         self.follower = TableFollower(
             ports.store,
@@ -136,6 +136,7 @@
             self._apply_rows,
             self.leadership.record_proof,
         )
+        self.leadership.proof.on_conflict = self.follower.request_reread
         platform.on_store_path_failed(self.follower.request_reread)
         ports.health.eras.on_new(self.follower.request_reread)
         self.group_version = NO_VERSION
@@ -292,9 +293,5 @@
         return self._server_stats.service_time_by_id_s(server_id)
 
 
-def _ignore_rows(rows: Sequence[Row]) -> None:
-    """Default of a callback until the gateway sets it."""
-
-
 def _nothing() -> None:
     """Default of a callback until the gateway sets it."""
--- a/indigoworks/ownership/leader_fitness.py
+++ b/indigoworks/ownership/leader_fitness.py
@@ -55,7 +55,7 @@
             is_named = self._leadership.is_named()
             await self._clock.sleep(CHECK_PERIOD_S if is_named else FOLLOWER_CHECK_PERIOD_S)
             if self._leadership.may_act() and self._should_hand_over():
-                await self._leadership.hand_over()
+                await self._leadership.hand_over("out_of_reach")
 
     async def may_lead(self, is_given_up: bool) -> bool:
         """Return whether this process may challenge now; tests connections to a few servers.
--- a/indigoworks/ownership/leader_log.py
+++ b/indigoworks/ownership/leader_log.py
@@ -84,7 +84,8 @@
 ) -> None:
     """Log that this process gave up the leadership.
 
-    :param reason: the process stops, or servers are out of its reach.
+    :param reason: the process stops, servers are out of its reach, or the rows that it reads do not
+        explain why its writes fail.
     :param order_fields: as of the time at which it stopped acting.
     """
     log_message(
--- a/indigoworks/ownership/leader_resignation.py
+++ b/indigoworks/ownership/leader_resignation.py
@@ -35,13 +35,13 @@
         if is_named:
             await self._give_up_row("stops")
 
-    async def hand_over(self, epoch: int, is_named_for: Callable[[int], bool]) -> None:
+    async def hand_over(self, epoch: int, reason: str, is_named_for: Callable[[int], bool]) -> None:
         """Give up an epoch; returns once the row no longer names this process for it."""
         self._handed_over_epoch = epoch
         self._handed_over_s = self._clock.now()
         is_written = False
         while is_named_for(epoch):
-            is_written = is_written or await self._give_up_row("out_of_reach")
+            is_written = is_written or await self._give_up_row(reason)
             await self._clock.sleep(HANDOVER_RETRY_S)
 
     def is_given_up(self, epoch: int) -> bool:
--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -28,6 +28,7 @@
 from indigoworks.ownership.may_lead import MayLead, may_always_lead
 from indigoworks.ownership.order_tracker import OrderTracker
 from indigoworks.ownership.predecessor_bound import PredecessorBound
+from indigoworks.ownership.proof_record import ProofRecord
 from indigoworks.rowstore.errors import ConditionFailed, StoreError
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
@@ -52,6 +53,7 @@
 
     :ivar may_lead: asked before each challenge.
     :ivar has_read: the group's rows have been read.
+    :ivar proof: newest proof of leadership.
     :ivar predecessor: the leader row before the newest one, if the newest names this process.
     :ivar former: what was known of the group when the previous era ended.
     :ivar era_seen_s: clock reading at which this process learnt of the current era.
@@ -78,12 +80,11 @@
         self._health = health
         self._clock = clock
         self._challenge_delay = challenge_delay
-        self._row = NO_LEADER
-        self.predecessor = NO_LEADER
+        self._row = self.predecessor = NO_LEADER
         self.former = NO_FORMER_ERA
         self._row_seen_s = self.era_seen_s = self.others_led_until_s = clock.now()
         self.has_read = self._has_read_era = False
-        self._proof_s: float | None = None
+        self.proof = ProofRecord(self.is_named, clock)
         self._followed_s = float("-inf")
         self._acting_epoch: int | None = None
         self._changed = asyncio.Event()
@@ -115,8 +116,7 @@
 
     def record_commit(self, sent_s: float) -> None:
         """Record that a transaction conditioned on our leader row was committed."""
-        if self.is_named() and (self._proof_s is None or sent_s > self._proof_s):
-            self._proof_s = sent_s
+        self.proof.record(sent_s)
 
     def record_former_row(self, row: LeaderRow) -> None:
         """Record a leader row of an earlier era that is found in the store."""
@@ -143,7 +143,8 @@
         self._row_seen_s = self.era_seen_s = self._clock.now()
         if not (is_led and self.is_first_in_era()):
             self.others_led_until_s = self.era_seen_s
-        self._row, self.predecessor, self._proof_s = NO_LEADER, NO_LEADER, None
+        self._row, self.predecessor = NO_LEADER, NO_LEADER
+        self.proof.discard()
         self._has_read_era = False
         self._changed.set()
 
@@ -199,14 +200,12 @@
 
     def proof_age_s(self) -> float:
         """Return the age of the newest proof of leadership; infinity: there is none."""
-        if self._proof_s is None or not self.is_named():
-            return float("inf")
-        return self._clock.now() - self._proof_s
+        return self.proof.age_s()
 
     def state(self) -> LeaderState:
         """Return the state of this process as leader, for the log."""
         is_given_up = self._resignation.is_given_up(self._row.epoch)
-        has_proof, has_acted = self._proof_s is not None, self._acting_epoch is not None
+        has_proof, has_acted = self.proof.is_known, self._acting_epoch is not None
         return LeaderState.of(is_given_up, self.is_named(), has_proof, has_acted)
 
     def condition(self) -> ExpectedVersion:
@@ -236,16 +235,16 @@
         """Give up the leadership for good, so that others can take over at once."""
         await self._resignation.resign(self.is_named())
 
-    async def hand_over(self) -> None:
+    async def hand_over(self, reason: str) -> None:
         """Give up this epoch, so that another process takes over; this one may challenge later."""
         await self._resignation.hand_over(
-            self._row.epoch, lambda epoch: self.is_named() and self._row.epoch == epoch
+            self._row.epoch, reason, lambda epoch: self.is_named() and self._row.epoch == epoch
         )
 
     async def _give_up_row(self, reason: str) -> bool:
         """Write a row that names nobody; returns whether the store took it."""
         row = replace(self._row, node="", boot="", version=NO_VERSION)
-        self._proof_s = None
+        self.proof.discard()
         open_orders = leader_log.order_fields(self._orders)
         result = await self._writer.write(row, self.condition())
         leader_log.log_resigned(row.epoch, reason, result.is_ok(), open_orders)
@@ -278,6 +277,8 @@
         if isinstance(result, Ok):
             self._accept_row(replace(row, version=result.unwrap()))
             self.record_commit(sent_s)
+        elif self.is_named() and isinstance(result.unwrap_err(), ConditionFailed):
+            self.proof.record_conflict(row.epoch)
         return result
 
     def _accept_row(self, row: LeaderRow) -> None:
@@ -293,7 +294,7 @@
         self._row_seen_s = self._clock.now()
         self._changed.set()
         if was_ours and not self.is_named():
-            self._proof_s = None
+            self.proof.discard()
             leader_log.log_lost(row.epoch, row.node, self._orders)
         elif not self.is_named():
             leader_log.log_seen(row)
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -15,6 +15,7 @@
 from indigoworks.ownership.leadership import Leadership
 from indigoworks.ownership.ownership_table import OwnershipTable
 from indigoworks.ownership.ownership_tables import OWNERS_PREFIX, OwnershipTables
+from indigoworks.rowstore.errors import ConditionFailed
 from indigoworks.rowstore.row import Row
 from indigoworks.rowstore.row_store import RowStore
 from indigoworks.rowstore.transaction import ExpectedVersion, RowPut, Transaction
@@ -65,7 +66,8 @@
 
     async def reread(self) -> bool:
         """Read all rows of the group; returns False if this process no longer leads."""
-        while self._leadership.proof_age_s() < LEADER_LEASE_S:
+        until_s = self._clock.now() + LEADER_LEASE_S
+        while self._leadership.is_named() and self._clock.now() < until_s:
             part = self._group.part
             result = await self._store.read(CONTROL_TABLE, part)
             # An era may begin between the response and this turn of the event loop.
@@ -124,19 +126,24 @@
                 self._keepers.resume(table.service)
                 return False
             sent_s = self._clock.now()
-            result = await self._store.commit(self._transaction(table))
+            transaction = self._transaction(table)
+            result = await self._store.commit(transaction)
         if isinstance(result, Err):
+            error = result.unwrap_err()
             log_message(
                 message_type="ownership:write_failed",
                 level="WARNING",
                 service=table.service,
                 reason=reason,
-                error=result.unwrap_err().kind,
+                error=error.kind,
             )
             # The write may still be applied: ranges that it takes from owners are not renewed until
             # another write of this row rules it out.
             self._unsettled.add(table.service)
-            await self.reread()
+            if isinstance(error, ConditionFailed):
+                await self._resolve_conflict(table, transaction)
+            else:
+                await self.reread()
             return False
         self._unsettled.discard(table.service)
         self._leadership.record_commit(sent_s)
@@ -156,6 +163,17 @@
         )
         return True
 
+    async def _resolve_conflict(self, table: OwnershipTable, failed: Transaction) -> None:
+        """Read the rows that a failed condition names; hand over if they do not explain it.
+
+        A leader whose reads and writes disagree cannot know who holds which keys.
+        """
+        self._leadership.proof.record_conflict(self._leadership.row.epoch)
+        has_read = await self.reread()
+        newest = self._tables.table(table.service)
+        if has_read and self._transaction(newest).expected == failed.expected:
+            await self._leadership.hand_over("conflict")
+
     def _starts(self, table: OwnershipTable) -> dict[str, int]:
         """Return when the owners in a table started, as far as that is known."""
         if self._servers is None:
