A loss that no connection test can judge is kept until the server list shows what became of the server

Cause: a server counts as crashed if it accepts no connection while another server accepts one. With one server there is no other; PathMonitor.is_sound then tests the server that has failed, and the crash was never counted. A server that is back at once refuses no connection, with the same effect. Ruled out: counting at once where no other server is listed, which takes a cut that refuses connections for a crash.

--- a/features/steps/gateway_crash_steps.py
+++ b/features/steps/gateway_crash_steps.py
@@ -37,6 +37,20 @@
         "end as they do": {},
         "say nothing more when they end": {"is_dark": True},
         "start again under their id": {"keeps_id": True},
+        "are back before a connection is refused": {
+            "keeps_id": True,
+            "down_s": 0.0,
+            "move_s": 0.0,
+            "listed_s": 0.2,
+            "lapse_s": 0.2,
+        },
+        "are back before a connection is refused, and listed late": {
+            "keeps_id": True,
+            "down_s": 0.0,
+            "move_s": 0.0,
+            "listed_s": 1.0,
+            "lapse_s": 1.0,
+        },
         "are back at once": {"down_s": 0.4, "lapse_s": 0.5, "move_s": 0.3},
     }
     context.crash_shape = replace(context.crash_shape, **changes[how])
--- a/indigoworks/gateway/crash_attribution.py
+++ b/indigoworks/gateway/crash_attribution.py
@@ -7,12 +7,14 @@
 from indigoworks.gateway.reachability_monitor import ReachabilityMonitor
 from indigoworks.gateway.refusal import Refusal, RefusalReason
 from indigoworks.gateway.request_state import RequestState
-from indigoworks.gateway.server_response import ExchangeResult, ServerResponse
+from indigoworks.gateway.server_response import BROKEN, ExchangeResult, ServerResponse
+from indigoworks.gateway.unresolved_losses import RequestLoss, UnresolvedLosses
 from indigoworks.quarantine.crash_ids import NO_WINDOW
 from indigoworks.quarantine.doubt import Doubt
 from indigoworks.quarantine.doubt_table import DoubtTable
 from indigoworks.quarantine.quarantine import Quarantine
 from indigoworks.quarantine.request_content import RequestContent
+from indigoworks.quarantine.request_mark import mark_scopes
 from indigoworks.reach.path_monitor import PathMonitor
 from indigoworks.servers.server_list import ServerList
 from indigoworks.servers.server_record import ServerRecord
@@ -32,7 +34,7 @@
 
     A broken connection alone does not prove a crash: responses get lost and links fail. A server
     counts as crashed only if no new connection can be opened right afterwards, and one to another
-    server can. Until that is known
+    server can, or once the server list shows that its process has ended. Until that is known
     here and at the peers, the request is in doubt: otherwise a harmful request that many callers
     send would crash a server with each attempt in the meantime.
     """
@@ -53,6 +55,7 @@
         self._servers = servers
         self._clock = clock
         self._verdicts: set[asyncio.Task[None]] = set()
+        self.losses = UnresolvedLosses(servers, self._record_loss, self._is_unreached, clock)
 
     def refusal(self, request: ClientRequest) -> Refusal | None:
         """Return the refusal of a quarantined request; None if it may be sent."""
@@ -112,6 +115,7 @@
 
     def close(self) -> None:
         """Cancel pending verdicts."""
+        self.losses.close()
         for task in self._verdicts:
             task.cancel()
 
@@ -137,6 +141,7 @@
         if not has_crashed:
             if doubt is not None:
                 self._doubts.lift(doubt)
+            self._keep_if_unresolved(state, server, response, lost_s, known_windows)
             return
         request_id = state.request.request_id
         state.servers_crashed += 1
@@ -145,6 +150,32 @@
             known_windows = self._with_doubt_window(content, known_windows, state.doubt_window)
         self._quarantine.record_crash(content, request_id, server.server_id, lost_s, known_windows)
 
+    def _keep_if_unresolved(
+        self,
+        state: RequestState,
+        server: ServerRecord,
+        response: ServerResponse,
+        lost_s: float,
+        known_windows: tuple[int, ...],
+    ) -> None:
+        """Keep a loss until the server list shows whether the server has crashed."""
+        is_broken = response.result is ExchangeResult.LOST and response.detail == BROKEN
+        if is_broken or not self._reachability.is_in_reach(server):
+            scopes = mark_scopes(self._content(state.request))
+            request_id = state.request.request_id
+            self.losses.add(RequestLoss(scopes, request_id, server, lost_s, known_windows))
+
+    def _record_loss(self, loss: RequestLoss) -> None:
+        self._quarantine.record_marked_crash(
+            loss.scopes, loss.request_id, loss.server.server_id, loss.lost_s, loss.known_windows
+        )
+
+    async def _is_unreached(self, server: ServerRecord) -> bool:
+        """Return whether a server accepts no connection now, while another one does."""
+        now_s = self._clock.now()
+        has_responded = await self._reachability.has_responded_since(server, now_s)
+        return not has_responded and await self._path.is_sound(now_s)
+
     async def _broadcast_unless_alive(self, doubt: Doubt, verdict: "asyncio.Future[bool]") -> None:
         """Announce a doubt to the peers unless the server accepts a new connection right away."""
         done, _ = await asyncio.wait({verdict}, timeout=BROADCAST_DELAY_S)
--- a/indigoworks/gateway/reachability_monitor.py
+++ b/indigoworks/gateway/reachability_monitor.py
@@ -73,6 +73,10 @@
             await self._check_now(server)
         return False
 
+    def is_in_reach(self, server: ServerRecord) -> bool:
+        """Return whether a server is not known to be out of reach."""
+        return not self._server_stats.down.is_down(server.server_id)
+
     async def is_reachable(self, server: ServerRecord) -> bool:
         """Return whether a silent server can be reached; checks it unless the result is fresh."""
         if self._clock.now() - self._last_contact_s(server) < FRESH_S:
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -102,7 +102,7 @@
         self.sender.on_notice = platform.servers.record_notice
         self.sender.is_held_back = platform.servers.is_held_back
         self.notices = NoticeReports(settings.node, platform.servers)
-        self.on_notice: Callable[[], None] = _nothing
+        self.on_notice: Callable[[], None] = lambda: None
         platform.servers.notices.rests.on_change = self._on_server_notice
         platform.servers.notices.on_leaving = self._on_server_notice
         (limits := platform.servers.notices.limits).on_change = self._on_server_notice
@@ -173,6 +173,7 @@
         self._crash_attribution = CrashAttribution(
             self.quarantine, self.doubts, self.reachability, reach.path, platform.servers, clock
         )
+        self.unresolved_losses = self._crash_attribution.losses
         self.doubts.on_last_lifted = self._open_lock
         refusals = ConfigurationRefusals(platform.configurations, responses, log, clock)
         failures = FailureResponses(responses, platform.servers, self.server_stats, log)
@@ -291,7 +292,3 @@
         self.forward_client.close()
         self._dispatching.close()
         self.dispatchers.client.close()
-
-
-def _nothing() -> None:
-    """Default of a callback until it is set."""
--- a/indigoworks/quarantine/quarantine.py
+++ b/indigoworks/quarantine/quarantine.py
@@ -1,7 +1,7 @@
 """Quarantine: refuses requests that crash one server after another."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from eliot import log_message
 
@@ -15,7 +15,7 @@
     window_of,
 )
 from indigoworks.quarantine.request_content import RequestContent
-from indigoworks.quarantine.request_mark import RequestMark, mark_of
+from indigoworks.quarantine.request_mark import MarkedRequest, RequestMark, mark_scopes
 from indigoworks.quarantine.served_requests import ServedRequests
 from indigoworks.quarantine.suspect import Suspect
 from indigoworks.quarantine.suspect_report_queue import SuspectReportQueue
@@ -25,11 +25,6 @@
 """Characters of a path and query that a log line contains."""
 
 
-def _identity(at_s: float) -> float:
-    """Default for `to_common_s` where all gateways share one clock."""
-    return at_s
-
-
 class Quarantine:
     """Requests during which servers crashed, as known to all gateways together.
 
@@ -48,7 +43,9 @@
     :ivar on_crash: called with each suspect of a crash that this process detected.
     """
 
-    def __init__(self, clock: Clock, to_common_s: Callable[[float], float] = _identity) -> None:
+    def __init__(
+        self, clock: Clock, to_common_s: Callable[[float], float] = lambda at_s: at_s
+    ) -> None:
         self._clock = clock
         self._to_common_s = to_common_s
         self._table = SuspectTable(clock)
@@ -58,10 +55,10 @@
         self._own_crashes: deque[int] = deque(maxlen=2 * MAX_SUSPECTS)
         self.refused = 0
         self.refused_innocents = 0
-        self.on_unreported: Callable[[], None] = _do_nothing
-        self.on_status_change: Callable[[Suspect], None] = _ignore_suspect
-        self.on_refusal: Callable[[Suspect], None] = _ignore_suspect
-        self.on_crash: Callable[[Suspect], None] = _ignore_suspect
+        self.on_unreported: Callable[[], None] = lambda: None
+        self.on_status_change: Callable[[Suspect], None] = lambda suspect: None
+        self.on_refusal: Callable[[Suspect], None] = lambda suspect: None
+        self.on_crash: Callable[[Suspect], None] = lambda suspect: None
 
     # ---- requests ----
 
@@ -127,15 +124,25 @@
         :param known_windows: `known_windows()` at the time when the request was sent; crashes known
             then and this one count separately. Empty: none was known.
         """
+        self.record_marked_crash(mark_scopes(content), request_id, server_id, at_s, known_windows)
+
+    def record_marked_crash(
+        self,
+        scopes: Sequence[MarkedRequest],
+        request_id: str,
+        server_id: str,
+        at_s: float,
+        known_windows: tuple[int, ...],
+    ) -> None:
+        """Record a crash under a request that was marked before, such as when it was lost."""
         common_s = self._to_common_s(at_s)
-        scopes = content.scopes()
-        for scope, known_window in zip(
+        for marked, known_window in zip(
             scopes, known_windows or (NO_WINDOW,) * len(scopes), strict=True
         ):
+            scope, mark = marked.content, marked.mark
             make = make_shared_crash_id if scope.is_shared else make_caller_crash_id
             crash_id = make(common_s, known_window, server_id)
             self._own_crashes.append(crash_id)
-            mark = mark_of(scope)
             known = self._table.get(mark) or _new_suspect(mark, scope.is_shared)
             if known.is_cleared_since(at_s):
                 continue
@@ -289,11 +296,3 @@
 
 def _is_unchanged(one: Suspect, other: Suspect) -> bool:
     return (one.generation, one.crashes) == (other.generation, other.crashes)
-
-
-def _do_nothing() -> None:
-    """Default callback; does nothing."""
-
-
-def _ignore_suspect(suspect: Suspect) -> None:
-    """Default callback; does nothing."""
--- a/indigoworks/quarantine/request_mark.py
+++ b/indigoworks/quarantine/request_mark.py
@@ -1,6 +1,6 @@
 """Mark of a request: a 128-bit fingerprint of its content."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 
 from indigoworks.quarantine.request_content import RequestContent
@@ -45,5 +45,22 @@
     return RequestMark(head_of(content), body_of(content))
 
 
+@dataclass(frozen=True, slots=True)
+class MarkedRequest:
+    """A content and its mark; the body is left out, as the mark stands for it."""
+
+    content: RequestContent
+    mark: RequestMark
+
+
+def mark_scopes(content: RequestContent) -> tuple[MarkedRequest, ...]:
+    """Return what a crash under a request counts against."""
+    body = body_of(content)
+    return tuple(
+        MarkedRequest(replace(each, body=b""), RequestMark(head_of(each), body))
+        for each in content.scopes()
+    )
+
+
 def _digest(data: bytes) -> int:
     return int.from_bytes(blake2b(data, digest_size=DIGEST_BYTES).digest(), "big")
--- a/indigoworks_lab/crash_simulation/crash_machine.py
+++ b/indigoworks_lab/crash_simulation/crash_machine.py
@@ -12,6 +12,8 @@
 MISDIRECTED = 421
 SERVED = 200
 PORT = 80
+FIRST_START_MS = 1_000_000
+MS_PER_S = 1000.0
 
 
 class CrashMachine:
@@ -20,6 +22,7 @@
     :param is_harmful: tells whether a server ends under a target.
     :param loses_answer: tells of a run that ended well whether its answer is lost.
     :param on_end: called with the machine when its process has ended.
+    :ivar started_ms: milliseconds of the newest start on the wall clock.
     :ivar runs: every run that began here.
     :ivar fault: how it fails; None: it does not.
     :ivar honest_errors: share of the runs that it answers with its own 500.
@@ -47,6 +50,7 @@
         self.is_up = False
         self.is_dark = False
         self.life = 0
+        self.started_ms = 0
         self.runs: list[MachineRun] = []
         self.wishes = MachineWishes()
         self.fault: MachineFault | None = None
@@ -70,6 +74,7 @@
     def start(self) -> None:
         """Start a new life."""
         self.life += 1
+        self.started_ms = FIRST_START_MS + round(MS_PER_S * asyncio.get_running_loop().time())
         self.is_up = True
         self._in_hand = {}
         self._free = asyncio.Semaphore(self.slots)
--- a/indigoworks_lab/crash_simulation/crash_shape.py
+++ b/indigoworks_lab/crash_simulation/crash_shape.py
@@ -14,6 +14,7 @@
     :ivar down_s: from the end of a server to its next life.
     :ivar lapse_s: from the end of a server to the end of its entry.
     :ivar move_s: from the end of a server to the moment at which its keys have another owner.
+    :ivar listed_s: from the start of a life to its entry in the list.
     :ivar keeps_id: a server that starts again has the id that it had.
     :ivar has_brokers: gateways reach each other's brokers, as they do where nothing is cut;
         otherwise each decides by its own knowledge.
@@ -29,6 +30,7 @@
     down_s: float = 3.4
     lapse_s: float = 3.9
     move_s: float = 1.5
+    listed_s: float = 0.0
     keeps_id: bool = False
     has_brokers: bool = True
 
--- a/indigoworks_lab/crash_simulation/crash_simulation.py
+++ b/indigoworks_lab/crash_simulation/crash_simulation.py
@@ -239,14 +239,21 @@
                 gateway.side.queue.capacity_changed()
         await asyncio.sleep(self.shape.down_s - self.shape.move_s)
         machine.start()
-        for gateway in self.living_gateways():
-            gateway.platform.servers.put(self._record(machine))
-            gateway.side.servers_changed()
-        await asyncio.sleep(self.shape.lapse_s - self.shape.down_s)
+        life = machine.life
+        await asyncio.sleep(self.shape.listed_s)
+        if machine.life == life:
+            self.write_entry(machine)
+        await asyncio.sleep(self.shape.lapse_s - self.shape.down_s - self.shape.listed_s)
         for gateway in [] if self.shape.keeps_id else self.living_gateways():
             gateway.platform.servers.remove(ended_id)
             gateway.side.servers_changed()
 
+    def write_entry(self, machine: CrashMachine) -> None:
+        """Let all gateways learn of the entry that a machine writes now."""
+        for gateway in self.living_gateways():
+            gateway.platform.servers.put(self._record(machine))
+            gateway.side.servers_changed()
+
     def _record(self, machine: CrashMachine) -> ServerRecord:
         self._entry_version += 1
         return ServerRecord(
@@ -258,4 +265,5 @@
             is_draining=False,
             warm_up_left_s=0.0,
             version=StoreVersion(0, self._entry_version),
+            started_ms=machine.started_ms,
         )
