An own write without an answer explains one conflict of a leader

The leader's rewrite of its row failed by a condition because its write before, whose answer was lost, had been applied; the store was slow, the read took 1.8 s, no beat went out meanwhile, and another process took over with bounds of 20 s.

Change: a write that was not answered is remembered in ProofRecord and explains one conflict: the leader reads the rows at once and goes on under its lease, as before. Rows that do not explain the failure still make it hand over, and an unexplained conflict still ends its proof.

--- a/indigoworks/ownership/leadership.py
+++ b/indigoworks/ownership/leadership.py
@@ -277,8 +277,8 @@
         if isinstance(result, Ok):
             self._accept_row(replace(row, version=result.unwrap()))
             self.record_commit(sent_s)
-        elif self.is_named() and isinstance(result.unwrap_err(), ConditionFailed):
-            self.proof.record_conflict(row.epoch)
+        elif self.is_named():
+            self.proof.record_failed_write(result.unwrap_err(), row.epoch)
         return result
 
     def _accept_row(self, row: LeaderRow) -> None:
--- a/indigoworks/ownership/table_writer.py
+++ b/indigoworks/ownership/table_writer.py
@@ -140,10 +140,10 @@
             # The write may still be applied: ranges that it takes from owners are not renewed until
             # another write of this row rules it out.
             self._unsettled.add(table.service)
-            if isinstance(error, ConditionFailed):
-                await self._resolve_conflict(table, transaction)
-            else:
-                await self.reread()
+            self._leadership.proof.record_failed_write(error, self._leadership.row.epoch)
+            has_read = await self.reread()
+            if has_read and isinstance(error, ConditionFailed):
+                await self._hand_over_if_unexplained(table, transaction)
             return False
         self._unsettled.discard(table.service)
         self._leadership.record_commit(sent_s)
@@ -163,15 +163,13 @@
         )
         return True
 
-    async def _resolve_conflict(self, table: OwnershipTable, failed: Transaction) -> None:
-        """Read the rows that a failed condition names; hand over if they do not explain it.
+    async def _hand_over_if_unexplained(self, table: OwnershipTable, failed: Transaction) -> None:
+        """Hand over if the rows that a failed condition names are as this process knew them.
 
         A leader whose reads and writes disagree cannot know who holds which keys.
         """
-        self._leadership.proof.record_conflict(self._leadership.row.epoch)
-        has_read = await self.reread()
         newest = self._tables.table(table.service)
-        if has_read and self._transaction(newest).expected == failed.expected:
+        if self._transaction(newest).expected == failed.expected:
             await self._leadership.hand_over("conflict")
 
     def _starts(self, table: OwnershipTable) -> dict[str, int]:
@@ -184,6 +182,12 @@
 
     def _transaction(self, table: OwnershipTable) -> Transaction:
         key = OWNERS_PREFIX + table.service
-        expected = ExpectedVersion(CONTROL_TABLE, key, table.version)
-        put = RowPut(CONTROL_TABLE, key, table.encode())
-        return self._group.transaction((self._leadership.condition(), expected), (put,))
+        return Transaction(
+            self._group.eras.current,
+            self._group.part.name,
+            (
+                self._leadership.condition(),
+                ExpectedVersion(CONTROL_TABLE, key, table.version),
+            ),
+            (RowPut(CONTROL_TABLE, key, table.encode()),),
+        )
