Each request that was read gets a response before a stopping process ends

Cause: the end of the process and the leaving of the caller were one cancellation, which writes nothing; requests that no server had waited for that moment too, and forwarded ones got the time that callers' requests had left. Evidence: the ends lie at SIGTERM + 5.6 s, where the process exits. Ruled out: the servers' breaking off (they held the connections open) and time-outs of routes (5 s, ahead).

Change: ActiveRequests tells the two causes apart; RequestShutdown (out of Gateway) refuses with 503 what no server has when listening ends, and what arrives later, and answers 502 to what a server or peer still has 0.8 s before the kill, in the last sixth of the grace. Callers' and forwarded requests side by side. What is in hand is not ended sooner by a server's silence.

--- a/features/steps/gateway_process_world.py
+++ b/features/steps/gateway_process_world.py
@@ -151,4 +151,5 @@
 
     def _read_configuration(self, value):
         keyed = make_route("k", "/k/", (KEYED,))
-        return Ok(make_configuration(int(value), make_route(), keyed, services=SERVICES))
+        unsafe = make_route("u", "/unsafe/", is_repeatable=False)
+        return Ok(make_configuration(int(value), make_route(), keyed, unsafe, services=SERVICES))
--- a/indigoworks/gateway/failure_responses.py
+++ b/indigoworks/gateway/failure_responses.py
@@ -34,6 +34,11 @@
         self._log.refused(state.request, state, refusal)
         return self._responses.refused(state.request, refusal)
 
+    def ended(self, state: RequestState) -> ClientResponse:
+        """Report the end of a request that the process cannot finish before it stops."""
+        state.may_have_run |= state.is_outcome_open
+        return self.refuse(state, Refusal(RefusalReason.STOPPING, 0.0))
+
     def lost(self, state: RequestState, detail: str) -> ClientResponse:
         """Report that the request may have run."""
         self._log.lost(state, detail)
--- a/indigoworks/gateway/gateway.py
+++ b/indigoworks/gateway/gateway.py
@@ -40,16 +40,6 @@
 from indigoworks.relay.relayed_store import FEED_PATH
 
 MAINTENANCE_PERIOD_S = 1.0
-LISTEN_AFTER_STOP_S = 2.6
-"""Time after the stop signal for which new connections are accepted: the load balancer sends
-callers here until two readiness probes have failed."""
-
-EXIT_MARGIN_S = 0.4
-"""Time by which the process exits before it would be killed."""
-
-LISTEN_SHARE = 0.5
-"""Largest share of the time until exit for which new connections are accepted; the rest is left for
-requests in flight. Takes effect only if that time is shorter than twice LISTEN_AFTER_STOP_S."""
 
 
 class Gateway:
@@ -233,19 +223,10 @@
         log_message(
             message_type="process:stopping", in_progress=self._requests.front.in_progress.count
         )
-        started_s = self._clock.now()
         self._status.is_stopping = True
-        self._requests.front.is_stopping = True
-        self._requests.forward_server.is_stopping = True
         self._requests.brokers.broker.is_stopping = True
         resigning = asyncio.ensure_future(self._control.leadership.resign())
-        stop_s = max(0.0, self._settings.stop_grace_s - EXIT_MARGIN_S)
-        await self._clock.sleep(min(LISTEN_AFTER_STOP_S, LISTEN_SHARE * stop_s))
-        self._requests.front.stop_listening()
-        left_s = stop_s - (self._clock.now() - started_s)
-        await self._requests.front.finish(left_s)
-        left_s = stop_s - (self._clock.now() - started_s)
-        await self._requests.forward_server.finish(left_s)
+        await self._requests.shutdown.run(self._settings.stop_grace_s)
         resigning.cancel()
         self._tasks.cancel_all()
         self._requests.close()
--- a/indigoworks/gateway/refusal.py
+++ b/indigoworks/gateway/refusal.py
@@ -26,6 +26,8 @@
     """The process has no room for its body."""
     SUSPECT = "suspect"
     """A server crashed under an attempt of it, and another attempt is in flight or waiting."""
+    STOPPING = "stopping"
+    """The process stops and sends nothing more; other gateways serve the request."""
     QUARANTINED = "quarantined"
     """Several servers crashed under it."""
 
--- a/indigoworks/gateway/request_dispatching.py
+++ b/indigoworks/gateway/request_dispatching.py
@@ -97,9 +97,11 @@
         if is_repeatable and self._check is None:
             self._schedule_check()
         message = self._messages.message(state, is_for_dispatcher=True)
+        state.is_outcome_open = True
         result = await self._client.send(
             choice.peer, message, left_s + REPLY_MARGIN_S, is_repeatable
         )
+        state.is_outcome_open = False
         if isinstance(result, ForwardFailure):
             return self._without_reply(state, choice, result)
         if result.outcome is ForwardOutcome.DECLINED:
--- a/indigoworks/gateway/request_forwarding.py
+++ b/indigoworks/gateway/request_forwarding.py
@@ -89,9 +89,11 @@
         self._offered[peer.node] += 1
         state.forwarded_to.append(peer.node)
         left_s = state.deadline_s - self._clock.now()
+        state.is_outcome_open = True
         result = await self._client.send(
             peer, self.messages.message(state), left_s + REPLY_MARGIN_S
         )
+        state.is_outcome_open = False
         self._record(state, peer, result)
         if isinstance(result, ForwardFailure):
             return self._without_reply(state, peer, result)
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from indigoworks.common.clock import Clock
+from indigoworks.gateway.active_requests import ActiveRequests
 from indigoworks.gateway.attempt_gate import AttemptGate
 from indigoworks.gateway.client_request import ClientRequest
 from indigoworks.gateway.client_response import ClientResponse
@@ -55,6 +56,7 @@
         forwarding: RequestForwarding,
         server_stats: ServerStats,
         crash_attribution: CrashAttribution,
+        active: ActiveRequests,
         gate: AttemptGate,
         retry_budget: LocalRetryBudget,
         retry_policy: RetryPolicy,
@@ -71,6 +73,7 @@
         self._forwarding = forwarding
         self._server_stats = server_stats
         self._crash_attribution = crash_attribution
+        self._active = active
         self._gate = gate
         self._retry_budget = retry_budget
         self._retry_policy = retry_policy
@@ -86,11 +89,7 @@
         if not isinstance(state, RequestState):
             return state
         self._record_request(state)
-        try:
-            return await self._attempts(state)
-        except asyncio.CancelledError:
-            self._log.cancelled(state)
-            raise
+        return await self._attempts(state)
 
     async def run_forwarded(
         self,
@@ -116,21 +115,24 @@
             state.may_have_run_at.update(tried)
         if self._forwarding.is_out_of_reach(state):
             return None
-        try:
-            response = await self._attempts(state)
-        except asyncio.CancelledError:
-            self._log.cancelled(state)
-            raise
+        response = await self._attempts(state)
         is_refused = response.outcome is ResponseOutcome.REFUSED
         if is_refused and self._forwarding.is_out_of_reach(state):
             return None
         return ForwardedResult(response, tuple(state.tried[len(tried) :]), state.is_repeat_due)
 
     async def _attempts(self, state: RequestState) -> ClientResponse:
-        while True:
-            final = await self._attempt(state)
-            if final is not None:
-                return final
+        with self._active.track(state):
+            try:
+                while not self._active.is_closed:
+                    final = await self._attempt(state)
+                    if final is not None:
+                        return final
+            except asyncio.CancelledError:
+                if not self._active.has_ended(state):
+                    self._log.cancelled(state)
+                    raise
+            return self._failures.ended(state)
 
     async def _attempt(self, state: RequestState) -> ClientResponse | None:
         """Return the final response; None if another attempt is due."""
--- a/indigoworks/gateway/request_sender.py
+++ b/indigoworks/gateway/request_sender.py
@@ -92,9 +92,16 @@
         self.held_back = 0
 
     async def send(
-        self, request: ClientRequest, server: ServerRecord, deadline_s: float
+        self,
+        request: ClientRequest,
+        server: ServerRecord,
+        deadline_s: float,
+        on_sending: Callable[[], None] = lambda: None,
     ) -> ServerResponse:
-        """Send `request`, and wait for the response until the clock reads `deadline_s`."""
+        """Send `request`, and wait for the response until the clock reads `deadline_s`.
+
+        :param on_sending: called right before the first byte is sent.
+        """
         pool = self._pool(server)
         connection = pool.acquire(request.request_id, deadline_s)
         if connection is None:
@@ -110,6 +117,7 @@
             connection.abort()
             self.held_back += 1
             return ServerResponse(ExchangeResult.HELD_BACK, detail="held_back")
+        on_sending()
         response = await self._exchange(connection, request, server, deadline_s)
         if response is None:
             return ServerResponse(ExchangeResult.SILENT, detail="deadline")
--- a/indigoworks/gateway/request_state.py
+++ b/indigoworks/gateway/request_state.py
@@ -21,6 +21,7 @@
     :ivar waiting: its newest queue entry, with the placement.
     :ivar waited_s: seconds that it waited here for a server with capacity or an owner.
     :ivar may_have_run: an attempt ended without a proof that the request did not run.
+    :ivar is_outcome_open: it was sent to a server or a peer, and that has not answered yet.
     :ivar may_have_run_at: servers of such attempts.
     :ivar servers_crashed: number of servers that crashed while they ran it.
     :ivar misdirected_count: retries asked for at a keyed service, for any reason.
@@ -58,6 +59,7 @@
         self.tried: list[str] = []
         self.waited_s = 0.0
         self.may_have_run = False
+        self.is_outcome_open = False
         self.may_have_run_at: set[str] = set()
         self.waiting: WaitingRequest | None = None
         self.misdirected_count = 0
--- a/indigoworks/gateway/request_subsystem.py
+++ b/indigoworks/gateway/request_subsystem.py
@@ -19,6 +19,7 @@
 from indigoworks.exchange.peer_table import PeerTable
 from indigoworks.forwarding.forward_client import ForwardClient
 from indigoworks.forwarding.forward_server import ForwardServer
+from indigoworks.gateway.active_requests import ActiveRequests
 from indigoworks.gateway.attempt_gate import AttemptGate
 from indigoworks.gateway.configuration_refusals import ConfigurationRefusals
 from indigoworks.gateway.crash_attribution import CrashAttribution
@@ -43,6 +44,7 @@
 from indigoworks.gateway.request_pipeline import RequestPipeline
 from indigoworks.gateway.request_routing import RequestRouting
 from indigoworks.gateway.request_sender import RequestSender
+from indigoworks.gateway.request_shutdown import RequestShutdown
 from indigoworks.gateway.retry_policy import RetryPolicy
 from indigoworks.gateway.server_connection import OpenConnection, ServerConnection
 from indigoworks.gateway.server_exchange import ServerExchange
@@ -194,6 +196,7 @@
         self._dispatching = self.dispatchers.make_dispatching(
             owners, forwarding.messages, self.retry_budget, retry_policy, failures, log
         )
+        active = ActiveRequests()
         pipeline = RequestPipeline(
             RequestRouting(platform.configurations, refusals, clock),
             placer,
@@ -212,6 +215,7 @@
             forwarding,
             self.server_stats,
             self._crash_attribution,
+            active,
             AttemptGate(
                 self._crash_attribution,
                 GroupLocks(
@@ -233,6 +237,7 @@
         self.forward_server = ForwardServer(forwarded.reply)
         self.dispatchers.may_act = lambda: not self.forward_server.is_stopping
         self.front = FrontServer(settings.front_address, ports.names, pipeline.run, refusals, clock)
+        self.shutdown = RequestShutdown(self.front, self.forward_server, active, clock)
         platform.configurations.on_change(
             lambda configuration: self.front.set_limits(configuration.limits)
         )
--- a/indigoworks/gateway/server_exchange.py
+++ b/indigoworks/gateway/server_exchange.py
@@ -1,6 +1,7 @@
 """One attempt of a request at a server, with what its outcome says about the server."""
 
 import asyncio
+from functools import partial
 
 from indigoworks.gateway.crash_attribution import CrashAttribution
 from indigoworks.gateway.outlier_subsystem import OutlierSubsystem
@@ -51,6 +52,7 @@
         try:
             self._crash_attribution.record_send(state)
             response = await self._exchange(state, server)
+            state.is_outcome_open = False
             self._log.attempted(state, response, started.at_s)
             self._crash_attribution.record_response(state, server, response)
             is_answered = response.result is ExchangeResult.ANSWERED
@@ -69,7 +71,11 @@
 
     async def _exchange(self, state: RequestState, server: ServerRecord) -> ServerResponse:
         """Send a request; if it is repeatable, abandon a server that becomes unreachable."""
-        sending = asyncio.ensure_future(self._sender.send(state.request, server, state.deadline_s))
+        sending = asyncio.ensure_future(
+            self._sender.send(
+                state.request, server, state.deadline_s, partial(_open_outcome, state)
+            )
+        )
         try:
             while True:
                 check_after_s = self._reachability.check_after_s(server)
@@ -113,3 +119,7 @@
             and state.request.key is not None
         ):
             self._owners.record_not_held(state.service.name, state.request.key, server.server_id)
+
+
+def _open_outcome(state: RequestState) -> None:
+    state.is_outcome_open = True
