A response whose status line HTTP does not allow counts as truncated

Callers got answers with a status that does not exist (600 to 999) as the answer to their request, and the connection was kept (MIXED). 000, which the users saw elsewhere, was dropped as an interim response, and so were 099 and 101; nothing said why.

Cause: the HTTP library takes any three digits; whether a response is final was told by "200 or above" alone. The store's client took 999 for a refusal: a write that may have been applied counted as not made.

Change: BoundedHttpConnection, which reads the responses to requests, orders, hops and calls of the store, ends a response whose status line is not HTTP/1.x, 100 to 599 but 101, and a blank; it counts as truncated, its connection is reset, and response:exceeded names the sender with the bound status_line. A forwarded answer with such a status is no reply. HTTP/1.9 is understood as 1.1 and not kept, as before.

--- a/features/steps/gateway_endless_servers.py
+++ b/features/steps/gateway_endless_servers.py
@@ -42,6 +42,7 @@
     "a body of 64 MiB": (b"Content-Length: 67108864\r\n\r\n", _repeated(b"x")),
     "a body of 40 MiB": (b"Content-Length: 41943040\r\n\r\n", _repeated(b"x")),
     "24 MiB in chunks": (CHUNKED, CHUNK),
+    "a short answer": (b"", b""),
     "1000 header lines": (_repeated(b"A: b\r\n")[: 6 * 990], b""),
 }
 """Bytes after the lines that each answer begins with (None: no line precedes them), and the block
@@ -58,7 +59,8 @@
     :param delay_s: between the head's lines, with `ok`, and what follows its answer.
     """
 
-    def __init__(self, way: str, delay_s=0.0, pause_s=0.0) -> None:
+    def __init__(self, way: str, delay_s=0.0, pause_s=0.0, status_line="HTTP/1.1 200 OK") -> None:
+        self._status_line = status_line.encode()
         self._first, self._block = WAYS[way]
         self._whole = WHOLE_BYTES.get(way)
         self._blocks_in_chunks = 24 * 16 if way == "24 MiB in chunks" else None
@@ -114,7 +116,7 @@
         self._asked.add(connection)
         if self._first is not None:
             asked = _ID.search(head)
-            lines = b"HTTP/1.1 200 OK\r\n"
+            lines = self._status_line + b"\r\n"
             if asked:
                 name = b"Forward-Id" if b"Forward-Id" in head else NAMES.request_id.encode()
                 lines += name + b": " + asked[1] + b"\r\n"
--- a/indigoworks/common/bounded_http_connection.py
+++ b/indigoworks/common/bounded_http_connection.py
@@ -1,5 +1,6 @@
 """Client side of one HTTP exchange, with bounds on the response."""
 
+import re
 from collections.abc import Awaitable
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -28,6 +29,10 @@
 """A body from this size on is written after its head: the HTTP library joins what it gets at once,
 and would hold the body twice."""
 
+_STATUS_LINE = re.compile(r"HTTP/1\.[0-9] (?!101)[1-5][0-9]{2} .*", re.DOTALL)
+"""Status lines that are read: a higher minor version is understood as 1.1 (RFC 9110, 2.5), and no
+request asks for another protocol (101)."""
+
 _INTERIM_START = (b"HTTP/1.1 1", b"HTTP/1.0 1")
 _UNBOUNDED = 2**62
 _PARAMETERS = HTTP1ConnectionParameters(max_header_size=MAX_HEAD_BYTES, max_body_size=_UNBOUNDED)
@@ -79,7 +84,10 @@
             self._exceed(ExceededBound.HEAD)
         if self._head_lines > MAX_HEAD_LINES:
             self._exceed(ExceededBound.HEAD_LINES)
-        return super()._parse_headers(data)
+        start_line, headers = super()._parse_headers(data)
+        if not _STATUS_LINE.fullmatch(start_line):
+            self._exceed(ExceededBound.STATUS_LINE)
+        return start_line, headers
 
     def _read_body(
         self, code: int, headers: HTTPHeaders, delegate: HTTPMessageDelegate
--- a/indigoworks/common/exceeded_bound.py
+++ b/indigoworks/common/exceeded_bound.py
@@ -6,6 +6,8 @@
 class ExceededBound(Enum):
     """Bounds of a response; one that exceeds any of them counts as truncated."""
 
+    STATUS_LINE = "status_line"
+    """The status line: HTTP does not allow it, or it names a switch that nobody asked for."""
     HEAD = "head"
     """Bytes of a head, or of one line of it."""
     HEAD_LINES = "head_lines"
--- a/indigoworks/forwarding/forward_codec.py
+++ b/indigoworks/forwarding/forward_codec.py
@@ -11,6 +11,7 @@
 
 MS_PER_S = 1000.0
 MAX_MS = 2**32 - 1
+FINAL_STATUSES = range(200, 600)
 
 _OUTCOMES = {
     ForwardOutcome.ANSWERED: pb.FORWARD_OUTCOME_ANSWERED,
@@ -99,6 +100,8 @@
     outcome = _BY_NUMBER.get(message.outcome)
     if outcome is None:
         return None
+    if outcome is ForwardOutcome.ANSWERED and message.status not in FINAL_STATUSES:
+        return None
     return ForwardReply(
         outcome,
         message.status,
