After an era that is not known all other servers release a range before its owner is asked

Cause: the leader asked the owners of the copy's table first, by a renewal, which is a grant; an owner that lost its keys by waiting has seen no higher token.

Change: others release first, under a token of the new era. Where all answer nobody is asked and the owner is granted under the new token.

--- a/features/gateway_owner_proofs.feature
+++ b/features/gateway_owner_proofs.feature
@@ -159,6 +159,14 @@
     And gateway owner "a" holds all keys
     And no two gateway owners held one key
 
+  # Guards against a renewal under a token that another server's has passed: nobody released the owner.
+  Scenario: An owner that lost its keys by waiting gets them under a new token once all others have answered
+    Given a gateway owner world of a new era, in which "b" has all keys by a lost move and answers
+    When 6 s of gateway owner time pass
+    Then gateway owner "a" took no grant under a token that is not above that of the lost move
+    And gateway owner "a" holds all keys
+    And no two gateway owners held one key
+
   Scenario: An owner that renews after the store came back from a copy may have lost its keys by waiting
     Given a gateway owner world of a new era, in which silent "b" has all keys by a lost move
     When 8 s of gateway owner time pass
--- a/features/steps/gateway_owner_proof_steps.py
+++ b/features/steps/gateway_owner_proof_steps.py
@@ -46,18 +46,26 @@
 
 
 @given('a gateway owner world of a new era, in which silent "{name}" has all keys by a lost move')
-def step_lost_move(context, name):
+def step_lost_move(context, name, is_silent=True):
     """The copy gives them to "a", whose hold had passed before the move."""
 
     async def build():
         context.proof = ProofWorld("a", era=1)
-        context.proof.orders.silent.add(name)
-        context.proof.orders.take(name, KeyGrant(0, KEY_COUNT - 1, 8, HOLD_MAX_S))
+        if is_silent:
+            context.proof.orders.silent.add(name)
+        context.proof.orders.take(name, KeyGrant(0, KEY_COUNT - 1, LOST_TOKEN, HOLD_MAX_S))
         await context.proof.lead()
 
     context.run_async(build())
 
 
+@given(
+    'a gateway owner world of a new era, in which "{name}" has all keys by a lost move and answers'
+)
+def step_lost_move_answers(context, name):
+    step_lost_move(context, name, is_silent=False)
+
+
 @given(
     'a gateway owner world of a new era, whose owner "{name}" {state} since the copy was made, '
     'while "{other}" had its keys'
--- a/indigoworks/ownership/keeper_set.py
+++ b/indigoworks/ownership/keeper_set.py
@@ -69,9 +69,12 @@
         """Renew one grant once, and return the result; None: nothing was sent."""
         return await self._make_keeper(service, owned).renew()
 
-    async def release(self, service: str, owned: OwnedRange, server_id: str) -> None:
-        """Send a server a release of the keys of `owned`, under the token before its own."""
-        await self._make_keeper(service, owned).release_from(server_id)
+    async def release(self, service: str, owned: OwnedRange, server_id: str) -> bool:
+        """Send a server a release of the keys of `owned`, under the token before its own.
+
+        Returns whether that rules the server out.
+        """
+        return await self._make_keeper(service, owned).release_from(server_id)
 
     def granted_count(self) -> int:
         """Return the number of ranges, over all services, that count as granted."""
--- a/indigoworks/ownership/possible_holders.py
+++ b/indigoworks/ownership/possible_holders.py
@@ -31,20 +31,25 @@
             self._bounds.add_possible_hold(server_id, owned, until_s)
             self._bounds.mark_inherited(server_id, owned.first, owned.last)
 
-    async def release(self, service: str, spans: Iterable[tuple[str, OwnedRange]]) -> None:
+    async def release(
+        self, service: str, spans: Iterable[tuple[str, OwnedRange]]
+    ) -> frozenset[str]:
         """Send releases, each of keys under the token before that of the span, to a server.
 
-        Returns when all are answered, or after RELEASE_ALL_TIMEOUT_S.
+        Returns the servers that are not ruled out by an answer, once all have answered or after
+        RELEASE_ALL_TIMEOUT_S.
         """
-        releases = [
-            asyncio.ensure_future(self._keepers.release(service, span, server_id))
+        releases = {
+            asyncio.ensure_future(self._keepers.release(service, span, server_id)): server_id
             for server_id, span in spans
-        ]
+        }
         if not releases:
-            return
-        _, pending = await asyncio.wait(releases, timeout=RELEASE_ALL_TIMEOUT_S)
+            return frozenset()
+        done, pending = await asyncio.wait(releases, timeout=RELEASE_ALL_TIMEOUT_S)
         for each in pending:
             each.cancel()
+        ruled_out = {each for each in done if each.result()}
+        return frozenset(server_id for each, server_id in releases.items() if each not in ruled_out)
 
     def remaining(self, owned: OwnedRange, server_ids: Iterable[str]) -> Sequence[FormerOwner]:
         """Return the servers, except the owner, that may still hold a key of a range."""
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -86,44 +86,82 @@
             # Servers that registered after the copy was made are missing from it.
             since_s = self._clock.now() - self._leadership.era_seen_s
             await self._clock.sleep(max(0.0, SERVER_LIST_SETTLE_S - since_s))
-        confirmed = await asyncio.gather(
-            *(self._is_confirmed(table, each) for each in table.ranges)
-        )
+            return await self._released_table(table)
+        return await self._confirmed_table(table)
+
+    async def _confirmed_table(self, table: OwnershipTable) -> OwnershipTable:
+        """Return the first table after an era that is known: its owners are asked."""
+        confirmed = await self._ask_owners(table, table.ranges)
         holders = self._possible_holders(table)
-        unsure = []
-        for owned, is_confirmed in zip(table.ranges, confirmed, strict=True):
-            if not (is_confirmed and is_known):
-                unsure.append(owned)
-                self._record_holders(
-                    owned, holders, self._until_s(is_confirmed, is_known), is_known
-                )
+        unsure = [each for each in table.ranges if each not in confirmed]
+        for owned in unsure:
+            # The hold of the owner in a known era already has a bound.
+            until_s = self._until_s(is_confirmed=False, is_known=True)
+            self._holders.record(owned, holders - {owned.server_id}, until_s)
         above = first_number(self._leadership.era)
         await self._release_elsewhere(table.service, unsure, holders, token_in_era(table, above))
-        # Doubted ranges are those not confirmed; unsure ones are these, or all if the former era is
-        # not known.
+        self._log_recovered(table, unsure, unsure, holders, is_known=True)
+        carried = [
+            self._sure(table.service, each) if each in confirmed else self._unsure(each, holders)
+            for each in table.ranges
+        ]
+        return in_new_era(table, carried, above)
+
+    async def _released_table(self, table: OwnershipTable) -> OwnershipTable:
+        """Return the first table after an era that is not known.
+
+        All others release a range before its owner gets it under a token of the new era. To renew
+        the owner's grant is no harmless question: it may have lost its keys by waiting, and another
+        server may have had them under a higher token. So it is asked only if a server that may
+        have them does not answer: their holds are then bounded sooner.
+        """
+        holders = self._possible_holders(table)
+        above = first_number(self._leadership.era)
+        token = token_in_era(table, above)
+        silent = await self._release_elsewhere(table.service, table.ranges, holders, token)
+        doubted = [each for each in table.ranges if silent - {each.server_id}]
+        confirmed = await self._ask_owners(table, doubted)
+        for owned in table.ranges:
+            until_s = self._until_s(owned in confirmed, is_known=False)
+            self._holders.record(owned, silent | {owned.server_id}, until_s)
+        unconfirmed = [each for each in doubted if each not in confirmed]
+        self._log_recovered(table, unconfirmed, table.ranges, holders, is_known=False)
+        carried = [self._unsure(each, silent) for each in table.ranges]
+        return in_new_era(table, carried, above)
+
+    def _log_recovered(
+        self,
+        table: OwnershipTable,
+        doubted: Sequence[OwnedRange],
+        unsure: Sequence[OwnedRange],
+        holders: frozenset[str],
+        is_known: bool,
+    ) -> None:
+        """Log the outcome: doubted ranges are not confirmed, unsure ones get a new token."""
         log_message(
             message_type="ownership:recovered",
             service=table.service,
             from_version=str(table.version),
             ranges=len(table.ranges),
-            doubted=confirmed.count(False),
+            doubted=len(doubted),
             unsure=len(unsure),
             servers=len(holders),
             is_known=is_known,
             led_before=self._led(table),
         )
-        unsure_set = set(unsure)
-        carried = [
-            self._unsure(each, holders) if each in unsure_set else self._sure(table.service, each)
-            for each in table.ranges
-        ]
-        return in_new_era(table, carried, above)
 
     # ---- confirmation by owners ----
 
     def _led(self, table: OwnershipTable) -> bool:
         return self._leadership.led_former_era(table.version.era)
 
+    async def _ask_owners(
+        self, table: OwnershipTable, ranges: Sequence[OwnedRange]
+    ) -> frozenset[OwnedRange]:
+        """Return the ranges that their owners confirm."""
+        answers = await asyncio.gather(*(self._is_confirmed(table, each) for each in ranges))
+        return frozenset(each for each, is_sure in zip(ranges, answers, strict=True) if is_sure)
+
     async def _is_confirmed(self, table: OwnershipTable, owned: OwnedRange) -> bool:
         """Return whether only the owner and the former owners in the row may hold the range.
 
@@ -169,21 +207,14 @@
 
     # ---- other possible holders ----
 
-    def _record_holders(
-        self, owned: OwnedRange, holders: frozenset[str], until_s: float, is_known: bool
-    ) -> None:
-        # The hold of an owner in a known era already has a bound.
-        unbounded = holders - {owned.server_id} if is_known else holders
-        self._holders.record(owned, unbounded, until_s)
-
     async def _release_elsewhere(
         self, service: str, unsure: Sequence[OwnedRange], holders: frozenset[str], token: int
-    ) -> None:
+    ) -> frozenset[str]:
         """Have every server release the ranges that others own, in as few orders as possible.
 
-        A server that answers holds none of them; one that does not remains a former owner.
+        Returns the servers that do not answer; one that does holds none of them.
         """
-        await self._holders.release(
+        return await self._holders.release(
             service,
             [
                 (server_id, span)
