A server that leaves one release unanswered stays a former owner of those keys alone

A server of which one of several releases was not answered counted as a possible holder of every range.

Change: PossibleHolders.release tells which keys of which server were not released, and a range waits for the servers with keys of its own, as before.

--- a/indigoworks/ownership/possible_holders.py
+++ b/indigoworks/ownership/possible_holders.py
@@ -33,23 +33,26 @@
 
     async def release(
         self, service: str, spans: Iterable[tuple[str, OwnedRange]]
-    ) -> frozenset[str]:
+    ) -> Sequence[tuple[str, OwnedRange]]:
         """Send releases, each of keys under the token before that of the span, to a server.
 
-        Returns the servers that are not ruled out by an answer, once all have answered or after
+        Returns those that did not rule their server out, once all are answered or after
         RELEASE_ALL_TIMEOUT_S.
         """
         releases = {
-            asyncio.ensure_future(self._keepers.release(service, span, server_id)): server_id
+            asyncio.ensure_future(self._keepers.release(service, span, server_id)): (
+                server_id,
+                span,
+            )
             for server_id, span in spans
         }
         if not releases:
-            return frozenset()
+            return ()
         done, pending = await asyncio.wait(releases, timeout=RELEASE_ALL_TIMEOUT_S)
         for each in pending:
             each.cancel()
         ruled_out = {each for each in done if each.result()}
-        return frozenset(server_id for each, server_id in releases.items() if each not in ruled_out)
+        return [released for each, released in releases.items() if each not in ruled_out]
 
     def remaining(self, owned: OwnedRange, server_ids: Iterable[str]) -> Sequence[FormerOwner]:
         """Return the servers, except the owner, that may still hold a key of a range."""
--- a/indigoworks/ownership/table_recovery.py
+++ b/indigoworks/ownership/table_recovery.py
@@ -118,15 +118,16 @@
         holders = self._possible_holders(table)
         above = first_number(self._leadership.era)
         token = token_in_era(table, above)
-        silent = await self._release_elsewhere(table.service, table.ranges, holders, token)
-        doubted = [each for each in table.ranges if silent - {each.server_id}]
+        unreleased = await self._release_elsewhere(table.service, table.ranges, holders, token)
+        silent = {each: _servers_with_keys_of(each, unreleased) for each in table.ranges}
+        doubted = [each for each in table.ranges if silent[each]]
         confirmed = await self._ask_owners(table, doubted)
         for owned in table.ranges:
             until_s = self._until_s(owned in confirmed, is_known=False)
-            self._holders.record(owned, silent | {owned.server_id}, until_s)
+            self._holders.record(owned, silent[owned] | {owned.server_id}, until_s)
         unconfirmed = [each for each in doubted if each not in confirmed]
         self._log_recovered(table, unconfirmed, table.ranges, holders, is_known=False)
-        carried = [self._unsure(each, silent) for each in table.ranges]
+        carried = [self._unsure(each, silent[each]) for each in table.ranges]
         return in_new_era(table, carried, above)
 
     def _log_recovered(
@@ -209,10 +210,10 @@
 
     async def _release_elsewhere(
         self, service: str, unsure: Sequence[OwnedRange], holders: frozenset[str], token: int
-    ) -> frozenset[str]:
+    ) -> Sequence[tuple[str, OwnedRange]]:
         """Have every server release the ranges that others own, in as few orders as possible.
 
-        Returns the servers that do not answer; one that does holds none of them.
+        Returns the servers that do not answer, with the keys; one that does holds none of them.
         """
         return await self._holders.release(
             service,
@@ -254,3 +255,14 @@
     def _may_act_until_s(self) -> float:
         """Return until when a leader of a former era may act: a lease after that era ended."""
         return self._leadership.others_led_until_s + LEADER_LEASE_S
+
+
+def _servers_with_keys_of(
+    owned: OwnedRange, unreleased: Sequence[tuple[str, OwnedRange]]
+) -> frozenset[str]:
+    """Return the servers that have not released all keys of a range."""
+    return frozenset(
+        server_id
+        for server_id, span in unreleased
+        if span.first <= owned.last and owned.first <= span.last
+    )
