The soak draws one and two servers, 1, 2 and 17 gateways, and servers that leave requests unanswered

Change: in every fifth seed servers leave a tenth of the requests unanswered and the sizes are drawn; the plans of all other seeds are as before. A short seed of it runs with the tests.

--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -60,3 +60,9 @@
     When a short gateway soak of seed 7 runs
     Then the soak checkers find just nothing
     And every gateway of the soak served requests
+
+  # Guards against requests that a stopping process leaves without a response, as their servers do.
+  Scenario: Real gateways that stop answer what their servers leave unanswered
+    When a short gateway soak of seed 10 runs in which servers leave requests unanswered
+    Then the soak checkers find just nothing
+    And every gateway of the soak served requests
--- a/features/steps/gateway_soak_command.py
+++ b/features/steps/gateway_soak_command.py
@@ -96,15 +96,28 @@
 """In one of so many seeds the store has no trouble but its returns."""
 
 
+UNANSWERED_SEEDS = 5
+"""In one of so many seeds servers leave some requests unanswered, and the sizes are drawn."""
+
+UNANSWERED_SHARE = 0.1
+DRAWN_GATEWAYS = (1, 2, 17)
+DRAWN_SERVERS = (1, 2)
+
+
 async def soak(seed, folder, seconds, gateways):
     """Run one seed; returns its world and what the checkers find."""
-    world = SoakWorld(seed, folder, gateways)
-    plan = draw_plan(Random(seed), seconds, gateways, SERVERS)
+    servers, unanswered = SERVERS, 0.0
+    if seed % UNANSWERED_SEEDS == 0:
+        sizes = Random(f"sizes {seed}")
+        gateways, servers = sizes.choice(DRAWN_GATEWAYS), sizes.choice(DRAWN_SERVERS)
+        unanswered = UNANSWERED_SHARE
+    world = SoakWorld(seed, folder, gateways, servers, unanswered)
+    plan = draw_plan(Random(seed), seconds, gateways, servers)
     if seed % CALM_STORE_SEEDS == 0:
         # Other troubles excuse what comes after a return.
         plan = [each for each in plan if each.kind is not EventKind.STORE]
-    rests = draw_rests(Random(f"rests {seed}"), seconds, SERVERS)
-    limits = draw_limits(Random(f"limits {seed}"), seconds, SERVERS)
+    rests = draw_rests(Random(f"rests {seed}"), seconds, servers)
+    limits = draw_limits(Random(f"limits {seed}"), seconds, servers)
     returns = draw_returns(Random(f"returns {seed}"), seconds)
     silences = []
     if seed % SILENT_STORE_SEEDS == 1:
--- a/features/steps/gateway_soak_server.py
+++ b/features/steps/gateway_soak_server.py
@@ -19,12 +19,15 @@
 class SoakServer(ScriptedServer):
     """Notes in `history` what arrives, what it begins to work on and what it asks for.
 
+    :param leaves_unanswered: tells of each request whether it gets no answer, nor any that follows
+        on its connection.
     :ivar limits: limits that it names now, of which the lowest holds.
     :ivar rests: rests that it asks for now, in seconds; it turns all away while there are any.
     """
 
-    def __init__(self, server_id, history) -> None:
+    def __init__(self, server_id, history, leaves_unanswered=lambda: False) -> None:
         super().__init__([])
+        self._leaves_unanswered = leaves_unanswered
         self.rests = []
         self.limits = []
         self._history = history
@@ -62,6 +65,8 @@
         if self.rests:
             self._answer(writer, request_id, TURNED_AWAY, max(self.rests))
             return True
+        if self._leaves_unanswered():
+            await asyncio.Event().wait()
         self._history.runs.append(ServerRun(request_id, self.server_id, now_s))
         await asyncio.sleep(float(request.target.rpartition("/")[2]) / MS_PER_S)
         self._answer(writer, request_id, 200)
--- a/features/steps/gateway_soak_steps.py
+++ b/features/steps/gateway_soak_steps.py
@@ -25,6 +25,7 @@
 from indigoworks_lab.gateway_soak.time_span import TimeSpan
 
 SHORT_S = 6.0
+UNANSWERED_SHARE = 0.1
 SHORT_GATEWAYS = 2
 
 SERVED = SoakRequest("r1", "g0", 1, 5, False, 20.0, 20.1, status=200, is_whole=True)
@@ -157,12 +158,12 @@
 
 
 @when("a short gateway soak of seed {seed:d} runs")
-def short_soak(context, seed):
+def short_soak(context, seed, unanswered=0.0):
     folder = Path(tempfile.mkdtemp())
     context.add_cleanup(shutil.rmtree, folder)
 
     async def run():
-        world = SoakWorld(seed, folder, SHORT_GATEWAYS)
+        world = SoakWorld(seed, folder, SHORT_GATEWAYS, SERVERS, unanswered)
         plan = draw_plan(Random(seed), SHORT_S, SHORT_GATEWAYS, SERVERS)
         rests = draw_rests(Random(f"rests {seed}"), SHORT_S, SERVERS)
         limits = draw_limits(Random(f"limits {seed}"), SHORT_S, SERVERS)
@@ -175,6 +176,11 @@
     context.soak_history = context.run_async(run())
 
 
+@when("a short gateway soak of seed {seed:d} runs in which servers leave requests unanswered")
+def short_soak_unanswered(context, seed):
+    short_soak(context, seed, UNANSWERED_SHARE)
+
+
 @then("every gateway of the soak served requests")
 def every_one_served(context):
     served = {each.gateway for each in context.soak_history.requests if each.status == 200}
