--- a/features/steps/gateway_soak_server.py
+++ b/features/steps/gateway_soak_server.py
@@ -1,6 +1,7 @@
 """A server of a soak: works as long as the path says, and notes what it ran."""
 
 import asyncio
+from random import Random
 
 from gateway_scripted_server import ScriptedServer
 from platform_folder_store_stand_in import FOLDER  # noqa: F401 - makes header_names importable
@@ -19,15 +20,16 @@
 class SoakServer(ScriptedServer):
     """Notes in `history` what arrives, what it begins to work on and what it asks for.
 
-    :param leaves_unanswered: tells of each request whether it gets no answer, nor any that follows
-        on its connection.
+    :param unanswered: share of the requests that get no answer, nor do those that follow on their
+        connection.
     :ivar limits: limits that it names now, of which the lowest holds.
     :ivar rests: rests that it asks for now, in seconds; it turns all away while there are any.
     """
 
-    def __init__(self, server_id, history, leaves_unanswered=lambda: False) -> None:
+    def __init__(self, server_id, history, unanswered=0.0) -> None:
         super().__init__([])
-        self._leaves_unanswered = leaves_unanswered
+        self._unanswered = unanswered
+        self._random = Random(f"unanswered {server_id}")
         self.rests = []
         self.limits = []
         self._history = history
@@ -65,7 +67,7 @@
         if self.rests:
             self._answer(writer, request_id, TURNED_AWAY, max(self.rests))
             return True
-        if self._leaves_unanswered():
+        if self._random.random() < self._unanswered:
             await asyncio.Event().wait()
         self._history.runs.append(ServerRun(request_id, self.server_id, now_s))
         await asyncio.sleep(float(request.target.rpartition("/")[2]) / MS_PER_S)
