--- a/indigoworks/gateway/active_requests.py
+++ b/indigoworks/gateway/active_requests.py
@@ -43,7 +43,7 @@
         self.is_closed = True
         self._end(list(self._tasks))
 
-    def has_ended(self, state: RequestState) -> bool:
+    def absorb_cancellation(self, state: RequestState) -> bool:
         """Return whether handling was cancelled because the process stops.
 
         The cancellation then counts as handled: the task goes on to write a response.
--- a/indigoworks/gateway/request_pipeline.py
+++ b/indigoworks/gateway/request_pipeline.py
@@ -129,7 +129,7 @@
                     if final is not None:
                         return final
             except asyncio.CancelledError:
-                if not self._active.has_ended(state):
+                if not self._active.absorb_cancellation(state):
                     self._log.cancelled(state)
                     raise
             return self._failures.ended(state)
