The last responses of a stop have half of their time to leave, whatever the grace

Cause, by reading: with a grace below 3.2 s the process exited 0.4 s before its end and gave its last responses later than that, so that nothing was left for writing them.

Change: the exit lies halfway between the last responses and the kill.

--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -11,17 +11,19 @@
       | 6     |
 
   # Guards against connections that are closed without a response where a server never answers.
-  Scenario Outline: A request, <kind>, that its server leaves unanswered gets a response before the process ends
-    Given a gateway process with a grace of 4 s and a server that is silent
+  Scenario Outline: A request, <kind>, that its server leaves unanswered gets a response before a grace of <grace> s ends
+    Given a gateway process with a grace of <grace> s and a server that is silent
     And a request, <kind>, at the server of the gateway process
     When the gateway process is told to stop
     Then the gateway process answered it with 502 in the last sixth of the grace, and in time
     And the gateway process ended before its grace was over
 
     Examples:
-      | kind   |
-      | safe   |
-      | unsafe |
+      | kind   | grace |
+      | safe   | 4     |
+      | unsafe | 4     |
+      | unsafe | 6     |
+      | unsafe | 3     |
 
   # Guards against a response at the end to who could have been served elsewhere long before.
   Scenario: A request that waits for a server is refused as soon as it is certain that none takes it
--- a/indigoworks/gateway/request_shutdown.py
+++ b/indigoworks/gateway/request_shutdown.py
@@ -15,15 +15,15 @@
 """Largest share of the time until exit for which new connections are accepted; the rest is left for
 requests in flight. Takes effect only if that time is shorter than twice LISTEN_AFTER_STOP_S."""
 
-EXIT_MARGIN_S = 0.4
-"""Time by which the process exits before it would be killed."""
-
 LAST_RESPONSES_S = 0.8
 LAST_RESPONSES_SHARE = 0.125
 """Time before the process would be killed, and its largest share of the grace, at which requests
 that no server has answered get a response of the gateway. A server is given as long as possible,
 and the response must leave the process, perhaps over a slow link."""
 
+EXIT_SHARE = 0.5
+"""Part of that time that is left when the process exits, whatever is still being written."""
+
 
 class RequestShutdown:
     """Answers every request that was read, those of callers and those that peers forwarded.
@@ -46,20 +46,20 @@
         self._clock = clock
 
     async def run(self, grace_s: float) -> None:
-        """Return when all requests are answered, at the latest EXIT_MARGIN_S before the end.
+        """Return when all requests are answered, at the latest shortly before the end.
 
         :param grace_s: time until the process is killed.
         """
         kill_s = self._clock.now() + grace_s
-        exit_s = kill_s - EXIT_MARGIN_S
+        last_responses_s = min(LAST_RESPONSES_S, LAST_RESPONSES_SHARE * grace_s)
+        exit_s = kill_s - EXIT_SHARE * last_responses_s
         self._front.is_stopping = True
         self._forward_server.is_stopping = True
-        listen_s = min(LISTEN_AFTER_STOP_S, LISTEN_SHARE * max(0.0, grace_s - EXIT_MARGIN_S))
-        await self._clock.sleep(listen_s)
+        listen_s = LISTEN_SHARE * (exit_s - self._clock.now())
+        await self._clock.sleep(min(LISTEN_AFTER_STOP_S, listen_s))
         self._front.stop_listening()
         self._active.close()
-        last_responses_s = min(LAST_RESPONSES_S, LAST_RESPONSES_SHARE * grace_s)
-        await self._finish(min(exit_s, kill_s - last_responses_s))
+        await self._finish(kill_s - last_responses_s)
         self._active.end_all()
         await self._finish(exit_s)
 
