An entry that has gone shows no crash where no other server is listed

Cause, found on re-reading: where the list holds no other server PathMonitor.is_sound answers yes without a proof. So a loss in a cut that refuses connections counted as a crash if the entry of the only server lapsed meanwhile, as entries do while the store is down.

Change: another listed server has to accept a connection before an entry that has gone shows an end; else the loss is kept.

--- a/features/gateway_harm_last_server.feature
+++ b/features/gateway_harm_last_server.feature
@@ -45,6 +45,16 @@
       | 1       |
       | 2       |
 
+  # Guards against a lapsed entry being taken for an end where no other server shows that the path is sound.
+  Scenario: Requests that were lost in cuts are served after them though the entry of the only server lapsed
+    Given 3 crash gateways before 1 servers of one service without keys
+    And a page of scheduler that one caller reads 10 times a second for 20 s
+    And the entries of all servers lapse in each cut
+    And 4 cuts of all gateways from the servers, one each 4 s, that refuse connections for 1.5 s
+    When the requests beside them have ended
+    Then no gateway counted a crash
+    And the page was served after the last cut
+
   # Guards against sizes that no drawn run had: one or two servers of all, and 1, 2 or 17 gateways.
   Scenario Outline: Drawn restarts, cuts, outages and other ends before one or two servers: seed <seed>
     When the drawn run <seed> of harmful requests before one or two servers is played
--- a/features/steps/gateway_harm_last_server_steps.py
+++ b/features/steps/gateway_harm_last_server_steps.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from behave import given, then
+from eliot import add_destinations, remove_destination
 from gateway_crash_steps import ended_under, harmful_target
+from gateway_log_steps import drop_earlier_messages
 
 from indigoworks_lab.crash_simulation.crash_shape import CrashShape
 from indigoworks_lab.crash_simulation.path_cuts import PathCut
@@ -22,6 +24,20 @@
     context.crash_scripts = []
 
 
+@given("the entries of all servers lapse in each cut")
+def step_entries_lapse(context):
+    context.entries_lapse = True
+    context.resolved = []
+    drop_earlier_messages(context)
+
+    def keep(message):
+        if message.get("message_type") == "server:losses_resolved":
+            context.resolved.append(message)
+
+    add_destinations(keep)
+    context.add_cleanup(remove_destination, keep)
+
+
 @given(
     "{cuts:d} cuts of all gateways from the servers, one each {gap_s:g} s, that refuse connections "
     "for {duration_s:g} s"
@@ -31,7 +47,10 @@
         for _ in range(cuts):
             await asyncio.sleep(gap_s - duration_s)
             simulation.path_cuts.begin(list(simulation.gateways), PathCut.REFUSED)
-            await asyncio.sleep(duration_s)
+            if getattr(context, "entries_lapse", False):
+                await lapse(simulation, duration_s)
+            else:
+                await asyncio.sleep(duration_s)
             simulation.path_cuts.heal()
         context.last_cut_s = asyncio.get_running_loop().time()
         await asyncio.sleep(6 * HEARTBEAT_S)
@@ -48,6 +67,26 @@
     context.crash_scripts += [cut_all, beat]
 
 
+async def lapse(simulation, duration_s):
+    """Take the entries of all servers out for most of a cut."""
+    await asyncio.sleep(duration_s / 4)
+    for gateway in simulation.living_gateways():
+        for machine in simulation.machines.values():
+            gateway.platform.servers.remove(machine.server_id)
+    await asyncio.sleep(duration_s / 2)
+    for machine in simulation.machines.values():
+        simulation.write_entry(machine)
+    await asyncio.sleep(duration_s / 4)
+
+
+@then("no gateway counted a crash")
+def step_no_crash(context):
+    counts = [each.side.quarantine.count_watched() for each in context.crash.living_gateways()]
+    refused = [each.side.quarantine.count_refused() for each in context.crash.living_gateways()]
+    resolved = [line for line in context.resolved if line["outcome"] != "alive"]
+    assert not any(counts + refused) and not resolved, (counts, refused, resolved)
+
+
 @then(
     "at most {count:d} runs of the request to {service} began later than {contact_s:g} s after it "
     "had ended three"
--- a/indigoworks/gateway/crash_attribution.py
+++ b/indigoworks/gateway/crash_attribution.py
@@ -175,6 +175,8 @@
 
     async def _is_unreached(self, server: ServerRecord) -> bool:
         """Return whether a server accepts no connection now, while another one does."""
+        if not any(each.server_id != server.server_id for each in self._servers.listed()):
+            return False
         now_s = self._clock.now()
         has_responded = await self._reachability.has_responded_since(server, now_s)
         return not has_responded and await self._path.is_sound(now_s)
